Skeleton: build, core library, HTTP library and the seams

The libraries that the parts build on: LibCore (loop, settings, result codes, events, metrics, hashing, messages) and LibHttp (libmicrohttpd and libcurl on libev). LibPlatform, LibMembership, LibLink, LibIntent and LibRouting begin with their interfaces, so that work can split.

Debian builds Abseil with a string view type of its own, so absl/strings can't take std::string_view; formatting goes through fmt instead.

--- /dev/null
+++ b/Libraries/LibCore/event.h
@@ -0,0 +1,114 @@
+// Numbered events. Each process keeps the latest ones in a bounded ring, which
+// wasabi_timeline collects over HTTP and merges. docs/EVENTS.md lists the
+// numbers; a test compares the page with the table here.
+
+#ifndef LIBCORE_EVENT_H_
+#define LIBCORE_EVENT_H_
+
+#include <cstdint>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace wasabi::core {
+
+enum class EventCode : int {
+  // 1xx: the process.
+  kProcessStarted = 100,
+  kProcessStopping = 101,
+  kProcessStopped = 102,
+  // 2xx: callers.
+  kRequestReceived = 200,
+  kRequestRefused = 201,
+  kRequestForwarded = 202,
+  kRequestAnswered = 203,
+  kRequestFailed = 204,
+  kCallerDisconnected = 205,
+  kCallerReattached = 206,
+  kBadInput = 207,
+  // 3xx: runners and their owners.
+  kAttemptStarted = 300,
+  kAttemptFinished = 301,
+  kAttemptFailed = 302,
+  kAttemptResumed = 303,
+  kRequestQueued = 304,
+  kRequestDisplaced = 305,
+  kPointerFollowed = 306,
+  kOwnershipTaken = 307,
+  kOwnershipReleased = 308,
+  kRunnerUp = 309,
+  kRunnerDown = 310,
+  kRunnerLeaving = 311,
+  kAnswerCrossed = 312,
+  kConnectionSilent = 313,
+  kDigestSuspected = 314,
+  kDigestQuarantined = 315,
+  kHandOverReceived = 316,
+  // 4xx: the ledger of non-repeatable calls.
+  kIntentAppended = 400,
+  kIntentWon = 401,
+  kIntentLost = 402,
+  kCallDispatched = 403,
+  kOutcomeRecorded = 404,
+  kOutcomeUnknown = 405,
+  kCallVoided = 406,
+  kPartitionOpened = 407,
+  // 5xx: membership and links.
+  kMemberAlive = 500,
+  kMemberSuspect = 501,
+  kMemberLeaving = 502,
+  kMemberGone = 503,
+  kDatagramDropped = 504,
+  kLinkUp = 505,
+  kLinkDown = 506,
+  // 6xx: the platform.
+  kPlatformDown = 600,
+  kPlatformUp = 601,
+  kRecordSkipped = 602,
+  kLogWentBackwards = 603,
+  kRecordsForgotten = 604,
+  // 7xx: configuration, intents and orders.
+  kConfigurationApplied = 700,
+  kPlanMade = 701,
+  kPlanConfirmed = 702,
+  kPlanConflicted = 703,
+  kSnapshotAppended = 704,
+  kSnapshotLoaded = 705,
+  kClaimWon = 706,
+  kClaimLost = 707,
+  kOrderSent = 708,
+  kOrderRefused = 709,
+  kOrderCorrected = 710,
+};
+
+// One row of the catalogue of events.
+struct EventCodeEntry {
+  EventCode code;
+  std::string_view name;
+  std::string_view meaning;
+};
+
+// All events in ascending order.
+std::span<const EventCodeEntry> EventCodeTable();
+
+// The row of `code`.
+const EventCodeEntry& Describe(EventCode code);
+
+// One recorded event.
+struct Event {
+  // Position in the ring of its process, from 1 without gaps.
+  uint64_t sequence = 0;
+  // Lamport time: greater than that of every event that may have caused it.
+  uint64_t lamport = 0;
+  // Wall-clock time in nanoseconds since 1970, for people only.
+  int64_t wall_nanoseconds = 0;
+  EventCode code = EventCode::kProcessStarted;
+  // The request concerned, or empty.
+  std::string request_id;
+  // What happened, as "key=value" words.
+  std::string detail;
+};
+
+}  // namespace wasabi::core
+
+#endif  // LIBCORE_EVENT_H_
--- /dev/null
+++ b/Libraries/LibCore/identifier.h
@@ -0,0 +1,67 @@
+// Distinct string types for the names that cross module borders, so that a
+// host can't be passed where a runner is meant.
+
+#ifndef LIBCORE_IDENTIFIER_H_
+#define LIBCORE_IDENTIFIER_H_
+
+#include <compare>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "LibCore/hash.h"
+#include "LibCore/message.h"
+
+namespace wasabi::core {
+
+// An immutable name; `Tag` keeps the kinds apart.
+template <typename Tag>
+class Identifier {
+ public:
+  Identifier() = default;
+  explicit Identifier(std::string value) : value_(std::move(value)) {}
+
+  const std::string& value() const { return value_; }
+  bool empty() const { return value_.empty(); }
+  uint64_t Hash() const { return StableHash(value_); }
+
+  auto operator<=>(const Identifier&) const = default;
+
+  template <typename H>
+  friend H AbslHashValue(H state, const Identifier& it) {
+    return H::combine(std::move(state), it.value_);
+  }
+
+  MSGPACK_DEFINE(value_);
+
+ private:
+  std::string value_;
+};
+
+// A daemon of the fleet, for example "entry-1/router".
+using HostId = Identifier<struct HostTag>;
+// A data centre.
+using DataCentreId = Identifier<struct DataCentreTag>;
+// A model endpoint.
+using RunnerId = Identifier<struct RunnerTag>;
+// A set of interchangeable runners, or the endpoints of one plain service.
+using PoolId = Identifier<struct PoolTag>;
+// A deployment: one business of the operators.
+using DeploymentId = Identifier<struct DeploymentTag>;
+// A caller organisation.
+using OrganisationId = Identifier<struct OrganisationTag>;
+// A returning chat.
+using ChatKey = Identifier<struct ChatTag>;
+// One request of a caller, unique within its organisation.
+using RequestId = Identifier<struct RequestTag>;
+
+}  // namespace wasabi::core
+
+template <typename Tag>
+struct std::hash<wasabi::core::Identifier<Tag>> {
+  size_t operator()(const wasabi::core::Identifier<Tag>& it) const {
+    return static_cast<size_t>(it.Hash());
+  }
+};
+
+#endif  // LIBCORE_IDENTIFIER_H_
--- /dev/null
+++ b/Libraries/LibHttp/client.cc
@@ -0,0 +1,314 @@
+#include "LibHttp/client.h"
+
+#include <curl/curl.h>
+
+#include <utility>
+
+#include "LibCore/result_code.h"
+#include "LibCore/text.h"
+
+namespace wasabi::http {
+
+namespace {
+
+using core::MakeStatus;
+using core::ResultCode;
+
+// Maps the result of a transfer to a status; see ClientCallbacks::on_done.
+absl::Status TransferStatus(CURLcode code, bool was_sent) {
+  const std::string text = curl_easy_strerror(code);
+  switch (code) {
+    case CURLE_OK:
+      return absl::OkStatus();
+    case CURLE_COULDNT_CONNECT:
+    case CURLE_COULDNT_RESOLVE_HOST:
+      return MakeStatus(ResultCode::kPeerUnreachable, text);
+    case CURLE_OPERATION_TIMEDOUT:
+      return was_sent ? MakeStatus(ResultCode::kDeadlineExceeded, text)
+                      : MakeStatus(ResultCode::kPeerUnreachable, text);
+    default:
+      return MakeStatus(ResultCode::kAnswerCut, text);
+  }
+}
+
+}  // namespace
+
+struct Client::State : std::enable_shared_from_this<Client::State> {
+  struct Call;
+
+  explicit State(core::EventLoop* event_loop);
+  ~State();
+  State(const State&) = delete;
+  State& operator=(const State&) = delete;
+
+  void Start(const std::shared_ptr<Call>& call, const ClientRequest& request);
+  void Act(curl_socket_t socket, int events);
+  void CollectFinished();
+  void Remove(Call* call);
+
+  static int OnSocket(CURL* easy,
+                      curl_socket_t socket,
+                      int what,
+                      void* user,
+                      void* socket_user);
+  static int OnTimer(CURLM* multi, long timeout_ms, void* user);
+
+  core::EventLoop* loop;
+  CURLM* multi;
+  std::unique_ptr<core::Timer> timer;
+  std::map<curl_socket_t, std::unique_ptr<core::IoWatcher>> watchers;
+  std::map<CURL*, std::shared_ptr<Call>> calls;
+};
+
+struct Client::State::Call : ClientCall {
+  explicit Call(std::weak_ptr<State> owner) : state(std::move(owner)) {}
+  ~Call() override { curl_slist_free_all(header_list); }
+  Call(const Call&) = delete;
+  Call& operator=(const Call&) = delete;
+
+  void Cancel() override {
+    is_cancelled = true;
+    callbacks = ClientCallbacks();
+    if (const std::shared_ptr<State> owner = state.lock()) {
+      // Curl forbids removal inside its callbacks, so it waits for a turn.
+      std::weak_ptr<State> weak = owner;
+      CURL* handle = easy;
+      owner->loop->Post([weak, handle] {
+        const std::shared_ptr<State> it = weak.lock();
+        if (it != nullptr && it->calls.contains(handle)) {
+          it->Remove(it->calls.at(handle).get());
+        }
+      });
+    }
+  }
+
+  // Reports the headers once, before the first byte of the body.
+  void ReportHeaders() {
+    if (headers_reported) {
+      return;
+    }
+    headers_reported = true;
+    long status = 0;
+    curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
+    if (callbacks.on_headers) {
+      callbacks.on_headers(static_cast<int>(status), headers);
+    }
+  }
+
+  static size_t OnHeader(char* bytes, size_t size, size_t count, void* user) {
+    auto* call = static_cast<Call*>(user);
+    const std::string_view line(bytes, size * count);
+    if (line.starts_with("HTTP/")) {
+      call->headers = Headers();
+    } else if (const size_t colon = line.find(':');
+               colon != std::string_view::npos) {
+      call->headers.Add(std::string(core::Trim(line.substr(0, colon))),
+                        std::string(core::Trim(line.substr(colon + 1))));
+    }
+    return size * count;
+  }
+
+  static size_t OnData(char* bytes, size_t size, size_t count, void* user) {
+    auto* call = static_cast<Call*>(user);
+    call->ReportHeaders();
+    if (call->callbacks.on_data) {
+      call->callbacks.on_data(std::string_view(bytes, size * count));
+    }
+    return call->is_cancelled ? 0 : size * count;
+  }
+
+  std::weak_ptr<State> state;
+  CURL* easy = nullptr;
+  curl_slist* header_list = nullptr;
+  ClientCallbacks callbacks;
+  std::string body;
+  Headers headers;
+  bool headers_reported = false;
+  bool is_cancelled = false;
+};
+
+Client::State::State(core::EventLoop* event_loop)
+    : loop(event_loop), multi(curl_multi_init()) {
+  timer = loop->NewTimer([this] { Act(CURL_SOCKET_TIMEOUT, 0); });
+  curl_multi_setopt(multi, CURLMOPT_SOCKETFUNCTION, &State::OnSocket);
+  curl_multi_setopt(multi, CURLMOPT_SOCKETDATA, this);
+  curl_multi_setopt(multi, CURLMOPT_TIMERFUNCTION, &State::OnTimer);
+  curl_multi_setopt(multi, CURLMOPT_TIMERDATA, this);
+  curl_multi_setopt(multi, CURLMOPT_PIPELINING, CURLPIPE_NOTHING);
+  constexpr long kMaxIdleConnections = 2048;
+  curl_multi_setopt(multi, CURLMOPT_MAXCONNECTS, kMaxIdleConnections);
+}
+
+Client::State::~State() {
+  for (const auto& [easy, call] : calls) {
+    curl_multi_remove_handle(multi, easy);
+    curl_easy_cleanup(easy);
+  }
+  curl_multi_setopt(multi, CURLMOPT_SOCKETFUNCTION, nullptr);
+  curl_multi_setopt(multi, CURLMOPT_TIMERFUNCTION, nullptr);
+  curl_multi_cleanup(multi);
+}
+
+void Client::State::Start(const std::shared_ptr<Call>& call,
+                          const ClientRequest& request) {
+  CURL* easy = curl_easy_init();
+  call->easy = easy;
+  call->body = request.body;
+  const std::string url =
+      fmt::format("http://{}{}", request.address.ToString(), request.target);
+  curl_easy_setopt(easy, CURLOPT_URL, url.c_str());
+  curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(easy, CURLOPT_NOPROXY, "*");
+  curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+  curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+  curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request.method.c_str());
+  if (request.method == "HEAD") {
+    curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
+  }
+  if (!call->body.empty() || request.method == "POST") {
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                     static_cast<curl_off_t>(call->body.size()));
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDS, call->body.c_str());
+  }
+  for (const Headers::Field& field : request.headers.fields()) {
+    call->header_list = curl_slist_append(
+        call->header_list,
+        fmt::format("{}: {}", field.first, field.second).c_str());
+  }
+  // Without this curl holds a large body back until the peer invites it.
+  call->header_list = curl_slist_append(call->header_list, "Expect:");
+  curl_easy_setopt(easy, CURLOPT_HTTPHEADER, call->header_list);
+  curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &Call::OnHeader);
+  curl_easy_setopt(easy, CURLOPT_HEADERDATA, call.get());
+  curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &Call::OnData);
+  curl_easy_setopt(easy, CURLOPT_WRITEDATA, call.get());
+  curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT,
+                   request.needs_fresh_connection ? 1L : 0L);
+  curl_easy_setopt(
+      easy, CURLOPT_CONNECTTIMEOUT_MS,
+      static_cast<long>(core::ToMilliseconds(request.connect_timeout)));
+  curl_easy_setopt(
+      easy, CURLOPT_TIMEOUT_MS,
+      static_cast<long>(core::ToMilliseconds(request.total_timeout)));
+  calls[easy] = call;
+  curl_multi_add_handle(multi, easy);
+}
+
+void Client::State::Act(curl_socket_t socket, int events) {
+  int running = 0;
+  curl_multi_socket_action(multi, socket, events, &running);
+  CollectFinished();
+}
+
+void Client::State::CollectFinished() {
+  const std::shared_ptr<State> keep_alive = shared_from_this();
+  int left = 0;
+  while (CURLMsg* message = curl_multi_info_read(multi, &left)) {
+    if (message->msg != CURLMSG_DONE) {
+      continue;
+    }
+    const auto it = calls.find(message->easy_handle);
+    if (it == calls.end()) {
+      continue;
+    }
+    const std::shared_ptr<Call> call = it->second;
+    long request_size = 0;
+    curl_easy_getinfo(call->easy, CURLINFO_REQUEST_SIZE, &request_size);
+    const absl::Status status =
+        TransferStatus(message->data.result, request_size > 0);
+    if (status.ok()) {
+      call->ReportHeaders();
+    }
+    Remove(call.get());
+    if (call->callbacks.on_done) {
+      const auto on_done = std::move(call->callbacks.on_done);
+      call->callbacks = ClientCallbacks();
+      on_done(status);
+    }
+  }
+}
+
+void Client::State::Remove(Call* call) {
+  CURL* easy = call->easy;
+  const auto it = calls.find(easy);
+  if (it == calls.end()) {
+    return;
+  }
+  const std::shared_ptr<Call> keep_alive = it->second;
+  calls.erase(it);
+  curl_multi_remove_handle(multi, easy);
+  curl_easy_cleanup(easy);
+}
+
+int Client::State::OnSocket(CURL* /*easy*/,
+                            curl_socket_t socket,
+                            int what,
+                            void* user,
+                            void* /*socket_user*/) {
+  auto* state = static_cast<State*>(user);
+  if (what == CURL_POLL_REMOVE) {
+    state->watchers.erase(socket);
+    return 0;
+  }
+  std::unique_ptr<core::IoWatcher>& watcher = state->watchers[socket];
+  if (watcher == nullptr) {
+    watcher = state->loop->Watch(
+        socket, [state, socket](bool readable, bool writable) {
+          state->Act(socket, (readable ? CURL_CSELECT_IN : 0) |
+                                 (writable ? CURL_CSELECT_OUT : 0));
+        });
+  }
+  watcher->SetInterest((what & CURL_POLL_IN) != 0, (what & CURL_POLL_OUT) != 0);
+  return 0;
+}
+
+int Client::State::OnTimer(CURLM* /*multi*/, long timeout_ms, void* user) {
+  auto* state = static_cast<State*>(user);
+  if (timeout_ms < 0) {
+    state->timer->Stop();
+  } else {
+    state->timer->StartOnce(core::milliseconds(timeout_ms));
+  }
+  return 0;
+}
+
+Client::Client(core::EventLoop* loop) : state_(std::make_shared<State>(loop)) {}
+
+Client::~Client() = default;
+
+std::shared_ptr<ClientCall> Client::Send(const ClientRequest& request,
+                                         ClientCallbacks callbacks) {
+  auto call = std::make_shared<State::Call>(state_);
+  call->callbacks = std::move(callbacks);
+  state_->Start(call, request);
+  return call;
+}
+
+std::shared_ptr<ClientCall> Client::Fetch(
+    const ClientRequest& request,
+    std::function<void(absl::StatusOr<ClientResponse>)> callback) {
+  auto response = std::make_shared<ClientResponse>();
+  ClientCallbacks callbacks;
+  callbacks.on_headers = [response](int status, const Headers& headers) {
+    response->status = status;
+    response->headers = headers;
+  };
+  callbacks.on_data = [response](std::string_view chunk) {
+    response->body += chunk;
+  };
+  callbacks.on_done =
+      [response, callback = std::move(callback)](const absl::Status& status) {
+        if (!status.ok()) {
+          callback(status);
+          return;
+        }
+        callback(std::move(*response));
+      };
+  return Send(request, std::move(callbacks));
+}
+
+size_t Client::calls_in_flight() const {
+  return state_->calls.size();
+}
+
+}  // namespace wasabi::http
--- /dev/null
+++ b/Libraries/LibIntent/configuration.cc
@@ -0,0 +1,1 @@
+#include "LibIntent/configuration.h"
--- /dev/null
+++ b/Libraries/LibLedger/ledger_record.cc
@@ -0,0 +1,1 @@
+// Records of the ledger stream.
--- /dev/null
+++ b/Libraries/LibLink/link.cc
@@ -0,0 +1,1 @@
+#include "LibLink/link.h"
--- /dev/null
+++ b/Libraries/LibPlatform/log_client.cc
@@ -0,0 +1,2 @@
+#include "LibPlatform/log_client.h"
+#include "LibPlatform/host_list_client.h"
--- /dev/null
+++ b/Libraries/LibRouting/placement.cc
@@ -0,0 +1,2 @@
+#include "LibRouting/placement.h"
+#include "LibRouting/runner_admission.h"
--- /dev/null
+++ b/Libraries/LibRouting/work_item.cc
@@ -0,0 +1,1 @@
+#include "LibRouting/work_item.h"
