HTTP server: abort open exchanges when it is destroyed

Cause: libmicrohttpd ends the process when it is stopped while a connection is suspended, as each unanswered exchange is (seen on SIGTERM of the platform stand-in with a waiting read: 'MHD_stop_daemon() called while we have suspended connections', exit 134). The destructor now aborts the exchanges that are open. The same path had a second fault: an exchange that its own handler aborted was suspended for good, so that the caller saw a timeout.

--- a/Libraries/LibHttp/server.cc
+++ b/Libraries/LibHttp/server.cc
@@ -143,8 +143,10 @@
   if (daemon_ == nullptr) {
     return;
   }
-  // A daemon must not be stopped while connections are suspended; the handlers
-  // have let go of theirs by now or find them closed.
+  // A daemon must not be stopped while connections are suspended.
+  for (const std::shared_ptr<Exchange>& exchange : exchanges_) {
+    exchange->Abort();
+  }
   MHD_stop_daemon(daemon_);
 }
 
@@ -244,6 +246,7 @@
   if (it->exchange == nullptr) {
     it->exchange = std::make_shared<Exchange>(std::move(it->request));
     Exchange* exchange = it->exchange.get();
+    exchanges_.insert(it->exchange);
     exchange->connection_ = connection;
     exchange->wake_server_ = [this, alive = alive_] {
       if (*alive) {
@@ -263,11 +266,6 @@
     } else {
       handler_(it->exchange);
     }
-    if (!exchange->started_) {
-      MHD_suspend_connection(connection);
-      exchange->suspended_ = true;
-      return MHD_YES;
-    }
   }
   if (!it->exchange->started_) {
     if (it->exchange->aborted_) {
@@ -315,6 +313,7 @@
   --open_exchanges_;
   if (const std::shared_ptr<Exchange> exchange = pending->exchange) {
     exchange->connection_ = nullptr;
+    exchanges_.erase(exchange);
     if (exchange->on_closed_) {
       const std::function<void()> on_closed = std::move(exchange->on_closed_);
       exchange->on_closed_ = nullptr;
--- a/Libraries/LibHttp/server.h
+++ b/Libraries/LibHttp/server.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 
 #include "LibCore/event_loop.h"
 #include "LibCore/socket_address.h"
@@ -37,6 +38,7 @@
   // `handler` is called once for each complete request.
   static absl::StatusOr<std::unique_ptr<Server>>
   Create(core::EventLoop* loop, const ServerOptions& options, Handler handler);
+  // Breaks the connections that are still open.
   ~Server();
 
   // Closes the listening socket; requests in flight go on.
@@ -76,6 +78,8 @@
   bool run_scheduled_ = false;
   bool is_stopped_listening_ = false;
   size_t open_exchanges_ = 0;
+  // The exchanges whose connection is open.
+  std::set<std::shared_ptr<Exchange>> exchanges_;
 };
 
 }  // namespace wasabi::http
