Placement strategies and admission at the owner of a runner

Cause: the router needs the decisions behind the agreed headers.

Additive changes to the seam: WorkItem::pointer_use and runs_alone, the Ending of a finished request, SetLoadShare, RequireFloor, ReleaseSuspect, pointer_count and the age of a report.

Ruled out: a cap from admitted work alone, since at the cap it can't rise again; the demand counts waiting and refused requests.

--- /dev/null
+++ b/Libraries/LibRouting/bounded_hash_placement.h
@@ -0,0 +1,28 @@
+// Baseline: rendezvous hashing with a load bound that each router applies by
+// itself, to the lagging reports of the runners.
+
+#ifndef LIBROUTING_BOUNDED_HASH_PLACEMENT_H_
+#define LIBROUTING_BOUNDED_HASH_PLACEMENT_H_
+
+#include <vector>
+
+#include "LibRouting/placement.h"
+
+namespace wasabi::routing {
+
+class BoundedHashPlacement final : public PlacementStrategy {
+ public:
+  explicit BoundedHashPlacement(double load_bound) : load_bound_(load_bound) {}
+
+  std::vector<size_t> Order(const std::vector<RunnerView>& runners,
+                            const core::ChatKey& chat,
+                            uint64_t spread_key) override;
+  bool UsesOwnerBound() const override { return false; }
+
+ private:
+  double load_bound_;
+};
+
+}  // namespace wasabi::routing
+
+#endif  // LIBROUTING_BOUNDED_HASH_PLACEMENT_H_
--- /dev/null
+++ b/Libraries/LibRouting/least_reported_placement.h
@@ -0,0 +1,29 @@
+// Baseline: the runner that reported the fewest requests, regardless of chat.
+
+#ifndef LIBROUTING_LEAST_REPORTED_PLACEMENT_H_
+#define LIBROUTING_LEAST_REPORTED_PLACEMENT_H_
+
+#include <vector>
+
+#include "LibCore/random_source.h"
+#include "LibRouting/placement.h"
+
+namespace wasabi::routing {
+
+class LeastReportedPlacement final : public PlacementStrategy {
+ public:
+  explicit LeastReportedPlacement(uint64_t seed) : random_(seed) {}
+
+  std::vector<size_t> Order(const std::vector<RunnerView>& runners,
+                            const core::ChatKey& chat,
+                            uint64_t spread_key) override;
+  bool UsesOwnerBound() const override { return false; }
+
+ private:
+  // Breaks ties, so that routers with the same reports spread their requests.
+  core::RandomSource random_;
+};
+
+}  // namespace wasabi::routing
+
+#endif  // LIBROUTING_LEAST_REPORTED_PLACEMENT_H_
--- /dev/null
+++ b/Libraries/LibRouting/owners_placement.cc
@@ -0,0 +1,14 @@
+#include "LibRouting/owners_placement.h"
+
+#include "LibRouting/hash_order.h"
+
+namespace wasabi::routing {
+
+std::vector<size_t> OwnersPlacement::Order(
+    const std::vector<RunnerView>& runners,
+    const core::ChatKey& chat,
+    uint64_t spread_key) {
+  return HashOrder(runners, PlacementKey(chat, spread_key));
+}
+
+}  // namespace wasabi::routing
--- /dev/null
+++ b/Libraries/LibRouting/runner_admission.cc
@@ -0,0 +1,456 @@
+#include "LibRouting/runner_admission.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "LibRouting/decaying_demand.h"
+#include "LibRouting/fair_queue.h"
+#include "LibRouting/load_cap.h"
+#include "LibRouting/pointer_table.h"
+#include "LibRouting/report_floor.h"
+#include "LibRouting/service_time_estimator.h"
+#include "absl/container/flat_hash_map.h"
+
+namespace wasabi::routing {
+
+namespace {
+
+// Age that the pool's sum may have; a cap that is too low rises within it.
+constexpr core::Duration kPoolLag = core::seconds(1);
+
+// The share of the expected service time that must remain before a deadline
+// for a waiting request to be worth starting. Service times vary, so that the
+// whole of it would refuse requests that still have a good chance.
+constexpr double kMinimumServiceShare = 0.5;
+
+// A request that runs.
+struct RunningItem {
+  double tokens = 0;
+  core::TimePoint start;
+  bool is_alone = false;
+};
+
+bool IsWarm(const WorkItem& item) {
+  if (item.chat.empty()) {
+    return false;
+  }
+  return item.pointer_use == PointerUse::kFollowed ||
+         (item.pointer_use == PointerUse::kUnused && item.choice == 0);
+}
+
+double TokensOf(const WorkItem& item) {
+  return IsWarm(item) ? item.size.WarmTokens() : item.size.ColdTokens();
+}
+
+AdmissionDecision Decide(Verdict verdict) {
+  AdmissionDecision decision;
+  decision.verdict = verdict;
+  return decision;
+}
+
+// The class in which a request waits. A runner that drains for a request that
+// runs alone stands idle, so such a request doesn't wait behind others.
+WorkItem WithWaitingClass(WorkItem item) {
+  if (item.runs_alone) {
+    item.priority = Priority::kUrgent;
+  }
+  return item;
+}
+
+}  // namespace
+
+struct RunnerAdmission::State {
+  State(core::RunnerId runner_id, const AdmissionPolicy& admission_policy)
+      : runner(std::move(runner_id)),
+        policy(admission_policy),
+        pointers(policy.pointer_lifetime, policy.max_pointers) {}
+
+  RunnerLoad Load(core::TimePoint now) const;
+  LoadCap Cap(const PoolDemand& pool, core::TimePoint now) const;
+  PoolDemand Demand(core::TimePoint now) const;
+  bool HasRoom(const WorkItem& item,
+               const PoolDemand& pool,
+               core::TimePoint now) const;
+  bool MayOvertake(const WorkItem& item) const;
+
+  core::Duration ColdCost(const WorkItem& item) const;
+  core::Duration SlotWait(Priority priority, core::TimePoint now) const;
+  core::Duration CapacityWait(size_t ahead, core::TimePoint now) const;
+  core::TimePoint LatestStart(const WorkItem& item) const;
+
+  void Start(const WorkItem& item, double tokens, core::TimePoint now);
+  void Enqueue(const WorkItem& item, core::TimePoint patience_end);
+  AdmissionDecision Refuse(const WorkItem& item, core::TimePoint now);
+  AdmissionDecision DecideAtCap(const WorkItem& item, core::TimePoint now);
+  AdmissionDecision DecideLastChoice(const WorkItem& item, core::TimePoint now);
+  bool IsWaitWorthwhile(const WorkItem& item, core::TimePoint now) const;
+
+  std::vector<core::RequestId> StartWaiting(const PoolDemand& pool,
+                                            core::TimePoint now);
+  std::vector<core::RequestId> RefuseOverdue(
+      const std::vector<core::RequestId>& overdue,
+      core::TimePoint now);
+  std::vector<core::RequestId> DisplaceImpatient(core::TimePoint now);
+
+  const core::RunnerId runner;
+  AdmissionPolicy policy;
+  bool accepts_work = true;
+  double load_share = 1;
+  absl::flat_hash_map<core::RequestId, RunningItem> running;
+  double running_tokens = 0;
+  bool is_running_alone = false;
+  FairQueue queue;
+  // Waiting requests that run alone.
+  size_t waiting_alone = 0;
+  PointerTable pointers;
+  DecayingDemand refused;
+  ServiceTimeEstimator service_time;
+  ReportFloor floor;
+};
+
+RunnerLoad RunnerAdmission::State::Load(core::TimePoint now) const {
+  const RunnerLoad foreign = floor.Foreign(now);
+  return {static_cast<uint32_t>(running.size()) + foreign.requests,
+          running_tokens + foreign.tokens};
+}
+
+LoadCap RunnerAdmission::State::Cap(const PoolDemand& pool,
+                                    core::TimePoint now) const {
+  return MakeLoadCap({.load_bound = policy.load_bound,
+                      .max_running = policy.max_running,
+                      .share = load_share,
+                      .pool = pool,
+                      .own = Demand(now)});
+}
+
+PoolDemand RunnerAdmission::State::Demand(core::TimePoint now) const {
+  const core::Duration window = service_time.Mean();
+  PoolDemand demand = {.runners = 0,
+                       .requests = static_cast<double>(queue.size()) +
+                                   refused.Requests(window, now),
+                       .tokens = queue.tokens() + refused.Tokens(window, now)};
+  if (accepts_work) {
+    const RunnerLoad load = Load(now);
+    demand =
+        demand + PoolDemand{1, static_cast<double>(load.requests), load.tokens};
+  }
+  return demand;
+}
+
+bool RunnerAdmission::State::HasRoom(const WorkItem& item,
+                                     const PoolDemand& pool,
+                                     core::TimePoint now) const {
+  const RunnerLoad load = Load(now);
+  if (load.requests == 0) {
+    return true;
+  }
+  if (is_running_alone || item.runs_alone) {
+    return false;
+  }
+  return Cap(pool, now).Admits(load);
+}
+
+// Whether a new request may start before those that wait.
+bool RunnerAdmission::State::MayOvertake(const WorkItem& item) const {
+  return waiting_alone == 0 && queue.CountAhead(item.priority) == 0;
+}
+
+// The time that prefilling the chat's prefix on a cold runner takes.
+core::Duration RunnerAdmission::State::ColdCost(const WorkItem& item) const {
+  if (!IsWarm(item)) {
+    return core::Duration::zero();
+  }
+  return core::FromSeconds(item.size.reusable_tokens /
+                           std::max(1.0, policy.prefill_tokens_per_second));
+}
+
+// Expected wait for a place under the cap.
+core::Duration RunnerAdmission::State::SlotWait(Priority priority,
+                                                core::TimePoint now) const {
+  const auto turns = static_cast<double>(queue.CountAhead(priority) + 1);
+  const uint32_t slots = std::max(1U, Load(now).requests);
+  return core::FromSeconds(turns * core::ToSeconds(service_time.Mean()) /
+                           slots);
+}
+
+// Expected wait where every runner of the pool is at its cap. The waiting
+// requests count in the mean, so the cap rises with them up to max_running;
+// only demand beyond that waits for a request to end.
+core::Duration RunnerAdmission::State::CapacityWait(size_t ahead,
+                                                    core::TimePoint now) const {
+  const double limit = std::max(1U, policy.max_running);
+  const double excess =
+      static_cast<double>(Load(now).requests + ahead + 1) - limit;
+  const core::Duration wait = core::FromSeconds(
+      std::max(0.0, excess) * core::ToSeconds(service_time.Mean()) / limit);
+  return std::max(kPoolLag, wait);
+}
+
+// The last moment at which starting the request still makes its deadline.
+core::TimePoint RunnerAdmission::State::LatestStart(
+    const WorkItem& item) const {
+  const core::Duration expected = service_time.Expected(TokensOf(item));
+  return item.deadline -
+         core::FromSeconds(kMinimumServiceShare * core::ToSeconds(expected));
+}
+
+void RunnerAdmission::State::Start(const WorkItem& item,
+                                   double tokens,
+                                   core::TimePoint now) {
+  running[item.request] = {tokens, now, item.runs_alone};
+  running_tokens += tokens;
+  is_running_alone = item.runs_alone;
+  if (item.choice == 0 && item.pointer_use != PointerUse::kFollowed) {
+    // The chat is warm at its first choice again.
+    pointers.Erase(item.chat);
+  }
+}
+
+void RunnerAdmission::State::Enqueue(const WorkItem& item,
+                                     core::TimePoint patience_end) {
+  waiting_alone += item.runs_alone ? 1 : 0;
+  queue.Push({WithWaitingClass(item), TokensOf(item), LatestStart(item),
+              patience_end});
+}
+
+AdmissionDecision RunnerAdmission::State::Refuse(const WorkItem& item,
+                                                 core::TimePoint now) {
+  refused.Add(TokensOf(item), service_time.Mean(), now);
+  AdmissionDecision decision = Decide(Verdict::kRefuse);
+  decision.retry_after = CapacityWait(queue.size(), now);
+  return decision;
+}
+
+AdmissionDecision RunnerAdmission::State::DecideAtCap(const WorkItem& item,
+                                                      core::TimePoint now) {
+  if (item.is_last_choice || item.runs_alone) {
+    return DecideLastChoice(item, now);
+  }
+  if (!IsWaitWorthwhile(item, now)) {
+    return Decide(Verdict::kTryNext);
+  }
+  // A wait that lasts as long as the cold prefill has cost as much as moving
+  // on at once; ending it there bounds the loss to twice the best choice.
+  Enqueue(item, now + ColdCost(item));
+  return Decide(Verdict::kWait);
+}
+
+AdmissionDecision RunnerAdmission::State::DecideLastChoice(
+    const WorkItem& item,
+    core::TimePoint now) {
+  const size_t ahead = queue.CountAhead(item.priority);
+  const bool is_too_late = now + CapacityWait(ahead, now) > LatestStart(item);
+  if (is_too_late || queue.size() >= policy.max_waiting) {
+    return Refuse(item, now);
+  }
+  Enqueue(item, core::TimePoint::max());
+  return Decide(Verdict::kWait);
+}
+
+bool RunnerAdmission::State::IsWaitWorthwhile(const WorkItem& item,
+                                              core::TimePoint now) const {
+  const core::Duration wait = SlotWait(item.priority, now);
+  return wait <= ColdCost(item) && now + wait <= LatestStart(item) &&
+         queue.size() < policy.max_waiting;
+}
+
+std::vector<core::RequestId> RunnerAdmission::State::StartWaiting(
+    const PoolDemand& pool,
+    core::TimePoint now) {
+  std::vector<core::RequestId> started;
+  while (!queue.empty() && HasRoom(queue.Front()->item, pool, now)) {
+    const WaitingItem waiting = queue.Pop();
+    waiting_alone -= waiting.item.runs_alone ? 1 : 0;
+    Start(waiting.item, waiting.tokens, now);
+    started.push_back(waiting.item.request);
+  }
+  return started;
+}
+
+std::vector<core::RequestId> RunnerAdmission::State::RefuseOverdue(
+    const std::vector<core::RequestId>& overdue,
+    core::TimePoint now) {
+  for (const core::RequestId& it : overdue) {
+    const std::optional<WaitingItem> waiting = queue.Remove(it);
+    waiting_alone -= waiting->item.runs_alone ? 1 : 0;
+    refused.Add(waiting->tokens, service_time.Mean(), now);
+  }
+  return overdue;
+}
+
+std::vector<core::RequestId> RunnerAdmission::State::DisplaceImpatient(
+    core::TimePoint now) {
+  std::vector<core::RequestId> displaced =
+      queue.Select([&](const WaitingItem& it) {
+        return !accepts_work || it.patience_end <= now;
+      });
+  for (const core::RequestId& it : displaced) {
+    const std::optional<WaitingItem> waiting = queue.Remove(it);
+    waiting_alone -= waiting->item.runs_alone ? 1 : 0;
+  }
+  return displaced;
+}
+
+RunnerAdmission::RunnerAdmission(core::RunnerId runner,
+                                 const AdmissionPolicy& policy)
+    : state_(std::make_unique<State>(std::move(runner), policy)) {}
+
+RunnerAdmission::~RunnerAdmission() = default;
+
+AdmissionDecision RunnerAdmission::Offer(const WorkItem& item,
+                                         const PoolDemand& pool,
+                                         core::TimePoint now) {
+  Finish(item.request, now, Ending::kAborted);
+  const bool may_have_pointer = item.choice == 0 && !item.chat.empty() &&
+                                item.pointer_use == PointerUse::kUnused;
+  if (may_have_pointer) {
+    if (auto target = state_->pointers.Use(item.chat, now)) {
+      AdmissionDecision decision = Decide(Verdict::kFollowPointer);
+      decision.pointer = *std::move(target);
+      return decision;
+    }
+  }
+  if (item.deadline <= now) {
+    return state_->Refuse(item, now);
+  }
+  if (!state_->accepts_work) {
+    return item.is_last_choice ? state_->Refuse(item, now)
+                               : Decide(Verdict::kTryNext);
+  }
+  if (!state_->MayOvertake(item) || !state_->HasRoom(item, pool, now)) {
+    return state_->DecideAtCap(item, now);
+  }
+  state_->queue.Charge(item, TokensOf(item));
+  state_->Start(item, TokensOf(item), now);
+  return Decide(Verdict::kRun);
+}
+
+void RunnerAdmission::Finish(const core::RequestId& request,
+                             core::TimePoint now,
+                             Ending ending) {
+  if (const auto waiting = state_->queue.Remove(request)) {
+    state_->waiting_alone -= waiting->item.runs_alone ? 1 : 0;
+    return;
+  }
+  const auto it = state_->running.find(request);
+  if (it == state_->running.end()) {
+    return;
+  }
+  const RunningItem ended = it->second;
+  state_->running.erase(it);
+  state_->running_tokens =
+      state_->running.empty() ? 0 : state_->running_tokens - ended.tokens;
+  if (ended.is_alone) {
+    state_->is_running_alone = false;
+  }
+  if (ending == Ending::kCompleted) {
+    state_->service_time.Observe(ended.tokens, now - ended.start);
+  }
+}
+
+AdmissionProgress RunnerAdmission::Advance(const PoolDemand& pool,
+                                           core::TimePoint now) {
+  AdmissionProgress progress;
+  if (state_->queue.empty()) {
+    return progress;
+  }
+  progress.retry_after = state_->CapacityWait(state_->queue.size(), now);
+  progress.to_refuse =
+      state_->RefuseOverdue(state_->queue.Select([&](const WaitingItem& it) {
+        return it.item.deadline <= now;
+      }),
+                            now);
+  if (state_->accepts_work) {
+    progress.to_run = state_->StartWaiting(pool, now);
+  }
+  const std::vector<core::RequestId> hopeless =
+      state_->RefuseOverdue(state_->queue.Select([&](const WaitingItem& it) {
+        return it.latest_start < now;
+      }),
+                            now);
+  progress.to_refuse.insert(progress.to_refuse.end(), hopeless.begin(),
+                            hopeless.end());
+  progress.to_displace = state_->DisplaceImpatient(now);
+  return progress;
+}
+
+void RunnerAdmission::NotePointer(const core::ChatKey& chat,
+                                  const core::RunnerId& target,
+                                  core::TimePoint now) {
+  if (target == state_->runner) {
+    state_->pointers.Erase(chat);
+    return;
+  }
+  state_->pointers.Set(chat, target, now);
+}
+
+void RunnerAdmission::ForgetTarget(const core::RunnerId& target) {
+  state_->pointers.EraseTarget(target);
+}
+
+void RunnerAdmission::ObserveReport(uint32_t running_requests,
+                                    uint32_t outstanding_tokens,
+                                    core::TimePoint now,
+                                    core::Duration age) {
+  RunnerLoad own;
+  for (const auto& [request, item] : state_->running) {
+    if (item.start <= now - age) {
+      ++own.requests;
+      own.tokens += item.tokens;
+    }
+  }
+  state_->floor.Observe(
+      {running_requests, static_cast<double>(outstanding_tokens)}, own, now);
+}
+
+void RunnerAdmission::ClearFloor() {
+  state_->floor.Clear();
+}
+
+void RunnerAdmission::RequireFloor() {
+  state_->floor.Require();
+}
+
+void RunnerAdmission::SetAcceptsWork(bool accepts_work) {
+  state_->accepts_work = accepts_work;
+}
+
+void RunnerAdmission::SetLoadShare(double share) {
+  state_->load_share = share;
+}
+
+void RunnerAdmission::ReleaseSuspect(uint64_t content_digest) {
+  const std::vector<core::RequestId> released =
+      state_->queue.Select([&](const WaitingItem& it) {
+        return it.item.runs_alone && it.item.content_digest == content_digest;
+      });
+  for (const core::RequestId& it : released) {
+    std::optional<WaitingItem> waiting = state_->queue.Remove(it);
+    --state_->waiting_alone;
+    waiting->item.runs_alone = false;
+    state_->queue.Push(*std::move(waiting));
+  }
+}
+
+void RunnerAdmission::SetPolicy(const AdmissionPolicy& policy) {
+  state_->policy = policy;
+  state_->pointers.SetLimits(policy.pointer_lifetime, policy.max_pointers);
+}
+
+PoolDemand RunnerAdmission::Demand(core::TimePoint now) const {
+  return state_->Demand(now);
+}
+
+uint32_t RunnerAdmission::running_requests() const {
+  return static_cast<uint32_t>(state_->running.size());
+}
+
+uint32_t RunnerAdmission::waiting_requests() const {
+  return static_cast<uint32_t>(state_->queue.size());
+}
+
+size_t RunnerAdmission::pointer_count() const {
+  return state_->pointers.size();
+}
+
+}  // namespace wasabi::routing
--- a/Libraries/LibRouting/runner_admission.h
+++ b/Libraries/LibRouting/runner_admission.h
@@ -49,13 +49,22 @@
   core::Duration retry_after = core::Duration::zero();
 };
 
+// How a request ended.
+enum class Ending : uint8_t {
+  // It ran to its end; its duration counts for the estimate of service times.
+  kCompleted,
+  // It failed, was cancelled, or never started.
+  kAborted,
+};
+
 // What became of waiting requests.
 struct AdmissionProgress {
   // Start these now.
   std::vector<core::RequestId> to_run;
   // These can't make their deadline any more: refuse them at once.
   std::vector<core::RequestId> to_refuse;
-  // These do better on the next runner of their preference order.
+  // These do better on the next runner of their preference order. A last
+  // choice is among them only when its runner stopped accepting work.
   std::vector<core::RequestId> to_displace;
   // For the refused ones.
   core::Duration retry_after = core::Duration::zero();
@@ -69,13 +78,16 @@
   RunnerAdmission& operator=(const RunnerAdmission&) = delete;
 
   // Decides about a new request. `pool` is the latest known demand on the
-  // whole pool.
+  // whole pool. A request whose id already runs or waits here takes the place
+  // of the earlier one.
   AdmissionDecision Offer(const WorkItem& item,
                           const PoolDemand& pool,
                           core::TimePoint now);
 
   // The request has ended, was cancelled, or stopped waiting.
-  void Finish(const core::RequestId& request, core::TimePoint now);
+  void Finish(const core::RequestId& request,
+              core::TimePoint now,
+              Ending ending = Ending::kCompleted);
 
   // Moves waiting requests on; called after Finish and on a timer.
   AdmissionProgress Advance(const PoolDemand& pool, core::TimePoint now);
@@ -88,18 +100,32 @@
   // Drops the pointers that lead to `target`, which is gone.
   void ForgetTarget(const core::RunnerId& target);
 
-  // The runner's own report: a floor for the load while a former owner's
-  // requests may still run there. Reports lag.
+  // The runner's own report, `age` old: a floor for the load while a former
+  // owner's requests may still run there. The floor ends by itself 60 s after
+  // the first report. A new owner gets a report before its first Offer.
   void ObserveReport(uint32_t running_requests,
                      uint32_t outstanding_tokens,
-                     core::TimePoint now);
+                     core::TimePoint now,
+                     core::Duration age = core::Duration::zero());
 
   // A former owner handed over: the floor from reports is no longer needed.
   void ClearFloor();
 
+  // Another host may have acted as owner meanwhile: reports count as a floor
+  // again, as for a new owner.
+  void RequireFloor();
+
   // The runner takes no new work (leaving, drained or down).
   void SetAcceptsWork(bool accepts_work);
 
+  // The share of the load bound that the runner takes, in (0, 1]; below 1
+  // during slow start.
+  void SetLoadShare(double share);
+
+  // The digest is no longer suspected: waiting requests with it need not run
+  // alone.
+  void ReleaseSuspect(uint64_t content_digest);
+
   void SetPolicy(const AdmissionPolicy& policy);
 
   // The demand on this runner, for the pool's sum.
@@ -107,6 +133,7 @@
 
   uint32_t running_requests() const;
   uint32_t waiting_requests() const;
+  size_t pointer_count() const;
 
  private:
   struct State;
--- a/Libraries/LibRouting/work_item.h
+++ b/Libraries/LibRouting/work_item.h
@@ -3,6 +3,7 @@
 #ifndef LIBROUTING_WORK_ITEM_H_
 #define LIBROUTING_WORK_ITEM_H_
 
+#include <algorithm>
 #include <compare>
 #include <cstdint>
 
@@ -30,11 +31,24 @@
 
   // Outstanding work where the reusable part is warm, or is not.
   uint32_t WarmTokens() const {
-    return prompt_tokens - reusable_tokens + output_tokens;
+    return prompt_tokens - std::min(prompt_tokens, reusable_tokens) +
+           output_tokens;
   }
   uint32_t ColdTokens() const { return prompt_tokens + output_tokens; }
 };
 
+// How the pointer that the owner of a chat's first choice may hold bears on a
+// request.
+enum class PointerUse : uint8_t {
+  // Not asked yet; the first choice may answer with a pointer.
+  kUnused,
+  // The request came to this runner by a pointer: its chat is warm here.
+  kFollowed,
+  // The pointer's runner had no room; the request goes by preference order and
+  // its chat is cold everywhere else.
+  kSkipped,
+};
+
 struct WorkItem {
   core::RequestId request;
   core::OrganisationId organisation;
@@ -52,10 +66,14 @@
   uint32_t choice = 0;
   // No runner is left to try after this one.
   bool is_last_choice = false;
+  PointerUse pointer_use = PointerUse::kUnused;
+  // A crash suspect: nothing else may run beside it, see quarantine_table.h.
+  bool runs_alone = false;
 };
 
 }  // namespace wasabi::routing
 
 MSGPACK_ADD_ENUM(wasabi::routing::Priority);
+MSGPACK_ADD_ENUM(wasabi::routing::PointerUse);
 
 #endif  // LIBROUTING_WORK_ITEM_H_
