LibLink: calls between daemons over nghttp2

LinkNode keeps one HTTP/2 connection per peer and direction and carries each call on one stream. Silent connections with calls in flight are found by PING and closed. Idle ones aren't pinged: 379 peers at two PINGs a second would take more than the whole control budget of 18 KB/s. Silence is counted in ticks, not in time, so that a frozen process doesn't close its connections on thaw.

Ruled out: a status in an extra DATA message (trailers keep messages and status apart), and a RST for strangers (the caller could not tell it from a crash).

--- /dev/null
+++ b/Libraries/LibLink/client_session.h
@@ -0,0 +1,69 @@
+// The calling side of a connection.
+
+#ifndef LIBLINK_CLIENT_SESSION_H_
+#define LIBLINK_CLIENT_SESSION_H_
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "LibLink/link.h"
+#include "LibLink/session.h"
+#include "absl/container/flat_hash_map.h"
+
+namespace wasabi::link {
+
+class ClientSession final : public Session {
+ public:
+  // Starts a connection to `peer`. Calls may be queued at once; a failure ends
+  // them with kPeerUnreachable in a later turn of the loop.
+  static std::shared_ptr<ClientSession> Connect(
+      std::shared_ptr<LinkContext> context,
+      const core::SocketAddress& peer);
+
+  // False once the connection is closed or the peer takes no new calls on it.
+  bool CanTakeCalls();
+
+  std::shared_ptr<OutboundCall> Call(CallKind kind,
+                                     std::string request,
+                                     CallHandlers handlers);
+
+ private:
+  class ClientCall;
+
+  ClientSession(std::shared_ptr<LinkContext> context,
+                const core::SocketAddress& peer);
+  void StartConnecting();
+  std::shared_ptr<ClientCall> Find(int32_t stream) const;
+  void FinishCall(int32_t stream, const absl::Status& status);
+  void CancelCall(int32_t stream);
+  // The status of a call whose connection ended as `reason` says.
+  absl::Status LossStatus(const ClientCall& call,
+                          std::string_view reason) const;
+
+  void OnHeader(int32_t stream,
+                std::string_view name,
+                std::string_view value) override;
+  void OnStreamStarted(int32_t) override {}
+  void OnData(int32_t stream, std::string_view bytes) override;
+  void OnEndOfStream(int32_t) override {}
+  void OnStreamClosed(int32_t stream, uint32_t error_code) override;
+  void OnGoAway(std::string_view debug_data) override;
+  ssize_t OnReadBody(int32_t stream,
+                     uint8_t* buf,
+                     size_t length,
+                     uint32_t* flags) override;
+  void OnClosed(std::string_view reason) override;
+  bool HasCalls() const override { return !calls_.empty(); }
+  void OnIdleTick() override;
+
+  absl::flat_hash_map<int32_t, std::shared_ptr<ClientCall>> calls_;
+  // Why the peer refuses all calls, where it said so.
+  std::optional<absl::Status> refusal_;
+  int idle_ticks_ = 0;
+};
+
+}  // namespace wasabi::link
+
+#endif  // LIBLINK_CLIENT_SESSION_H_
--- a/Libraries/LibLink/link.h
+++ b/Libraries/LibLink/link.h
@@ -27,6 +27,10 @@
   kShareQuarantine = 7,
 };
 
+// The range of the enumeration; a number outside of it is refused.
+constexpr CallKind kFirstCallKind = CallKind::kSubmitWork;
+constexpr CallKind kLastCallKind = CallKind::kShareQuarantine;
+
 // What the caller of Link::Call hears, on the loop and never inside Call.
 struct CallHandlers {
   std::function<void(std::string_view message)> on_message;
