--- /dev/null
+++ b/Tests/Support/host_registration.h
@@ -0,0 +1,54 @@
+// Keeps a stand-in's row in the platform's host list up to date.
+
+#ifndef TESTS_SUPPORT_HOST_REGISTRATION_H_
+#define TESTS_SUPPORT_HOST_REGISTRATION_H_
+
+#include <compare>
+#include <memory>
+#include <string>
+
+#include "LibCore/event_loop.h"
+#include "LibCore/socket_address.h"
+#include "LibHttp/client.h"
+
+namespace wasabi::support {
+
+// A row of the platform's host list; see docs/PROTOCOLS.md.
+struct HostRow {
+  std::string id;
+  // "entry", "runner" or "service".
+  std::string kind;
+  std::string pool;
+  std::string data_centre;
+  // Where the fleet reaches the host; "ip:port".
+  std::string address;
+  // "live" or "leaving".
+  std::string state = "live";
+
+  auto operator<=>(const HostRow&) const = default;
+};
+
+class HostRegistration {
+ public:
+  // Puts `row` to the platform at once and then regularly, so that a platform
+  // that was down learns it too. Does nothing where `platform` is empty.
+  HostRegistration(core::EventLoop* loop,
+                   const core::SocketAddress& platform,
+                   HostRow row);
+
+  // Announces that the host leaves.
+  void MarkLeaving();
+
+ private:
+  void Put();
+
+  core::EventLoop* loop_;
+  core::SocketAddress platform_;
+  HostRow row_;
+  http::Client client_;
+  std::unique_ptr<core::Timer> timer_;
+};
+
+}  // namespace wasabi::support
+
+#endif  // TESTS_SUPPORT_HOST_REGISTRATION_H_
