--- a/Libraries/LibHttp/client.cc
+++ b/Libraries/LibHttp/client.cc
@@ -31,6 +31,20 @@
   }
 }
 
+// Bytes that a transfer sent and received, headers included.
+uint64_t TransferredBytes(CURL* easy) {
+  long request_bytes = 0;
+  long header_bytes = 0;
+  curl_off_t uploaded = 0;
+  curl_off_t downloaded = 0;
+  curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &request_bytes);
+  curl_easy_getinfo(easy, CURLINFO_HEADER_SIZE, &header_bytes);
+  curl_easy_getinfo(easy, CURLINFO_SIZE_UPLOAD_T, &uploaded);
+  curl_easy_getinfo(easy, CURLINFO_SIZE_DOWNLOAD_T, &downloaded);
+  return static_cast<uint64_t>(request_bytes + header_bytes + uploaded +
+                               downloaded);
+}
+
 }  // namespace
 
 struct Client::State : std::enable_shared_from_this<Client::State> {
@@ -58,6 +72,7 @@
   std::unique_ptr<core::Timer> timer;
   std::map<curl_socket_t, std::unique_ptr<core::IoWatcher>> watchers;
   std::map<CURL*, std::shared_ptr<Call>> calls;
+  uint64_t bytes_transferred = 0;
 };
 
 struct Client::State::Call : ClientCall {
@@ -236,6 +251,7 @@
   }
   const std::shared_ptr<Call> keep_alive = it->second;
   calls.erase(it);
+  bytes_transferred += TransferredBytes(easy);
   curl_multi_remove_handle(multi, easy);
   curl_easy_cleanup(easy);
 }
@@ -307,6 +323,10 @@
   return Send(request, std::move(callbacks));
 }
 
+uint64_t Client::bytes_transferred() const {
+  return state_->bytes_transferred;
+}
+
 size_t Client::calls_in_flight() const {
   return state_->calls.size();
 }
--- a/Libraries/LibHttp/client.h
+++ b/Libraries/LibHttp/client.h
@@ -3,6 +3,7 @@
 #ifndef LIBHTTP_CLIENT_H_
 #define LIBHTTP_CLIENT_H_
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -75,6 +76,8 @@
       std::function<void(absl::StatusOr<ClientResponse>)> callback);
 
   size_t calls_in_flight() const;
+  // Bytes of all finished calls in both directions, headers included.
+  uint64_t bytes_transferred() const;
 
  private:
   struct State;
--- a/Libraries/LibHttp/exchange.h
+++ b/Libraries/LibHttp/exchange.h
@@ -46,7 +46,8 @@
   void Write(std::string_view chunk);
   // Ends the stream's body properly.
   void Finish();
-  // Breaks the connection, so that the peer sees the body as incomplete.
+  // Breaks the connection after what was written, so that the peer sees the
+  // body as incomplete.
   void Abort();
 
   // True while the peer's connection is open.
--- a/Libraries/LibHttp/server.cc
+++ b/Libraries/LibHttp/server.cc
@@ -88,9 +88,6 @@
                             char* buf,
                             size_t max) {
     auto* exchange = static_cast<Exchange*>(user);
-    if (exchange->aborted_) {
-      return MHD_CONTENT_READER_END_WITH_ERROR;
-    }
     const size_t n = std::min(max, exchange->unsent_bytes());
     if (n > 0) {
       std::memcpy(buf, exchange->buffer_.data() + exchange->consumed_, n);
@@ -101,6 +98,9 @@
       }
       return static_cast<ssize_t>(n);
     }
+    if (exchange->aborted_) {
+      return MHD_CONTENT_READER_END_WITH_ERROR;
+    }
     if (exchange->finished_) {
       return MHD_CONTENT_READER_END_OF_STREAM;
     }
--- /dev/null
+++ b/Services/Router/chat_session.cc
@@ -0,0 +1,363 @@
+#include "Services/Router/chat_session.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "LibCore/result_code.h"
+#include "LibCore/text.h"
+
+namespace wasabi::router {
+
+namespace {
+
+using core::EventCode;
+using core::MakeRefusal;
+using core::MakeStatus;
+using core::ResultCode;
+
+// Changes of the asked host that a request may see, none of which ran it.
+constexpr uint32_t kMaxHostRetries = 8;
+constexpr core::Duration kHostRetryBackoff = std::chrono::milliseconds(25);
+// Answers that broke off are first resumed on the runner that has the context.
+constexpr uint32_t kMaxSameRunnerRetries = 2;
+constexpr uint32_t kMaxCrashes = 2;
+constexpr core::Duration kOverloadRetryAfter = std::chrono::seconds(1);
+// The owner ends a request at its deadline; the entry waits this much longer
+// for it to say so.
+constexpr core::Duration kDeadlineGrace = std::chrono::milliseconds(50);
+
+}  // namespace
+
+// Hears one try; a try that the session has left behind is not heard.
+class ChatSession::TrySink : public WorkSink {
+ public:
+  explicit TrySink(std::weak_ptr<ChatSession> session)
+      : session_(std::move(session)) {}
+
+  void OnStarted() override {
+    if (const auto session = Current()) {
+      session->OnStarted();
+    }
+  }
+  void OnTryNext() override {
+    if (const auto session = Current()) {
+      session->OnTryNext();
+    }
+  }
+  void OnFollowPointer(const core::RunnerId& runner) override {
+    if (const auto session = Current()) {
+      session->OnFollowPointer(runner);
+    }
+  }
+  void OnChunk(uint32_t index, std::string_view payload) override {
+    if (const auto session = Current()) {
+      session->OnChunk(index, payload);
+    }
+  }
+  void OnDone(const absl::Status& status) override {
+    if (const auto session = Current()) {
+      session->OnTryDone(status);
+    }
+  }
+
+ private:
+  std::shared_ptr<ChatSession> Current() const {
+    std::shared_ptr<ChatSession> session = session_.lock();
+    const bool is_current = session != nullptr && !session->is_ended_ &&
+                            session->current_try_.get() == this;
+    return is_current ? session : nullptr;
+  }
+
+  std::weak_ptr<ChatSession> session_;
+};
+
+std::shared_ptr<ChatSession> ChatSession::Start(
+    const SessionContext* context,
+    RequestContext request,
+    const std::shared_ptr<CallerStream>& stream) {
+  std::shared_ptr<ChatSession> session(
+      new ChatSession(context, std::move(request)));
+  session->Begin(stream);
+  return session;
+}
+
+ChatSession::ChatSession(const SessionContext* context, RequestContext request)
+    : context_(context),
+      request_(std::move(request)),
+      record_(std::make_shared<AnswerRecord>(0, request_.content_digest)) {}
+
+void ChatSession::Begin(const std::shared_ptr<CallerStream>& stream) {
+  stream_ = stream;
+  (void)record_->Listen(0, stream_);
+  context_->answers->Put(AnswerName(request_.organisation, request_.request),
+                         record_, request_.now);
+  context_->note_first_attempt(request_.model_pool->pool);
+  deadline_timer_ = context_->loop->NewTimer([self = shared_from_this()] {
+    self->Finish(self->record_->next_index() > 0
+                     ? MakeStatus(ResultCode::kDeadlineExceeded,
+                                  "the deadline passed during the answer")
+                     : MakeRefusal(ResultCode::kDeadlineExceeded,
+                                   "the deadline passed", kOverloadRetryAfter));
+  });
+  deadline_timer_->StartOnce(request_.deadline - request_.now + kDeadlineGrace);
+  order_ = context_->preference_order(request_);
+  if (order_.size() > context_->settings->max_choices) {
+    order_.resize(context_->settings->max_choices);
+  }
+  TryCurrent();
+}
+
+void ChatSession::TryCurrent() {
+  while (choice_ < order_.size() &&
+         excluded_runners_.contains(order_[choice_])) {
+    ++choice_;
+  }
+  if (choice_ >= order_.size()) {
+    Finish(MakeRefusal(
+        order_.empty() ? ResultCode::kNoEndpoint : ResultCode::kOverloaded,
+        order_.empty() ? "the pool has no live runner"
+                       : "no runner of the pool takes the request",
+        kOverloadRetryAfter));
+    return;
+  }
+  TryRunner(order_[choice_], static_cast<uint32_t>(choice_));
+}
+
+void ChatSession::TryRunner(const core::RunnerId& runner, uint32_t choice) {
+  bool is_forced = false;
+  const membership::Member* host = PickHost(runner, &is_forced);
+  if (host == nullptr) {
+    Finish(MakeRefusal(ResultCode::kNoEndpoint, "no router is reachable",
+                       kOverloadRetryAfter));
+    return;
+  }
+  current_runner_ = runner;
+  current_host_ = host->id;
+  SubmitWork work = MakeWork(runner, choice);
+  work.is_forced = is_forced;
+  current_try_ = std::make_shared<TrySink>(weak_from_this());
+  if (host->id != context_->settings->host) {
+    RecordEvent(
+        EventCode::kRequestForwarded,
+        fmt::format("runner={} host={}", runner.value(), host->id.value()));
+  }
+  context_->transport->Submit(*host, work, current_try_);
+}
+
+const membership::Member* ChatSession::PickHost(const core::RunnerId& runner,
+                                                bool* is_forced) const {
+  // The view outlives this call in the membership's own hands.
+  const membership::MemberTableView members = context_->members();
+  const std::vector<const membership::Member*> hosts = members->OwnersInOrder(
+      RunnerOwnershipName(runner), membership::MemberRole::kRouter);
+  for (const membership::Member* host : hosts) {
+    if (!avoided_hosts_.contains(host->id)) {
+      *is_forced = host != hosts.front() || host_retries_ > 2;
+      return host;
+    }
+  }
+  *is_forced = true;
+  return hosts.empty() ? nullptr : hosts.front();
+}
+
+SubmitWork ChatSession::MakeWork(const core::RunnerId& runner,
+                                 uint32_t choice) const {
+  const core::Duration remaining = request_.deadline - context_->loop->Now();
+  SubmitWork work;
+  work.runner = runner;
+  work.pool = request_.model_pool->pool;
+  work.request = request_.request;
+  work.organisation = request_.organisation;
+  work.organisation_weight = request_.organisation_weight;
+  work.chat = request_.chat;
+  work.priority = request_.priority;
+  work.size = request_.size;
+  work.content_digest = request_.content_digest;
+  work.remaining_ms = std::max<int64_t>(core::ToMilliseconds(remaining), 0);
+  work.choice = choice;
+  work.is_last_choice = choice + 1 >= order_.size();
+  work.pointer_use = pointer_use_;
+  work.attempt = attempt_;
+  work.resume_from = record_->next_index();
+  work.crashes = crashes_;
+  work.body = request_.engine_body;
+  work.trace_parent = request_.trace_parent;
+  return work;
+}
+
+void ChatSession::OnStarted() {
+  if (request_.chat.empty() || order_.empty() ||
+      current_runner_ == order_.front()) {
+    return;
+  }
+  RecordEvent(EventCode::kRequestDisplaced,
+              fmt::format("runner={} first_choice={}", current_runner_.value(),
+                          order_.front().value()));
+  const membership::MemberTableView members = context_->members();
+  const membership::Member* host = members->OwnerOf(
+      RunnerOwnershipName(order_.front()), membership::MemberRole::kRouter);
+  if (host != nullptr) {
+    context_->transport->NotePointer(
+        *host, {order_.front(), request_.model_pool->pool, request_.chat,
+                current_runner_});
+  }
+}
+
+void ChatSession::OnTryNext() {
+  excluded_runners_.insert(current_runner_);
+  if (pointer_use_ == routing::PointerUse::kFollowed) {
+    pointer_use_ = routing::PointerUse::kSkipped;
+  }
+  TryCurrent();
+}
+
+void ChatSession::OnFollowPointer(const core::RunnerId& runner) {
+  const bool is_usable =
+      pointer_use_ == routing::PointerUse::kUnused &&
+      !excluded_runners_.contains(runner) &&
+      context_->directory->AcceptsWork(runner.value(), context_->loop->Now());
+  if (!is_usable) {
+    pointer_use_ = routing::PointerUse::kSkipped;
+    TryCurrent();
+    return;
+  }
+  pointer_use_ = routing::PointerUse::kFollowed;
+  RecordEvent(EventCode::kPointerFollowed,
+              fmt::format("runner={}", runner.value()));
+  TryRunner(runner, static_cast<uint32_t>(choice_));
+}
+
+void ChatSession::OnChunk(uint32_t index, std::string_view payload) {
+  if (index != record_->next_index()) {
+    return;
+  }
+  record_->Append(payload);
+}
+
+void ChatSession::OnTryDone(const absl::Status& status) {
+  switch (core::CodeOf(status)) {
+    case ResultCode::kOk:
+      Finish(status);
+      return;
+    case ResultCode::kWrongOwner:
+    case ResultCode::kPeerUnreachable:
+    case ResultCode::kStranger:
+      RetryWithOtherHost(/*may_have_run=*/false);
+      return;
+    case ResultCode::kPeerSilent:
+      RetryWithOtherHost(/*may_have_run=*/true);
+      return;
+    case ResultCode::kAnswerCut:
+    case ResultCode::kCrossedAnswer:
+      if (same_runner_retries_ < kMaxSameRunnerRetries) {
+        ResumeOnSameRunner();
+      } else {
+        ResumeOnNextRunner(status);
+      }
+      return;
+    case ResultCode::kEndpointFailed:
+      ++crashes_;
+      if (crashes_ >= kMaxCrashes) {
+        Finish(MakeStatus(ResultCode::kQuarantined,
+                          "the request crashed two endpoints"));
+        return;
+      }
+      ResumeOnNextRunner(status);
+      return;
+    default:
+      Finish(status);
+  }
+}
+
+void ChatSession::RetryWithOtherHost(bool may_have_run) {
+  if (++host_retries_ > kMaxHostRetries || (may_have_run && !TakeRetry())) {
+    Finish(MakeRefusal(ResultCode::kNoEndpoint, "no router took the request",
+                       kOverloadRetryAfter));
+    return;
+  }
+  if (may_have_run) {
+    ++attempt_;
+  }
+  avoided_hosts_.insert(current_host_);
+  RetryAfterBackoff();
+}
+
+void ChatSession::ResumeOnSameRunner() {
+  ++same_runner_retries_;
+  if (!TakeRetry()) {
+    Finish(MakeStatus(ResultCode::kAnswerCut,
+                      "the answer broke off and the retry budget is used up"));
+    return;
+  }
+  ++attempt_;
+  RecordEvent(EventCode::kAttemptResumed,
+              fmt::format("runner={} from={}", current_runner_.value(),
+                          record_->next_index()));
+  RetryAfterBackoff();
+}
+
+void ChatSession::ResumeOnNextRunner(const absl::Status& status) {
+  excluded_runners_.insert(current_runner_);
+  if (!TakeRetry()) {
+    Finish(status);
+    return;
+  }
+  ++attempt_;
+  same_runner_retries_ = 0;
+  pointer_use_ = routing::PointerUse::kUnused;
+  // Runners that were full a moment ago may have room by now.
+  const core::RunnerId failed = current_runner_;
+  excluded_runners_ = {failed};
+  choice_ = 0;
+  RecordEvent(
+      EventCode::kAttemptResumed,
+      fmt::format("after={} from={}", failed.value(), record_->next_index()));
+  RetryAfterBackoff();
+}
+
+void ChatSession::RetryAfterBackoff() {
+  current_try_ = nullptr;
+  backoff_timer_ = context_->loop->NewTimer([self = shared_from_this()] {
+    if (!self->is_ended_) {
+      self->TryCurrent();
+    }
+  });
+  backoff_timer_->StartOnce(kHostRetryBackoff * (host_retries_ + 1));
+}
+
+bool ChatSession::TakeRetry() {
+  if (retries_ >= context_->settings->max_retries ||
+      context_->settings->IsDisabled("retries") ||
+      !context_->take_retry(request_.model_pool->pool)) {
+    return false;
+  }
+  ++retries_;
+  return true;
+}
+
+void ChatSession::Finish(const absl::Status& status) {
+  if (is_ended_) {
+    return;
+  }
+  is_ended_ = true;
+  const bool is_refusal = core::RetryAfterOf(status).has_value();
+  const EventCode code = status.ok()  ? EventCode::kRequestAnswered
+                         : is_refusal ? EventCode::kRequestRefused
+                                      : EventCode::kRequestFailed;
+  RecordEvent(code, fmt::format("code={} attempts={} chunks={}",
+                                static_cast<int>(core::CodeOf(status)),
+                                attempt_, record_->next_index()));
+  record_->Finish(status);
+  // The timers hold the session; releasing them lets it go.
+  context_->loop->Post([self = shared_from_this()] {
+    self->deadline_timer_.reset();
+    self->backoff_timer_.reset();
+    self->current_try_.reset();
+  });
+}
+
+void ChatSession::RecordEvent(EventCode code, const std::string& detail) {
+  context_->events->Record(code, request_.request.value(), detail);
+}
+
+}  // namespace wasabi::router
--- /dev/null
+++ b/Services/Router/parse_chat_filter.cc
@@ -0,0 +1,115 @@
+#include "Services/Router/parse_chat_filter.h"
+
+#include <nlohmann/json.hpp>
+
+#include "LibCore/hash.h"
+#include "LibCore/result_code.h"
+#include "LibCore/text.h"
+
+namespace wasabi::router {
+
+namespace {
+
+using core::MakeStatus;
+using core::ResultCode;
+using nlohmann::json;
+
+// Estimates for work sizes: bytes of text in a token, tokens of a message's
+// frame, and the answer's length where the caller names none.
+constexpr size_t kBytesPerToken = 4;
+constexpr uint32_t kTokensPerMessageFrame = 4;
+constexpr uint32_t kDefaultOutputTokens = 256;
+constexpr uint32_t kMaxOutputTokens = 1U << 20U;
+constexpr size_t kMaxChatKeyBytes = 256;
+
+bool IsMessageList(const json& messages) {
+  if (!messages.is_array() || messages.empty()) {
+    return false;
+  }
+  for (const json& message : messages) {
+    if (!message.is_object() || !message.contains("role") ||
+        !message["role"].is_string() || !message.contains("content") ||
+        !message["content"].is_string()) {
+      return false;
+    }
+  }
+  return true;
+}
+
+// The turns up to the last assistant message are the part that an earlier turn
+// has left in a cache.
+routing::WorkSize EstimateSize(const json& messages, uint32_t output_tokens) {
+  routing::WorkSize size;
+  size.output_tokens = output_tokens;
+  for (const json& message : messages) {
+    const size_t bytes =
+        message["content"].get_ref<const std::string&>().size();
+    size.prompt_tokens +=
+        static_cast<uint32_t>(bytes / kBytesPerToken) + kTokensPerMessageFrame;
+    if (message["role"] == "assistant") {
+      size.reusable_tokens = size.prompt_tokens;
+    }
+  }
+  return size;
+}
+
+std::string TextOf(const json& body, const char* key) {
+  const auto it = body.find(key);
+  return it != body.end() && it->is_string() ? it->get<std::string>() : "";
+}
+
+}  // namespace
+
+absl::Status ParseChatFilter::Apply(RequestContext* context) {
+  json body = json::parse(context->http->body, nullptr, false);
+  if (!body.is_object()) {
+    return MakeStatus(ResultCode::kMalformedRequest,
+                      "the body is not a JSON object");
+  }
+  context->model = TextOf(body, "model");
+  if (context->model.empty()) {
+    return MakeStatus(ResultCode::kMalformedRequest, "model is missing");
+  }
+  if (!body.contains("messages") || !IsMessageList(body["messages"])) {
+    return MakeStatus(ResultCode::kMalformedRequest,
+                      "messages is not a list of {role, content}");
+  }
+  const auto max_tokens = body.find("max_tokens");
+  uint32_t output_tokens = kDefaultOutputTokens;
+  if (max_tokens != body.end()) {
+    if (!max_tokens->is_number_unsigned() ||
+        max_tokens->get<uint64_t>() > kMaxOutputTokens ||
+        max_tokens->get<uint64_t>() == 0) {
+      return MakeStatus(ResultCode::kMalformedRequest,
+                        "max_tokens is not between 1 and 1048576");
+    }
+    output_tokens = max_tokens->get<uint32_t>();
+  }
+  std::string chat = context->http->headers.Get(http::kChatKeyHeader);
+  if (chat.empty()) {
+    chat = TextOf(body, "prompt_cache_key");
+  }
+  if (chat.size() > kMaxChatKeyBytes) {
+    return MakeStatus(ResultCode::kMalformedRequest,
+                      "the chat key is longer than 256 bytes");
+  }
+  if (!chat.empty()) {
+    // Chats of different organisations never share a key.
+    context->chat = core::ChatKey(context->organisation.value() + "/" + chat);
+  }
+  const auto stream = body.find("stream");
+  context->is_streamed =
+      stream != body.end() && stream->is_boolean() && stream->get<bool>();
+  context->size = EstimateSize(body["messages"], output_tokens);
+  const json content = {{"messages", body["messages"]},
+                        {"model", context->model}};
+  context->content_digest = core::StableHash(
+      content.dump(-1, ' ', false, json::error_handler_t::replace));
+  body["stream"] = true;
+  body.erase("resume_from");
+  context->engine_body =
+      body.dump(-1, ' ', false, json::error_handler_t::replace);
+  return absl::OkStatus();
+}
+
+}  // namespace wasabi::router
--- /dev/null
+++ b/Services/Router/runner_owner.cc
@@ -0,0 +1,555 @@
+#include "Services/Router/runner_owner.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "LibCore/result_code.h"
+#include "LibCore/text.h"
+
+namespace wasabi::router {
+
+namespace {
+
+using core::EventCode;
+using core::MakeStatus;
+using core::ResultCode;
+
+// Polls in a row without an answer after which a runner counts as down.
+constexpr int kFailedPollsUntilDown = 3;
+// Dead endpoints that a request may leave behind before it is refused.
+constexpr uint32_t kMaxCrashes = 2;
+constexpr core::Duration kRefusalRetryAfter = std::chrono::seconds(1);
+
+std::string_view PriorityName(routing::Priority priority) {
+  switch (priority) {
+    case routing::Priority::kUrgent:
+      return "urgent";
+    case routing::Priority::kBatch:
+      return "batch";
+    case routing::Priority::kNormal:
+      break;
+  }
+  return "normal";
+}
+
+// Passes an answer on to the sink that asked for it.
+class SinkListener : public AnswerListener {
+ public:
+  explicit SinkListener(std::shared_ptr<WorkSink> sink)
+      : sink_(std::move(sink)) {}
+
+  void OnAnswerChunk(uint32_t index, std::string_view payload) override {
+    sink_->OnChunk(index, payload);
+  }
+  void OnAnswerDone(const absl::Status& status) override {
+    sink_->OnDone(status);
+  }
+
+ private:
+  std::shared_ptr<WorkSink> sink_;
+};
+
+}  // namespace
+
+enum class WorkPhase { kWaiting, kRunning, kEnded };
+
+// A request at its owner. Its attempt's callbacks keep it alive.
+struct RunnerOwner::Work {
+  SubmitWork message;
+  std::string key;
+  std::shared_ptr<WorkSink> sink;
+  std::vector<std::shared_ptr<SinkListener>> listeners;
+  std::shared_ptr<AnswerRecord> record;
+  std::shared_ptr<EngineAttempt> attempt;
+  core::TimePoint deadline;
+  WorkPhase phase = WorkPhase::kWaiting;
+  bool is_taking_over = false;
+
+  // Answers with what the record holds, and with what is still to come.
+  absl::Status Attach(uint32_t offset, const std::shared_ptr<WorkSink>& to) {
+    auto listener = std::make_shared<SinkListener>(to);
+    listeners.push_back(listener);
+    return record->Listen(offset, listener);
+  }
+};
+
+RunnerOwner::RunnerOwner(const OwnerContext* context,
+                         const platform::ListedHost& runner,
+                         const routing::AdmissionPolicy& policy)
+    : context_(context),
+      runner_(runner.id),
+      pool_(runner.pool),
+      address_(runner.address),
+      admission_(core::RunnerId(runner.id), policy),
+      last_use_(context->loop->Now()) {
+  monitor_ = std::make_unique<RunnerMonitor>(
+      context_->loop, context_->control_client, address_,
+      context_->settings->load_poll_period,
+      [this](const LoadReport& report) { OnReport(report); },
+      [this](bool is_refused) { OnPollFailure(is_refused); });
+  context_->events->Record(EventCode::kOwnershipTaken, "",
+                           fmt::format("runner={}", runner_.value()));
+}
+
+RunnerOwner::~RunnerOwner() {
+  *alive_ = false;
+  for (const auto& [key, work] : works_) {
+    if (work->attempt != nullptr) {
+      work->attempt->Cancel();
+    }
+  }
+}
+
+void RunnerOwner::Submit(const SubmitWork& message,
+                         const std::shared_ptr<WorkSink>& sink) {
+  const core::TimePoint now = context_->loop->Now();
+  last_use_ = now;
+  if (message.crashes >= kMaxCrashes) {
+    sink->OnDone(MakeStatus(ResultCode::kQuarantined,
+                            "the request crashed two endpoints"));
+    return;
+  }
+  const std::string key = AnswerName(message.organisation, message.request);
+  const auto existing = works_.find(key);
+  if (existing != works_.end() &&
+      existing->second->phase == WorkPhase::kRunning &&
+      existing->second->Attach(message.resume_from, sink).ok()) {
+    return;
+  }
+  if (existing != works_.end()) {
+    sink->OnTryNext();
+    return;
+  }
+  auto work = std::make_shared<Work>();
+  work->message = message;
+  work->key = key;
+  work->sink = sink;
+  work->record = std::make_shared<AnswerRecord>(message.resume_from,
+                                                message.content_digest);
+  work->deadline = now + core::milliseconds(message.remaining_ms);
+  Admit(work);
+}
+
+void RunnerOwner::Admit(const WorkPointer& work) {
+  const routing::AdmissionDecision decision = admission_.Offer(
+      ToItem(*work), context_->pool_demand(pool_), context_->loop->Now());
+  switch (decision.verdict) {
+    case routing::Verdict::kRun:
+      works_[work->key] = work;
+      StartAttempt(work);
+      return;
+    case routing::Verdict::kWait:
+      works_[work->key] = work;
+      context_->events->Record(EventCode::kRequestQueued,
+                               work->message.request.value(),
+                               fmt::format("runner={}", runner_.value()));
+      return;
+    case routing::Verdict::kTryNext:
+      work->sink->OnTryNext();
+      return;
+    case routing::Verdict::kFollowPointer:
+      work->sink->OnFollowPointer(decision.pointer);
+      return;
+    case routing::Verdict::kRefuse:
+      work->sink->OnDone(core::MakeRefusal(ResultCode::kOverloaded,
+                                           "the pool is at its load bound",
+                                           decision.retry_after));
+      return;
+  }
+}
+
+void RunnerOwner::StartAttempt(const WorkPointer& work) {
+  work->phase = WorkPhase::kRunning;
+  ++running_count_;
+  const SubmitWork& message = work->message;
+  EngineAttemptRequest request;
+  request.engine = address_;
+  request.request_id = message.request.value();
+  request.attempt = message.attempt;
+  request.chat = message.chat.value();
+  request.priority = std::string(PriorityName(message.priority));
+  request.trace_parent = message.trace_parent;
+  request.body = message.body;
+  request.resume_from = message.resume_from;
+  request.needs_fresh_connection = message.attempt > 1;
+  EngineAttemptCallbacks callbacks;
+  callbacks.on_chunk = [this, alive = alive_, work](std::string_view payload) {
+    if (*alive) {
+      OnChunk(work, payload);
+    }
+  };
+  callbacks.on_done = [this, alive = alive_, work](const absl::Status& status) {
+    if (*alive) {
+      OnAttemptDone(work, status);
+    }
+  };
+  context_->events->Record(
+      EventCode::kAttemptStarted, message.request.value(),
+      fmt::format("runner={} attempt={} from={}", runner_.value(),
+                  message.attempt, message.resume_from));
+  context_->answers->PutIfAbsent(work->key, work->record,
+                                 context_->loop->Now());
+  work->sink->OnStarted();
+  work->attempt =
+      EngineAttempt::Start(context_->data_client, request, std::move(callbacks),
+                           context_->loop->Now());
+}
+
+void RunnerOwner::OnChunk(const WorkPointer& work, std::string_view payload) {
+  if (work->listeners.empty()) {
+    // The first chunk proves that the engine took the request, so from now on
+    // the outcome is the answer's.
+    (void)work->Attach(work->record->next_index(), work->sink);
+  }
+  work->record->Append(payload);
+}
+
+void RunnerOwner::OnAttemptDone(const WorkPointer& work,
+                                const absl::Status& status) {
+  if (work->phase != WorkPhase::kRunning) {
+    return;
+  }
+  const ResultCode code = core::CodeOf(status);
+  const bool is_untouched = work->listeners.empty();
+  if (status.ok()) {
+    context_->report_completion(work->message.content_digest);
+    FinishWork(work, status);
+    return;
+  }
+  context_->events->Record(EventCode::kAttemptFailed,
+                           work->message.request.value(),
+                           fmt::format("runner={} code={}", runner_.value(),
+                                       static_cast<int>(code)));
+  if (code == ResultCode::kCrossedAnswer) {
+    context_->events->Record(EventCode::kAnswerCrossed,
+                             work->message.request.value(),
+                             fmt::format("runner={}", runner_.value()));
+    FinishWork(work, status);
+    return;
+  }
+  if (code == ResultCode::kAnswerCut || code == ResultCode::kPeerUnreachable) {
+    OnConnectionBroken(work, status);
+    return;
+  }
+  const bool is_refused_by_engine =
+      code == ResultCode::kOverloaded || code == ResultCode::kStopping;
+  if (code == ResultCode::kStopping) {
+    SetCondition(EndpointCondition::kLeaving);
+  }
+  if (is_refused_by_engine && is_untouched && !work->message.is_last_choice) {
+    const std::shared_ptr<WorkSink> sink = work->sink;
+    DropWork(work);
+    sink->OnTryNext();
+    return;
+  }
+  FinishWork(work, status);
+}
+
+void RunnerOwner::OnConnectionBroken(const WorkPointer& work,
+                                     const absl::Status& status) {
+  broken_.emplace_back(work, status);
+  if (broken_.size() == 1) {
+    monitor_->Probe([this](bool is_alive) { OnProbed(is_alive); });
+  }
+}
+
+void RunnerOwner::OnProbed(bool is_alive) {
+  const auto broken = std::exchange(broken_, {});
+  if (!is_alive) {
+    std::vector<uint64_t> digests;
+    digests.reserve(broken.size());
+    for (const auto& [work, status] : broken) {
+      digests.push_back(work->message.content_digest);
+    }
+    context_->report_death(digests);
+    SetCondition(EndpointCondition::kDown);
+  }
+  for (const auto& [work, status] : broken) {
+    // An attempt that never reached the engine can't have crashed it.
+    const bool was_running =
+        core::CodeOf(status) != ResultCode::kPeerUnreachable;
+    FinishWork(
+        work,
+        !is_alive && was_running
+            ? MakeStatus(ResultCode::kEndpointFailed, "the endpoint died")
+            : MakeStatus(ResultCode::kAnswerCut, core::MessageOf(status)));
+  }
+}
+
+void RunnerOwner::FinishWork(const WorkPointer& work,
+                             const absl::Status& status) {
+  if (work->phase == WorkPhase::kEnded) {
+    return;
+  }
+  const bool is_untouched = work->listeners.empty();
+  const std::shared_ptr<WorkSink> sink = work->sink;
+  if (status.ok()) {
+    context_->events->Record(EventCode::kAttemptFinished,
+                             work->message.request.value(),
+                             fmt::format("runner={} chunks={}", runner_.value(),
+                                         work->record->next_index()));
+  }
+  DropWork(work);
+  work->record->Finish(status);
+  if (is_untouched) {
+    sink->OnDone(status);
+  }
+}
+
+void RunnerOwner::DropWork(const WorkPointer& work) {
+  const bool was_running = work->phase == WorkPhase::kRunning;
+  work->phase = WorkPhase::kEnded;
+  works_.erase(work->key);
+  if (was_running) {
+    --running_count_;
+  }
+  admission_.Finish(core::RequestId(work->key), context_->loop->Now());
+  last_use_ = context_->loop->Now();
+  // Posted, since callers may be in the middle of a walk over the works.
+  context_->loop->Post([this, alive = alive_] {
+    if (*alive) {
+      Advance();
+    }
+  });
+}
+
+void RunnerOwner::Advance() {
+  const routing::AdmissionProgress progress =
+      admission_.Advance(context_->pool_demand(pool_), context_->loop->Now());
+  for (const core::RequestId& request : progress.to_run) {
+    if (const WorkPointer work = FindWork(request)) {
+      StartAttempt(work);
+    }
+  }
+  for (const core::RequestId& request : progress.to_refuse) {
+    if (const WorkPointer work = FindWork(request)) {
+      FinishWork(
+          work, core::MakeRefusal(ResultCode::kOverloaded,
+                                  "the request can't start before its deadline",
+                                  progress.retry_after));
+    }
+  }
+  for (const core::RequestId& request : progress.to_displace) {
+    if (const WorkPointer work = FindWork(request)) {
+      const std::shared_ptr<WorkSink> sink = work->sink;
+      DropWork(work);
+      sink->OnTryNext();
+    }
+  }
+}
+
+void RunnerOwner::Tick() {
+  const core::TimePoint now = context_->loop->Now();
+  std::vector<WorkPointer> overdue;
+  std::vector<WorkPointer> silent;
+  for (const auto& [key, work] : works_) {
+    if (work->deadline <= now) {
+      overdue.push_back(work);
+      continue;
+    }
+    if (work->phase != WorkPhase::kRunning || work->is_taking_over) {
+      continue;
+    }
+    const core::Duration limit =
+        work->attempt->has_chunks()
+            ? context_->settings->silence_limit
+            : context_->settings->first_chunk_silence_limit;
+    if (now - work->attempt->last_progress() > limit) {
+      silent.push_back(work);
+    }
+  }
+  for (const WorkPointer& work : overdue) {
+    const bool has_started = work->phase == WorkPhase::kRunning;
+    if (has_started) {
+      work->attempt->Cancel();
+    }
+    FinishWork(work,
+               has_started
+                   ? MakeStatus(ResultCode::kDeadlineExceeded,
+                                "the deadline passed during the answer")
+                   : core::MakeRefusal(ResultCode::kDeadlineTooShort,
+                                       "the deadline passed before the start",
+                                       kRefusalRetryAfter));
+  }
+  for (const WorkPointer& work : silent) {
+    TakeOverSilentStream(work);
+  }
+  Advance();
+}
+
+void RunnerOwner::TakeOverSilentStream(const WorkPointer& work) {
+  if (context_->settings->IsDisabled("silence_detection")) {
+    return;
+  }
+  work->is_taking_over = true;
+  // A fresh connection both asks whether the endpoint lives and ends the old
+  // run there, so that the resumed one is the only one.
+  http::ClientRequest cancel;
+  cancel.method = "DELETE";
+  cancel.address = address_;
+  cancel.target = fmt::format("/v1/requests/{}", work->message.request.value());
+  cancel.needs_fresh_connection = true;
+  cancel.total_timeout = std::chrono::milliseconds(500);
+  context_->control_client->Fetch(
+      cancel, [this, alive = alive_,
+               work](const absl::StatusOr<http::ClientResponse>& response) {
+        if (!*alive || work->phase != WorkPhase::kRunning) {
+          return;
+        }
+        work->is_taking_over = false;
+        if (!response.ok()) {
+          // The endpoint itself is silent; its polls decide about it.
+          return;
+        }
+        context_->events->Record(EventCode::kConnectionSilent,
+                                 work->message.request.value(),
+                                 fmt::format("runner={}", runner_.value()));
+        work->attempt->Cancel();
+        FinishWork(work, MakeStatus(ResultCode::kAnswerCut,
+                                    "the connection to the engine is silent"));
+      });
+}
+
+void RunnerOwner::OnReport(const LoadReport& report) {
+  failed_polls_ = 0;
+  admission_.ObserveReport(report.running + report.waiting,
+                           report.outstanding_tokens, context_->loop->Now());
+  context_->report_load(runner_, report.running + report.waiting);
+  SetCondition(report.is_leaving ? EndpointCondition::kLeaving
+                                 : EndpointCondition::kHealthy);
+}
+
+void RunnerOwner::OnPollFailure(bool is_refused) {
+  ++failed_polls_;
+  if (is_refused || failed_polls_ >= kFailedPollsUntilDown) {
+    SetCondition(EndpointCondition::kDown);
+    FailRunning(
+        MakeStatus(ResultCode::kAnswerCut, "the endpoint stopped answering"));
+  }
+}
+
+void RunnerOwner::FailRunning(const absl::Status& status) {
+  std::vector<WorkPointer> running;
+  for (const auto& [key, work] : works_) {
+    const bool is_probed = std::any_of(
+        broken_.begin(), broken_.end(),
+        [&work = work](const auto& it) { return it.first == work; });
+    if (!is_probed) {
+      running.push_back(work);
+    }
+  }
+  for (const WorkPointer& work : running) {
+    if (work->attempt != nullptr) {
+      work->attempt->Cancel();
+      FinishWork(work, status);
+      continue;
+    }
+    const std::shared_ptr<WorkSink> sink = work->sink;
+    DropWork(work);
+    sink->OnTryNext();
+  }
+}
+
+void RunnerOwner::SetCondition(EndpointCondition condition) {
+  if (condition != EndpointCondition::kHealthy) {
+    // Repeated while it lasts, since the fleet's knowledge of it expires.
+    context_->report_condition(runner_, condition);
+  }
+  if (condition == condition_) {
+    return;
+  }
+  if (condition == EndpointCondition::kHealthy) {
+    context_->report_condition(runner_, condition);
+  }
+  condition_ = condition;
+  const EventCode code =
+      condition == EndpointCondition::kHealthy   ? EventCode::kRunnerUp
+      : condition == EndpointCondition::kLeaving ? EventCode::kRunnerLeaving
+                                                 : EventCode::kRunnerDown;
+  context_->events->Record(code, "", fmt::format("runner={}", runner_.value()));
+  UpdateAcceptance();
+}
+
+void RunnerOwner::UpdateAcceptance() {
+  admission_.SetAcceptsWork(condition_ == EndpointCondition::kHealthy &&
+                            is_listed_as_accepting_);
+}
+
+void RunnerOwner::NotePointer(const core::ChatKey& chat,
+                              const core::RunnerId& target) {
+  admission_.NotePointer(chat, target, context_->loop->Now());
+}
+
+void RunnerOwner::ForgetTarget(const core::RunnerId& target) {
+  admission_.ForgetTarget(target);
+}
+
+void RunnerOwner::Release() {
+  if (is_released_) {
+    return;
+  }
+  is_released_ = true;
+  context_->events->Record(EventCode::kOwnershipReleased, "",
+                           fmt::format("runner={}", runner_.value()));
+  std::vector<WorkPointer> waiting;
+  for (const auto& [key, work] : works_) {
+    if (work->phase != WorkPhase::kRunning) {
+      waiting.push_back(work);
+    }
+  }
+  for (const WorkPointer& work : waiting) {
+    FinishWork(work, MakeStatus(ResultCode::kWrongOwner,
+                                "the runner has a new owner"));
+  }
+}
+
+void RunnerOwner::Resume() {
+  is_released_ = false;
+}
+
+void RunnerOwner::OnHandOver() {
+  admission_.ClearFloor();
+  context_->events->Record(EventCode::kHandOverReceived, "",
+                           fmt::format("runner={}", runner_.value()));
+}
+
+void RunnerOwner::SetPolicy(const routing::AdmissionPolicy& policy) {
+  admission_.SetPolicy(policy);
+}
+
+void RunnerOwner::SetListedAsAccepting(bool is_accepting) {
+  if (is_accepting == is_listed_as_accepting_) {
+    return;
+  }
+  is_listed_as_accepting_ = is_accepting;
+  UpdateAcceptance();
+}
+
+routing::PoolDemand RunnerOwner::Demand() const {
+  return admission_.Demand(context_->loop->Now());
+}
+
+RunnerOwner::WorkPointer RunnerOwner::FindWork(
+    const core::RequestId& request) const {
+  const auto it = works_.find(request.value());
+  return it == works_.end() ? nullptr : it->second;
+}
+
+routing::WorkItem RunnerOwner::ToItem(const Work& work) const {
+  routing::WorkItem item;
+  item.request = core::RequestId(work.key);
+  item.organisation = work.message.organisation;
+  item.organisation_weight = work.message.organisation_weight;
+  item.chat = work.message.chat;
+  item.priority = work.message.priority;
+  item.size = work.message.size;
+  item.content_digest = work.message.content_digest;
+  item.deadline = work.deadline;
+  item.choice = work.message.choice;
+  item.is_last_choice = work.message.is_last_choice;
+  item.pointer_use = work.message.pointer_use;
+  item.runs_alone = work.message.crashes > 0;
+  return item;
+}
+
+}  // namespace wasabi::router
--- /dev/null
+++ b/Services/Router/work_transport.cc
@@ -0,0 +1,172 @@
+#include "Services/Router/work_transport.h"
+
+#include <utility>
+
+#include "LibCore/message.h"
+#include "LibCore/result_code.h"
+
+namespace wasabi::router {
+
+namespace {
+
+using core::MakeStatus;
+using core::ResultCode;
+
+// Turns the replies of one call into calls of its sink.
+class ReplyReader {
+ public:
+  explicit ReplyReader(std::shared_ptr<WorkSink> sink)
+      : sink_(std::move(sink)) {}
+
+  void OnMessage(std::string_view bytes) {
+    if (is_ended_) {
+      return;
+    }
+    const absl::StatusOr<WorkReply> reply = core::Decode<WorkReply>(bytes);
+    if (!reply.ok()) {
+      is_ended_ = true;
+      sink_->OnDone(MakeStatus(ResultCode::kPeerSilent, "malformed reply"));
+      return;
+    }
+    switch (reply->kind) {
+      case WorkReplyKind::kStarted:
+        sink_->OnStarted();
+        return;
+      case WorkReplyKind::kChunk:
+        sink_->OnChunk(reply->index, reply->payload);
+        return;
+      case WorkReplyKind::kTryNext:
+        is_ended_ = true;
+        sink_->OnTryNext();
+        return;
+      case WorkReplyKind::kFollowPointer:
+        is_ended_ = true;
+        sink_->OnFollowPointer(core::RunnerId(reply->payload));
+        return;
+    }
+  }
+
+  void OnDone(const absl::Status& status) {
+    if (!is_ended_) {
+      is_ended_ = true;
+      sink_->OnDone(status);
+    }
+  }
+
+ private:
+  std::shared_ptr<WorkSink> sink_;
+  bool is_ended_ = false;
+};
+
+// A call whose outcome nobody waits for.
+link::CallHandlers IgnoreOutcome() {
+  return {[](std::string_view) {}, [](const absl::Status&) {}};
+}
+
+}  // namespace
+
+void LinkSink::OnStarted() {
+  Reply(WorkReplyKind::kStarted, 0, "");
+}
+
+void LinkSink::OnTryNext() {
+  Reply(WorkReplyKind::kTryNext, 0, "");
+  call_->Finish(absl::OkStatus());
+}
+
+void LinkSink::OnFollowPointer(const core::RunnerId& runner) {
+  Reply(WorkReplyKind::kFollowPointer, 0, runner.value());
+  call_->Finish(absl::OkStatus());
+}
+
+void LinkSink::OnChunk(uint32_t index, std::string_view payload) {
+  Reply(WorkReplyKind::kChunk, index, payload);
+}
+
+void LinkSink::OnDone(const absl::Status& status) {
+  call_->Finish(status);
+}
+
+void LinkSink::Reply(WorkReplyKind kind,
+                     uint32_t index,
+                     std::string_view payload) {
+  call_->Send(core::Encode(WorkReply{kind, index, std::string(payload)}));
+}
+
+link::CallHandlers RepliesTo(const std::shared_ptr<WorkSink>& sink) {
+  auto reader = std::make_shared<ReplyReader>(sink);
+  link::CallHandlers handlers;
+  handlers.on_message = [reader](std::string_view bytes) {
+    reader->OnMessage(bytes);
+  };
+  handlers.on_done = [reader](const absl::Status& status) {
+    reader->OnDone(status);
+  };
+  return handlers;
+}
+
+WorkTransport::WorkTransport(core::EventLoop* loop,
+                             link::Link* link,
+                             OwnerController* owners,
+                             core::HostId self)
+    : loop_(loop), link_(link), owners_(owners), self_(std::move(self)) {}
+
+void WorkTransport::Submit(const membership::Member& owner,
+                           const SubmitWork& work,
+                           const std::shared_ptr<WorkSink>& sink) {
+  if (owner.id == self_) {
+    loop_->Post([this, work, sink] { owners_->Submit(work, sink); });
+    return;
+  }
+  link_->Call(owner.link_address, link::CallKind::kSubmitWork,
+              core::Encode(work), RepliesTo(sink));
+}
+
+void WorkTransport::NotePointer(const membership::Member& owner,
+                                const PointerNote& note) {
+  if (owner.id == self_) {
+    owners_->NotePointer(note);
+    return;
+  }
+  link_->Call(owner.link_address, link::CallKind::kNotePointer,
+              core::Encode(note), IgnoreOutcome());
+}
+
+void WorkTransport::SendHandOver(const membership::Member& owner,
+                                 const HandOver& message) {
+  if (owner.id != self_) {
+    link_->Call(owner.link_address, link::CallKind::kHandOver,
+                core::Encode(message), IgnoreOutcome());
+  }
+}
+
+void WorkTransport::Serve(const std::shared_ptr<link::InboundCall>& call) {
+  if (call->kind() == link::CallKind::kSubmitWork) {
+    ServeWork(call);
+    return;
+  }
+  if (call->kind() == link::CallKind::kNotePointer) {
+    const auto note = core::Decode<PointerNote>(call->request());
+    if (note.ok()) {
+      owners_->NotePointer(*note);
+    }
+    call->Finish(note.status());
+    return;
+  }
+  const auto hand_over = core::Decode<HandOver>(call->request());
+  if (hand_over.ok()) {
+    owners_->OnHandOver(*hand_over);
+  }
+  call->Finish(hand_over.status());
+}
+
+void WorkTransport::ServeWork(const std::shared_ptr<link::InboundCall>& call) {
+  const auto work = core::Decode<SubmitWork>(call->request());
+  if (!work.ok()) {
+    call->Finish(work.status());
+    return;
+  }
+  owners_->Submit(*work, std::make_shared<LinkSink>(call));
+}
+
+}  // namespace wasabi::router
