Platform clients, log follower and durable appends

HTTP clients of the log, the host list and the weight store; LogFollower (one request in flight, backoff with jitter, never backwards, reports gaps); RecordStamp and DurableAppender, which repeat an append whose answer was lost until it is read back, and let readers fold it once. FakeLog runs them in virtual time with pauses and crashes of hosts.

Appends use a connection of their own. With kept connections libcurl repeated an append by itself when the connection broke before the answer: the new test found two records after one Append, and the answer OK in place of kAppendUncertain. client.h now says so, since calls to services have the same exposure.

--- a/Libraries/LibHttp/client.h
+++ b/Libraries/LibHttp/client.h
@@ -26,7 +26,9 @@
   core::Duration connect_timeout = std::chrono::seconds(1);
   // Bounds the whole call; zero means no bound.
   core::Duration total_timeout = core::Duration::zero();
-  // Uses a new connection even where an idle one is kept.
+  // Uses a new connection even where an idle one is kept. A request that must
+  // not arrive twice needs it: when a kept connection breaks before the first
+  // byte of the answer, libcurl sends the request again by itself.
   bool needs_fresh_connection = false;
 };
 
--- /dev/null
+++ b/Libraries/LibPlatform/http_log_client.h
@@ -0,0 +1,51 @@
+// The log service over HTTP; docs/PROTOCOLS.md lists its calls.
+
+#ifndef LIBPLATFORM_HTTP_LOG_CLIENT_H_
+#define LIBPLATFORM_HTTP_LOG_CLIENT_H_
+
+#include <string>
+
+#include "LibCore/socket_address.h"
+#include "LibHttp/client.h"
+#include "LibPlatform/log_client.h"
+
+namespace wasabi::platform {
+
+struct HttpLogClientOptions {
+  core::SocketAddress address;
+  // Bounds an append from the connect to the whole answer.
+  core::Duration append_timeout = core::seconds(2);
+  // Bounds a read, in addition to the time it asks the log to wait.
+  core::Duration read_timeout = core::seconds(3);
+  // Most records in one page.
+  int page_records = 1000;
+};
+
+class HttpLogClient : public LogClient {
+ public:
+  // `client` must outlive this object.
+  HttpLogClient(http::Client* client, const HttpLogClientOptions& options);
+
+  // Each append uses a connection of its own: on a kept one, libcurl sends a
+  // request again without notice when the connection breaks before the answer.
+  void Append(const std::string& stream,
+              std::string body,
+              AppendCallback callback) override;
+  void Read(const std::string& stream,
+            Offset from,
+            core::Duration wait,
+            ReadCallback callback) override;
+  void Bounds(const std::string& stream, ReadCallback callback) override;
+
+ private:
+  void FetchPage(const std::string& target,
+                 core::Duration timeout,
+                 ReadCallback callback);
+
+  http::Client* client_;
+  const HttpLogClientOptions options_;
+};
+
+}  // namespace wasabi::platform
+
+#endif  // LIBPLATFORM_HTTP_LOG_CLIENT_H_
--- /dev/null
+++ b/Tests/Support/FakeLog/host_scheduler.h
@@ -0,0 +1,42 @@
+// The scheduler of one simulated host, which can be paused and can crash.
+
+#ifndef TESTS_SUPPORT_FAKELOG_HOST_SCHEDULER_H_
+#define TESTS_SUPPORT_FAKELOG_HOST_SCHEDULER_H_
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+#include "LibPlatform/scheduler.h"
+#include "Tests/Support/FakeLog/virtual_scheduler.h"
+
+namespace wasabi::testing {
+
+class HostScheduler : public platform::Scheduler {
+ public:
+  // `scheduler` must outlive this object.
+  explicit HostScheduler(VirtualScheduler* scheduler);
+
+  core::TimePoint Now() const override { return scheduler_->Now(); }
+  void CallAfter(core::Duration delay, std::function<void()> task) override;
+
+  // Holds every task back until Resume.
+  void Pause();
+  void Resume();
+  // Drops every task, those that wait and those to come.
+  void Crash();
+
+ private:
+  struct State {
+    bool is_paused = false;
+    bool is_crashed = false;
+    std::vector<std::function<void()>> held_back;
+  };
+
+  VirtualScheduler* scheduler_;
+  std::shared_ptr<State> state_ = std::make_shared<State>();
+};
+
+}  // namespace wasabi::testing
+
+#endif  // TESTS_SUPPORT_FAKELOG_HOST_SCHEDULER_H_
