wasabi_load: open-loop load tool with an independent checker

Cause: the promises need callers that return after pauses, reattach, resend and honour Retry-After, and a comparison of what they got with what the endpoints executed.

--- /dev/null
+++ b/Utilities/Load/workload.cc
@@ -0,0 +1,182 @@
+#include "Utilities/Load/workload.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "LibCore/text.h"
+
+namespace wasabi::load {
+
+using support::ChatMessage;
+
+nlohmann::json BodyOf(const ChatTurn& turn) {
+  nlohmann::json messages = nlohmann::json::array();
+  for (const ChatMessage& message : turn.messages) {
+    messages.push_back({{"role", message.role}, {"content", message.content}});
+  }
+  return {{"model", turn.model},
+          {"messages", std::move(messages)},
+          {"stream", true},
+          {"max_tokens", turn.max_tokens},
+          {"prompt_cache_key", turn.chat}};
+}
+
+Workload::Workload(const Experiment& experiment, std::string run)
+    : experiment_(experiment), run_(std::move(run)), random_(experiment.seed) {}
+
+core::Duration Workload::TimeToNextTurn(core::Duration elapsed) {
+  return TimeToNext(RateAt(elapsed));
+}
+
+core::Duration Workload::TimeToNextServiceCall() {
+  return TimeToNext(experiment_.service.calls_per_second);
+}
+
+ChatTurn Workload::NextTurn(core::Duration elapsed) {
+  const std::string name = PickChat(elapsed);
+  Chat& chat = chats_.at(name);
+  const ChatPattern& pattern = experiment_.chats;
+  const bool is_summary = random_.Unit() < pattern.summary_share;
+  ChatTurn turn;
+  turn.chat = name;
+  turn.organisation = chat.organisation;
+  turn.model = pattern.model;
+  turn.reusable_tokens = support::TokensOf(chat.history);
+  turn.max_tokens = std::max(1U, Pick(is_summary ? pattern.summary_answer_tokens
+                                                 : pattern.answer_tokens));
+  const Range& usual =
+      chat.history.empty() ? pattern.first_prompt_tokens : pattern.turn_tokens;
+  const uint32_t tokens =
+      Pick(is_summary ? pattern.summary_prompt_tokens : usual);
+  turn.messages = chat.history;
+  turn.messages.push_back({"user", MakeText(tokens)});
+  return turn;
+}
+
+void Workload::FinishTurn(const ChatTurn& turn,
+                          const std::string& answer,
+                          core::Duration elapsed) {
+  Chat& chat = chats_.at(turn.chat);
+  if (++chat.turns >= experiment_.chats.turns) {
+    chats_.erase(turn.chat);
+    return;
+  }
+  chat.history = turn.messages;
+  chat.history.push_back({"assistant", answer});
+  const core::Duration pause =
+      core::milliseconds(Pick(experiment_.chats.pause_ms));
+  returns_.emplace(elapsed + pause, turn.chat);
+}
+
+void Workload::AbandonTurn(const ChatTurn& turn) {
+  chats_.erase(turn.chat);
+}
+
+ServiceCallPlan Workload::NextServiceCall() {
+  ServiceCallPlan plan;
+  plan.organisation = PickOrganisation(core::Duration::zero());
+  plan.idempotency_key = fmt::format("{}-key-{}", run_, next_key_++);
+  plan.body = nlohmann::json({{"item", random_.Below(1000)},
+                              {"key", plan.idempotency_key}})
+                  .dump();
+  plan.is_sent_twice = random_.Unit() < experiment_.service.resend_share;
+  return plan;
+}
+
+bool Workload::IsSurging(core::Duration elapsed) const {
+  const SurgePattern& surge = experiment_.surge;
+  return !surge.organisations.empty() && elapsed >= surge.start &&
+         elapsed < surge.start + surge.duration;
+}
+
+double Workload::RateAt(core::Duration elapsed) const {
+  const double usual = experiment_.chats.turns_per_second;
+  if (!IsSurging(elapsed)) {
+    return usual;
+  }
+  return usual * (1 + ShareOfSurge() * (experiment_.surge.factor - 1));
+}
+
+double Workload::ShareOfSurge() const {
+  double share = 0;
+  for (const std::string& it : experiment_.surge.organisations) {
+    share += ShareOf(it);
+  }
+  return share;
+}
+
+double Workload::ShareOf(const std::string& organisation) const {
+  const OrganisationPattern& pattern = experiment_.organisations;
+  const auto large = static_cast<double>(pattern.large.size());
+  const double small = static_cast<double>(pattern.names.size()) - large;
+  if (large == 0 || small == 0) {
+    return 1 / static_cast<double>(pattern.names.size());
+  }
+  const bool is_large = std::find(pattern.large.begin(), pattern.large.end(),
+                                  organisation) != pattern.large.end();
+  return is_large ? pattern.large_share / large
+                  : (1 - pattern.large_share) / small;
+}
+
+core::Duration Workload::TimeToNext(double per_second) {
+  // 1 - Unit() is in (0, 1], so the logarithm is finite.
+  return core::FromSeconds(-std::log(1 - random_.Unit()) / per_second);
+}
+
+std::string Workload::PickOrganisation(core::Duration elapsed) {
+  const std::vector<std::string>& names = experiment_.organisations.names;
+  const std::vector<std::string>& surging = experiment_.surge.organisations;
+  std::vector<double> weights;
+  double total = 0;
+  for (const std::string& it : names) {
+    const bool is_surging =
+        IsSurging(elapsed) &&
+        std::find(surging.begin(), surging.end(), it) != surging.end();
+    const double factor = is_surging ? experiment_.surge.factor : 1.0;
+    weights.push_back(ShareOf(it) * factor);
+    total += weights.back();
+  }
+  double left = random_.Unit() * total;
+  for (size_t i = 0; i < names.size(); ++i) {
+    left -= weights[i];
+    if (left < 0) {
+      return names[i];
+    }
+  }
+  return names.back();
+}
+
+std::string Workload::StartChat(core::Duration elapsed) {
+  std::string name = fmt::format("{}-chat-{}", run_, next_chat_++);
+  chats_[name].organisation = PickOrganisation(elapsed);
+  return name;
+}
+
+std::string Workload::PickChat(core::Duration elapsed) {
+  const auto first = returns_.begin();
+  if (first == returns_.end() || first->first > elapsed) {
+    return StartChat(elapsed);
+  }
+  std::string name = first->second;
+  returns_.erase(first);
+  return name;
+}
+
+uint32_t Workload::Pick(const Range& range) {
+  const auto spread = static_cast<uint64_t>(range.high - range.low + 1);
+  return static_cast<uint32_t>(range.low) +
+         static_cast<uint32_t>(random_.Below(spread));
+}
+
+std::string Workload::MakeText(uint32_t tokens) {
+  std::string text;
+  text.reserve(size_t{tokens} * support::kBytesPerToken);
+  constexpr uint64_t kVariants = 0x1000;
+  for (uint32_t i = 0; i < tokens; ++i) {
+    text += fmt::format("{:03x} ", random_.Below(kVariants));
+  }
+  return text;
+}
+
+}  // namespace wasabi::load
