Ledger: at most one run for calls that may not be repeated

PartitionState folds a ledger stream: the first intent or void of a key counts, and the first end after it. PartitionController appends intents in groups, reads them back, dispatches only where its intent counts, records the end and answers after reading that back.

--- /dev/null
+++ b/Tests/LibLedger/partition_controller_test.cc
@@ -0,0 +1,257 @@
+#include "LibLedger/partition_controller.h"
+
+#include <catch2/catch.hpp>
+#include <set>
+#include <string>
+
+#include "LibCore/result_code.h"
+#include "Tests/LibLedger/ledger_world.h"
+
+namespace wasabi::ledger {
+namespace {
+
+using core::ResultCode;
+
+constexpr core::Duration kDeadline = core::seconds(20);
+
+// A started world whose controllers are open and alone for long enough.
+struct Fixture : LedgerWorld {
+  explicit Fixture(size_t hosts) : LedgerWorld(hosts, 1) {
+    Start();
+    RunFor(core::seconds(1));
+  }
+};
+
+TEST_CASE("a call runs once and its resends get its answer") {
+  Fixture it(1);
+  const size_t first = it.Submit(0, "key", kDeadline);
+  const size_t at_once = it.Submit(0, "key", kDeadline);
+  it.RunFor(core::seconds(1));
+  const size_t later = it.Submit(0, "key", kDeadline);
+  it.RunFor(core::seconds(1));
+  for (const size_t i : {first, at_once, later}) {
+    CHECK(it.CodeOf(i) == ResultCode::kOk);
+    CHECK(it.submissions()[i].outcome->body == AnswerBody("key"));
+  }
+  CHECK(it.ExecutionsOf("key") == 1);
+}
+
+TEST_CASE("a key with other content is refused at every stage") {
+  Fixture it(2);
+  it.Submit(0, "key", kDeadline, "content");
+  const size_t joining = it.Submit(0, "key", kDeadline, "other");
+  it.RunFor(core::seconds(1));
+  const size_t later = it.Submit(0, "key", kDeadline, "other");
+  const size_t elsewhere = it.Submit(1, "key", kDeadline, "other");
+  it.RunFor(core::seconds(1));
+  CHECK(it.CodeOf(joining) == ResultCode::kKeyReused);
+  CHECK(it.CodeOf(later) == ResultCode::kKeyReused);
+  CHECK(it.CodeOf(elsewhere) == ResultCode::kKeyReused);
+  CHECK(it.ExecutionsOf("key") == 1);
+}
+
+TEST_CASE("of two owners' contents for one key only the first runs") {
+  Fixture it(2);
+  const size_t first = it.Submit(0, "key", kDeadline, "content");
+  const size_t second = it.Submit(1, "key", kDeadline, "other");
+  it.RunFor(core::seconds(2));
+  const std::set<ResultCode> codes = {it.CodeOf(first), it.CodeOf(second)};
+  CHECK(codes == std::set<ResultCode>{ResultCode::kOk, ResultCode::kKeyReused});
+  CHECK(it.ExecutionsOf("key") == 1);
+}
+
+TEST_CASE("two owners run a key once and give the same answer") {
+  Fixture it(2);
+  const size_t first = it.Submit(0, "key", kDeadline);
+  const size_t second = it.Submit(1, "key", kDeadline);
+  it.RunFor(core::seconds(2));
+  CHECK(it.CodeOf(first) == ResultCode::kOk);
+  CHECK(it.CodeOf(second) == ResultCode::kOk);
+  CHECK(it.ExecutionsOf("key") == 1);
+}
+
+TEST_CASE("a new call is refused at once while the platform is out") {
+  Fixture it(1);
+  it.log().faults().is_outage = true;
+  it.RunFor(core::seconds(10));
+  const size_t refused = it.Submit(0, "key", kDeadline);
+  it.RunFor(core::milliseconds(10));
+  REQUIRE(it.CodeOf(refused) == ResultCode::kPlatformUnavailable);
+  CHECK(it.submissions()[refused].outcome->retry_after_ms > 0);
+  it.log().faults().is_outage = false;
+  it.RunFor(core::seconds(10));
+  CHECK(it.ExecutionsOf("key") == 0);
+  const size_t resent = it.Submit(0, "key", kDeadline);
+  it.RunFor(core::seconds(2));
+  CHECK(it.CodeOf(resent) == ResultCode::kOk);
+}
+
+TEST_CASE("a host that has not read the ledger does not say not run") {
+  LedgerWorld it(1, 1);
+  it.log().faults().is_outage = true;
+  it.Start();
+  it.RunFor(core::seconds(1));
+  const size_t call = it.Submit(0, "key", kDeadline);
+  it.RunFor(core::seconds(3));
+  REQUIRE(it.CodeOf(call) == ResultCode::kOutcomeUnknown);
+  CHECK(it.submissions()[call].outcome->retry_after_ms > 0);
+}
+
+TEST_CASE("an append without an answer is settled by a void") {
+  Fixture it(1);
+  it.log().faults().lose_request = 1;
+  const size_t call = it.Submit(0, "key", kDeadline);
+  it.RunFor(core::seconds(10));
+  CHECK(it.CodeOf(call) == ResultCode::kOutcomeUnknown);
+  it.log().faults().lose_request = 0;
+  it.RunFor(core::seconds(10));
+  const size_t resent = it.Submit(0, "key", kDeadline);
+  it.RunFor(core::seconds(1));
+  CHECK(it.CodeOf(resent) == ResultCode::kNotRun);
+  CHECK(it.ExecutionsOf("key") == 0);
+}
+
+TEST_CASE("a crash between intent and end leaves the outcome unknown") {
+  Fixture it(2);
+  it.endpoint().faults().hang = 1;
+  it.Submit(0, "key", kDeadline);
+  it.RunFor(core::seconds(1));
+  it.Restart(0);
+  it.endpoint().faults().hang = 0;
+  const size_t early = it.Submit(1, "key", core::seconds(5));
+  const size_t patient = it.Submit(1, "key", core::seconds(60));
+  it.RunFor(core::seconds(60));
+  CHECK(it.CodeOf(early) == ResultCode::kDeadlineExceeded);
+  CHECK(it.CodeOf(patient) == ResultCode::kOutcomeUnknown);
+  const size_t resent = it.Submit(0, "key", kDeadline);
+  it.RunFor(core::seconds(1));
+  CHECK(it.CodeOf(resent) == ResultCode::kOutcomeUnknown);
+  CHECK(it.submissions()[resent].outcome->retry_after_ms == 0);
+  CHECK(it.ExecutionsOf("key") == 1);
+}
+
+TEST_CASE("an owner paused before it reads its intent back does not run it") {
+  Fixture it(2);
+  it.Submit(0, "key", core::seconds(60));
+  it.RunFor(core::milliseconds(2));
+  it.Pause(0);
+  it.RunFor(core::seconds(10));
+  const size_t resent = it.Submit(1, "key", core::seconds(60));
+  it.RunFor(core::seconds(1));
+  it.Resume(0);
+  it.RunFor(core::seconds(30));
+  CHECK(it.ExecutionsOf("key") == 0);
+  CHECK(it.CodeOf(resent) == ResultCode::kNotRun);
+}
+
+TEST_CASE("an answer is given although its record can't be appended") {
+  Fixture it(1);
+  const size_t call = it.Submit(0, "key", kDeadline);
+  while (it.ExecutionsOf("key") == 0) {
+    it.RunFor(core::milliseconds(1));
+  }
+  it.log().faults().is_outage = true;
+  it.RunFor(core::seconds(5));
+  CHECK(it.CodeOf(call) == ResultCode::kOk);
+  it.log().faults().is_outage = false;
+  it.RunFor(core::seconds(10));
+  it.Restart(0);
+  const size_t resent = it.Submit(0, "key", kDeadline);
+  it.RunFor(core::seconds(1));
+  CHECK(it.CodeOf(resent) == ResultCode::kOk);
+  CHECK(it.ExecutionsOf("key") == 1);
+}
+
+struct Refusal {
+  std::string name;
+  core::Duration deadline;
+  size_t max_queued;
+  ResultCode expected;
+};
+
+TEST_CASE("a refusal before the intent says that the call did not run") {
+  const auto refusal = GENERATE(values<Refusal>({
+      {"late", core::Duration::zero(), 10, ResultCode::kDeadlineTooShort},
+      {"full", kDeadline, 0, ResultCode::kOverloaded},
+      // The second group waits 100 ms for its turn.
+      {"queued", core::milliseconds(50), 10, ResultCode::kDeadlineTooShort},
+  }));
+  CAPTURE(refusal.name);
+  LedgerWorld it(1, 1);
+  it.options().max_queued = refusal.max_queued;
+  it.Start();
+  it.RunFor(core::seconds(1));
+  it.Submit(0, "first", kDeadline);
+  it.RunFor(core::milliseconds(10));
+  const size_t call = it.Submit(0, "key", refusal.deadline);
+  it.RunFor(core::seconds(10));
+  CHECK(it.CodeOf(call) == refusal.expected);
+  CHECK(it.ExecutionsOf("key") == 0);
+}
+
+TEST_CASE("closing finishes what is in progress") {
+  Fixture it(1);
+  const size_t call = it.Submit(0, "key", kDeadline);
+  it.RunFor(core::milliseconds(1));
+  bool is_closed = false;
+  it.controller(0).Close([&] { is_closed = true; });
+  const size_t refused = it.Submit(0, "other", kDeadline);
+  it.RunFor(core::seconds(2));
+  CHECK(is_closed);
+  CHECK(it.CodeOf(call) == ResultCode::kOk);
+  CHECK(it.CodeOf(refused) == ResultCode::kWrongOwner);
+}
+
+TEST_CASE("large answers are given whole once and recorded without body") {
+  LedgerWorld it(1, 1);
+  it.options().max_result_bytes = 3;
+  it.Start();
+  it.RunFor(core::seconds(1));
+  const size_t call = it.Submit(0, "key", kDeadline);
+  it.RunFor(core::seconds(1));
+  const size_t resent = it.Submit(0, "key", kDeadline);
+  it.RunFor(core::seconds(1));
+  CHECK(it.submissions()[call].outcome->body == AnswerBody("key"));
+  CHECK(it.submissions()[resent].outcome->body.empty());
+  CHECK_FALSE(it.submissions()[resent].outcome->is_body_kept);
+}
+
+TEST_CASE("a key older than the kept records is not run") {
+  LedgerWorld it(1, 1);
+  // A UUID of version 7 made 1 s after the epoch of the virtual clock.
+  const std::string key = "00000000-03e8-7000-8000-000000000001";
+  it.Start();
+  it.RunFor(core::seconds(60));
+  it.Submit(0, key, kDeadline);
+  it.Submit(0, "late", kDeadline);
+  it.RunFor(core::seconds(1));
+  it.Submit(0, "later", kDeadline);
+  it.RunFor(core::seconds(1));
+  REQUIRE(it.ExecutionsOf(key) == 1);
+  const std::string stream = StreamOf(0);
+  it.log().store().ForgetBefore(stream,
+                                it.log().store().Bounds(stream, 0).end - 1);
+  it.Restart(0);
+  it.RunFor(core::seconds(1));
+  const size_t resent = it.Submit(0, key, kDeadline);
+  it.RunFor(core::seconds(1));
+  CHECK(it.CodeOf(resent) == ResultCode::kOutcomeUnknown);
+  CHECK(it.ExecutionsOf(key) == 1);
+}
+
+TEST_CASE("calls of one moment share their appends") {
+  Fixture it(1);
+  constexpr int kCalls = 400;
+  const uint64_t before = it.log().appends();
+  for (int i = 0; i < kCalls; ++i) {
+    it.Submit(0, "key-" + std::to_string(i), kDeadline);
+  }
+  it.RunFor(core::seconds(1));
+  CHECK(it.log().appends() - before <= 10);
+  for (int i = 0; i < kCalls; ++i) {
+    REQUIRE(it.CodeOf(i) == ResultCode::kOk);
+  }
+}
+
+}  // namespace
+}  // namespace wasabi::ledger
--- /dev/null
+++ b/Tests/LibLedger/partition_state_test.cc
@@ -0,0 +1,150 @@
+#include "LibLedger/partition_state.h"
+
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+#include "LibCore/result_code.h"
+
+namespace wasabi::ledger {
+namespace {
+
+using core::ResultCode;
+using Kind = LedgerRecordKind;
+
+// One record of key "key" by a writer.
+struct Step {
+  uint64_t writer;
+  Kind kind;
+  RecordEffect expected;
+};
+
+struct FoldCase {
+  std::string name;
+  std::vector<Step> steps;
+  bool is_final;
+  ResultCode code;
+};
+
+LedgerRecord MakeRecord(Kind kind) {
+  LedgerRecord record;
+  record.kind = kind;
+  record.key = {core::OrganisationId("organisation"), "key"};
+  record.attempt = 1;
+  record.content_digest = kind == Kind::kIntent ? "digest" : "";
+  return record;
+}
+
+const auto kNothing = RecordEffect::kNothing;
+const auto kWon = RecordEffect::kIntentWon;
+const auto kLost = RecordEffect::kIntentLost;
+const auto kEnded = RecordEffect::kEnded;
+
+TEST_CASE("the first valid records of a key count") {
+  const auto it = GENERATE(values<FoldCase>({
+      {"one run",
+       {{1, Kind::kIntent, kWon}, {1, Kind::kDone, kEnded}},
+       true,
+       ResultCode::kOk},
+      {"two intents",
+       {{1, Kind::kIntent, kWon},
+        {2, Kind::kIntent, kLost},
+        {2, Kind::kDone, kNothing}},
+       false,
+       ResultCode::kOk},
+      {"void first",
+       {{1, Kind::kVoid, kEnded},
+        {2, Kind::kIntent, kLost},
+        {2, Kind::kDone, kNothing}},
+       true,
+       ResultCode::kNotRun},
+      {"void after intent",
+       {{1, Kind::kIntent, kWon}, {2, Kind::kVoid, kNothing}},
+       false,
+       ResultCode::kOk},
+      {"unknown before done",
+       {{1, Kind::kIntent, kWon},
+        {2, Kind::kUnknown, kEnded},
+        {1, Kind::kDone, kNothing}},
+       true,
+       ResultCode::kOutcomeUnknown},
+      {"done before unknown",
+       {{1, Kind::kIntent, kWon},
+        {1, Kind::kDone, kEnded},
+        {2, Kind::kUnknown, kNothing}},
+       true,
+       ResultCode::kOk},
+  }));
+  CAPTURE(it.name);
+  PartitionState state{core::seconds(60)};
+  uint64_t sequence = 0;
+  for (const Step& step : it.steps) {
+    const LedgerGroup group{
+        {step.writer, ++sequence}, 0, {MakeRecord(step.kind)}};
+    const auto visit = [&](const LedgerRecord&, RecordEffect effect) {
+      CHECK(effect == step.expected);
+    };
+    CHECK(state.Apply(group, core::TimePoint(), visit));
+    CHECK_FALSE(state.Apply(group, core::TimePoint(), visit));
+  }
+  const KeyEntry* entry = state.Find(MakeRecord(Kind::kIntent).key);
+  REQUIRE(entry != nullptr);
+  CHECK(entry->is_final == it.is_final);
+  CHECK(entry->outcome.result_code() == it.code);
+}
+
+TEST_CASE("a key is dropped after its lifetime") {
+  PartitionState state{core::seconds(60)};
+  const core::TimePoint start;
+  const auto visit = [](const LedgerRecord&, RecordEffect) {};
+  state.Apply({{1, 1}, 0, {MakeRecord(Kind::kIntent)}}, start, visit);
+  state.Expire(start + core::seconds(59));
+  CHECK(state.size() == 1);
+  state.Expire(start + core::seconds(60));
+  CHECK(state.size() == 0);
+}
+
+TEST_CASE("a gap is dated by the first group after it") {
+  PartitionState state{core::seconds(60)};
+  state.NoteForgotten();
+  state.Apply({{1, 1}, 5000, {}}, core::TimePoint(),
+              [](const LedgerRecord&, RecordEffect) {});
+  CHECK(state.complete_since_ms() == 5000);
+}
+
+TEST_CASE("groups survive their encoding and strange bodies are refused") {
+  LedgerRecord record = MakeRecord(Kind::kDone);
+  record.outcome = MakeOutcome(ResultCode::kOk);
+  record.outcome.body = std::string("\x00\xff bytes", 8);
+  const LedgerGroup group{{7, 3}, 12345, {record}};
+  CHECK(*DecodeGroup(EncodeGroup(group)) == group);
+  for (const std::string body : {"", "text", "AAAA", "k5MBAgM="}) {
+    CAPTURE(body);
+    CHECK(core::CodeOf(DecodeGroup(body).status()) ==
+          ResultCode::kMalformedRecord);
+  }
+}
+
+TEST_CASE("keys spread over the partitions") {
+  std::vector<int> counts(kLedgerPartitions);
+  constexpr int kKeys = 16000;
+  for (int i = 0; i < kKeys; ++i) {
+    ++counts.at(PartitionOf(core::OrganisationId("o"), std::to_string(i)));
+  }
+  for (const int count : counts) {
+    CHECK(count > 800);
+    CHECK(count < 1200);
+  }
+  CHECK(StreamOf(7) == "ledger-7");
+}
+
+TEST_CASE("a key tells its time only as a UUID of version 7") {
+  CHECK(CreationTimeOf("017f22e2-79b0-7cc3-98c4-dc0c0c07398f") ==
+        1645557742000);
+  CHECK_FALSE(CreationTimeOf("017f22e2-79b0-4cc3-98c4-dc0c0c07398f"));
+  CHECK_FALSE(CreationTimeOf("017f22g2-79b0-7cc3-98c4-dc0c0c07398f"));
+  CHECK_FALSE(CreationTimeOf("order 17"));
+}
+
+}  // namespace
+}  // namespace wasabi::ledger
