Fault proxy for TCP and UDP links

Cause: the proofs need connections that break, freeze, go silent for good while new ones work, and datagrams that are late, lost or doubled. What happens to a piece is decided by a seeded part without sockets; the relays only carry it out.

--- /dev/null
+++ b/Tests/Support/FaultProxy/proxy_server.h
@@ -0,0 +1,62 @@
+// The proxied links and the HTTP port that switches their faults.
+
+#ifndef TESTS_SUPPORT_FAULTPROXY_PROXY_SERVER_H_
+#define TESTS_SUPPORT_FAULTPROXY_PROXY_SERVER_H_
+
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "LibCore/event_loop.h"
+#include "LibHttp/server.h"
+#include "Tests/Support/FaultProxy/tcp_relay.h"
+#include "Tests/Support/FaultProxy/udp_relay.h"
+
+namespace wasabi::support {
+
+// One link: what arrives at `address` goes to `target`.
+struct LinkSpec {
+  std::string name;
+  bool is_udp = false;
+  core::SocketAddress address;
+  core::SocketAddress target;
+
+  auto operator<=>(const LinkSpec&) const = default;
+
+  // Parses "NAME=tcp:IP:PORT>IP:PORT" or "NAME=udp:IP:PORT>IP:PORT".
+  static absl::StatusOr<LinkSpec> Parse(std::string_view text);
+};
+
+class ProxyServer {
+ public:
+  // Opens all `links` and the control port. POST /faults takes a LinkFault as
+  // JSON with the name of its link in "link", or "*" for all links.
+  static absl::StatusOr<std::unique_ptr<ProxyServer>> Create(
+      core::EventLoop* loop,
+      const core::SocketAddress& control,
+      const std::vector<LinkSpec>& links,
+      uint64_t seed);
+
+ private:
+  // A link in operation; one of the relays is set.
+  struct Link {
+    std::string name;
+    std::unique_ptr<LinkFaults> faults;
+    std::unique_ptr<TcpRelay> tcp;
+    std::unique_ptr<UdpRelay> udp;
+  };
+
+  explicit ProxyServer(core::EventLoop* loop) : loop_(loop) {}
+  absl::Status Open(const LinkSpec& spec, uint64_t seed);
+  void OnRequest(const std::shared_ptr<http::Exchange>& exchange);
+  void Plant(const LinkFault& fault, Link* link);
+
+  core::EventLoop* loop_;
+  std::vector<Link> links_;
+  std::unique_ptr<http::Server> server_;
+};
+
+}  // namespace wasabi::support
+
+#endif  // TESTS_SUPPORT_FAULTPROXY_PROXY_SERVER_H_
--- /dev/null
+++ b/Tests/Support/FaultProxy/tcp_relay.cc
@@ -0,0 +1,264 @@
+#include "Tests/Support/FaultProxy/tcp_relay.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <cerrno>
+#include <deque>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "LibCore/result_code.h"
+#include "LibCore/text.h"
+
+namespace wasabi::support {
+
+namespace {
+
+constexpr size_t kReadBytes = 64U << 10U;
+// A pipe that holds this much stops reading, as a full socket would.
+constexpr size_t kMaxHeldBytes = 1U << 20U;
+// How often pipes look at freezes and delays.
+constexpr core::Duration kTickPeriod = std::chrono::milliseconds(2);
+constexpr int kListenBacklog = 1024;
+
+int OpenSocket() {
+  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  const int on = 1;
+  setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+  return fd;
+}
+
+}  // namespace
+
+// One client's connection and the one to the target.
+class TcpRelay::Connection
+    : public std::enable_shared_from_this<TcpRelay::Connection> {
+ public:
+  Connection(TcpRelay* relay, int client, int target)
+      : relay_(relay),
+        to_target_{Direction::kToTarget, client, target, {}, false},
+        to_client_{Direction::kToClient, target, client, {}, false} {}
+  ~Connection() { Close(); }
+  Connection(const Connection&) = delete;
+  Connection& operator=(const Connection&) = delete;
+
+  void Start() {
+    core::EventLoop* loop = relay_->loop_;
+    client_watcher_ =
+        loop->Watch(to_target_.from, [this](bool, bool) { Pump(); });
+    target_watcher_ =
+        loop->Watch(to_target_.to, [this](bool, bool) { Pump(); });
+    target_watcher_->SetInterest(true, true);
+    timer_ = loop->NewTimer([this] { Pump(); });
+  }
+
+  // Stops relaying for good and leaves both connections open.
+  void Silence() {
+    client_watcher_ = nullptr;
+    target_watcher_ = nullptr;
+    timer_ = nullptr;
+  }
+
+  // Closes both connections with a reset.
+  void Reset() {
+    const linger hard{1, 0};
+    setsockopt(to_target_.from, SOL_SOCKET, SO_LINGER, &hard, sizeof(hard));
+    setsockopt(to_target_.to, SOL_SOCKET, SO_LINGER, &hard, sizeof(hard));
+    Close();
+  }
+
+ private:
+  // Bytes that pass on from a time on.
+  struct Piece {
+    core::TimePoint due;
+    std::string bytes;
+  };
+
+  struct Pipe {
+    Direction direction;
+    int from;
+    int to;
+    std::deque<Piece> pieces;
+    bool has_ended;
+  };
+
+  // Moves what can move. A broken end closes the whole connection.
+  void Pump() {
+    const std::shared_ptr<Connection> self = shared_from_this();
+    const bool is_alive = Read(&to_target_) && Read(&to_client_) &&
+                          Write(&to_target_) && Write(&to_client_);
+    if (!is_alive || (to_target_.has_ended && to_client_.has_ended)) {
+      relay_->connections_.erase(self);
+      Close();
+      return;
+    }
+    UpdateInterest();
+  }
+
+  bool Read(Pipe* pipe) {
+    const core::TimePoint now = relay_->loop_->Now();
+    if (pipe->has_ended || IsPaused(*pipe)) {
+      return true;
+    }
+    std::array<char, kReadBytes> buf{};
+    const ssize_t n = recv(pipe->from, buf.data(), buf.size(), 0);
+    if (n < 0) {
+      return errno == EAGAIN || errno == EINTR || errno == ENOTCONN;
+    }
+    const Treatment treatment = relay_->faults_->Treat(pipe->direction, now);
+    if (n == 0) {
+      pipe->has_ended = true;
+      // An empty piece carries the end of the stream.
+      pipe->pieces.push_back({now + treatment.delay, ""});
+    } else if (!treatment.is_dropped) {
+      pipe->pieces.push_back({now + treatment.delay,
+                              std::string(buf.data(), static_cast<size_t>(n))});
+    }
+    return true;
+  }
+
+  bool Write(Pipe* pipe) {
+    const core::TimePoint now = relay_->loop_->Now();
+    while (!pipe->pieces.empty() && pipe->pieces.front().due <= now &&
+           !relay_->faults_->IsFrozen(pipe->direction, now)) {
+      Piece& piece = pipe->pieces.front();
+      if (piece.bytes.empty()) {
+        shutdown(pipe->to, SHUT_WR);
+        pipe->pieces.pop_front();
+        continue;
+      }
+      const ssize_t n =
+          send(pipe->to, piece.bytes.data(), piece.bytes.size(), MSG_NOSIGNAL);
+      if (n < 0) {
+        return errno == EAGAIN || errno == EINTR || errno == ENOTCONN;
+      }
+      piece.bytes.erase(0, static_cast<size_t>(n));
+      if (piece.bytes.empty()) {
+        pipe->pieces.pop_front();
+      }
+    }
+    return true;
+  }
+
+  bool IsPaused(const Pipe& pipe) const {
+    size_t held = 0;
+    for (const Piece& piece : pipe.pieces) {
+      held += piece.bytes.size();
+    }
+    return held >= kMaxHeldBytes ||
+           relay_->faults_->IsFrozen(pipe.direction, relay_->loop_->Now());
+  }
+
+  // Waits for what the pipes can do now; the timer covers delays and freezes.
+  void UpdateInterest() {
+    const core::TimePoint now = relay_->loop_->Now();
+    bool needs_tick = false;
+    std::array<bool, 2> can_read{};
+    std::array<bool, 2> must_write{};
+    const std::array<const Pipe*, 2> pipes = {&to_target_, &to_client_};
+    for (size_t i = 0; i < pipes.size(); ++i) {
+      const Pipe& pipe = *pipes.at(i);
+      const bool is_paused = IsPaused(pipe);
+      const bool is_due =
+          !pipe.pieces.empty() && pipe.pieces.front().due <= now && !is_paused;
+      can_read.at(i) = !pipe.has_ended && !is_paused;
+      must_write.at(i) = is_due;
+      needs_tick |= is_paused || (!pipe.pieces.empty() && !is_due);
+    }
+    client_watcher_->SetInterest(can_read[0], must_write[1]);
+    target_watcher_->SetInterest(can_read[1], must_write[0]);
+    if (needs_tick) {
+      timer_->StartOnce(kTickPeriod);
+    }
+  }
+
+  void Close() {
+    Silence();
+    if (to_target_.from >= 0) {
+      close(to_target_.from);
+      close(to_target_.to);
+      to_target_.from = -1;
+    }
+  }
+
+  TcpRelay* relay_;
+  Pipe to_target_;
+  Pipe to_client_;
+  std::unique_ptr<core::IoWatcher> client_watcher_;
+  std::unique_ptr<core::IoWatcher> target_watcher_;
+  std::unique_ptr<core::Timer> timer_;
+};
+
+absl::StatusOr<std::unique_ptr<TcpRelay>> TcpRelay::Create(
+    core::EventLoop* loop,
+    const core::SocketAddress& address,
+    const core::SocketAddress& target,
+    LinkFaults* faults) {
+  std::unique_ptr<TcpRelay> relay(new TcpRelay(loop, target, faults));
+  relay->listener_ = OpenSocket();
+  const int on = 1;
+  setsockopt(relay->listener_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+  const sockaddr_in native = address.ToNative();
+  if (bind(relay->listener_, reinterpret_cast<const sockaddr*>(&native),
+           sizeof(native)) != 0 ||
+      listen(relay->listener_, kListenBacklog) != 0) {
+    return core::MakeStatus(
+        core::ResultCode::kCannotListen,
+        fmt::format("can't listen on {}", address.ToString()));
+  }
+  TcpRelay* it = relay.get();
+  relay->watcher_ =
+      loop->Watch(relay->listener_, [it](bool, bool) { it->OnAccept(); });
+  return relay;
+}
+
+TcpRelay::TcpRelay(core::EventLoop* loop,
+                   const core::SocketAddress& target,
+                   LinkFaults* faults)
+    : loop_(loop), target_(target), faults_(faults) {}
+
+TcpRelay::~TcpRelay() {
+  watcher_ = nullptr;
+  connections_.clear();
+  close(listener_);
+}
+
+void TcpRelay::CutAll() {
+  for (const std::shared_ptr<Connection>& it :
+       std::exchange(connections_, {})) {
+    it->Reset();
+  }
+}
+
+void TcpRelay::SilenceAll() {
+  for (const std::shared_ptr<Connection>& it : connections_) {
+    it->Silence();
+  }
+}
+
+void TcpRelay::OnAccept() {
+  const int client =
+      accept4(listener_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+  if (client < 0) {
+    return;
+  }
+  const int target = OpenSocket();
+  const sockaddr_in native = target_.ToNative();
+  const int result = connect(target, reinterpret_cast<const sockaddr*>(&native),
+                             sizeof(native));
+  if (result != 0 && errno != EINPROGRESS) {
+    close(client);
+    close(target);
+    return;
+  }
+  const auto connection = std::make_shared<Connection>(this, client, target);
+  connections_.insert(connection);
+  connection->Start();
+}
+
+}  // namespace wasabi::support
--- /dev/null
+++ b/Tests/Support/FaultProxy/tcp_relay.h
@@ -0,0 +1,54 @@
+// Relays TCP connections to one target under the faults of a link.
+
+#ifndef TESTS_SUPPORT_FAULTPROXY_TCP_RELAY_H_
+#define TESTS_SUPPORT_FAULTPROXY_TCP_RELAY_H_
+
+#include <cstddef>
+#include <memory>
+#include <set>
+
+#include "LibCore/event_loop.h"
+#include "LibCore/socket_address.h"
+#include "Tests/Support/FaultProxy/link_faults.h"
+#include "absl/status/statusor.h"
+
+namespace wasabi::support {
+
+class TcpRelay {
+ public:
+  // Listens on `address`; ResultCode::kCannotListen when it is taken.
+  static absl::StatusOr<std::unique_ptr<TcpRelay>> Create(
+      core::EventLoop* loop,
+      const core::SocketAddress& address,
+      const core::SocketAddress& target,
+      LinkFaults* faults);
+  ~TcpRelay();
+  TcpRelay(const TcpRelay&) = delete;
+  TcpRelay& operator=(const TcpRelay&) = delete;
+
+  // Resets all open connections.
+  void CutAll();
+  // Silences all open connections for good.
+  void SilenceAll();
+
+  size_t open_connections() const { return connections_.size(); }
+
+ private:
+  class Connection;
+
+  TcpRelay(core::EventLoop* loop,
+           const core::SocketAddress& target,
+           LinkFaults* faults);
+  void OnAccept();
+
+  core::EventLoop* loop_;
+  const core::SocketAddress target_;
+  LinkFaults* faults_;
+  int listener_ = -1;
+  std::unique_ptr<core::IoWatcher> watcher_;
+  std::set<std::shared_ptr<Connection>> connections_;
+};
+
+}  // namespace wasabi::support
+
+#endif  // TESTS_SUPPORT_FAULTPROXY_TCP_RELAY_H_
