--- a/Utilities/Load/main.cc
+++ b/Utilities/Load/main.cc
@@ -3,15 +3,20 @@
 
 #include <gflags/gflags.h>
 
+#include <fstream>
 #include <iostream>
+#include <sstream>
 #include <string>
+#include <vector>
 
 #include "LibCore/event_loop.h"
 #include "LibCore/settings.h"
 #include "LibCore/text.h"
 #include "LibCore/try.h"
 #include "Utilities/Load/load_run.h"
+#include "Utilities/Load/load_series.h"
 #include "Utilities/Load/load_summary.h"
+#include "Utilities/Load/report_page.h"
 
 DEFINE_string(experiment, "", "INI file of the experiment; see --schema");
 DEFINE_string(entries, "", "addresses of entry hosts, separated by commas");
@@ -25,6 +30,7 @@
 DEFINE_double(turns_per_second,
               0,
               "rate in place of the experiment's; 0 keeps");
+DEFINE_string(result, "", "file for the result with its course over time");
 DEFINE_bool(schema, false, "print the keys of an experiment file and exit");
 
 namespace wasabi::load {
@@ -80,6 +86,11 @@
   bool is_good = false;
   run.Start([&](const RunRecords& records) {
     const LoadSummary summary = Summarise(options.experiment, records);
+    if (!FLAGS_result.empty()) {
+      nlohmann::json result = ToJson(summary);
+      result["series"] = MakeSeries(options.experiment, records);
+      std::ofstream(FLAGS_result) << result.dump(1) << "\n";
+    }
     std::cout << ToText(summary) << "\n" << ToJson(summary).dump() << "\n";
     is_good = summary.check.IsGood();
     loop.Stop();
@@ -88,6 +99,24 @@
   return is_good;
 }
 
+// Prints the page that compares the result files at `paths`.
+absl::Status PrintReport(const std::vector<std::string>& paths) {
+  std::vector<NamedResult> results;
+  for (const std::string& path : paths) {
+    std::ifstream file(path);
+    std::stringstream text;
+    text << file.rdbuf();
+    nlohmann::json result = nlohmann::json::parse(text.str(), nullptr, false);
+    if (!result.is_object()) {
+      return core::MakeStatus(core::ResultCode::kUsage,
+                              path + " is no result of wasabi_load");
+    }
+    results.push_back({path, std::move(result)});
+  }
+  std::cout << MakeReportPage(results);
+  return absl::OkStatus();
+}
+
 }  // namespace
 }  // namespace wasabi::load
 
@@ -96,13 +125,20 @@
       "Sends the requests of an experiment to a fleet, checks every answer "
       "and prints the measures.\n"
       "The last line of the output is one JSON object. Exit code 0 says that "
-      "nothing was lost, wrong, doubled or executed against a refusal.");
+      "nothing was lost, wrong, doubled or executed against a refusal.\n"
+      "  wasabi_load report A.json B.json > page.html   compares results");
   gflags::ParseCommandLineFlags(&argc, &argv, true);
   if (FLAGS_schema) {
     std::cout << wasabi::core::SettingsToMarkdown(
         wasabi::load::ExperimentSchema());
     return 0;
   }
+  if (argc > 2 && std::string(argv[1]) == "report") {
+    const absl::Status status =
+        wasabi::load::PrintReport({argv + 2, argv + argc});
+    std::cerr << wasabi::core::MessageOf(status);
+    return static_cast<int>(wasabi::core::CodeOf(status));
+  }
   const absl::StatusOr<bool> is_good = wasabi::load::Run();
   if (!is_good.ok()) {
     std::cerr << wasabi::core::MessageOf(is_good.status()) << "\n";
