--- a/Libraries/LibLedger/group_writer.cc
+++ b/Libraries/LibLedger/group_writer.cc
@@ -70,7 +70,7 @@
     FlushAt(next_append_at_);
     return;
   }
-  next_append_at_ = now + options_.append_interval;
+  NoteAppend();
   group_ = TakeGroup();
   const std::vector<LedgerRecord> group = group_;
   for (const LedgerRecord& record : group) {
@@ -90,6 +90,14 @@
                     });
 }
 
+void GroupWriter::NoteAppend() {
+  const core::Duration credit =
+      options_.append_interval * (options_.append_burst - 1);
+  const core::TimePoint earliest = scheduler_->Now() - credit;
+  next_append_at_ =
+      std::max(next_append_at_, earliest) + options_.append_interval;
+}
+
 void GroupWriter::FlushAt(core::TimePoint time) {
   if (is_flush_scheduled_) {
     return;
--- a/Libraries/LibLedger/group_writer.h
+++ b/Libraries/LibLedger/group_writer.h
@@ -21,8 +21,11 @@
 
 struct GroupWriterOptions {
   platform::DurableAppenderOptions appender;
-  // The least time between the starts of two appends.
+  // The mean time between the starts of two appends under load.
   core::Duration append_interval = core::milliseconds(100);
+  // Appends that may follow one another at once after a rest, so that a single
+  // call's intent and end don't wait for each other.
+  int append_burst = 2;
   // Bounds of one group.
   size_t group_records = 500;
   size_t group_bytes = 256U << 10U;
@@ -74,6 +77,8 @@
               GroupWriterHandlers handlers);
 
   void Flush();
+  // Takes one append from the rate.
+  void NoteAppend();
   void FlushAt(core::TimePoint time);
   std::vector<LedgerRecord> TakeGroup();
   void OnAppended(const absl::Status& status);
--- a/Libraries/LibLedger/ledger_call.h
+++ b/Libraries/LibLedger/ledger_call.h
@@ -29,6 +29,8 @@
   // How long the caller waits from now on, in milliseconds.
   int64_t deadline_ms = 0;
   core::RequestId request_id;
+  // The caller's traceparent header, or empty.
+  std::string trace_parent;
 
   auto operator<=>(const LedgerCall&) const = default;
 
@@ -41,7 +43,8 @@
                  body,
                  content_digest,
                  deadline_ms,
-                 request_id);
+                 request_id,
+                 trace_parent);
 };
 
 // How a call ended. A resend of the same key gets an equal outcome once it is
--- a/Libraries/LibLedger/partition_controller.cc
+++ b/Libraries/LibLedger/partition_controller.cc
@@ -81,6 +81,7 @@
   options.appender.writer = options_.writer;
   options.appender.settle_timeout = options_.settle_timeout;
   options.append_interval = options_.append_interval;
+  options.append_burst = options_.append_burst;
   options.group_records = options_.group_records;
   options.group_bytes = options_.group_bytes;
   GroupWriterHandlers handlers;
@@ -99,16 +100,20 @@
 }
 
 void PartitionController::FindStart() {
-  dependencies_.log->Bounds(
-      StreamOf(options_.partition),
-      [weak = weak_from_this()](const absl::StatusOr<LogPage>& page) {
+  const core::Duration reach =
+      options_.key_lifetime + 2 * options_.clock_tolerance;
+  const int64_t oldest_ms =
+      dependencies_.wall_clock() - core::ToMilliseconds(reach);
+  StreamStartFinder::Find(
+      dependencies_.log, StreamOf(options_.partition), oldest_ms,
+      [weak = weak_from_this()](const absl::StatusOr<StreamStart>& start) {
         const auto it = weak.lock();
         if (it == nullptr) {
           return;
         }
-        it->is_start_failing_ = !page.ok();
-        if (page.ok()) {
-          it->StartFollower(page->first_kept, page->end);
+        it->is_start_failing_ = !start.ok();
+        if (start.ok()) {
+          it->StartFollower(*start);
         } else {
           it->CallAfter(it->open_backoff_.Next(),
                         &PartitionController::FindStart);
@@ -116,9 +121,9 @@
       });
 }
 
-void PartitionController::StartFollower(Offset from, Offset end) {
-  open_at_ = end;
-  if (from > 0) {
+void PartitionController::StartFollower(const StreamStart& start) {
+  open_at_ = start.end;
+  if (start.from > 0) {
     state_.NoteForgotten();
   }
   platform::LogFollowerOptions options;
@@ -136,8 +141,8 @@
   };
   follower_ = platform::LogFollower::Create(
       dependencies_.log, dependencies_.scheduler, options, std::move(handlers));
-  follower_->Start(from);
-  if (from >= end) {
+  follower_->Start(start.from);
+  if (start.from >= start.end) {
     BecomeOpen();
   }
 }
--- a/Libraries/LibLedger/partition_controller.h
+++ b/Libraries/LibLedger/partition_controller.h
@@ -39,6 +39,7 @@
 #include "LibLedger/group_writer.h"
 #include "LibLedger/ledger_call.h"
 #include "LibLedger/partition_state.h"
+#include "LibLedger/stream_start.h"
 #include "LibPlatform/log_follower.h"
 #include "LibPlatform/scheduler.h"
 #include "absl/container/node_hash_map.h"
@@ -52,6 +53,7 @@
   uint64_t writer = 0;
   // See GroupWriterOptions.
   core::Duration append_interval = core::milliseconds(100);
+  int append_burst = 2;
   size_t group_records = 500;
   size_t group_bytes = 256U << 10U;
   // How long an append without an answer is tried.
@@ -175,7 +177,7 @@
                       const PartitionOptions& options);
 
   // Opening and folding.
-  void StartFollower(platform::Offset from, platform::Offset end);
+  void StartFollower(const StreamStart& start);
   void FindStart();
   void OnPage(const platform::LogPage& page);
   void FoldRecord(const platform::LogRecord& record);
--- a/Libraries/LibPlatform/http_log_client.h
+++ b/Libraries/LibPlatform/http_log_client.h
@@ -17,8 +17,8 @@
   core::Duration append_timeout = core::seconds(2);
   // Bounds a read, in addition to the time it asks the log to wait.
   core::Duration read_timeout = core::seconds(3);
-  // Most records in one page.
-  int page_records = 1000;
+  // Most records in one page; bounds the memory and the time that a page takes.
+  int page_records = 100;
 };
 
 class HttpLogClient : public LogClient {
--- a/Tests/LibLedger/partition_controller_test.cc
+++ b/Tests/LibLedger/partition_controller_test.cc
@@ -179,6 +179,7 @@
   CAPTURE(refusal.name);
   LedgerWorld it(1, 1);
   it.options().max_queued = refusal.max_queued;
+  it.options().append_burst = 1;
   it.Start();
   it.RunFor(core::seconds(1));
   it.Submit(0, "first", kDeadline);
@@ -239,6 +240,28 @@
   CHECK(it.ExecutionsOf(key) == 1);
 }
 
+TEST_CASE("a long stream is folded from the lifetime of its keys on") {
+  LedgerWorld it(1, 1);
+  it.options().key_lifetime = core::seconds(600);
+  // Older groups than these are more than a short stream.
+  constexpr int64_t kGroups = 20000;
+  it.RunFor(core::seconds(2 * kGroups));
+  const std::string stream = StreamOf(0);
+  for (int64_t i = 0; i < kGroups; ++i) {
+    const LedgerGroup group{{99, static_cast<uint64_t>(i + 1)}, i * 2000, {}};
+    it.log().store().Append(stream, EncodeGroup(group));
+  }
+  const uint64_t reads_before = it.log().reads();
+  it.Start();
+  it.RunFor(core::seconds(5));
+  CHECK(it.controller(0).is_open());
+  // 320 groups belong to the lifetime; a page has 100 of at most 1,000 more.
+  CHECK(it.log().reads() - reads_before < 40);
+  CHECK(it.controller(0).state().complete_since_ms() > 0);
+  CHECK(it.controller(0).state().complete_since_ms() <=
+        (2 * kGroups - 600) * 1000);
+}
+
 TEST_CASE("calls of one moment share their appends") {
   Fixture it(1);
   constexpr int kCalls = 400;
