--- a/Libraries/LibIntent/configuration_follower.cc
+++ b/Libraries/LibIntent/configuration_follower.cc
@@ -57,7 +57,10 @@
     return;
   }
   const platform::Offset from = tracker_.next_offset();
-  log_->Read(options_.stream, from, options_.read_wait,
+  // Until the log's end is known the answer must not wait for a record.
+  const bool is_current = is_synchronized_ && is_platform_up_;
+  log_->Read(options_.stream, from,
+             is_current ? options_.read_wait : core::Duration::zero(),
              [self = shared_from_this(),
               from](const absl::StatusOr<platform::LogPage>& page) {
                self->OnRead(from, page);
--- a/Libraries/LibIntent/configuration_follower.h
+++ b/Libraries/LibIntent/configuration_follower.h
@@ -22,8 +22,9 @@
 
 struct FollowerOptions {
   std::string stream = "configuration";
-  // How long one read waits at the log for a first record.
-  core::Duration read_wait = std::chrono::seconds(10);
+  // How long one read waits at the log for a first record. It bounds how late
+  // a connection that went silent is noticed.
+  core::Duration read_wait = std::chrono::seconds(5);
   // Pause after a read that brought nothing.
   core::Duration idle_pause = std::chrono::milliseconds(20);
   // Pause after a failed read.
--- a/Libraries/LibIntent/order_controller.cc
+++ b/Libraries/LibIntent/order_controller.cc
@@ -126,8 +126,9 @@
     return;
   }
   claims_.Fold(*page);
-  // Only a page that reaches the end shows who holds a pool now.
-  if (claims_.next_offset() >= page->end) {
+  // Only a page that reaches the end shows who holds a pool now; one whose end
+  // is below what was read before is out of date.
+  if (claims_.next_offset() == page->end) {
     claims_read_at_ = asked_at;
   }
   NoteClaims(asked_at);
