Control daemon and wasabictl proved as real processes

A holder that did not wait for unread endpoints was not noticed; "no order is sent before every endpoint of the pool was read" was added for it.

--- /dev/null
+++ b/Tests/Control/control_process_test.cc
@@ -0,0 +1,256 @@
+// wasabi_control and wasabictl as real processes against the platform
+// stand-in.
+
+#include <signal.h>
+
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+#include "LibCore/text.h"
+#include "LibIntent/configuration_json.h"
+#include "LibIntent/intent.h"
+#include "Tests/Control/control_fixture.h"
+
+namespace wasabi::control {
+namespace {
+
+using intent::MemberOf;
+using nlohmann::json;
+
+// Exit statuses of wasabictl: result codes modulo 256.
+constexpr int kExitConflict = 700 % 256;
+constexpr int kExitUnknownPlan = 701 % 256;
+constexpr int kExitInvalidIntent = 703 % 256;
+constexpr int kExitPlanExpired = 702 % 256;
+constexpr int kExitPlatformUnavailable = 306 % 256;
+constexpr int kExitLogWentBackwards = 602 % 256;
+constexpr int kExitAppendUncertain = 600 % 256;
+
+const std::string kSalazar =
+    std::string(WASABI_SOURCE_DIR) + "/examples/salazar.ini";
+
+std::string BoundIntent(double bound) {
+  return fmt::format(
+      "[intent]\nkind = load_bound\ndeployment = salazar\nmodel = luthier\n"
+      "load_bound = {}\n",
+      bound);
+}
+
+double BoundInForce(ControlFixture* fixture, int number) {
+  const json configuration = fixture->RunJson(number, {"configuration"});
+  double bound = 0;
+  const json& model = MemberOf(
+      MemberOf(MemberOf(MemberOf(configuration, "deployments"), "salazar"),
+               "models"),
+      "luthier");
+  intent::ReadMember(model, "load_bound", &bound).IgnoreError();
+  return bound;
+}
+
+TEST_CASE("an intent is planned, confirmed and in force on both hosts") {
+  ControlFixture fixture;
+  fixture.StartPlatform();
+  fixture.StartControl(1);
+  fixture.StartControl(2);
+  CHECK(fixture.Run(1, {"plan", kSalazar}).exit_status == 0);
+  CHECK(BoundInForce(&fixture, 1) == 0);
+  CHECK(fixture.Run(1, {"apply", kSalazar, "--yes"}).exit_status == 0);
+  CHECK(BoundInForce(&fixture, 1) == 1.25);
+  CHECK(fixture.WaitForOffset(2, 0));
+  CHECK(BoundInForce(&fixture, 2) == 1.25);
+  CHECK_THAT(fixture.Run(2, {"apply", kSalazar, "--yes"}).output,
+             Catch::Contains("nothing to change"));
+}
+
+TEST_CASE("the loser of a race is told, and a repeat is answered as one") {
+  ControlFixture fixture;
+  fixture.StartPlatform();
+  fixture.StartControl(1);
+  fixture.StartControl(2);
+  REQUIRE(fixture.Run(1, {"apply", kSalazar, "--yes"}).exit_status == 0);
+  REQUIRE(fixture.WaitForOffset(2, 0));
+  const std::string winner = fixture.Plan(1, BoundIntent(1.5));
+  const std::string loser = fixture.Plan(2, BoundIntent(2));
+  CHECK(fixture.Run(1, {"confirm", winner}).exit_status == 0);
+  CHECK(fixture.Run(2, {"confirm", loser}).exit_status == kExitConflict);
+  const CommandResult repeat = fixture.Run(1, {"confirm", winner});
+  CHECK(repeat.exit_status == 0);
+  CHECK_THAT(repeat.output, Catch::Contains("confirmed before"));
+  // The other host knows the outcome from the log.
+  REQUIRE(fixture.WaitForOffset(2, 1));
+  CHECK(fixture.Run(2, {"confirm", winner}).exit_status == 0);
+  CHECK(BoundInForce(&fixture, 2) == 1.5);
+}
+
+TEST_CASE("a confirmation whose append answer is lost is settled by reading") {
+  for (const bool is_silent : {false, true}) {
+    CAPTURE(is_silent);
+    ControlFixture fixture;
+    fixture.StartPlatform();
+    fixture.StartControl(1);
+    fixture.SetFaults(fmt::format(
+        R"({{"lose_append_answers":1,"lose_silently":{}}})", is_silent));
+    const json answer = fixture.RunJson(
+        1, {"confirm",
+            fixture.Plan(1, intent::DrainIntentText("runner-1", true))});
+    CHECK(MemberOf(answer, "outcome") == json("applied"));
+    CHECK(MemberOf(answer, "offset") == json(0));
+  }
+}
+
+TEST_CASE("in an outage a confirmation is refused with a retry time") {
+  ControlFixture fixture;
+  fixture.StartPlatform();
+  fixture.StartControl(1);
+  const std::string plan =
+      fixture.Plan(1, intent::DrainIntentText("runner-1", true));
+  fixture.SetFaults(R"({"outage":true})");
+  const CommandResult refused = fixture.Run(1, {"confirm", plan});
+  CHECK(refused.exit_status == kExitPlatformUnavailable);
+  CHECK_THAT(refused.output, Catch::Contains("nothing has changed"));
+  CHECK_THAT(refused.output, Catch::Contains("try again in"));
+  fixture.SetFaults(R"({"outage":false})");
+  CHECK(fixture.WaitUntil([&] {
+    return fixture.Run(1, {"confirm", plan}).exit_status == 0;
+  }));
+}
+
+TEST_CASE("a record that can't be read back is uncertain, later it is known") {
+  ControlFixture fixture;
+  fixture.StartPlatform();
+  fixture.StartControl(1, "[control]\nconfirm_timeout_ms = 500\n");
+  const std::string plan =
+      fixture.Plan(1, intent::DrainIntentText("runner-1", true));
+  fixture.SetFaults(R"({"stale_records":1})");
+  CHECK(fixture.Run(1, {"confirm", plan}).exit_status == kExitAppendUncertain);
+  fixture.SetFaults(R"({"stale_records":0})");
+  CHECK(fixture.WaitUntil([&] {
+    return MemberOf(fixture.RunJson(1, {"show", plan}), "state") ==
+           json("applied");
+  }));
+}
+
+TEST_CASE("a log that goes backwards reverts nothing") {
+  ControlFixture fixture;
+  fixture.StartPlatform();
+  fixture.StartControl(1);
+  REQUIRE(fixture.Run(1, {"apply", kSalazar, "--yes"}).exit_status == 0);
+  REQUIRE(fixture.Run(1, {"confirm", fixture.Plan(1, BoundIntent(1.5))})
+              .exit_status == 0);
+  fixture.TellPlatform("POST", "/faults/truncate/configuration?end=1");
+  CHECK(fixture.WaitUntil(
+      [&] { return fixture.HasEvent(1, "log_went_backwards"); }));
+  CHECK(BoundInForce(&fixture, 1) == 1.5);
+  CHECK(fixture.Run(1, {"confirm", fixture.Plan(1, BoundIntent(2))})
+            .exit_status == kExitLogWentBackwards);
+  CHECK(BoundInForce(&fixture, 1) == 1.5);
+}
+
+TEST_CASE("a daemon that starts when the beginning is forgotten catches up") {
+  ControlFixture fixture;
+  fixture.StartPlatform();
+  fixture.StartControl(1, "[control]\nsnapshot_records = 2\n");
+  REQUIRE(fixture.Run(1, {"apply", kSalazar, "--yes"}).exit_status == 0);
+  REQUIRE(fixture.Run(1, {"confirm", fixture.Plan(1, BoundIntent(1.5))})
+              .exit_status == 0);
+  REQUIRE(fixture.WaitUntil(
+      [&] { return fixture.HasEvent(1, "snapshot_appended"); }));
+  fixture.TellPlatform("POST", "/faults/forget/configuration?before=2");
+  fixture.StartControl(2);
+  CHECK(fixture.WaitForOffset(2, 2));
+  CHECK(BoundInForce(&fixture, 2) == 1.5);
+  CHECK(fixture.HasEvent(2, "snapshot_loaded"));
+}
+
+TEST_CASE("bad input gets a numbered error and harms nobody") {
+  ControlFixture fixture;
+  fixture.StartPlatform();
+  fixture.StartControl(1, "[control]\nplan_lifetime_ms = 1000\n");
+  CHECK(fixture.Run(1, {"confirm", "nonsense"}).exit_status ==
+        kExitUnknownPlan);
+  CHECK(fixture.Run(1, {"plan", fixture.WriteFile("bad.ini", "[intent]\n")})
+            .exit_status == kExitInvalidIntent);
+  const std::string plan =
+      fixture.Plan(1, intent::DrainIntentText("runner-1", true));
+  CHECK(fixture.WaitUntil([&] {
+    return fixture.Run(1, {"show", plan}).exit_status == kExitPlanExpired;
+  }));
+  CHECK(fixture.Run(1, {"confirm", plan}).exit_status == kExitPlanExpired);
+  CHECK(fixture.Run(1, {"status"}).exit_status == 0);
+}
+
+TEST_CASE("settings are checked whole and errors name what is allowed") {
+  ControlFixture fixture;
+  fixture.StartPlatform();
+  fixture.StartControl(1);
+  struct Case {
+    const char* text;
+    int exit_status;
+    const char* message;
+  };
+  const std::vector<Case> cases = {
+      {"[host]\nid = a\n", 105, "is required"},
+      {"[hosts]\n id = a\n", 101, "unknown section [hosts]"},
+      {"[host]\nname = a\n", 102, "unknown key name in section [host]"},
+      {"[orders]\nmax_loads = 0\n", 103, "an integer from 1 to 1000"},
+      {"[host]\nid = a\ndata_centre = b\n[listen]\nhttp = 127.0.0.1:1\n"
+       "link = 127.0.0.1:1\ngossip = 127.0.0.1:1\n[platform]\n"
+       "address = 127.0.0.1:2\n",
+       104, "same address"},
+  };
+  for (const Case& it : cases) {
+    CAPTURE(it.text);
+    const std::string path = fixture.WriteFile("settings.ini", it.text);
+    const CommandResult result =
+        fixture.Run(1, {"check-settings", path, "--for=control"});
+    CHECK(result.exit_status == it.exit_status);
+    CHECK_THAT(result.output, Catch::Contains(it.message));
+    ChildProcess daemon("wasabi_control", {"--settings=" + path});
+    CHECK(daemon.WaitForExit() == it.exit_status);
+  }
+}
+
+TEST_CASE("orders bring endpoints of both kinds to their wanted state") {
+  ControlFixture fixture;
+  fixture.StartPlatform();
+  fixture.StartEngine("runner-1", "models", /*checks_fencing=*/true);
+  fixture.StartEngine("runner-2", "models", /*checks_fencing=*/false);
+  fixture.StartControl(1, "[orders]\nread_back_ms = 200\n");
+  for (const std::string id : {"runner-1", "runner-2"}) {
+    const std::string plan = fixture.Plan(
+        1, fmt::format("[intent]\nkind = wanted_state\nendpoint = {}\n"
+                       "model = m\nversion = 2\n",
+                       id));
+    CHECK(fixture.Run(1, {"confirm", plan}).exit_status == 0);
+  }
+  const auto has_version = [&](const std::string& id) {
+    const json state =
+        fixture.Http(fixture.EngineAddress(id), "GET", "/v1/orders");
+    return MemberOf(state, "version") == json("2") &&
+           MemberOf(state, "applied") == json(true);
+  };
+  CHECK(fixture.WaitUntil([&] { return has_version("runner-1"); }));
+  CHECK(fixture.WaitUntil([&] { return has_version("runner-2"); }));
+  // The holder has read both states back.
+  CHECK(fixture.WaitUntil([&] {
+    return MemberOf(fixture.Status(1), "pending_orders") == json(0);
+  }));
+  // Somebody else's order to the endpoint that ignores the number is undone.
+  fixture.Http(fixture.EngineAddress("runner-2"), "POST", "/v1/orders",
+               R"({"model":"m","adapter":"","version":"1","role":"serving"})");
+  CHECK(fixture.WaitUntil(
+      [&] { return fixture.HasEvent(1, "order_corrected"); }));
+  CHECK(fixture.WaitUntil([&] { return has_version("runner-2"); }));
+}
+
+TEST_CASE("SIGTERM shuts the daemon down after its answers") {
+  ControlFixture fixture;
+  fixture.StartPlatform();
+  fixture.StartControl(1);
+  fixture.control(1).Signal(SIGTERM);
+  CHECK(fixture.control(1).WaitForExit() == 0);
+}
+
+}  // namespace
+}  // namespace wasabi::control
--- a/Tests/LibIntent/order_controller_test.cc
+++ b/Tests/LibIntent/order_controller_test.cc
@@ -293,6 +293,8 @@
   void SetState(const std::string& endpoint, const EndpointState& state) {
     states_[endpoint] = state;
   }
+  // Reads of this endpoint get no answer; empty for none.
+  void Mute(const std::string& endpoint) { muted_ = endpoint; }
   void Pause(core::Duration duration) { now_ += duration; }
   int64_t claims_end() const { return claims_.end(); }
   OrderController& controller() { return controller_; }
@@ -306,6 +308,9 @@
       claims_.Append(EncodeClaim(claim->claim));
       controller_.OnClaimAppended(claim->claim.pool);
     } else if (const auto* state = std::get_if<ReadEndpointState>(&action)) {
+      if (state->endpoint == muted_) {
+        return;
+      }
       controller_.OnEndpointState(now_, state->endpoint,
                                   states_[state->endpoint]);
     }
@@ -315,9 +320,16 @@
   OrderController controller_;
   PoolMembers pools_;
   std::map<std::string, EndpointState> states_;
+  std::string muted_;
   FakeLog claims_;
 };
 
+TEST_CASE("no order is sent before every endpoint of the pool was read") {
+  Bench bench(3);
+  bench.Mute("e2");
+  CHECK(bench.Run(seconds(20)).empty());
+}
+
 TEST_CASE("orders carry the offset of the holder's claim") {
   Bench bench(3);
   bench.AppendClaimOf("other");
