--- a/Libraries/LibRouting/runner_admission.cc
+++ b/Libraries/LibRouting/runner_admission.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "LibRouting/decaying_demand.h"
+#include "LibRouting/demand_trend.h"
 #include "LibRouting/fair_queue.h"
 #include "LibRouting/load_cap.h"
 #include "LibRouting/pointer_table.h"
@@ -15,9 +16,6 @@
 
 namespace {
 
-// Age that the pool's sum may have; a cap that is too low rises within it.
-constexpr core::Duration kPoolLag = core::seconds(1);
-
 // The share of the expected service time that must remain before a deadline
 // for a waiting request to be worth starting. Service times vary, so that the
 // whole of it would refuse requests that still have a good chance.
@@ -66,11 +64,9 @@
         pointers(policy.pointer_lifetime, policy.max_pointers) {}
 
   RunnerLoad Load(core::TimePoint now) const;
-  LoadCap Cap(const PoolDemand& pool, core::TimePoint now) const;
+  LoadCap Cap(core::TimePoint now) const;
   PoolDemand Demand(core::TimePoint now) const;
-  bool HasRoom(const WorkItem& item,
-               const PoolDemand& pool,
-               core::TimePoint now) const;
+  bool HasRoom(const WorkItem& item, core::TimePoint now) const;
   bool MayOvertake(const WorkItem& item) const;
 
   core::Duration ColdCost(const WorkItem& item) const;
@@ -85,8 +81,7 @@
   AdmissionDecision DecideLastChoice(const WorkItem& item, core::TimePoint now);
   bool IsWaitWorthwhile(const WorkItem& item, core::TimePoint now) const;
 
-  std::vector<core::RequestId> StartWaiting(const PoolDemand& pool,
-                                            core::TimePoint now);
+  std::vector<core::RequestId> StartWaiting(core::TimePoint now);
   std::vector<core::RequestId> RefuseOverdue(
       const std::vector<core::RequestId>& overdue,
       core::TimePoint now);
@@ -106,6 +101,7 @@
   DecayingDemand refused;
   ServiceTimeEstimator service_time;
   ReportFloor floor;
+  DemandTrend trend;
 };
 
 RunnerLoad RunnerAdmission::State::Load(core::TimePoint now) const {
@@ -114,12 +110,11 @@
           running_tokens + foreign.tokens};
 }
 
-LoadCap RunnerAdmission::State::Cap(const PoolDemand& pool,
-                                    core::TimePoint now) const {
+LoadCap RunnerAdmission::State::Cap(core::TimePoint now) const {
   return MakeLoadCap({.load_bound = policy.load_bound,
                       .max_running = policy.max_running,
                       .share = load_share,
-                      .pool = pool,
+                      .pool = trend.Estimate(policy.pool_lag, now),
                       .own = Demand(now)});
 }
 
@@ -138,7 +133,6 @@
 }
 
 bool RunnerAdmission::State::HasRoom(const WorkItem& item,
-                                     const PoolDemand& pool,
                                      core::TimePoint now) const {
   const RunnerLoad load = Load(now);
   if (load.requests == 0) {
@@ -147,7 +141,7 @@
   if (is_running_alone || item.runs_alone) {
     return false;
   }
-  return Cap(pool, now).Admits(load);
+  return Cap(now).Admits(load);
 }
 
 // Whether a new request may start before those that wait.
@@ -183,7 +177,7 @@
       static_cast<double>(Load(now).requests + ahead + 1) - limit;
   const core::Duration wait = core::FromSeconds(
       std::max(0.0, excess) * core::ToSeconds(service_time.Mean()) / limit);
-  return std::max(kPoolLag, wait);
+  return std::max(policy.pool_lag, wait);
 }
 
 // The last moment at which starting the request still makes its deadline.
@@ -255,10 +249,9 @@
 }
 
 std::vector<core::RequestId> RunnerAdmission::State::StartWaiting(
-    const PoolDemand& pool,
     core::TimePoint now) {
   std::vector<core::RequestId> started;
-  while (!queue.empty() && HasRoom(queue.Front()->item, pool, now)) {
+  while (!queue.empty() && HasRoom(queue.Front()->item, now)) {
     const WaitingItem waiting = queue.Pop();
     waiting_alone -= waiting.item.runs_alone ? 1 : 0;
     Start(waiting.item, waiting.tokens, now);
@@ -301,6 +294,7 @@
                                          const PoolDemand& pool,
                                          core::TimePoint now) {
   Finish(item.request, now, Ending::kAborted);
+  state_->trend.Observe(pool, now);
   const bool may_have_pointer = item.choice == 0 && !item.chat.empty() &&
                                 item.pointer_use == PointerUse::kUnused;
   if (may_have_pointer) {
@@ -317,7 +311,7 @@
     return item.is_last_choice ? state_->Refuse(item, now)
                                : Decide(Verdict::kTryNext);
   }
-  if (!state_->MayOvertake(item) || !state_->HasRoom(item, pool, now)) {
+  if (!state_->MayOvertake(item) || !state_->HasRoom(item, now)) {
     return state_->DecideAtCap(item, now);
   }
   state_->queue.Charge(item, TokensOf(item));
@@ -350,6 +344,7 @@
 
 AdmissionProgress RunnerAdmission::Advance(const PoolDemand& pool,
                                            core::TimePoint now) {
+  state_->trend.Observe(pool, now);
   AdmissionProgress progress;
   if (state_->queue.empty()) {
     return progress;
@@ -361,7 +356,7 @@
       }),
                             now);
   if (state_->accepts_work) {
-    progress.to_run = state_->StartWaiting(pool, now);
+    progress.to_run = state_->StartWaiting(now);
   }
   const std::vector<core::RequestId> hopeless =
       state_->RefuseOverdue(state_->queue.Select([&](const WaitingItem& it) {
--- a/Libraries/LibRouting/runner_admission.h
+++ b/Libraries/LibRouting/runner_admission.h
@@ -26,6 +26,8 @@
   // How long a pointer for a displaced chat is kept, and how many are.
   core::Duration pointer_lifetime = std::chrono::minutes(30);
   size_t max_pointers = 20000;
+  // Age of the pool's sums when they arrive.
+  core::Duration pool_lag = std::chrono::seconds(1);
 
   auto operator<=>(const AdmissionPolicy&) const = default;
 };
