Service time from prefill and output instead of all tokens

Cause: an estimate proportional to all tokens charges a long prompt as if it were output: 4800 tokens were expected to take 48 s before the first observation, so that a waiting request with a 20 s deadline was refused.

The estimate is now the prefill time plus the output at a learnt time per token; first observations weigh more.

--- a/Libraries/LibRouting/runner_admission.cc
+++ b/Libraries/LibRouting/runner_admission.cc
@@ -24,6 +24,7 @@
 // A request that runs.
 struct RunningItem {
   double tokens = 0;
+  ServiceDemand service;
   core::TimePoint start;
   bool is_alone = false;
 };
@@ -69,7 +70,9 @@
   bool HasRoom(const WorkItem& item, core::TimePoint now) const;
   bool MayOvertake(const WorkItem& item) const;
 
+  core::Duration PrefillTime(uint32_t tokens) const;
   core::Duration ColdCost(const WorkItem& item) const;
+  ServiceDemand ServiceOf(const WorkItem& item) const;
   core::Duration SlotWait(Priority priority, core::TimePoint now) const;
   core::Duration CapacityWait(size_t ahead, core::TimePoint now) const;
   core::TimePoint LatestStart(const WorkItem& item) const;
@@ -149,13 +152,25 @@
   return waiting_alone == 0 && queue.CountAhead(item.priority) == 0;
 }
 
+core::Duration RunnerAdmission::State::PrefillTime(uint32_t tokens) const {
+  return core::FromSeconds(tokens /
+                           std::max(1.0, policy.prefill_tokens_per_second));
+}
+
 // The time that prefilling the chat's prefix on a cold runner takes.
 core::Duration RunnerAdmission::State::ColdCost(const WorkItem& item) const {
   if (!IsWarm(item)) {
     return core::Duration::zero();
   }
-  return core::FromSeconds(item.size.reusable_tokens /
-                           std::max(1.0, policy.prefill_tokens_per_second));
+  return PrefillTime(item.size.reusable_tokens);
+}
+
+ServiceDemand RunnerAdmission::State::ServiceOf(const WorkItem& item) const {
+  const uint32_t cached = IsWarm(item) ? item.size.reusable_tokens : 0;
+  const uint32_t prompt = item.size.prompt_tokens;
+  const core::Duration prefill = PrefillTime(prompt - std::min(prompt, cached));
+  return {core::ToSeconds(prefill),
+          static_cast<double>(item.size.output_tokens)};
 }
 
 // Expected wait for a place under the cap.
@@ -183,7 +198,7 @@
 // The last moment at which starting the request still makes its deadline.
 core::TimePoint RunnerAdmission::State::LatestStart(
     const WorkItem& item) const {
-  const core::Duration expected = service_time.Expected(TokensOf(item));
+  const core::Duration expected = service_time.Expected(ServiceOf(item));
   return item.deadline -
          core::FromSeconds(kMinimumServiceShare * core::ToSeconds(expected));
 }
@@ -191,7 +206,7 @@
 void RunnerAdmission::State::Start(const WorkItem& item,
                                    double tokens,
                                    core::TimePoint now) {
-  running[item.request] = {tokens, now, item.runs_alone};
+  running[item.request] = {tokens, ServiceOf(item), now, item.runs_alone};
   running_tokens += tokens;
   is_running_alone = item.runs_alone;
   if (item.choice == 0 && item.pointer_use != PointerUse::kFollowed) {
@@ -338,7 +353,7 @@
     state_->is_running_alone = false;
   }
   if (ending == Ending::kCompleted) {
-    state_->service_time.Observe(ended.tokens, now - ended.start);
+    state_->service_time.Observe(ended.service, now - ended.start);
   }
 }
 
--- a/Libraries/LibRouting/service_time_estimator.cc
+++ b/Libraries/LibRouting/service_time_estimator.cc
@@ -4,11 +4,18 @@
 
 namespace wasabi::routing {
 
-void ServiceTimeEstimator::Observe(double tokens, core::Duration elapsed) {
-  // The weight of the newest observation.
-  constexpr double kGain = 0.05;
-  mean_seconds_ += kGain * (core::ToSeconds(elapsed) - mean_seconds_);
-  mean_tokens_ += kGain * (tokens - mean_tokens_);
+void ServiceTimeEstimator::Observe(const ServiceDemand& demand,
+                                   core::Duration elapsed) {
+  // The least weight of the newest observation.
+  constexpr double kMinimumGain = 0.05;
+  ++observations_;
+  const double gain =
+      std::max(kMinimumGain, 1 / static_cast<double>(observations_));
+  const double seconds = core::ToSeconds(elapsed);
+  mean_seconds_ += gain * (seconds - mean_seconds_);
+  const double output_seconds = std::max(0.0, seconds - demand.prefill_seconds);
+  const double per_token = output_seconds / std::max(1.0, demand.output_tokens);
+  seconds_per_token_ += gain * (per_token - seconds_per_token_);
 }
 
 core::Duration ServiceTimeEstimator::Mean() const {
@@ -17,9 +24,10 @@
   return core::FromSeconds(std::max(kMinimumSeconds, mean_seconds_));
 }
 
-core::Duration ServiceTimeEstimator::Expected(double tokens) const {
-  const double relative_size = tokens / std::max(1.0, mean_tokens_);
-  return core::FromSeconds(core::ToSeconds(Mean()) * relative_size);
+core::Duration ServiceTimeEstimator::Expected(
+    const ServiceDemand& demand) const {
+  return core::FromSeconds(demand.prefill_seconds +
+                           demand.output_tokens * seconds_per_token_);
 }
 
 }  // namespace wasabi::routing
