--- /dev/null
+++ b/Libraries/LibMembership/member_directory.cc
@@ -0,0 +1,178 @@
+#include "LibMembership/member_directory.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "LibCore/hash.h"
+
+namespace wasabi::membership {
+
+namespace {
+
+uint64_t DigestOf(const Member& member, uint64_t id_hash) {
+  const uint64_t status = core::CombineHashes(
+      member.incarnation,
+      core::CombineHashes(static_cast<uint64_t>(member.state),
+                          static_cast<uint64_t>(member.applied_offset)));
+  return core::CombineHashes(id_hash, status);
+}
+
+}  // namespace
+
+MergeResult MemberDirectory::Merge(const Member& record, core::TimePoint now) {
+  const uint64_t id_hash = record.id.Hash();
+  const auto it = entries_.find(id_hash);
+  if (it == entries_.end()) {
+    entries_.emplace(id_hash, Entry{record, now});
+    AddIndexes(record);
+    NoteStateChange(id_hash, MemberState::kGone, record.state);
+    return MergeResult::kChanged;
+  }
+  Entry& entry = it->second;
+  if (GenerationOf(record.incarnation) <=
+      GenerationOf(entry.member.incarnation)) {
+    return MergeStatus(&entry, StatusOf(record), now);
+  }
+  const MemberState before = entry.member.state;
+  entry = Entry{record, now};
+  AddIndexes(record);
+  NoteStateChange(id_hash, before, record.state);
+  return MergeResult::kChanged;
+}
+
+MergeResult MemberDirectory::Merge(const MemberStatus& status,
+                                   core::TimePoint now) {
+  const auto it = entries_.find(status.id_hash);
+  if (it == entries_.end()) {
+    // Nobody needs a record just to learn that its member is gone.
+    return status.state == MemberState::kGone ? MergeResult::kStale
+                                              : MergeResult::kRecordMissing;
+  }
+  if (GenerationOf(status.incarnation) >
+      GenerationOf(it->second.member.incarnation)) {
+    return MergeResult::kRecordMissing;
+  }
+  return MergeStatus(&it->second, status, now);
+}
+
+MergeResult MemberDirectory::MergeStatus(Entry* entry,
+                                         const MemberStatus& status,
+                                         core::TimePoint now) {
+  Member merged = entry->member;
+  if (status.incarnation < merged.incarnation) {
+    return MergeResult::kStale;
+  }
+  if (status.incarnation > merged.incarnation) {
+    merged.incarnation = status.incarnation;
+    merged.state = status.state;
+    merged.applied_offset = status.applied_offset;
+  } else {
+    merged.state = std::max(merged.state, status.state);
+    merged.applied_offset =
+        std::max(merged.applied_offset, status.applied_offset);
+  }
+  if (merged == entry->member) {
+    return MergeResult::kStale;
+  }
+  const MemberState before = entry->member.state;
+  entry->member = std::move(merged);
+  table_.reset();
+  if (before == entry->member.state) {
+    return MergeResult::kRefreshed;
+  }
+  entry->gone_since = now;
+  NoteStateChange(status.id_hash, before, entry->member.state);
+  return MergeResult::kChanged;
+}
+
+void MemberDirectory::NoteStateChange(uint64_t id_hash,
+                                      MemberState before,
+                                      MemberState after) {
+  table_.reset();
+  const bool was_present = before != MemberState::kGone;
+  const bool is_present = after != MemberState::kGone;
+  if (was_present && !is_present) {
+    std::erase(present_, id_hash);
+  } else if (!was_present && is_present) {
+    present_.push_back(id_hash);
+  }
+}
+
+void MemberDirectory::AddIndexes(const Member& member) {
+  by_address_[member.gossip_address] = member.id.Hash();
+  ips_.insert(member.gossip_address.ip());
+  ips_.insert(member.link_address.ip());
+}
+
+void MemberDirectory::RebuildIndexes() {
+  by_address_.clear();
+  ips_.clear();
+  for (const auto& [id_hash, entry] : entries_) {
+    AddIndexes(entry.member);
+  }
+}
+
+const Member* MemberDirectory::Find(uint64_t id_hash) const {
+  const auto it = entries_.find(id_hash);
+  return it == entries_.end() ? nullptr : &it->second.member;
+}
+
+const Member* MemberDirectory::FindByAddress(
+    const core::SocketAddress& address) const {
+  const auto it = by_address_.find(address);
+  return it == by_address_.end() ? nullptr : Find(it->second);
+}
+
+std::vector<uint64_t> MemberDirectory::Gone() const {
+  std::vector<uint64_t> gone;
+  for (const auto& [id_hash, entry] : entries_) {
+    if (entry.member.state == MemberState::kGone) {
+      gone.push_back(id_hash);
+    }
+  }
+  return gone;
+}
+
+void MemberDirectory::ForgetGone(core::Duration age, core::TimePoint now) {
+  const size_t count = entries_.size();
+  absl::erase_if(entries_, [&](const auto& it) {
+    return it.second.member.state == MemberState::kGone &&
+           now - it.second.gone_since > age;
+  });
+  if (entries_.size() != count) {
+    RebuildIndexes();
+  }
+}
+
+std::vector<uint32_t> MemberDirectory::Digests() const {
+  std::vector<uint32_t> digests(kDigestParts);
+  for (const uint64_t id_hash : present_) {
+    digests[PartOf(id_hash)] ^=
+        static_cast<uint32_t>(DigestOf(*Find(id_hash), id_hash));
+  }
+  return digests;
+}
+
+std::vector<const Member*> MemberDirectory::RecordsIn(size_t part) const {
+  std::vector<const Member*> records;
+  for (const auto& [id_hash, entry] : entries_) {
+    if (PartOf(id_hash) == part) {
+      records.push_back(&entry.member);
+    }
+  }
+  return records;
+}
+
+MemberTableView MemberDirectory::Table() const {
+  if (table_ == nullptr) {
+    std::vector<Member> members;
+    members.reserve(present_.size());
+    for (const uint64_t id_hash : present_) {
+      members.push_back(*Find(id_hash));
+    }
+    table_ = std::make_shared<const MemberTable>(std::move(members));
+  }
+  return table_;
+}
+
+}  // namespace wasabi::membership
