--- a/Libraries/LibMembership/gossip_protocol.cc
+++ b/Libraries/LibMembership/gossip_protocol.cc
@@ -25,6 +25,8 @@
 constexpr int kMaxHealth = 3;
 // Suspicion time in probe periods, times the decimal logarithm of the members.
 constexpr double kSuspicionPeriods = 3;
+// Members that are asked about a suspicion at half of its time.
+constexpr int kSuspicionChecks = 2;
 // Fewer peers than this can't tell whether this member is isolated.
 constexpr size_t kMinPeersForIsolation = 4;
 constexpr int kIsolationPeriods = 3;
@@ -35,6 +37,10 @@
 constexpr size_t kMaxRelays = 256;
 // Time to the next comparison after one that brought new members.
 constexpr core::Duration kJoinPullPeriod = core::milliseconds(300);
+// Comparisons for a while after a member joined.
+constexpr core::Duration kUnsettledPullPeriod = core::seconds(1);
+constexpr core::Duration kSettleTime = core::seconds(10);
+constexpr core::Duration kPullBackPeriod = core::seconds(1);
 constexpr core::Duration kJoinSeedPeriod = core::milliseconds(500);
 constexpr size_t kJoinDatagrams = 4;
 constexpr size_t kMaxWanted = 64;
@@ -60,6 +66,8 @@
                      core::FromSeconds(random_.Unit() *
                                        core::ToSeconds(options_.probe_period))),
       next_pull_at_(now + kJoinPullPeriod),
+      next_pull_back_at_(now),
+      unsettled_until_(now + kSettleTime),
       next_seed_at_(now),
       next_offset_at_(now),
       last_tick_(now),
@@ -71,12 +79,13 @@
 void GossipProtocol::Tick(core::TimePoint now) {
   const core::Duration gap = now - std::exchange(last_tick_, now);
   if (gap > kMaxTickGap) {
-    PostponeJudgements(gap);
+    probe_.reset();
+    last_heard_ = now;
+    RestartSuspicions(now);
   } else if (IsIsolated(now)) {
-    for (auto& [id_hash, suspicion] : suspicions_) {
-      suspicion.deadline += gap;
-    }
+    RestartSuspicions(now);
   }
+  CheckSuspicions(now);
   ExpireSuspicions(now);
   AdvanceProbe(now);
   PublishOffset(now);
@@ -213,6 +222,7 @@
                             "a pull without digests");
   }
   Learn(pull.updates, from, now);
+  PullBack(from, pull, now);
   const bool is_joining = size_t{pull.known} * 2 < directory_.present().size();
   SendRecords(from, SelectRecords(from, pull), is_joining ? kJoinDatagrams : 1,
               now);
@@ -252,8 +262,7 @@
 void GossipProtocol::StartProbe(core::TimePoint now) {
   const int stretch = 1 + health_;
   next_probe_at_ = now + options_.probe_period * stretch;
-  const std::optional<uint64_t> target =
-      order_.Next(directory_.present(), self_hash_, &random_);
+  const std::optional<uint64_t> target = NextProbeTarget();
   if (!target) {
     return;
   }
@@ -262,6 +271,18 @@
   SendProbe(*directory_.Find(*target), probe_->sequence);
 }
 
+std::optional<uint64_t> GossipProtocol::NextProbeTarget() {
+  // Members that leave can't refute a suspicion by gossip, so they are probed
+  // again until one probe succeeds or the suspicion ends.
+  for (const auto& [id_hash, suspicion] : suspicions_) {
+    const Member* member = directory_.Find(id_hash);
+    if (member != nullptr && member->state == MemberState::kLeaving) {
+      return id_hash;
+    }
+  }
+  return probe_order_.Next(directory_.present(), self_hash_, &random_);
+}
+
 void GossipProtocol::SendProbe(const Member& target, uint32_t sequence) {
   const core::SocketAddress to = target.gossip_address;
   send_(to,
@@ -331,6 +352,22 @@
   }
 }
 
+void GossipProtocol::CheckSuspicions(core::TimePoint now) {
+  std::vector<uint64_t> unchecked;
+  for (auto& [id_hash, suspicion] : suspicions_) {
+    if (!suspicion.is_checked && now >= suspicion.HalfTime() &&
+        unchecked.size() < kMaxWanted) {
+      suspicion.is_checked = true;
+      unchecked.push_back(id_hash);
+    }
+  }
+  for (int i = 0; i < kSuspicionChecks && !unchecked.empty(); ++i) {
+    if (const Member* peer = RandomPeer()) {
+      SendPull(peer->gossip_address, unchecked);
+    }
+  }
+}
+
 core::Duration GossipProtocol::SuspicionTime() const {
   const auto members = static_cast<double>(directory_.present().size());
   const double scale = std::max(1.0, std::log10(members));
@@ -343,12 +380,9 @@
          now - last_heard_ > kIsolationPeriods * options_.probe_period;
 }
 
-void GossipProtocol::PostponeJudgements(core::Duration delay) {
-  probe_.reset();
-  last_heard_ += delay;
+void GossipProtocol::RestartSuspicions(core::TimePoint now) {
   for (auto& [id_hash, suspicion] : suspicions_) {
-    suspicion.started_at += delay;
-    suspicion.deadline += delay;
+    suspicion = {now, now + SuspicionTime()};
   }
 }
 
@@ -388,7 +422,8 @@
       known == nullptr ? MemberState::kGone : known->state;
   const MergeResult result = directory_.Merge(record, now);
   if (before == MemberState::kGone) {
-    order_.Insert(id_hash, &random_);
+    probe_order_.Insert(id_hash, &random_);
+    gossip_order_.Insert(id_hash, &random_);
   }
   AfterMerge(result, {record.id, before, record.state}, channel,
              /*with_record=*/true, now);
@@ -424,9 +459,7 @@
   }
   const auto it = suspicions_.find(claim.id_hash);
   const bool is_confirmed =
-      it != suspicions_.end() &&
-      now - it->second.started_at >
-          (it->second.deadline - it->second.started_at) / 2;
+      it != suspicions_.end() && now > it->second.HalfTime();
   return is_confirmed ? MemberState::kGone : MemberState::kSuspect;
 }
 
@@ -449,6 +482,9 @@
     }
     return;
   }
+  if (change.before == MemberState::kGone) {
+    unsettled_until_ = now + kSettleTime;
+  }
   if (change.before != change.after) {
     changes_.push_back(change);
   }
@@ -498,10 +534,14 @@
 
 void GossipProtocol::SpreadNews(core::TimePoint now) {
   for (int i = 0; i < kGossipFanout && !queue_.empty(); ++i) {
-    const Member* peer = RandomPeer();
     const double available =
         gossip_bucket_.Available(now) - kDatagramHeaderBytes;
-    if (peer == nullptr || available < kMinGossipBytes) {
+    if (available < kMinGossipBytes) {
+      return;
+    }
+    const std::optional<uint64_t> peer =
+        gossip_order_.Next(directory_.present(), self_hash_, &random_);
+    if (!peer) {
       return;
     }
     GossipMessage message;
@@ -511,7 +551,7 @@
     const std::string datagram = ToDatagram(DatagramKind::kGossip, message);
     gossip_bucket_.TryTake(
         static_cast<double>(datagram.size() + kDatagramHeaderBytes), now);
-    send_(peer->gossip_address, datagram);
+    send_(directory_.Find(*peer)->gossip_address, datagram);
   }
 }
 
@@ -528,6 +568,15 @@
 
 // Comparison.
 
+void GossipProtocol::PullBack(const core::SocketAddress& from,
+                              const PullMessage& pull,
+                              core::TimePoint now) {
+  if (now >= next_pull_back_at_ && pull.digests != directory_.Digests()) {
+    SendPull(from, {});
+    next_pull_back_at_ = now + kPullBackPeriod;
+  }
+}
+
 void GossipProtocol::SendPull(const core::SocketAddress& to,
                               std::vector<uint64_t> wanted) {
   PullMessage pull;
@@ -545,7 +594,9 @@
   if (now < next_pull_at_) {
     return;
   }
-  next_pull_at_ = now + options_.pull_period;
+  next_pull_at_ = now + (now < unsettled_until_ ? kUnsettledPullPeriod
+                                                : options_.pull_period);
+  next_pull_back_at_ = now + kPullBackPeriod;
   if (const Member* peer = RandomPeer()) {
     SendPull(peer->gossip_address, {});
   }
--- a/Libraries/LibMembership/gossip_protocol.h
+++ b/Libraries/LibMembership/gossip_protocol.h
@@ -124,6 +124,12 @@
   struct Suspicion {
     core::TimePoint started_at{};
     core::TimePoint deadline{};
+    // Whether another member was asked for a refutation.
+    bool is_checked = false;
+
+    core::TimePoint HalfTime() const {
+      return started_at + (deadline - started_at) / 2;
+    }
   };
   // How news came in: by gossip, which passes it on, or by a comparison.
   enum class Channel : uint8_t { kGossip, kComparison };
@@ -151,6 +157,7 @@
   // Probing.
   void AdvanceProbe(core::TimePoint now);
   void StartProbe(core::TimePoint now);
+  std::optional<uint64_t> NextProbeTarget();
   void SendProbe(const Member& target, uint32_t sequence);
   void SendIndirectProbes();
   void FailProbe(core::TimePoint now);
@@ -158,12 +165,16 @@
   // Suspicion.
   void Suspect(uint64_t id_hash, core::TimePoint now);
   void ExpireSuspicions(core::TimePoint now);
+  // Asks another member about those suspected for half of the time, in case a
+  // refutation has passed this member by.
+  void CheckSuspicions(core::TimePoint now);
   core::Duration SuspicionTime() const;
   // True when nothing was heard from any of several members, so that the fault
   // is more likely here than there.
   bool IsIsolated(core::TimePoint now) const;
-  // Undoes the effect of time during which this process could not judge.
-  void PostponeJudgements(core::Duration delay);
+  // Starts all suspicions anew, after a time in which this member could not
+  // judge.
+  void RestartSuspicions(core::TimePoint now);
 
   // News.
   void Learn(const Updates& updates,
@@ -193,6 +204,10 @@
   Updates PiggybackFor(const core::SocketAddress& to);
 
   // Comparison.
+  // Compares in the other direction too, where that hasn't been done lately.
+  void PullBack(const core::SocketAddress& from,
+                const PullMessage& pull,
+                core::TimePoint now);
   void SendPull(const core::SocketAddress& to, std::vector<uint64_t> wanted);
   void PullWhenDue(core::TimePoint now);
   void ContactSeedWhenDue(core::TimePoint now);
@@ -212,7 +227,8 @@
   core::RandomSource random_;
   MemberDirectory directory_;
   UpdateQueue queue_;
-  ProbeOrder order_;
+  ProbeOrder probe_order_;
+  ProbeOrder gossip_order_;
   std::vector<core::SocketAddress> seeds_;
   absl::flat_hash_set<uint32_t> seed_ips_;
   std::optional<OutstandingProbe> probe_;
@@ -228,6 +244,10 @@
   int64_t wanted_offset_ = -1;
   core::TimePoint next_probe_at_;
   core::TimePoint next_pull_at_;
+  core::TimePoint next_pull_back_at_;
+  // Until then comparisons are frequent: a member that joined lately may be a
+  // stranger to some, who drop its datagrams.
+  core::TimePoint unsettled_until_;
   core::TimePoint next_seed_at_;
   core::TimePoint next_offset_at_;
   core::TimePoint last_tick_;
--- a/Libraries/LibMembership/update_queue.cc
+++ b/Libraries/LibMembership/update_queue.cc
@@ -10,7 +10,9 @@
 // Transmissions of one piece of news by one member, as a multiple of the binary
 // logarithm of the number of members.
 constexpr double kTransmissionsPerDoubling = 1.5;
-constexpr int kMinTransmissions = 4;
+// Some transmissions ride on probes and acknowledgements, which may repeat a
+// receiver, so that small fleets need more than the logarithm gives.
+constexpr int kMinTransmissions = 10;
 
 int TransmissionLimit(size_t members) {
   const double doublings = std::log2(static_cast<double>(members) + 1);
