--- /dev/null
+++ b/Libraries/LibLoad/pool_load_service.h
@@ -0,0 +1,39 @@
+// PoolLoadExchange over a GossipNode and the loop.
+
+#ifndef LIBLOAD_POOL_LOAD_SERVICE_H_
+#define LIBLOAD_POOL_LOAD_SERVICE_H_
+
+#include <memory>
+
+#include "LibCore/event_loop.h"
+#include "LibLoad/pool_load_exchange.h"
+#include "LibMembership/gossip_node.h"
+
+namespace wasabi::load {
+
+class PoolLoadService {
+ public:
+  // `loop` and `node` must outlive the service. The identity in `options` is
+  // filled in.
+  PoolLoadService(core::EventLoop* loop,
+                  membership::GossipNode* node,
+                  PoolLoadOptions options);
+  ~PoolLoadService();
+  PoolLoadService(const PoolLoadService&) = delete;
+  PoolLoadService& operator=(const PoolLoadService&) = delete;
+
+  // As in PoolLoadExchange.
+  void SetLocal(const core::PoolId& pool, const routing::PoolDemand& demand);
+  void RemoveLocal(const core::PoolId& pool);
+  routing::PoolDemand Total(const core::PoolId& pool) const;
+
+ private:
+  core::EventLoop* const loop_;
+  membership::GossipNode* const node_;
+  PoolLoadExchange exchange_;
+  std::unique_ptr<core::Timer> ticker_;
+};
+
+}  // namespace wasabi::load
+
+#endif  // LIBLOAD_POOL_LOAD_SERVICE_H_
--- a/Libraries/LibMembership/gossip_node.cc
+++ b/Libraries/LibMembership/gossip_node.cc
@@ -192,14 +192,13 @@
     return core::MakeStatus(core::ResultCode::kStranger, from.ToString());
   }
   const auto it = handlers_.find(view.kind);
-  if (it == handlers_.end()) {
+  if (it == handlers_.end() || it->second == nullptr) {
     return core::MakeStatus(core::ResultCode::kMalformedMessage,
                             fmt::format("datagram kind {}", view.kind));
   }
   // A copy, since the handler may change the table.
   const Member sender = *known;
-  it->second(sender, view.body);
-  return absl::OkStatus();
+  return it->second(sender, view.body);
 }
 
 void GossipNode::RecordDrop(const core::SocketAddress& from,
--- a/Libraries/LibMembership/gossip_node.h
+++ b/Libraries/LibMembership/gossip_node.h
@@ -22,9 +22,10 @@
 class GossipNode {
  public:
   using Observer = std::function<void(const MemberTableView& table)>;
-  // Takes an application datagram from `from`, a member by its address.
+  // Takes an application datagram from `from`, a member by its address. One
+  // for which it returns an error counts as dropped.
   using ApplicationHandler =
-      std::function<void(const Member& from, std::string_view body)>;
+      std::function<absl::Status(const Member& from, std::string_view body)>;
 
   // Listens at the gossip address of `options.self`; port 0 takes a free one.
   // An incarnation of 0 is replaced by one from the wall clock, so that it
@@ -60,7 +61,7 @@
                                uint8_t kind,
                                std::string_view body);
 
-  // Takes the application datagrams of `kind`.
+  // Takes the application datagrams of `kind`; nullptr ends that.
   void SetApplicationHandler(uint8_t kind, ApplicationHandler handler);
 
   // Bytes since the start, with IP and UDP headers.
--- a/Libraries/LibMembership/gossip_protocol.cc
+++ b/Libraries/LibMembership/gossip_protocol.cc
@@ -33,6 +33,7 @@
 // A longer pause between ticks means that the process stood still.
 constexpr core::Duration kMaxTickGap = 5 * kGossipTick;
 constexpr core::Duration kOffsetPeriod = core::seconds(1);
+constexpr core::Duration kForgetPeriod = core::seconds(1);
 constexpr core::Duration kRelayLifetime = core::seconds(2);
 constexpr size_t kMaxRelays = 256;
 // Time to the next comparison after one that brought new members.
@@ -70,6 +71,7 @@
       unsettled_until_(now + kSettleTime),
       next_seed_at_(now),
       next_offset_at_(now),
+      next_forget_at_(now),
       last_tick_(now),
       last_heard_(now) {
   directory_.Merge(options_.self, now);
@@ -92,7 +94,10 @@
   SpreadNews(now);
   PullWhenDue(now);
   ContactSeedWhenDue(now);
-  directory_.ForgetGone(options_.gone_memory, now);
+  if (now >= next_forget_at_) {
+    next_forget_at_ = now + kForgetPeriod;
+    directory_.ForgetGone(options_.gone_memory, now);
+  }
   absl::erase_if(relays_,
                  [now](const auto& it) { return it.second.expires_at < now; });
 }
@@ -642,7 +647,7 @@
       selected.push_back(member);
     }
   }
-  const std::vector<uint32_t> digests = directory_.Digests();
+  const std::vector<uint32_t>& digests = directory_.Digests();
   // A random start, since one answer may not hold all parts that differ.
   const size_t start = random_.Below(kDigestParts);
   for (size_t i = 0; i < kDigestParts; ++i) {
--- a/Libraries/LibMembership/gossip_protocol.h
+++ b/Libraries/LibMembership/gossip_protocol.h
@@ -12,6 +12,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <optional>
 #include <string_view>
 #include <vector>
@@ -233,7 +234,8 @@
   absl::flat_hash_set<uint32_t> seed_ips_;
   std::optional<OutstandingProbe> probe_;
   absl::flat_hash_map<uint32_t, Relay> relays_;
-  absl::flat_hash_map<uint64_t, Suspicion> suspicions_;
+  // Ordered, so that a run in virtual time can be repeated from its seed.
+  std::map<uint64_t, Suspicion> suspicions_;
   TokenBucket gossip_bucket_;
   TokenBucket answer_bucket_;
   std::vector<MemberChange> changes_;
@@ -250,6 +252,7 @@
   core::TimePoint unsettled_until_;
   core::TimePoint next_seed_at_;
   core::TimePoint next_offset_at_;
+  core::TimePoint next_forget_at_;
   core::TimePoint last_tick_;
   core::TimePoint last_heard_;
 };
--- a/Libraries/LibMembership/member_directory.cc
+++ b/Libraries/LibMembership/member_directory.cc
@@ -21,20 +21,19 @@
 
 MergeResult MemberDirectory::Merge(const Member& record, core::TimePoint now) {
   const uint64_t id_hash = record.id.Hash();
-  const auto it = entries_.find(id_hash);
-  if (it == entries_.end()) {
-    entries_.emplace(id_hash, Entry{record, now});
-    AddIndexes(record);
-    NoteStateChange(id_hash, MemberState::kGone, record.state);
-    return MergeResult::kChanged;
-  }
-  Entry& entry = it->second;
-  if (GenerationOf(record.incarnation) <=
-      GenerationOf(entry.member.incarnation)) {
-    return MergeStatus(&entry, StatusOf(record), now);
-  }
-  const MemberState before = entry.member.state;
-  entry = Entry{record, now};
+  Entry* entry = FindEntry(id_hash);
+  if (entry == nullptr) {
+    entry = &PartFor(id_hash)[id_hash];
+    entry->member.state = MemberState::kGone;
+    ++gone_count_;
+  } else if (GenerationOf(record.incarnation) <=
+             GenerationOf(entry->member.incarnation)) {
+    return MergeStatus(entry, StatusOf(record), now);
+  }
+  const MemberState before = entry->member.state;
+  ToggleDigest(entry->member, id_hash);
+  *entry = Entry{record, now};
+  ToggleDigest(record, id_hash);
   AddIndexes(record);
   NoteStateChange(id_hash, before, record.state);
   return MergeResult::kChanged;
@@ -42,17 +41,17 @@
 
 MergeResult MemberDirectory::Merge(const MemberStatus& status,
                                    core::TimePoint now) {
-  const auto it = entries_.find(status.id_hash);
-  if (it == entries_.end()) {
+  Entry* entry = FindEntry(status.id_hash);
+  if (entry == nullptr) {
     // Nobody needs a record just to learn that its member is gone.
     return status.state == MemberState::kGone ? MergeResult::kStale
                                               : MergeResult::kRecordMissing;
   }
   if (GenerationOf(status.incarnation) >
-      GenerationOf(it->second.member.incarnation)) {
+      GenerationOf(entry->member.incarnation)) {
     return MergeResult::kRecordMissing;
   }
-  return MergeStatus(&it->second, status, now);
+  return MergeStatus(entry, status, now);
 }
 
 MergeResult MemberDirectory::MergeStatus(Entry* entry,
@@ -75,6 +74,8 @@
     return MergeResult::kStale;
   }
   const MemberState before = entry->member.state;
+  ToggleDigest(entry->member, status.id_hash);
+  ToggleDigest(merged, status.id_hash);
   entry->member = std::move(merged);
   table_.reset();
   if (before == entry->member.state) {
@@ -93,8 +94,10 @@
   const bool is_present = after != MemberState::kGone;
   if (was_present && !is_present) {
     std::erase(present_, id_hash);
+    ++gone_count_;
   } else if (!was_present && is_present) {
     present_.push_back(id_hash);
+    --gone_count_;
   }
 }
 
@@ -107,14 +110,30 @@
 void MemberDirectory::RebuildIndexes() {
   by_address_.clear();
   ips_.clear();
-  for (const auto& [id_hash, entry] : entries_) {
-    AddIndexes(entry.member);
+  for (const Part& part : parts_) {
+    for (const auto& [id_hash, entry] : part) {
+      AddIndexes(entry.member);
+    }
   }
 }
 
 const Member* MemberDirectory::Find(uint64_t id_hash) const {
-  const auto it = entries_.find(id_hash);
-  return it == entries_.end() ? nullptr : &it->second.member;
+  const Part& part = parts_[PartOf(id_hash)];
+  const auto it = part.find(id_hash);
+  return it == part.end() ? nullptr : &it->second.member;
+}
+
+MemberDirectory::Entry* MemberDirectory::FindEntry(uint64_t id_hash) {
+  Part& part = PartFor(id_hash);
+  const auto it = part.find(id_hash);
+  return it == part.end() ? nullptr : &it->second;
+}
+
+void MemberDirectory::ToggleDigest(const Member& member, uint64_t id_hash) {
+  if (member.state != MemberState::kGone) {
+    digests_[PartOf(id_hash)] ^=
+        static_cast<uint32_t>(DigestOf(member, id_hash));
+  }
 }
 
 const Member* MemberDirectory::FindByAddress(
@@ -125,40 +144,40 @@
 
 std::vector<uint64_t> MemberDirectory::Gone() const {
   std::vector<uint64_t> gone;
-  for (const auto& [id_hash, entry] : entries_) {
-    if (entry.member.state == MemberState::kGone) {
-      gone.push_back(id_hash);
+  if (gone_count_ == 0) {
+    return gone;
+  }
+  for (const Part& part : parts_) {
+    for (const auto& [id_hash, entry] : part) {
+      if (entry.member.state == MemberState::kGone) {
+        gone.push_back(id_hash);
+      }
     }
   }
   return gone;
 }
 
 void MemberDirectory::ForgetGone(core::Duration age, core::TimePoint now) {
-  const size_t count = entries_.size();
-  absl::erase_if(entries_, [&](const auto& it) {
-    return it.second.member.state == MemberState::kGone &&
-           now - it.second.gone_since > age;
-  });
-  if (entries_.size() != count) {
-    RebuildIndexes();
+  if (gone_count_ == 0) {
+    return;
   }
-}
-
-std::vector<uint32_t> MemberDirectory::Digests() const {
-  std::vector<uint32_t> digests(kDigestParts);
-  for (const uint64_t id_hash : present_) {
-    digests[PartOf(id_hash)] ^=
-        static_cast<uint32_t>(DigestOf(*Find(id_hash), id_hash));
+  size_t forgotten = 0;
+  for (Part& part : parts_) {
+    forgotten += std::erase_if(part, [&](const auto& it) {
+      return it.second.member.state == MemberState::kGone &&
+             now - it.second.gone_since > age;
+    });
+  }
+  gone_count_ -= forgotten;
+  if (forgotten > 0) {
+    RebuildIndexes();
   }
-  return digests;
 }
 
 std::vector<const Member*> MemberDirectory::RecordsIn(size_t part) const {
   std::vector<const Member*> records;
-  for (const auto& [id_hash, entry] : entries_) {
-    if (PartOf(id_hash) == part) {
-      records.push_back(&entry.member);
-    }
+  for (const auto& [id_hash, entry] : parts_[part]) {
+    records.push_back(&entry.member);
   }
   return records;
 }
--- a/Libraries/LibMembership/member_directory.h
+++ b/Libraries/LibMembership/member_directory.h
@@ -4,8 +4,9 @@
 #ifndef LIBMEMBERSHIP_MEMBER_DIRECTORY_H_
 #define LIBMEMBERSHIP_MEMBER_DIRECTORY_H_
 
+#include <array>
 #include <cstdint>
-#include <optional>
+#include <map>
 #include <vector>
 
 #include "LibCore/time.h"
@@ -56,7 +57,7 @@
   void ForgetGone(core::Duration age, core::TimePoint now);
 
   // One digest per part of the members that are not gone.
-  std::vector<uint32_t> Digests() const;
+  const std::vector<uint32_t>& Digests() const { return digests_; }
   static size_t PartOf(uint64_t id_hash) { return id_hash % kDigestParts; }
 
   // All records in a part, those of gone members too.
@@ -71,6 +72,13 @@
     core::TimePoint gone_since{};
   };
 
+  // Ordered, so that a run in virtual time can be repeated from its seed.
+  using Part = std::map<uint64_t, Entry>;
+
+  Part& PartFor(uint64_t id_hash) { return parts_[PartOf(id_hash)]; }
+  Entry* FindEntry(uint64_t id_hash);
+  // Adds the member to the digest of its part, or takes it out again.
+  void ToggleDigest(const Member& member, uint64_t id_hash);
   MergeResult MergeStatus(Entry* entry,
                           const MemberStatus& status,
                           core::TimePoint now);
@@ -78,7 +86,9 @@
   void AddIndexes(const Member& member);
   void RebuildIndexes();
 
-  absl::flat_hash_map<uint64_t, Entry> entries_;
+  std::array<Part, kDigestParts> parts_;
+  std::vector<uint32_t> digests_ = std::vector<uint32_t>(kDigestParts);
+  size_t gone_count_ = 0;
   absl::flat_hash_map<core::SocketAddress, uint64_t> by_address_;
   absl::flat_hash_set<uint32_t> ips_;
   std::vector<uint64_t> present_;
