--- a/Meta/lint.sh
+++ b/Meta/lint.sh
@@ -12,5 +12,5 @@
 fi
 clang-format --dry-run --Werror "${files[@]}"
 printf '%s\n' "${files[@]}" | grep '\.cc$' \
-  | xargs -P "${LINT_JOBS:-$(nproc)}" -n 1 clang-tidy -p "${build_dir}" --quiet 2> /dev/null
+  | xargs -P "${LINT_JOBS:-$(nproc)}" -n 1 clang-tidy -p "${build_dir}" --quiet 2> >(grep -vE "warnings? (generated|treated)|Suppressed|Use -header-filter|Use -system-headers" >&2)
 echo "lint: ${#files[@]} files clean"
--- a/Services/Router/chat_session.cc
+++ b/Services/Router/chat_session.cc
@@ -21,6 +21,7 @@
 // Answers that broke off are first resumed on the runner that has the context.
 constexpr uint32_t kMaxSameRunnerRetries = 2;
 constexpr uint32_t kMaxCrashes = 2;
+constexpr core::Duration kQuarantineRetryAfter = std::chrono::minutes(10);
 constexpr core::Duration kOverloadRetryAfter = std::chrono::seconds(1);
 // The owner ends a request at its deadline; the entry waits this much longer
 // for it to say so.
@@ -258,8 +259,9 @@
     case ResultCode::kEndpointFailed:
       ++crashes_;
       if (crashes_ >= kMaxCrashes) {
-        Finish(MakeStatus(ResultCode::kQuarantined,
-                          "the request crashed two endpoints"));
+        Finish(MakeRefusal(ResultCode::kQuarantined,
+                           "the request crashed two endpoints",
+                           kQuarantineRetryAfter));
         return;
       }
       ResumeOnNextRunner(status);
--- a/Services/Router/runner_monitor.h
+++ b/Services/Router/runner_monitor.h
@@ -20,6 +20,8 @@
   uint32_t waiting = 0;
   uint32_t outstanding_tokens = 0;
   bool is_leaving = false;
+  // How old the report's figures are.
+  core::Duration age{};
 
   auto operator<=>(const LoadReport&) const = default;
 };
--- a/Services/Router/runner_owner.cc
+++ b/Services/Router/runner_owner.cc
@@ -14,8 +14,6 @@
 using core::MakeStatus;
 using core::ResultCode;
 
-// Polls in a row without an answer after which a runner counts as down.
-constexpr int kFailedPollsUntilDown = 3;
 // Dead endpoints that a request may leave behind before it is refused.
 constexpr uint32_t kMaxCrashes = 2;
 constexpr core::Duration kRefusalRetryAfter = std::chrono::seconds(1);
@@ -32,6 +30,30 @@
   return "normal";
 }
 
+EndpointCondition ConditionOf(routing::EndpointState state) {
+  switch (state) {
+    case routing::EndpointState::kDown:
+      return EndpointCondition::kDown;
+    case routing::EndpointState::kLeaving:
+      return EndpointCondition::kLeaving;
+    case routing::EndpointState::kUp:
+      break;
+  }
+  return EndpointCondition::kHealthy;
+}
+
+EventCode EventOf(routing::EndpointState state) {
+  switch (state) {
+    case routing::EndpointState::kDown:
+      return EventCode::kRunnerDown;
+    case routing::EndpointState::kLeaving:
+      return EventCode::kRunnerLeaving;
+    case routing::EndpointState::kUp:
+      break;
+  }
+  return EventCode::kRunnerUp;
+}
+
 // Passes an answer on to the sink that asked for it.
 class SinkListener : public AnswerListener {
  public:
@@ -104,9 +126,12 @@
                          const std::shared_ptr<WorkSink>& sink) {
   const core::TimePoint now = context_->loop->Now();
   last_use_ = now;
-  if (message.crashes >= kMaxCrashes) {
-    sink->OnDone(MakeStatus(ResultCode::kQuarantined,
-                            "the request crashed two endpoints"));
+  if (message.crashes >= kMaxCrashes ||
+      context_->quarantine_verdict(message.content_digest) ==
+          routing::QuarantineVerdict::kRefuse) {
+    sink->OnDone(core::MakeRefusal(
+        ResultCode::kQuarantined, "requests with this content crash endpoints",
+        context_->quarantine_retry_after(message.content_digest)));
     return;
   }
   const std::string key = AnswerName(message.organisation, message.request);
@@ -127,9 +152,25 @@
   work->record = std::make_shared<AnswerRecord>(message.resume_from,
                                                 message.content_digest);
   work->deadline = now + core::milliseconds(message.remaining_ms);
+  if (!is_runner_heard_of_) {
+    // The runner's first report tells how much of a former owner's work it
+    // still has, without which the load bound could not be kept.
+    early_works_.push_back(work);
+    return;
+  }
   Admit(work);
 }
 
+void RunnerOwner::AdmitEarlyWork() {
+  if (is_runner_heard_of_) {
+    return;
+  }
+  is_runner_heard_of_ = true;
+  for (const WorkPointer& work : std::exchange(early_works_, {})) {
+    Admit(work);
+  }
+}
+
 void RunnerOwner::Admit(const WorkPointer& work) {
   const routing::AdmissionDecision decision = admission_.Offer(
       ToItem(*work), context_->pool_demand(pool_), context_->loop->Now());
@@ -234,7 +275,8 @@
   const bool is_refused_by_engine =
       code == ResultCode::kOverloaded || code == ResultCode::kStopping;
   if (code == ResultCode::kStopping) {
-    SetCondition(EndpointCondition::kLeaving);
+    health_.SetLeaving(true, context_->loop->Now());
+    ApplyHealth();
   }
   if (is_refused_by_engine && is_untouched && !work->message.is_last_choice) {
     const std::shared_ptr<WorkSink> sink = work->sink;
@@ -261,8 +303,9 @@
     for (const auto& [work, status] : broken) {
       digests.push_back(work->message.content_digest);
     }
-    context_->report_death(digests);
-    SetCondition(EndpointCondition::kDown);
+    context_->report_death(runner_, digests);
+    health_.ObserveCrash(context_->loop->Now());
+    ApplyHealth();
   }
   for (const auto& [work, status] : broken) {
     // An attempt that never reached the engine can't have crashed it.
@@ -411,18 +454,27 @@
 }
 
 void RunnerOwner::OnReport(const LoadReport& report) {
-  failed_polls_ = 0;
-  admission_.ObserveReport(report.running + report.waiting,
-                           report.outstanding_tokens, context_->loop->Now());
-  context_->report_load(runner_, report.running + report.waiting);
-  SetCondition(report.is_leaving ? EndpointCondition::kLeaving
-                                 : EndpointCondition::kHealthy);
+  const core::TimePoint now = context_->loop->Now();
+  const uint32_t requests = report.running + report.waiting;
+  admission_.ObserveReport(requests, report.outstanding_tokens, now,
+                           report.age);
+  context_->report_load(runner_, requests);
+  health_.ObserveSuccess(now);
+  health_.SetLeaving(report.is_leaving, now);
+  ApplyHealth();
+  AdmitEarlyWork();
 }
 
 void RunnerOwner::OnPollFailure(bool is_refused) {
-  ++failed_polls_;
-  if (is_refused || failed_polls_ >= kFailedPollsUntilDown) {
-    SetCondition(EndpointCondition::kDown);
+  const core::TimePoint now = context_->loop->Now();
+  if (is_refused) {
+    health_.ObserveCrash(now);
+  } else {
+    health_.ObserveFailure(now);
+  }
+  ApplyHealth();
+  AdmitEarlyWork();
+  if (health_.state() == routing::EndpointState::kDown) {
     FailRunning(
         MakeStatus(ResultCode::kAnswerCut, "the endpoint stopped answering"));
   }
@@ -450,29 +502,24 @@
   }
 }
 
-void RunnerOwner::SetCondition(EndpointCondition condition) {
-  if (condition != EndpointCondition::kHealthy) {
+void RunnerOwner::ApplyHealth() {
+  const routing::EndpointState state = health_.state();
+  const bool is_up = state == routing::EndpointState::kUp;
+  const double share = health_.Share(context_->loop->Now());
+  admission_.SetAcceptsWork(is_up && is_listed_as_accepting_);
+  if (share > 0) {
+    admission_.SetLoadShare(share);
+  }
+  if (!is_up || state != known_state_) {
     // Repeated while it lasts, since the fleet's knowledge of it expires.
-    context_->report_condition(runner_, condition);
+    context_->report_condition(runner_, ConditionOf(state));
   }
-  if (condition == condition_) {
+  if (state == known_state_) {
     return;
   }
-  if (condition == EndpointCondition::kHealthy) {
-    context_->report_condition(runner_, condition);
-  }
-  condition_ = condition;
-  const EventCode code =
-      condition == EndpointCondition::kHealthy   ? EventCode::kRunnerUp
-      : condition == EndpointCondition::kLeaving ? EventCode::kRunnerLeaving
-                                                 : EventCode::kRunnerDown;
-  context_->events->Record(code, "", fmt::format("runner={}", runner_.value()));
-  UpdateAcceptance();
-}
-
-void RunnerOwner::UpdateAcceptance() {
-  admission_.SetAcceptsWork(condition_ == EndpointCondition::kHealthy &&
-                            is_listed_as_accepting_);
+  known_state_ = state;
+  context_->events->Record(EventOf(state), "",
+                           fmt::format("runner={}", runner_.value()));
 }
 
 void RunnerOwner::NotePointer(const core::ChatKey& chat,
@@ -491,7 +538,7 @@
   is_released_ = true;
   context_->events->Record(EventCode::kOwnershipReleased, "",
                            fmt::format("runner={}", runner_.value()));
-  std::vector<WorkPointer> waiting;
+  std::vector<WorkPointer> waiting = std::exchange(early_works_, {});
   for (const auto& [key, work] : works_) {
     if (work->phase != WorkPhase::kRunning) {
       waiting.push_back(work);
@@ -504,7 +551,10 @@
 }
 
 void RunnerOwner::Resume() {
-  is_released_ = false;
+  if (is_released_) {
+    is_released_ = false;
+    admission_.RequireFloor();
+  }
 }
 
 void RunnerOwner::OnHandOver() {
@@ -522,7 +572,7 @@
     return;
   }
   is_listed_as_accepting_ = is_accepting;
-  UpdateAcceptance();
+  ApplyHealth();
 }
 
 routing::PoolDemand RunnerOwner::Demand() const {
@@ -548,7 +598,9 @@
   item.choice = work.message.choice;
   item.is_last_choice = work.message.is_last_choice;
   item.pointer_use = work.message.pointer_use;
-  item.runs_alone = work.message.crashes > 0;
+  item.runs_alone = work.message.crashes > 0 ||
+                    context_->quarantine_verdict(work.message.content_digest) ==
+                        routing::QuarantineVerdict::kRunAlone;
   return item;
 }
 
--- a/Services/Router/runner_owner.h
+++ b/Services/Router/runner_owner.h
@@ -15,7 +15,9 @@
 #include "LibCore/identifier.h"
 #include "LibCore/metrics.h"
 #include "LibHttp/client.h"
+#include "LibRouting/endpoint_health.h"
 #include "LibRouting/pool_load.h"
+#include "LibRouting/quarantine_table.h"
 #include "LibRouting/runner_admission.h"
 #include "Services/Router/answer_store.h"
 #include "Services/Router/endpoint_directory.h"
@@ -42,8 +44,12 @@
   // Tells the fleet what was seen of a runner.
   std::function<void(const core::RunnerId&, EndpointCondition)>
       report_condition;
+  // Whether a digest may run, after crashes that it was in flight at.
+  std::function<routing::QuarantineVerdict(uint64_t)> quarantine_verdict;
+  std::function<core::Duration(uint64_t)> quarantine_retry_after;
   // Digests in flight on a runner that died, and a digest that completed.
-  std::function<void(const std::vector<uint64_t>&)> report_death;
+  std::function<void(const core::RunnerId&, const std::vector<uint64_t>&)>
+      report_death;
   std::function<void(uint64_t)> report_completion;
   // The runner's own report, for the strategies that use it.
   std::function<void(const core::RunnerId&, uint32_t)> report_load;
@@ -105,8 +111,10 @@
   void TakeOverSilentStream(const WorkPointer& work);
   void OnReport(const LoadReport& report);
   void OnPollFailure(bool is_refused);
-  void SetCondition(EndpointCondition condition);
-  void UpdateAcceptance();
+  // Tells the admission and the fleet what the runner's health has become.
+  void ApplyHealth();
+  // Offers that came before the first word of the runner.
+  void AdmitEarlyWork();
   void FailRunning(const absl::Status& status);
   WorkPointer FindWork(const core::RequestId& request) const;
   routing::WorkItem ToItem(const Work& work) const;
@@ -122,8 +130,10 @@
   // Attempts whose connection broke and whose runner is being probed.
   std::vector<std::pair<WorkPointer, absl::Status>> broken_;
   size_t running_count_ = 0;
-  EndpointCondition condition_ = EndpointCondition::kHealthy;
-  int failed_polls_ = 0;
+  routing::EndpointHealth health_;
+  routing::EndpointState known_state_ = routing::EndpointState::kUp;
+  bool is_runner_heard_of_ = false;
+  std::vector<WorkPointer> early_works_;
   bool is_released_ = false;
   bool is_listed_as_accepting_ = true;
   core::TimePoint last_use_;
