--- /dev/null
+++ b/Services/Router/main.cc
@@ -0,0 +1,61 @@
+// wasabi_router: takes callers' requests and runs them on the endpoints.
+
+#include <gflags/gflags.h>
+
+#include <csignal>
+#include <iostream>
+
+#include "LibCore/log.h"
+#include "LibCore/result_code.h"
+#include "LibCore/text.h"
+#include "Services/Router/router.h"
+
+DEFINE_string(settings, "", "path of the INI settings file (docs/SETTINGS.md)");
+
+namespace wasabi::router {
+namespace {
+
+// Exit statuses have eight bits; the numbered result code is printed.
+constexpr int kSettingsExit = 2;
+constexpr int kStartExit = 3;
+
+int ReportError(const absl::Status& status, int exit_status) {
+  std::cerr << "wasabi_router: error " << static_cast<int>(core::CodeOf(status))
+            << ": " << core::MessageOf(status) << "\n";
+  return exit_status;
+}
+
+int RunRouter() {
+  const absl::StatusOr<RouterSettings> settings =
+      LoadRouterSettings(FLAGS_settings);
+  if (!settings.ok()) {
+    return ReportError(settings.status(), kSettingsExit);
+  }
+  core::SetLogLevel(settings->log_level);
+  core::EventLoop loop;
+  const absl::StatusOr<std::unique_ptr<Router>> router =
+      Router::Create(&loop, *settings);
+  if (!router.ok()) {
+    return ReportError(router.status(), kStartExit);
+  }
+  const auto stop = [&router] { (*router)->BeginShutdown(); };
+  loop.OnSignal(SIGTERM, stop);
+  loop.OnSignal(SIGINT, stop);
+  loop.Run();
+  return 0;
+}
+
+}  // namespace
+}  // namespace wasabi::router
+
+int main(int argc, char** argv) {
+  // A peer that closes its connection must not end the process.
+  std::signal(SIGPIPE, SIG_IGN);
+  gflags::SetUsageMessage(
+      "routes callers' requests to model engines and plain services\n"
+      "  wasabi_router --settings=FILE\n"
+      "SIGTERM begins a graceful shutdown. Exit status: 0 after a shutdown, "
+      "2 wrong settings, 3 can't start.");
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  return wasabi::router::RunRouter();
+}
