--- a/Services/Router/ledger_controller.cc
+++ b/Services/Router/ledger_controller.cc
@@ -34,8 +34,7 @@
       .count();
 }
 
-ledger::DispatchResult ToResult(
-    absl::StatusOr<http::ClientResponse> response) {
+ledger::DispatchResult ToResult(absl::StatusOr<http::ClientResponse> response) {
   using Kind = ledger::DispatchResult::Kind;
   if (response.ok()) {
     return {Kind::kAnswered, response->status, std::move(response->body)};
@@ -97,8 +96,7 @@
 
  private:
   const membership::Member* PickOwner(const membership::MemberTable& members) {
-    const int partition =
-        ledger::PartitionOf(call_.organisation, call_.key);
+    const int partition = ledger::PartitionOf(call_.organisation, call_.key);
     const auto owners =
         members.OwnersInOrder(OwnershipName(partition), MemberRole::kRouter);
     for (const membership::Member* owner : owners) {
@@ -135,12 +133,11 @@
   void TryLater() {
     avoided_.insert(asked_);
     is_waiting_ = true;
-    timer_ = controller_->context_.loop->NewTimer(
-        [self = shared_from_this()] {
-          self->is_waiting_ = false;
-          const auto keep_timer = std::move(self->timer_);
-          self->Try();
-        });
+    timer_ = controller_->context_.loop->NewTimer([self = shared_from_this()] {
+      self->is_waiting_ = false;
+      const auto keep_timer = std::move(self->timer_);
+      self->Try();
+    });
     timer_->StartOnce(std::min(kRetryPause * tries_, kMaxRetryPause));
   }
 
@@ -258,8 +255,8 @@
   const intent::ConfigurationView configuration = context_.configuration();
   const intent::Deployment* deployment =
       configuration->DeploymentOf(call.organisation);
-  const bool is_known = deployment != nullptr &&
-                        deployment->services.contains(call.service);
+  const bool is_known =
+      deployment != nullptr && deployment->services.contains(call.service);
   if (!is_known) {
     context_.loop->Post([callback = std::move(callback)] {
       callback({ledger::DispatchResult::Kind::kNotRun, 0, ""});
@@ -274,11 +271,11 @@
   message.body = call.body;
   message.attempt = static_cast<uint32_t>(attempt);
   message.deadline = context_.loop->Now() + timeout;
-  context_.caller->Call(
-      message, [callback = std::move(callback)](
-                   absl::StatusOr<http::ClientResponse> response) {
-        callback(ToResult(std::move(response)));
-      });
+  context_.caller->Call(message,
+                        [callback = std::move(callback)](
+                            absl::StatusOr<http::ClientResponse> response) {
+                          callback(ToResult(std::move(response)));
+                        });
 }
 
 }  // namespace wasabi::router
--- a/Services/Router/router.cc
+++ b/Services/Router/router.cc
@@ -41,12 +41,12 @@
 }
 
 uint32_t CountRouters(const membership::MemberTable& members) {
-  const auto count = std::count_if(
-      members.members().begin(), members.members().end(),
-      [](const membership::Member& member) {
-        return member.role == MemberRole::kRouter &&
-               member.state != membership::MemberState::kLeaving;
-      });
+  const auto count =
+      std::count_if(members.members().begin(), members.members().end(),
+                    [](const membership::Member& member) {
+                      return member.role == MemberRole::kRouter &&
+                             member.state != membership::MemberState::kLeaving;
+                    });
   return std::max<uint32_t>(1, static_cast<uint32_t>(count));
 }
 
@@ -78,8 +78,8 @@
 absl::Status Router::Start() {
   platform::HttpLogClientOptions log_options;
   log_options.address = settings_.platform_address;
-  log_client_ = std::make_unique<platform::HttpLogClient>(&control_client_,
-                                                          log_options);
+  log_client_ =
+      std::make_unique<platform::HttpLogClient>(&control_client_, log_options);
   host_list_client_ = std::make_unique<platform::HttpHostListClient>(
       &control_client_, settings_.platform_address);
   configuration_ =
@@ -290,8 +290,7 @@
 routing::RetryBudget& Router::RetryBudgetOf(const core::PoolId& pool) {
   constexpr routing::RetryBudgetPolicy kPolicy = {
       .ratio = 0.2, .minimum_per_second = 5, .capacity = 200};
-  return retry_budgets_.try_emplace(pool, kPolicy, loop_->Now())
-      .first->second;
+  return retry_budgets_.try_emplace(pool, kPolicy, loop_->Now()).first->second;
 }
 
 double Router::ControlBytes() const {
@@ -392,8 +391,7 @@
 
 bool Router::IsDrained() const {
   return owners_->is_idle() && ledger_->is_idle() &&
-         server_->open_exchanges() == 0 &&
-         link_->IsDrained();
+         server_->open_exchanges() == 0 && link_->IsDrained();
 }
 
 void Router::BeginShutdown() {
@@ -502,8 +500,7 @@
   const core::PoolId pool = context.plain_service->pool;
   RetryBudgetOf(pool).RecordAttempt(loop_->Now());
   ServiceSession::Start(
-      service_caller_.get(), &events_, exchange, context,
-      settings_.max_retries,
+      service_caller_.get(), &events_, exchange, context, settings_.max_retries,
       [this, pool] { return RetryBudgetOf(pool).TryRetry(loop_->Now()); });
 }
 
