--- a/Services/Router/http_front.cc
+++ b/Services/Router/http_front.cc
@@ -240,7 +240,7 @@
   events_->Record(EventCode::kRequestReceived, context.request.value(),
                   fmt::format("organisation={} service={}",
                               context.organisation.value(), context.service));
-  context_.run_service_call(exchange, std::move(context));
+  context_.run_service_call(exchange, context);
 }
 
 std::shared_ptr<CallerStream> HttpFront::NewStream(
--- a/Services/Router/http_front.h
+++ b/Services/Router/http_front.h
@@ -29,7 +29,8 @@
   // The process's state as a JSON object.
   std::function<std::string()> status;
   // Runs a call to a plain service and answers the exchange.
-  std::function<void(const std::shared_ptr<http::Exchange>&, RequestContext)>
+  std::function<void(const std::shared_ptr<http::Exchange>&,
+                     const RequestContext&)>
       run_service_call;
 };
 
--- a/Services/Router/router.cc
+++ b/Services/Router/router.cc
@@ -33,6 +33,9 @@
 // moment.
 constexpr core::Duration kStopMargin = std::chrono::seconds(1);
 
+// Facts about endpoints are named by this and the endpoint's id.
+constexpr std::string_view kEndpointFactPrefix = "endpoint/";
+
 uint64_t WallMilliseconds() {
   const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
   return static_cast<uint64_t>(
@@ -139,6 +142,14 @@
       membership::GossipNode::Create(
           loop_, options,
           core::StableHash(settings_.host.value(), incarnation_), &events_));
+  pool_loads_ = std::make_unique<load::PoolLoadService>(
+      loop_, gossip_.get(), load::PoolLoadOptions());
+  facts_ = std::make_unique<membership::FactService>(
+      loop_, gossip_.get(), membership::FactOptions(),
+      core::StableHash(settings_.host.value(), incarnation_ + 1));
+  facts_->SetObserver([this](const std::string& key, const std::string& value) {
+    OnFact(key, value);
+  });
   UpdateSeeds();
   gossip_->OnChange(
       [this](const membership::MemberTableView&) { OnFleetChanged(); });
@@ -158,12 +169,11 @@
   context.answers = &answers_;
   context.settings = &settings_;
   context.pool_demand = [this](const core::PoolId& pool) {
-    return local_demand_[pool];
+    return pool_loads_->Total(pool);
   };
   context.report_condition = [this](const core::RunnerId& runner,
                                     EndpointCondition condition) {
-    directory_.SetCondition(runner.value(), condition,
-                            loop_->Now() + kConditionLifetime);
+    ShareCondition(runner, condition);
   };
   context.quarantine_verdict = [this](uint64_t digest) {
     return settings_.IsDisabled("quarantine")
@@ -248,8 +258,8 @@
   context.status = [this] { return StatusJson(); };
   context.run_service_call =
       [this](const std::shared_ptr<http::Exchange>& exchange,
-             RequestContext request) {
-        RunServiceCall(exchange, std::move(request));
+             const RequestContext& request) {
+        RunServiceCall(exchange, request);
       };
   front_ = std::make_unique<HttpFront>(std::move(context));
 }
@@ -331,6 +341,34 @@
   ledger_->Update();
 }
 
+void Router::ShareCondition(const core::RunnerId& runner,
+                            EndpointCondition condition) {
+  const core::TimePoint now = loop_->Now();
+  directory_.SetCondition(runner.value(), condition, now + kConditionLifetime);
+  SharedCondition& shared = shared_conditions_[runner];
+  // Owners repeat a condition with every poll; the fleet hears it in time to
+  // keep it from expiring.
+  if (shared.condition == condition &&
+      now - shared.shared_at < kConditionLifetime / 3) {
+    return;
+  }
+  shared = {condition, now};
+  (void)facts_->Set(std::string(kEndpointFactPrefix) + runner.value(),
+                    std::to_string(static_cast<int>(condition)),
+                    kConditionLifetime);
+}
+
+void Router::OnFact(const std::string& key, const std::string& value) {
+  const auto number = core::ParseNumber<int>(value);
+  if (!key.starts_with(kEndpointFactPrefix) || !number || *number < 0 ||
+      *number > static_cast<int>(EndpointCondition::kDown)) {
+    return;
+  }
+  directory_.SetCondition(key.substr(kEndpointFactPrefix.size()),
+                          static_cast<EndpointCondition>(*number),
+                          loop_->Now() + kConditionLifetime);
+}
+
 void Router::UpdateSeeds() {
   std::vector<core::SocketAddress> seeds = settings_.seeds;
   if (host_list_ != nullptr) {
@@ -360,7 +398,18 @@
 }
 
 void Router::ShareDemand() {
-  local_demand_ = owners_->LocalDemand();
+  const std::map<core::PoolId, routing::PoolDemand> demand =
+      owners_->LocalDemand();
+  for (const core::PoolId& pool : shared_pools_) {
+    if (!demand.contains(pool)) {
+      pool_loads_->RemoveLocal(pool);
+    }
+  }
+  shared_pools_.clear();
+  for (const auto& [pool, sum] : demand) {
+    pool_loads_->SetLocal(pool, sum);
+    shared_pools_.insert(pool);
+  }
 }
 
 void Router::FetchConfigurationFromPeers() {
@@ -492,7 +541,7 @@
 }
 
 void Router::RunServiceCall(const std::shared_ptr<http::Exchange>& exchange,
-                            RequestContext context) {
+                            const RequestContext& context) {
   if (!context.plain_service->is_repeatable) {
     RunLedgerCall(exchange, context);
     return;
--- a/Services/Router/router.h
+++ b/Services/Router/router.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "LibCore/event_loop.h"
@@ -14,6 +15,8 @@
 #include "LibHttp/server.h"
 #include "LibIntent/configuration_follower.h"
 #include "LibLink/link_node.h"
+#include "LibLoad/pool_load_service.h"
+#include "LibMembership/fact_service.h"
 #include "LibMembership/gossip_node.h"
 #include "LibPlatform/http_host_list_client.h"
 #include "LibPlatform/http_log_client.h"
@@ -49,6 +52,12 @@
   void BeginShutdown();
 
  private:
+  // What the fleet was last told of a runner.
+  struct SharedCondition {
+    EndpointCondition condition = EndpointCondition::kHealthy;
+    core::TimePoint shared_at;
+  };
+
   Router(core::EventLoop* loop, const RouterSettings& settings);
 
   absl::Status Start();
@@ -61,6 +70,9 @@
 
   void OnInboundCall(const std::shared_ptr<link::InboundCall>& call);
   void OnFleetChanged();
+  void ShareCondition(const core::RunnerId& runner,
+                      EndpointCondition condition);
+  void OnFact(const std::string& key, const std::string& value);
   void UpdateSeeds();
   void OnTick();
   void OnSlowTick();
@@ -79,7 +91,7 @@
                         const std::string& request_id,
                         const ledger::LedgerOutcome& outcome);
   void RunServiceCall(const std::shared_ptr<http::Exchange>& exchange,
-                      RequestContext context);
+                      const RequestContext& context);
 
   core::EventLoop* loop_;
   const RouterSettings settings_;
@@ -96,7 +108,10 @@
   std::shared_ptr<intent::ConfigurationFollower> configuration_;
   std::unique_ptr<link::LinkNode> link_;
   std::unique_ptr<membership::GossipNode> gossip_;
-  std::map<core::PoolId, routing::PoolDemand> local_demand_;
+  std::unique_ptr<load::PoolLoadService> pool_loads_;
+  std::set<core::PoolId> shared_pools_;
+  std::unique_ptr<membership::FactService> facts_;
+  std::map<core::RunnerId, SharedCondition> shared_conditions_;
   std::unique_ptr<HostListPoller> host_list_;
   std::unique_ptr<QuarantineController> quarantine_;
   std::unique_ptr<OwnerController> owners_;
