--- /dev/null
+++ b/Tests/Integration/whole_path_test.cc
@@ -0,0 +1,29 @@
+// The whole path without faults: every caller gets the whole answer to its own
+// request, and nothing runs twice.
+
+#include <catch2/catch.hpp>
+
+#include "Tests/Support/Scenario/scenario.h"
+
+namespace wasabi::support {
+namespace {
+
+TEST_CASE("a fleet without faults answers everything whole") {
+  auto scenario = Scenario::Create(SmallFleet());
+  INFO(scenario.status().ToString());
+  REQUIRE(scenario.ok());
+  REQUIRE((*scenario)->StartLoad({}).ok());
+  const auto result = (*scenario)->FinishLoad(std::chrono::seconds(60));
+  INFO(result.status().ToString());
+  REQUIRE(result.ok());
+  INFO(result->dump());
+  CHECK(result->at("requests") > 0);
+  CHECK(result->at("whole_answers") == result->at("requests"));
+  CHECK(result->at("wrong_answers") == 0);
+  CHECK(result->at("lost") == 0);
+  CHECK(result->at("doubled") == 0);
+  CHECK((*scenario)->fleet().Stop().ok());
+}
+
+}  // namespace
+}  // namespace wasabi::support
