Ledger: smaller modules, planned stops and stale reads in the random runs

PartitionController loses three jobs to classes of their own: CallTable (calls in progress and who waits), HeldCalls, StateFreshness (when a refusal may say that a key has not run).

A controller that closes answers every caller that still waits, and no longer starts to read if its search for the stream's start ends after Close. Reads are bounded by 4 s in place of 8 s, so that a silent connection does not outlast the settling of an append. A log that forgot records within the lifetime of their keys is reported.

--- a/Libraries/LibLedger/partition_controller.cc
+++ b/Libraries/LibLedger/partition_controller.cc
@@ -51,10 +51,16 @@
     : dependencies_(dependencies),
       options_(options),
       state_(options.key_lifetime),
+      calls_(dependencies.scheduler),
+      freshness_(options.freshness, dependencies.scheduler->Now()),
       open_backoff_(core::milliseconds(100), core::seconds(2), options.writer) {
 }
 
 PartitionController::~PartitionController() {
+  StopReadingAndWriting();
+}
+
+void PartitionController::StopReadingAndWriting() {
   if (follower_ != nullptr) {
     follower_->Stop();
   }
@@ -94,21 +100,20 @@
   };
   writer_ = GroupWriter::Create(dependencies_.log, dependencies_.scheduler,
                                 dependencies_.wall_clock, options, handlers);
-  last_tick_at_ = dependencies_.scheduler->Now();
   CallAfter(kTickInterval, &PartitionController::Tick);
   FindStart();
 }
 
 void PartitionController::FindStart() {
   const core::Duration reach =
-      options_.key_lifetime + 2 * options_.clock_tolerance;
+      options_.key_lifetime + 2 * options_.freshness.clock_tolerance;
   const int64_t oldest_ms =
       dependencies_.wall_clock() - core::ToMilliseconds(reach);
   StreamStartFinder::Find(
       dependencies_.log, StreamOf(options_.partition), oldest_ms,
       [weak = weak_from_this()](const absl::StatusOr<StreamStart>& start) {
         const auto it = weak.lock();
-        if (it == nullptr) {
+        if (it == nullptr || it->is_closing_) {
           return;
         }
         it->is_start_failing_ = !start.ok();
@@ -135,7 +140,7 @@
   handlers.on_forgotten = [this](Offset, Offset) { state_.NoteForgotten(); };
   handlers.on_event = [this](EventCode code, std::string_view detail) {
     if (code == EventCode::kPlatformUp) {
-      up_since_ = dependencies_.scheduler->Now();
+      freshness_.OnPlatformUp(dependencies_.scheduler->Now());
     }
     Report(code, "", detail);
   };
@@ -155,7 +160,7 @@
   if (follower_->next() < page.end) {
     return;
   }
-  pages_until_current_ = std::max(pages_until_current_ - 1, 0);
+  freshness_.OnCaughtUp();
   if (!is_open_ && follower_->next() >= open_at_) {
     BecomeOpen();
   }
@@ -172,7 +177,7 @@
   const uint64_t writer = group->stamp.writer;
   const core::TimePoint now = dependencies_.scheduler->Now();
   if (writer != options_.writer) {
-    NoteForeignWriter(group->wall_ms);
+    freshness_.OnForeignGroup(now, dependencies_.wall_clock(), group->wall_ms);
   }
   const auto visit = [this, writer](const LedgerRecord& it,
                                     RecordEffect effect) {
@@ -183,17 +188,6 @@
   }
 }
 
-void PartitionController::NoteForeignWriter(int64_t wall_ms) {
-  const int64_t tolerance_ms = core::ToMilliseconds(options_.clock_tolerance);
-  const int64_t age_ms = dependencies_.wall_clock() - wall_ms - tolerance_ms;
-  const core::TimePoint written_at =
-      dependencies_.scheduler->Now() -
-      core::milliseconds(std::max<int64_t>(age_ms, 0));
-  foreign_seen_at_ =
-      has_foreign_ ? std::max(foreign_seen_at_, written_at) : written_at;
-  has_foreign_ = true;
-}
-
 void PartitionController::OnEffect(const LedgerRecord& record,
                                    RecordEffect effect,
                                    uint64_t writer) {
@@ -222,16 +216,26 @@
   Report(EventCode::kPartitionOpened, "",
          fmt::format("partition={} next={} keys={}", options_.partition,
                      follower_->next(), state_.size()));
+  ReportShortRetention();
   const core::TimePoint now = dependencies_.scheduler->Now();
-  for (HeldCall& held : std::exchange(held_calls_, {})) {
+  for (HeldCall& held : held_calls_.TakeAll()) {
     held.call.deadline_ms = core::ToMilliseconds(held.deadline - now);
     Submit(held.call, std::move(held.callback));
   }
 }
 
+void PartitionController::ReportShortRetention() {
+  const int64_t reach_ms = core::ToMilliseconds(options_.key_lifetime);
+  if (state_.complete_since_ms() > dependencies_.wall_clock() - reach_ms) {
+    Report(EventCode::kRecordsForgotten, "",
+           fmt::format("partition={} complete_since_ms={}", options_.partition,
+                       state_.complete_since_ms()));
+  }
+}
+
 void PartitionController::Submit(const LedgerCall& call, Callback callback) {
   if (is_closing_) {
-    Answer(callback, ElsewhereOutcome());
+    calls_.Answer(callback, ElsewhereOutcome());
     return;
   }
   if (!is_open_) {
@@ -241,16 +245,16 @@
   const LedgerKey key = call.ledger_key();
   const KeyEntry* entry = state_.Find(key);
   if (entry != nullptr && !entry->HasContent(call.content_digest)) {
-    Answer(callback, MakeOutcome(ResultCode::kKeyReused));
+    calls_.Answer(callback, MakeOutcome(ResultCode::kKeyReused));
     return;
   }
   if (entry != nullptr && entry->is_final) {
-    Answer(callback, entry->outcome);
+    calls_.Answer(callback, entry->outcome);
     return;
   }
-  const auto it = calls_.find(key);
-  if (it != calls_.end()) {
-    Join(&it->second, call, std::move(callback));
+  CallInProgress* it = calls_.Find(key);
+  if (it != nullptr) {
+    Join(it, call, std::move(callback));
     return;
   }
   if (entry != nullptr) {
@@ -262,50 +266,40 @@
 
 void PartitionController::Hold(const LedgerCall& call, Callback callback) {
   if (is_start_failing_) {
-    Answer(callback, UnknownForNow());
+    calls_.Answer(callback, UnknownForNow());
     return;
   }
   const core::TimePoint now = dependencies_.scheduler->Now();
   const core::Duration deadline = core::milliseconds(call.deadline_ms);
   const core::Duration patience = std::min(deadline, options_.open_wait);
-  held_calls_.push_back(
-      {call, std::move(callback), now + deadline, now + patience});
+  held_calls_.Add({call, std::move(callback), now + deadline, now + patience});
   CallAfter(patience, &PartitionController::GiveUpHeldCalls);
 }
 
 void PartitionController::GiveUpHeldCalls() {
   // An earlier call with the same key may have run, which can't be known
   // before the stream is folded.
-  const core::TimePoint now = dependencies_.scheduler->Now();
-  std::vector<HeldCall> kept;
-  for (HeldCall& held : std::exchange(held_calls_, {})) {
-    if (held.give_up_at <= now) {
-      Answer(held.callback, UnknownForNow());
-    } else {
-      kept.push_back(std::move(held));
-    }
+  for (const HeldCall& held :
+       held_calls_.TakeDue(dependencies_.scheduler->Now())) {
+    calls_.Answer(held.callback, UnknownForNow());
   }
-  held_calls_ = std::move(kept);
 }
 
 void PartitionController::SubmitNew(const LedgerCall& call, Callback callback) {
   const ResultCode refusal = RefusalOf(call);
   if (refusal != ResultCode::kOk) {
-    Answer(callback, NotRunOutcome(refusal));
+    calls_.Answer(callback, NotRunOutcome(refusal));
     return;
   }
   if (IsTooOld(call.key)) {
-    Answer(callback, MakeOutcome(ResultCode::kOutcomeUnknown));
+    calls_.Answer(callback, MakeOutcome(ResultCode::kOutcomeUnknown));
     return;
   }
-  const LedgerKey key = call.ledger_key();
-  Call& it = calls_[key];
-  it.call = call;
-  it.attempt = next_attempt_++;
+  CallInProgress& it = calls_.AddAttempt(call);
   Join(&it, call, std::move(callback));
   LedgerRecord intent;
   intent.kind = LedgerRecordKind::kIntent;
-  intent.key = key;
+  intent.key = call.ledger_key();
   intent.attempt = it.attempt;
   intent.content_digest = call.content_digest;
   writer_->Add(std::move(intent));
@@ -328,7 +322,8 @@
   if (!created_ms) {
     return false;
   }
-  const int64_t tolerance_ms = core::ToMilliseconds(options_.clock_tolerance);
+  const int64_t tolerance_ms =
+      core::ToMilliseconds(options_.freshness.clock_tolerance);
   const int64_t lifetime_ms = core::ToMilliseconds(options_.key_lifetime);
   const int64_t age_ms = dependencies_.wall_clock() - *created_ms;
   return *created_ms - tolerance_ms < state_.complete_since_ms() ||
@@ -336,65 +331,56 @@
 }
 
 void PartitionController::Follow(const LedgerCall& call, Callback callback) {
-  const LedgerKey key = call.ledger_key();
-  Call& it = calls_[key];
-  it.call = call;
-  it.stage = Stage::kFollowing;
+  CallInProgress& it = calls_.Add(call, CallStage::kFollowing);
   Join(&it, call, std::move(callback));
-  CheckUnknownLater(key);
+  CheckUnknownLater(call.ledger_key());
 }
 
-void PartitionController::Join(Call* it,
+void PartitionController::Join(CallInProgress* it,
                                const LedgerCall& call,
                                Callback callback) {
   if (it->call.content_digest != call.content_digest) {
-    Answer(callback, MakeOutcome(ResultCode::kKeyReused));
+    calls_.Answer(callback, MakeOutcome(ResultCode::kKeyReused));
     return;
   }
   const bool is_answer_due =
-      it->stage == Stage::kRecording &&
+      it->stage == CallStage::kRecording &&
       dependencies_.scheduler->Now() >= it->ended_at + options_.record_wait;
   if (is_answer_due) {
-    Answer(callback, it->result);
+    calls_.Answer(callback, it->result);
     return;
   }
-  const uint64_t id = next_waiter_++;
-  it->waiters.push_back({id, std::move(callback)});
+  const uint64_t id = calls_.AddWaiter(it, std::move(callback));
   CallAfter(core::milliseconds(call.deadline_ms),
             &PartitionController::OnWaiterDeadline, call.ledger_key(), id);
 }
 
 void PartitionController::OnWaiterDeadline(const LedgerKey& key,
                                            uint64_t waiter_id) {
-  const auto it = calls_.find(key);
-  if (it == calls_.end()) {
+  CallInProgress* it = calls_.Find(key);
+  if (it == nullptr) {
     return;
   }
-  std::list<Waiter>& waiters = it->second.waiters;
-  const auto waiter = std::find_if(waiters.begin(), waiters.end(),
-                                   [waiter_id](const Waiter& candidate) {
-                                     return candidate.id == waiter_id;
-                                   });
-  if (waiter == waiters.end()) {
+  const std::optional<Callback> callback = calls_.TakeWaiter(it, waiter_id);
+  if (!callback) {
     return;
   }
-  const Callback callback = std::move(waiter->callback);
-  waiters.erase(waiter);
   const bool is_last_of_queued =
-      waiters.empty() && it->second.stage == Stage::kQueued;
-  if (is_last_of_queued && writer_->RemoveIntent(it->second.attempt)) {
-    Answer(callback, NotRunOutcome(ResultCode::kDeadlineTooShort));
-    Erase(key);
+      it->waiters.empty() && it->stage == CallStage::kQueued;
+  if (is_last_of_queued && writer_->RemoveIntent(it->attempt)) {
+    const LedgerOutcome outcome = NotRunOutcome(ResultCode::kDeadlineTooShort);
+    calls_.Answer(*callback, outcome);
+    calls_.Finish(key, outcome);
     return;
   }
-  Answer(callback,
-         MakeOutcome(ResultCode::kDeadlineExceeded, options_.retry_after));
+  calls_.Answer(*callback, MakeOutcome(ResultCode::kDeadlineExceeded,
+                                       options_.retry_after));
 }
 
 void PartitionController::OnIntentSent(const LedgerRecord& intent) {
-  Call* it = FindAttempt(intent.key, intent.attempt);
+  CallInProgress* it = calls_.FindAttempt(intent.key, intent.attempt);
   if (it != nullptr) {
-    it->stage = Stage::kAppending;
+    it->stage = CallStage::kAppending;
     it->sent_at = dependencies_.scheduler->Now();
     Report(EventCode::kIntentAppended, it->call.request_id.value(),
            intent.key.key);
@@ -403,19 +389,18 @@
 
 void PartitionController::OnIntentFailed(const LedgerRecord& intent,
                                          const absl::Status& status) {
-  Call* it = FindAttempt(intent.key, intent.attempt);
+  CallInProgress* it = calls_.FindAttempt(intent.key, intent.attempt);
   if (it == nullptr) {
     return;
   }
   if (core::CodeOf(status) == ResultCode::kPlatformUnavailable) {
-    AnswerWaiters(it, NotRunOutcome(ResultCode::kPlatformUnavailable));
-    Erase(intent.key);
+    calls_.Finish(intent.key, NotRunOutcome(ResultCode::kPlatformUnavailable));
     return;
   }
   // The intent may stand in the stream. A void settles the key: it counts if
   // the intent does not, and otherwise OnIntentWon ends the call as not run.
-  it->stage = Stage::kAbandoned;
-  AnswerWaiters(it, UnknownForNow());
+  it->stage = CallStage::kAbandoned;
+  calls_.AnswerWaiters(it, UnknownForNow());
   LedgerRecord record;
   record.kind = LedgerRecordKind::kVoid;
   record.key = intent.key;
@@ -424,14 +409,14 @@
 }
 
 void PartitionController::OnIntentWon(const LedgerRecord& intent) {
-  Call* it = FindAttempt(intent.key, intent.attempt);
+  CallInProgress* it = calls_.FindAttempt(intent.key, intent.attempt);
   if (it == nullptr) {
     return;
   }
   Report(EventCode::kIntentWon, it->call.request_id.value(), intent.key.key);
   const bool is_late =
       dependencies_.scheduler->Now() > it->sent_at + options_.dispatch_window;
-  if (it->stage == Stage::kAbandoned || it->waiters.empty() || is_late) {
+  if (it->stage == CallStage::kAbandoned || it->waiters.empty() || is_late) {
     Report(EventCode::kCallVoided, it->call.request_id.value(), intent.key.key);
     RecordEnd(intent.key, MakeOutcome(ResultCode::kNotRun));
     return;
@@ -440,34 +425,31 @@
 }
 
 void PartitionController::OnIntentLost(const LedgerRecord& intent) {
-  Call* it = FindAttempt(intent.key, intent.attempt);
+  CallInProgress* it = calls_.FindAttempt(intent.key, intent.attempt);
   if (it == nullptr) {
     return;
   }
   Report(EventCode::kIntentLost, it->call.request_id.value(), intent.key.key);
   const KeyEntry* entry = state_.Find(intent.key);
   if (!entry->HasContent(it->call.content_digest)) {
-    AnswerWaiters(it, MakeOutcome(ResultCode::kKeyReused));
-    Erase(intent.key);
+    calls_.Finish(intent.key, MakeOutcome(ResultCode::kKeyReused));
     return;
   }
   if (entry->is_final) {
-    AnswerWaiters(it, entry->outcome);
-    Erase(intent.key);
+    calls_.Finish(intent.key, entry->outcome);
     return;
   }
   if (is_closing_) {
-    AnswerWaiters(it, ElsewhereOutcome());
-    Erase(intent.key);
+    calls_.Finish(intent.key, ElsewhereOutcome());
     return;
   }
-  it->stage = Stage::kFollowing;
+  it->stage = CallStage::kFollowing;
   CheckUnknownLater(intent.key);
 }
 
 void PartitionController::Run(const LedgerKey& key) {
-  Call& it = calls_.at(key);
-  it.stage = Stage::kRunning;
+  CallInProgress& it = *calls_.Find(key);
+  it.stage = CallStage::kRunning;
   const uint64_t attempt = it.attempt;
   Report(EventCode::kCallDispatched, it.call.request_id.value(), key.key);
   dependencies_.dispatcher->Dispatch(
@@ -484,16 +466,16 @@
 void PartitionController::OnResult(const LedgerKey& key,
                                    uint64_t attempt,
                                    const DispatchResult& result) {
-  Call* it = FindAttempt(key, attempt);
-  if (it != nullptr && it->stage == Stage::kRunning) {
+  CallInProgress* it = calls_.FindAttempt(key, attempt);
+  if (it != nullptr && it->stage == CallStage::kRunning) {
     RecordEnd(key, OutcomeOf(result));
   }
 }
 
 void PartitionController::RecordEnd(const LedgerKey& key,
                                     const LedgerOutcome& outcome) {
-  Call& it = calls_.at(key);
-  it.stage = Stage::kRecording;
+  CallInProgress& it = *calls_.Find(key);
+  it.stage = CallStage::kRecording;
   it.result = outcome;
   it.ended_at = dependencies_.scheduler->Now();
   LedgerRecord record;
@@ -512,31 +494,31 @@
 
 void PartitionController::AnswerUnrecorded(const LedgerKey& key,
                                            uint64_t attempt) {
-  Call* it = FindAttempt(key, attempt);
-  if (it != nullptr && it->stage == Stage::kRecording) {
-    AnswerWaiters(it, it->result);
+  CallInProgress* it = calls_.FindAttempt(key, attempt);
+  if (it != nullptr && it->stage == CallStage::kRecording) {
+    calls_.AnswerWaiters(it, it->result);
   }
 }
 
 void PartitionController::OnEnded(const LedgerRecord& record, uint64_t writer) {
-  const LedgerOutcome& outcome = state_.Find(record.key)->outcome;
-  const auto it = calls_.find(record.key);
-  if (it == calls_.end()) {
+  const CallInProgress* it = calls_.Find(record.key);
+  if (it == nullptr) {
     return;
   }
-  Call& call = it->second;
-  const bool is_unknown = outcome.result_code() == ResultCode::kOutcomeUnknown;
+  const KeyEntry& entry = *state_.Find(record.key);
+  const bool is_unknown =
+      entry.outcome.result_code() == ResultCode::kOutcomeUnknown;
   Report(is_unknown ? EventCode::kOutcomeUnknown : EventCode::kOutcomeRecorded,
-         call.call.request_id.value(), record.key.key);
+         it->call.request_id.value(), record.key.key);
+  if (!entry.HasContent(it->call.content_digest)) {
+    calls_.Finish(record.key, MakeOutcome(ResultCode::kKeyReused));
+    return;
+  }
   const bool is_own_result = writer == options_.writer &&
                              record.kind == LedgerRecordKind::kDone &&
-                             call.stage == Stage::kRecording;
-  if (!state_.Find(record.key)->HasContent(call.call.content_digest)) {
-    AnswerWaiters(&call, MakeOutcome(ResultCode::kKeyReused));
-  } else {
-    AnswerWaiters(&call, is_own_result ? call.result : outcome);
-  }
-  Erase(record.key);
+                             it->stage == CallStage::kRecording;
+  const LedgerOutcome outcome = is_own_result ? it->result : entry.outcome;
+  calls_.Finish(record.key, outcome);
 }
 
 void PartitionController::CheckUnknownLater(const LedgerKey& key) {
@@ -547,19 +529,23 @@
 }
 
 void PartitionController::DeclareUnknown(const LedgerKey& key) {
-  const auto it = calls_.find(key);
+  const CallInProgress* it = calls_.Find(key);
   const KeyEntry* entry = state_.Find(key);
-  const bool is_pending = it != calls_.end() && entry != nullptr &&
-                          it->second.stage == Stage::kFollowing &&
+  const bool is_pending = it != nullptr && entry != nullptr &&
+                          it->stage == CallStage::kFollowing &&
                           !entry->is_final;
   if (!is_pending) {
     return;
   }
-  if (it->second.waiters.empty()) {
-    Erase(key);
+  if (it->waiters.empty()) {
+    calls_.Finish(key, UnknownForNow());
     return;
   }
-  if (!IsCurrent()) {
+  // Ends that other writers could not record in an outage come first.
+  const bool has_settled =
+      follower_->is_up() &&
+      freshness_.HasSettled(dependencies_.scheduler->Now());
+  if (!has_settled) {
     CallAfter(options_.settle_timeout, &PartitionController::DeclareUnknown,
               key);
     return;
@@ -570,14 +556,8 @@
   writer_->Add(std::move(record));
 }
 
-bool PartitionController::IsCurrent() const {
-  const core::TimePoint now = dependencies_.scheduler->Now();
-  return follower_->is_up() && pages_until_current_ == 0 &&
-         now >= up_since_ + options_.settle_timeout;
-}
-
 LedgerOutcome PartitionController::NotRunOutcome(ResultCode code) const {
-  if (MayHaveMissedRecords()) {
+  if (freshness_.MayHaveMissedRecords(dependencies_.scheduler->Now())) {
     return UnknownForNow();
   }
   return MakeOutcome(code, options_.retry_after);
@@ -591,45 +571,9 @@
   return MakeOutcome(ResultCode::kWrongOwner, options_.retry_after);
 }
 
-bool PartitionController::MayHaveMissedRecords() const {
-  const core::TimePoint now = dependencies_.scheduler->Now();
-  const bool is_paused = now > last_tick_at_ + options_.pause_threshold;
-  const bool has_other_owner =
-      has_foreign_ && now < foreign_seen_at_ + options_.foreign_quiet;
-  return !is_open_ || pages_until_current_ > 0 || is_paused || has_other_owner;
-}
-
-void PartitionController::Answer(const Callback& callback,
-                                 const LedgerOutcome& outcome) {
-  dependencies_.scheduler->CallAfter(
-      core::Duration::zero(), [callback, outcome] { callback(outcome); });
-}
-
-void PartitionController::AnswerWaiters(Call* it,
-                                        const LedgerOutcome& outcome) {
-  for (const Waiter& waiter : std::exchange(it->waiters, {})) {
-    Answer(waiter.callback, outcome);
-  }
-}
-
-void PartitionController::Erase(const LedgerKey& key) {
-  calls_.erase(key);
-}
-
-PartitionController::Call* PartitionController::FindAttempt(
-    const LedgerKey& key,
-    uint64_t attempt) {
-  const auto it = calls_.find(key);
-  const bool is_same = it != calls_.end() && it->second.attempt == attempt;
-  return is_same ? &it->second : nullptr;
-}
-
 void PartitionController::Tick() {
   const core::TimePoint now = dependencies_.scheduler->Now();
-  if (now > last_tick_at_ + options_.pause_threshold) {
-    pages_until_current_ = 2;
-  }
-  last_tick_at_ = now;
+  freshness_.OnTick(now);
   state_.Expire(now);
   if (is_closing_) {
     FinishClose();
@@ -641,18 +585,11 @@
   is_closing_ = true;
   on_closed_ = std::move(on_closed);
   close_deadline_ = dependencies_.scheduler->Now() + options_.close_timeout;
-  for (const HeldCall& held : std::exchange(held_calls_, {})) {
-    Answer(held.callback, ElsewhereOutcome());
-  }
-  std::vector<LedgerKey> followed;
-  for (auto& [key, call] : calls_) {
-    if (call.stage == Stage::kFollowing) {
-      AnswerWaiters(&call, ElsewhereOutcome());
-      followed.push_back(key);
-    }
+  for (const HeldCall& held : held_calls_.TakeAll()) {
+    calls_.Answer(held.callback, ElsewhereOutcome());
   }
-  for (const LedgerKey& key : followed) {
-    Erase(key);
+  for (const LedgerKey& key : calls_.KeysIn(CallStage::kFollowing)) {
+    calls_.Finish(key, ElsewhereOutcome());
   }
   CallAfter(core::Duration::zero(), &PartitionController::FinishClose);
 }
@@ -666,9 +603,10 @@
   if (!is_done && dependencies_.scheduler->Now() < close_deadline_) {
     return;
   }
-  if (follower_ != nullptr) {
-    follower_->Stop();
+  for (const LedgerKey& key : calls_.Keys()) {
+    calls_.Finish(key, UnknownForNow());
   }
+  StopReadingAndWriting();
   const auto on_closed = std::exchange(on_closed_, nullptr);
   on_closed();
 }
--- a/Libraries/LibLedger/partition_controller.h
+++ b/Libraries/LibLedger/partition_controller.h
@@ -28,21 +28,21 @@
 
 #include <cstdint>
 #include <functional>
-#include <list>
 #include <memory>
 #include <string>
 #include <string_view>
-#include <vector>
 
 #include "LibCore/event.h"
+#include "LibLedger/call_table.h"
 #include "LibLedger/dispatcher.h"
 #include "LibLedger/group_writer.h"
+#include "LibLedger/held_calls.h"
 #include "LibLedger/ledger_call.h"
 #include "LibLedger/partition_state.h"
+#include "LibLedger/state_freshness.h"
 #include "LibLedger/stream_start.h"
 #include "LibPlatform/log_follower.h"
 #include "LibPlatform/scheduler.h"
-#include "absl/container/node_hash_map.h"
 
 namespace wasabi::ledger {
 
@@ -59,7 +59,7 @@
   // How long an append without an answer is tried.
   core::Duration settle_timeout = core::seconds(5);
   // How long the log may hold a read.
-  core::Duration poll_wait = core::seconds(5);
+  core::Duration poll_wait = core::seconds(2);
   // Calls that arrive before the stream is folded wait this long.
   core::Duration open_wait = core::seconds(2);
   // A call is given up as unknown when it has run this long.
@@ -72,17 +72,12 @@
   core::Duration unknown_grace = core::seconds(25);
   // How long an answer waits for its record while the log fails.
   core::Duration record_wait = core::seconds(3);
-  // How long after a record of another writer this host assumes that there is
-  // another owner.
-  core::Duration foreign_quiet = core::seconds(30);
-  // A host whose timers were late by this much was paused and may have missed
-  // records.
-  core::Duration pause_threshold = core::seconds(1);
+  // When this host may say that a key has not run. The clock tolerance also
+  // applies to the lifetime of keys.
+  FreshnessOptions freshness;
   // Keys are forgotten after this time; a resend must come earlier. The log
   // must keep records for at least as long.
   core::Duration key_lifetime = std::chrono::hours(1);
-  // Allowance for differences between the wall clocks of the hosts.
-  core::Duration clock_tolerance = core::seconds(10);
   // Bounds of memory: keys of the partition, and calls that wait for a group.
   size_t max_keys = 200000;
   size_t max_queued = 5000;
@@ -111,7 +106,7 @@
 class PartitionController
     : public std::enable_shared_from_this<PartitionController> {
  public:
-  using Callback = std::function<void(const LedgerOutcome& outcome)>;
+  using Callback = LedgerCallback;
 
   static std::shared_ptr<PartitionController> Create(
       const PartitionDependencies& dependencies,
@@ -137,42 +132,6 @@
   size_t calls_in_progress() const { return calls_.size(); }
 
  private:
-  // Where the call of a key stands on this host.
-  enum class Stage {
-    kQueued,     // The intent waits for its group.
-    kAppending,  // The intent's group is on its way.
-    kAbandoned,  // The intent may be in the stream but must not be run.
-    kRunning,    // The dispatcher runs the call.
-    kRecording,  // The end is not read back yet.
-    kFollowing,  // Another writer's intent counts.
-  };
-
-  struct Waiter {
-    uint64_t id = 0;
-    Callback callback;
-  };
-
-  struct Call {
-    LedgerCall call;
-    Stage stage = Stage::kQueued;
-    uint64_t attempt = 0;
-    core::TimePoint sent_at;
-    core::TimePoint ended_at;
-    // The result in full, from kRecording on.
-    LedgerOutcome result;
-    std::list<Waiter> waiters;
-  };
-
-  // A call that arrived before the stream was folded.
-  struct HeldCall {
-    LedgerCall call;
-    Callback callback;
-    core::TimePoint deadline;
-    core::TimePoint give_up_at;
-  };
-
-  using Calls = absl::node_hash_map<LedgerKey, Call>;
-
   PartitionController(const PartitionDependencies& dependencies,
                       const PartitionOptions& options);
 
@@ -185,13 +144,15 @@
                 RecordEffect effect,
                 uint64_t writer);
   void BecomeOpen();
+  // Reports a log that has forgotten records within the lifetime of their keys.
+  void ReportShortRetention();
   void GiveUpHeldCalls();
 
   // Submitting.
   void Hold(const LedgerCall& call, Callback callback);
   void SubmitNew(const LedgerCall& call, Callback callback);
   void Follow(const LedgerCall& call, Callback callback);
-  void Join(Call* it, const LedgerCall& call, Callback callback);
+  void Join(CallInProgress* it, const LedgerCall& call, Callback callback);
   void OnWaiterDeadline(const LedgerKey& key, uint64_t waiter_id);
   bool IsTooOld(const std::string& key) const;
   core::ResultCode RefusalOf(const LedgerCall& call) const;
@@ -212,26 +173,18 @@
   // Another writer's call that does not end.
   void CheckUnknownLater(const LedgerKey& key);
   void DeclareUnknown(const LedgerKey& key);
-  // Whether the log has been readable for long enough that other writers could
-  // record what ended in an outage.
-  bool IsCurrent() const;
 
   // Answering.
   LedgerOutcome NotRunOutcome(core::ResultCode code) const;
   LedgerOutcome UnknownForNow() const;
   LedgerOutcome ElsewhereOutcome() const;
-  bool MayHaveMissedRecords() const;
-  void NoteForeignWriter(int64_t wall_ms);
-  void Answer(const Callback& callback, const LedgerOutcome& outcome);
-  void AnswerWaiters(Call* it, const LedgerOutcome& outcome);
-  void Erase(const LedgerKey& key);
 
   void Tick();
   void FinishClose();
+  void StopReadingAndWriting();
   void Report(core::EventCode code,
               std::string_view request_id,
               std::string_view detail);
-  Call* FindAttempt(const LedgerKey& key, uint64_t attempt);
   // Calls `method` with `arguments` after `delay`, if the controller lives.
   template <typename Method, typename... Arguments>
   void CallAfter(core::Duration delay, Method method, Arguments... arguments);
@@ -241,23 +194,14 @@
   PartitionState state_;
   std::shared_ptr<platform::LogFollower> follower_;
   std::shared_ptr<GroupWriter> writer_;
-  Calls calls_;
-  std::vector<HeldCall> held_calls_;
+  CallTable calls_;
+  HeldCalls held_calls_;
+  StateFreshness freshness_;
   platform::Backoff open_backoff_;
   platform::Offset open_at_ = 0;
-  uint64_t next_attempt_ = 1;
-  uint64_t next_waiter_ = 1;
-  core::TimePoint last_tick_at_;
-  core::TimePoint foreign_seen_at_;
-  bool has_foreign_ = false;
-  // When the log was last readable again after an outage.
-  core::TimePoint up_since_;
   bool is_open_ = false;
   // Whether the latest try to find the start of the stream failed.
   bool is_start_failing_ = false;
-  // Pages to read after a pause of the host until its state is current: the
-  // first may have been on its way since before the pause.
-  int pages_until_current_ = 0;
   bool is_closing_ = false;
   core::TimePoint close_deadline_;
   std::function<void()> on_closed_;
--- a/Libraries/LibPlatform/http_log_client.h
+++ b/Libraries/LibPlatform/http_log_client.h
@@ -16,7 +16,7 @@
   // Bounds an append from the connect to the whole answer.
   core::Duration append_timeout = core::seconds(2);
   // Bounds a read, in addition to the time it asks the log to wait.
-  core::Duration read_timeout = core::seconds(3);
+  core::Duration read_timeout = core::seconds(2);
   // Most records in one page; bounds the memory and the time that a page takes.
   int page_records = 100;
 };
--- a/Tests/LibLedger/ledger_world.cc
+++ b/Tests/LibLedger/ledger_world.cc
@@ -92,6 +92,12 @@
   StartHost(host);
 }
 
+void LedgerWorld::Replace(size_t host) {
+  hosts_[host].controller->Close([] {});
+  ended_.push_back(std::move(hosts_[host]));
+  StartHost(host);
+}
+
 core::ResultCode LedgerWorld::CodeOf(size_t submission) const {
   const std::optional<LedgerOutcome>& outcome =
       submissions_[submission].outcome;
--- a/Tests/LibLedger/ledger_world.h
+++ b/Tests/LibLedger/ledger_world.h
@@ -53,6 +53,8 @@
   void Resume(size_t host);
   // Ends the process on `host` without notice, and starts a new one.
   void Restart(size_t host);
+  // Closes the controller on `host`, and starts another that takes over.
+  void Replace(size_t host);
   void RunFor(core::Duration duration) { time_.RunFor(duration); }
 
   // The result code of a submission; kCallerGone while it is unanswered.
@@ -78,7 +80,8 @@
   FakeEndpoint endpoint_;
   PartitionOptions options_;
   std::vector<Host> hosts_;
-  // Parts of ended processes, which messages on their way still refer to.
+  // Parts of ended processes, which messages on their way still refer to, and
+  // of controllers that are closing.
   std::vector<Host> ended_;
   uint64_t next_writer_ = 1;
   std::vector<Submission> submissions_;
--- a/Tests/LibLedger/partition_controller_test.cc
+++ b/Tests/LibLedger/partition_controller_test.cc
@@ -262,6 +262,19 @@
         (2 * kGroups - 600) * 1000);
 }
 
+TEST_CASE("records that can't be parsed are passed over") {
+  LedgerWorld it(1, 1);
+  const std::string stream = StreamOf(0);
+  for (const std::string body : {"", "text", "AAAA", "{}"}) {
+    it.log().store().Append(stream, body);
+  }
+  it.Start();
+  it.RunFor(core::seconds(1));
+  const size_t call = it.Submit(0, "key", kDeadline);
+  it.RunFor(core::seconds(1));
+  CHECK(it.CodeOf(call) == ResultCode::kOk);
+}
+
 TEST_CASE("calls of one moment share their appends") {
   Fixture it(1);
   constexpr int kCalls = 400;
