HTTP server: refuse an address that is taken

Cause: MHD_OPTION_LISTENING_ADDRESS_REUSE sets SO_REUSEPORT, so that a second server on an address was accepted and the kernel shared its connections out among both.

The option is gone; libmicrohttpd's default is SO_REUSEADDR alone.

--- a/Libraries/LibHttp/server.cc
+++ b/Libraries/LibHttp/server.cc
@@ -161,8 +161,7 @@
       MHD_OPTION_CONNECTION_MEMORY_LIMIT, options_.connection_memory_bytes,
       MHD_OPTION_CONNECTION_TIMEOUT, options_.idle_timeout_seconds,
       MHD_OPTION_LISTEN_BACKLOG_SIZE, kListenBacklog,
-      MHD_OPTION_CONNECTION_LIMIT, kConnectionLimit,
-      MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
+      MHD_OPTION_CONNECTION_LIMIT, kConnectionLimit, MHD_OPTION_END);
   if (daemon_ == nullptr) {
     return core::MakeStatus(
         core::ResultCode::kCannotListen,
