Tests of the control daemon use the shared process harness

Tests/Control had a child process and a free address of its own, which stood twice since the fleet harness landed.

--- a/Tests/Control/control_fixture.cc
+++ b/Tests/Control/control_fixture.cc
@@ -2,17 +2,17 @@
 
 #include <signal.h>
 #include <stdlib.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <filesystem>
 #include <fstream>
+#include <sstream>
 #include <thread>
 
 #include "LibCore/text.h"
 #include "LibIntent/configuration_json.h"
+#include "Tests/Support/free_address.h"
 #include "Utilities/Wasabictl/control_client.h"
 
 namespace wasabi::control {
@@ -20,31 +20,25 @@
 namespace {
 
 constexpr auto kWaitLimit = std::chrono::seconds(20);
+constexpr auto kExitLimit = std::chrono::seconds(30);
 constexpr auto kPollPause = std::chrono::milliseconds(20);
 
-// An address of this process's own part of 127.0.0.0/8 with a free port.
-core::SocketAddress FreeAddress(int type = SOCK_STREAM) {
-  constexpr int kParts = 250;
-  static int count = 0;
-  const int process = getpid() % kParts;
-  const int number = 1 + count++ % kParts;
-  auto wanted = core::SocketAddress::Parse(
-      fmt::format("127.91.{}.{}:1", process, number));
-  sockaddr_in native = wanted->ToNative();
-  native.sin_port = 0;
-  const int descriptor = socket(AF_INET, type | SOCK_CLOEXEC, 0);
-  const bool is_bound = bind(descriptor, reinterpret_cast<sockaddr*>(&native),
-                             sizeof(native)) == 0;
-  REQUIRE(is_bound);
-  socklen_t size = sizeof(native);
-  getsockname(descriptor, reinterpret_cast<sockaddr*>(&native), &size);
-  close(descriptor);
-  return core::SocketAddress::FromNative(native);
+core::SocketAddress NextAddress() {
+  constexpr uint32_t kIndexes = 200;
+  static uint32_t index = 0;
+  return support::FreeAddress(support::LoopbackIp(index++ % kIndexes));
+}
+
+std::string ReadFile(const std::string& path) {
+  std::ifstream file(path);
+  std::stringstream text;
+  text << file.rdbuf();
+  return text.str();
 }
 
 }  // namespace
 
-ControlFixture::ControlFixture() : platform_address_(FreeAddress()) {
+ControlFixture::ControlFixture() : platform_address_(NextAddress()) {
   std::string pattern =
       (std::filesystem::temp_directory_path() / "wasabi-control-XXXXXX")
           .string();
@@ -56,27 +50,58 @@
   std::filesystem::remove_all(folder_);
 }
 
+ControlFixture::ChildPtr ControlFixture::StartServer(
+    const std::vector<std::string>& arguments,
+    const core::SocketAddress& address,
+    const std::string& health_target) {
+  std::vector<std::string> all = arguments;
+  all[0] = std::string(WASABI_BIN_DIR) + "/" + all[0];
+  auto process = support::ChildProcess::Start(all, folder_ + "/servers.log");
+  REQUIRE(process.ok());
+  REQUIRE(WaitUntil(
+      [&] { return !Http(address, "GET", health_target).is_null(); }));
+  return std::move(process).value();
+}
+
+CommandResult ControlFixture::RunProgram(
+    const std::vector<std::string>& arguments) {
+  std::vector<std::string> all = arguments;
+  all[0] = std::string(WASABI_BIN_DIR) + "/" + all[0];
+  const std::string path = WriteFile("output", "");
+  const auto process = support::ChildProcess::Start(all, path);
+  REQUIRE(process.ok());
+  CommandResult result;
+  const auto exit = (*process)->Wait(kExitLimit);
+  result.exit_status = exit ? exit->code : -1;
+  result.output = ReadFile(path);
+  return result;
+}
+
 void ControlFixture::StartPlatform() {
-  platform_ = std::make_unique<ChildProcess>(
-      "standin_platform",
-      std::vector<std::string>{"--address=" + platform_address_.ToString(),
-                               "--host_list_lag_ms=0"});
-  platform_->WaitForOutput("listening on");
+  platform_ = StartServer(
+      {"standin_platform", "--address=" + platform_address_.ToString(),
+       "--host_list_lag_ms=0"},
+      platform_address_, "/v1/hosts");
 }
 
 void ControlFixture::StartControl(int number, const std::string& extra) {
-  const core::SocketAddress http = FreeAddress();
+  const core::SocketAddress http = NextAddress();
   control_addresses_[number] = http;
   const std::string settings = fmt::format(
       "[host]\nid = entry-{}/control\ndata_centre = quito-1\n[listen]\n"
       "http = {}\nlink = {}\ngossip = {}\n[platform]\naddress = {}\n{}",
-      number, http.ToString(), FreeAddress().ToString(),
-      FreeAddress(SOCK_DGRAM).ToString(), platform_address_.ToString(), extra);
+      number, http.ToString(), NextAddress().ToString(),
+      NextAddress().ToString(), platform_address_.ToString(), extra);
   const std::string path =
       WriteFile(fmt::format("control-{}.ini", number), settings);
-  controls_[number] = std::make_unique<ChildProcess>(
-      "wasabi_control", std::vector<std::string>{"--settings=" + path});
-  controls_[number]->WaitForOutput("listening on");
+  controls_[number] = StartServer({"wasabi_control", "--settings=" + path},
+                                  http, "/v1/healthz");
+}
+
+int ControlFixture::StopControl(int number) {
+  controls_.at(number)->Signal(SIGTERM);
+  const auto exit = controls_.at(number)->Wait(kExitLimit);
+  return exit ? exit->code : -1;
 }
 
 void ControlFixture::KillControl(int number) {
@@ -86,15 +111,13 @@
 void ControlFixture::StartEngine(const std::string& id,
                                  const std::string& pool,
                                  bool checks_fencing) {
-  const core::SocketAddress address = FreeAddress();
+  const core::SocketAddress address = NextAddress();
   engine_addresses_[id] = address;
-  engines_[id] = std::make_unique<ChildProcess>(
-      "standin_engine",
-      std::vector<std::string>{
-          "--address=" + address.ToString(), "--id=" + id, "--pool=" + pool,
-          "--platform=" + platform_address_.ToString(), "--order_ms=100",
-          fmt::format("--check_fencing={}", checks_fencing)});
-  WaitUntil([&] { return !Http(address, "GET", "/v1/healthz").is_null(); });
+  engines_[id] = StartServer(
+      {"standin_engine", "--address=" + address.ToString(), "--id=" + id,
+       "--pool=" + pool, "--platform=" + platform_address_.ToString(),
+       "--order_ms=100", fmt::format("--check_fencing={}", checks_fencing)},
+      address, "/v1/healthz");
 }
 
 core::SocketAddress ControlFixture::EngineAddress(const std::string& id) const {
@@ -107,14 +130,10 @@
 
 CommandResult ControlFixture::Run(int number,
                                   const std::vector<std::string>& arguments) {
-  std::vector<std::string> all = {"--control=" +
-                                  ControlAddress(number).ToString()};
+  std::vector<std::string> all = {
+      "wasabictl", "--control=" + ControlAddress(number).ToString()};
   all.insert(all.end(), arguments.begin(), arguments.end());
-  ChildProcess process("wasabictl", all);
-  CommandResult result;
-  result.exit_status = process.WaitForExit();
-  result.output = process.output();
-  return result;
+  return RunProgram(all);
 }
 
 nlohmann::json ControlFixture::RunJson(int number,
--- a/Tests/Control/control_fixture.h
+++ b/Tests/Control/control_fixture.h
@@ -11,7 +11,7 @@
 #include <vector>
 
 #include "LibCore/socket_address.h"
-#include "Tests/Control/child_process.h"
+#include "Tests/Support/Fleet/child_process.h"
 
 namespace wasabi::control {
 
@@ -32,13 +32,16 @@
   void StartControl(int number, const std::string& extra = "");
   // Ends it without a shutdown.
   void KillControl(int number);
-  ChildProcess& control(int number) { return *controls_.at(number); }
+  // Asks the daemon to shut down; its exit code, or -1 where it does not exit.
+  int StopControl(int number);
   // Starts a stand-in engine that registers itself in `pool`.
   void StartEngine(const std::string& id,
                    const std::string& pool,
                    bool checks_fencing);
   core::SocketAddress EngineAddress(const std::string& id) const;
 
+  // Runs a program of the build to its end.
+  CommandResult RunProgram(const std::vector<std::string>& arguments);
   // Runs wasabictl against the control daemon `number`.
   CommandResult Run(int number, const std::vector<std::string>& arguments);
   // Runs it and reads its output as JSON.
@@ -65,14 +68,20 @@
   std::string WriteFile(const std::string& name, const std::string& text);
 
  private:
+  using ChildPtr = std::unique_ptr<support::ChildProcess>;
+
   core::SocketAddress ControlAddress(int number) const;
+  // Starts a program of the build and waits until it answers at `address`.
+  ChildPtr StartServer(const std::vector<std::string>& arguments,
+                       const core::SocketAddress& address,
+                       const std::string& health_target);
 
   std::string folder_;
   core::SocketAddress platform_address_;
-  std::unique_ptr<ChildProcess> platform_;
-  std::map<int, std::unique_ptr<ChildProcess>> controls_;
+  ChildPtr platform_;
+  std::map<int, ChildPtr> controls_;
   std::map<int, core::SocketAddress> control_addresses_;
-  std::map<std::string, std::unique_ptr<ChildProcess>> engines_;
+  std::map<std::string, ChildPtr> engines_;
   std::map<std::string, core::SocketAddress> engine_addresses_;
 };
 
--- a/Tests/Control/control_process_test.cc
+++ b/Tests/Control/control_process_test.cc
@@ -1,8 +1,6 @@
 // wasabi_control and wasabictl as real processes against the platform
 // stand-in.
 
-#include <signal.h>
-
 #include <catch2/catch.hpp>
 #include <string>
 #include <vector>
@@ -206,8 +204,8 @@
         fixture.Run(1, {"check-settings", path, "--for=control"});
     CHECK(result.exit_status == it.exit_status);
     CHECK_THAT(result.output, Catch::Contains(it.message));
-    ChildProcess daemon("wasabi_control", {"--settings=" + path});
-    CHECK(daemon.WaitForExit() == it.exit_status);
+    CHECK(fixture.RunProgram({"wasabi_control", "--settings=" + path})
+              .exit_status == it.exit_status);
   }
 }
 
@@ -248,8 +246,7 @@
   ControlFixture fixture;
   fixture.StartPlatform();
   fixture.StartControl(1);
-  fixture.control(1).Signal(SIGTERM);
-  CHECK(fixture.control(1).WaitForExit() == 0);
+  CHECK(fixture.StopControl(1) == 0);
 }
 
 }  // namespace
--- a/Tests/LibIntent/order_controller_test.cc
+++ b/Tests/LibIntent/order_controller_test.cc
@@ -277,7 +277,7 @@
       for (const OrderAction& action : controller_.Tick(now_)) {
         if (const auto* order = std::get_if<SendOrder>(&action)) {
           orders.push_back(*order);
-          states_[order->endpoint] = {order->state, true};
+          states_[order->endpoint] = {order->state, do_loads_finish_};
           controller_.OnOrderAnswered(now_, order->endpoint, answer);
         } else {
           Answer(action);
@@ -293,6 +293,8 @@
   void SetState(const std::string& endpoint, const EndpointState& state) {
     states_[endpoint] = state;
   }
+  // Whether orders finish loading at once; else they never do.
+  void SetLoads(bool do_finish) { do_loads_finish_ = do_finish; }
   // Reads of this endpoint get no answer; empty for none.
   void Mute(const std::string& endpoint) { muted_ = endpoint; }
   void Pause(core::Duration duration) { now_ += duration; }
@@ -321,6 +323,7 @@
   PoolMembers pools_;
   std::map<std::string, EndpointState> states_;
   std::string muted_;
+  bool do_loads_finish_ = true;
   FakeLog claims_;
 };
 
@@ -330,6 +333,19 @@
   CHECK(bench.Run(seconds(20)).empty());
 }
 
+TEST_CASE("a share of a pool loads at once, and at least one endpoint") {
+  struct Case {
+    int endpoints;
+    size_t loads;
+  };
+  for (const Case& it : {Case{9, 3}, Case{6, 2}, Case{2, 1}}) {
+    CAPTURE(it.endpoints);
+    Bench bench(it.endpoints);
+    bench.SetLoads(false);
+    CHECK(bench.Run(seconds(60)).size() == it.loads);
+  }
+}
+
 TEST_CASE("orders carry the offset of the holder's claim") {
   Bench bench(3);
   bench.AppendClaimOf("other");
