Control daemons are members of the fleet

wasabi_control joins by gossip, announces its applied offset, and counts on how many members a record is in force.

--- a/Services/Control/confirm_session.cc
+++ b/Services/Control/confirm_session.cc
@@ -26,6 +26,9 @@
                           int64_t offset) {
   InForceCount count;
   for (const membership::Member& member : table.members()) {
+    if (member.state == membership::MemberState::kLeaving) {
+      continue;
+    }
     ++count.total;
     if (member.applied_offset >= offset) {
       ++count.applied;
--- a/Services/Control/confirm_session.h
+++ b/Services/Control/confirm_session.h
@@ -29,7 +29,8 @@
   auto operator<=>(const InForceCount&) const = default;
 };
 
-// Counts the members of `table` whose applied offset reaches `offset`.
+// Counts the members of `table` whose applied offset reaches `offset`; those
+// that are leaving don't count.
 InForceCount CountInForce(const membership::MemberTable& table, int64_t offset);
 
 // The end of a confirmation.
--- a/Services/Control/control_daemon.cc
+++ b/Services/Control/control_daemon.cc
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <utility>
 
+#include "LibCore/hash.h"
 #include "LibCore/result_code.h"
 #include "LibCore/text.h"
 #include "LibCore/try.h"
@@ -80,12 +81,12 @@
 }
 
 absl::Status ControlDaemon::Start() {
-  fleet_ = std::make_unique<SingleMemberFleet>(MakeSelf(settings_));
+  TRY(StartGossip());
   TRY(StartLink());
   StartController();
   TRY(StartServer());
   follower_->AddObserver([this](const intent::ConfigurationView& view) {
-    fleet_->AnnounceAppliedOffset(view->revision);
+    gossip_->SetAppliedOffset(view->revision);
     UpdateOrders();
   });
   follower_->Start();
@@ -96,6 +97,16 @@
   return absl::OkStatus();
 }
 
+absl::Status ControlDaemon::StartGossip() {
+  membership::GossipOptions options;
+  options.self = MakeSelf(settings_);
+  TRY_ASSIGN(gossip_, membership::GossipNode::Create(loop_, std::move(options),
+                                                     core::StableHash(writer_),
+                                                     &events_));
+  gossip_->SetSeeds(settings_.seeds);
+  return absl::OkStatus();
+}
+
 absl::Status ControlDaemon::StartLink() {
   link::LinkOptions options;
   options.listen_address = settings_.link_address;
@@ -106,7 +117,7 @@
       link_,
       link::LinkNode::Create(
           loop_, options,
-          [this](uint32_t ip) { return fleet_->members()->HasIp(ip); },
+          [this](uint32_t ip) { return gossip_->table()->HasIp(ip); },
           [this](const std::shared_ptr<link::InboundCall>& call) {
             if (call->kind() == link::CallKind::kFetchConfiguration) {
               intent::AnswerFetchConfiguration(*follower_, call.get());
@@ -117,7 +128,7 @@
           }));
   catch_up_ = std::make_unique<intent::ConfigurationCatchUp>(
       loop_, link_.get(), follower_, settings_.host,
-      [this] { return fleet_->members(); });
+      [this] { return gossip_->table(); });
   return absl::OkStatus();
 }
 
@@ -132,15 +143,14 @@
   };
   orders_ = std::make_unique<OrderDriver>(std::move(orders), writer_,
                                           settings_.orders);
-  pool_watcher_ = std::make_unique<PoolWatcher>(loop_, &host_list_,
-                                                settings_.host_list_period,
-                                                [this] { UpdateOrders(); });
+  pool_watcher_ = std::make_unique<PoolWatcher>(
+      loop_, &host_list_, settings_.host_list_period, [this] { OnHostList(); });
 
   IntentApiContext context;
   context.confirm.loop = loop_;
   context.confirm.log = &log_;
   context.confirm.follower = follower_;
-  context.confirm.members = [this] { return fleet_->members(); };
+  context.confirm.members = [this] { return gossip_->table(); };
   context.confirm.confirm_timeout = settings_.confirm_timeout;
   context.confirm.in_force_timeout = settings_.in_force_timeout;
   context.events = &events_;
@@ -154,6 +164,8 @@
   api_ = std::make_unique<IntentApi>(
       std::move(context), IntentApiOptions{settings_.host.value(), writer_,
                                            settings_.plan_lifetime});
+  metrics_.Gauge("control_gossip_bytes_sent",
+                 [this] { return static_cast<double>(gossip_->bytes_sent()); });
   metrics_.Gauge("control_applied_offset", [this] {
     return static_cast<double>(follower_->applied_offset());
   });
@@ -171,11 +183,19 @@
   return absl::OkStatus();
 }
 
+void ControlDaemon::OnHostList() {
+  std::vector<core::SocketAddress> seeds = settings_.seeds;
+  seeds.insert(seeds.end(), pool_watcher_->entries().begin(),
+               pool_watcher_->entries().end());
+  gossip_->SetSeeds(seeds);
+  UpdateOrders();
+}
+
 void ControlDaemon::UpdateOrders() {
   intent::OrderController& controller = orders_->controller();
   controller.SetConfiguration(follower_->current());
   controller.SetPools(pool_watcher_->pools());
-  const membership::MemberTableView members = fleet_->members();
+  const membership::MemberTableView members = gossip_->table();
   std::set<core::PoolId> owned;
   for (const auto& [pool, endpoints] : pool_watcher_->pools()) {
     const membership::Member* owner =
@@ -193,7 +213,7 @@
 }
 
 size_t ControlDaemon::SnapshotRank() const {
-  const membership::MemberTableView members = fleet_->members();
+  const membership::MemberTableView members = gossip_->table();
   size_t rank = 0;
   for (const membership::Member* member : members->OwnersInOrder(
            kSnapshotDuty, membership::MemberRole::kControl)) {
@@ -237,7 +257,7 @@
   }
   is_stopping_ = true;
   events_.Record(EventCode::kProcessStopping, "", "");
-  fleet_->AnnounceLeaving();
+  gossip_->AnnounceLeaving();
   api_->BeginStop();
   server_->StopListening();
   link_->StopAccepting();
--- a/Services/Control/control_daemon.h
+++ b/Services/Control/control_daemon.h
@@ -14,10 +14,10 @@
 #include "LibIntent/configuration_exchange.h"
 #include "LibIntent/configuration_follower.h"
 #include "LibLink/link_node.h"
+#include "LibMembership/gossip_node.h"
 #include "LibPlatform/http_host_list_client.h"
 #include "LibPlatform/http_log_client.h"
 #include "Services/Control/control_settings.h"
-#include "Services/Control/fleet_view.h"
 #include "Services/Control/intent_api.h"
 #include "Services/Control/order_driver.h"
 #include "Services/Control/pool_watcher.h"
@@ -43,9 +43,12 @@
   ControlDaemon(core::EventLoop* loop, const ControlSettings& settings);
 
   absl::Status Start();
+  absl::Status StartGossip();
   absl::Status StartLink();
   absl::Status StartServer();
   void StartController();
+  // Hands the endpoints and the members on to those that act on them.
+  void OnHostList();
   void UpdateOrders();
   void OnTick();
   void AppendSnapshotIfDue();
@@ -62,7 +65,7 @@
   platform::HttpLogClient log_;
   platform::HttpHostListClient host_list_;
   std::shared_ptr<intent::ConfigurationFollower> follower_;
-  std::unique_ptr<FleetView> fleet_;
+  std::unique_ptr<membership::GossipNode> gossip_;
   std::unique_ptr<link::LinkNode> link_;
   std::unique_ptr<intent::ConfigurationCatchUp> catch_up_;
   std::unique_ptr<OrderDriver> orders_;
--- a/Tests/Control/control_fixture.cc
+++ b/Tests/Control/control_fixture.cc
@@ -43,6 +43,9 @@
       (std::filesystem::temp_directory_path() / "wasabi-control-XXXXXX")
           .string();
   folder_ = mkdtemp(pattern.data());
+  for (const int number : {1, 2}) {
+    gossip_addresses_[number] = NextAddress();
+  }
 }
 
 ControlFixture::~ControlFixture() {
@@ -89,9 +92,11 @@
   control_addresses_[number] = http;
   const std::string settings = fmt::format(
       "[host]\nid = entry-{}/control\ndata_centre = quito-1\n[listen]\n"
-      "http = {}\nlink = {}\ngossip = {}\n[platform]\naddress = {}\n{}",
+      "http = {}\nlink = {}\ngossip = {}\n[platform]\naddress = {}\n"
+      "[membership]\nseeds = {}\n{}",
       number, http.ToString(), NextAddress().ToString(),
-      NextAddress().ToString(), platform_address_.ToString(), extra);
+      gossip_addresses_.at(number).ToString(), platform_address_.ToString(),
+      gossip_addresses_.at(3 - number).ToString(), extra);
   const std::string path =
       WriteFile(fmt::format("control-{}.ini", number), settings);
   controls_[number] = StartServer({"wasabi_control", "--settings=" + path},
@@ -104,6 +109,10 @@
   return exit ? exit->code : -1;
 }
 
+void ControlFixture::SignalControl(int number, int signal_number) {
+  controls_.at(number)->Signal(signal_number);
+}
+
 void ControlFixture::KillControl(int number) {
   controls_.erase(number);
 }
@@ -194,6 +203,12 @@
   });
 }
 
+bool ControlFixture::WaitForMembers(int number, size_t members) {
+  return WaitUntil([&] {
+    return intent::MemberOf(Status(number), "members").size() == members;
+  });
+}
+
 bool ControlFixture::HasEvent(int number, const std::string& name) {
   const nlohmann::json answer =
       Http(ControlAddress(number), "GET", "/v1/events");
--- a/Tests/Control/control_fixture.h
+++ b/Tests/Control/control_fixture.h
@@ -27,9 +27,10 @@
   ~ControlFixture();
 
   void StartPlatform();
-  // Starts the control daemon of the given number; `extra` is added to its
-  // settings file.
+  // Starts the control daemon of the given number, 1 or 2; `extra` is added to
+  // its settings file.
   void StartControl(int number, const std::string& extra = "");
+  void SignalControl(int number, int signal_number);
   // Ends it without a shutdown.
   void KillControl(int number);
   // Asks the daemon to shut down; its exit code, or -1 where it does not exit.
@@ -61,6 +62,8 @@
   // The state of the daemon, as GET /v1/status tells it.
   nlohmann::json Status(int number);
   bool WaitForOffset(int number, int64_t offset);
+  // Waits until the daemon sees so many members.
+  bool WaitForMembers(int number, size_t members);
   // Whether the daemon has recorded an event of this name.
   bool HasEvent(int number, const std::string& name);
 
@@ -81,6 +84,8 @@
   ChildPtr platform_;
   std::map<int, ChildPtr> controls_;
   std::map<int, core::SocketAddress> control_addresses_;
+  // The gossip addresses of both control daemons, which are each other's seeds.
+  std::map<int, core::SocketAddress> gossip_addresses_;
   std::map<std::string, ChildPtr> engines_;
   std::map<std::string, core::SocketAddress> engine_addresses_;
 };
--- a/Tests/Control/control_process_test.cc
+++ b/Tests/Control/control_process_test.cc
@@ -1,6 +1,8 @@
 // wasabi_control and wasabictl as real processes against the platform
 // stand-in.
 
+#include <signal.h>
+
 #include <catch2/catch.hpp>
 #include <string>
 #include <vector>
@@ -23,6 +25,7 @@
 constexpr int kExitPlanExpired = 702 % 256;
 constexpr int kExitPlatformUnavailable = 306 % 256;
 constexpr int kExitLogWentBackwards = 602 % 256;
+constexpr int kExitNotInForceEverywhere = 705 % 256;
 constexpr int kExitAppendUncertain = 600 % 256;
 
 const std::string kSalazar =
@@ -51,11 +54,13 @@
   fixture.StartPlatform();
   fixture.StartControl(1);
   fixture.StartControl(2);
+  REQUIRE(fixture.WaitForMembers(1, 2));
   CHECK(fixture.Run(1, {"plan", kSalazar}).exit_status == 0);
   CHECK(BoundInForce(&fixture, 1) == 0);
-  CHECK(fixture.Run(1, {"apply", kSalazar, "--yes"}).exit_status == 0);
+  const CommandResult applied = fixture.Run(1, {"apply", kSalazar, "--yes"});
+  CHECK(applied.exit_status == 0);
+  CHECK_THAT(applied.output, Catch::Contains("in force on 2 of 2 hosts"));
   CHECK(BoundInForce(&fixture, 1) == 1.25);
-  CHECK(fixture.WaitForOffset(2, 0));
   CHECK(BoundInForce(&fixture, 2) == 1.25);
   CHECK_THAT(fixture.Run(2, {"apply", kSalazar, "--yes"}).output,
              Catch::Contains("nothing to change"));
@@ -161,6 +166,39 @@
   CHECK(fixture.HasEvent(2, "snapshot_loaded"));
 }
 
+TEST_CASE("a daemon that starts in an outage takes the state of its peers") {
+  ControlFixture fixture;
+  fixture.StartPlatform();
+  fixture.StartControl(1);
+  REQUIRE(fixture.Run(1, {"apply", kSalazar, "--yes"}).exit_status == 0);
+  REQUIRE(fixture.Run(1, {"confirm", fixture.Plan(1, BoundIntent(1.5))})
+              .exit_status == 0);
+  fixture.SetFaults(R"({"outage":true})");
+  fixture.StartControl(2);
+  CHECK(fixture.WaitForOffset(2, 1));
+  CHECK(BoundInForce(&fixture, 2) == 1.5);
+  CHECK(MemberOf(fixture.Status(2), "is_platform_up") == json(false));
+  fixture.SetFaults(R"({"outage":false})");
+  CHECK(fixture.WaitUntil([&] {
+    return fixture.Run(2, {"apply", kSalazar, "--yes"}).exit_status == 0;
+  }));
+}
+
+TEST_CASE("a host that does not follow is named") {
+  ControlFixture fixture;
+  fixture.StartPlatform();
+  fixture.StartControl(1, "[control]\nin_force_timeout_ms = 1000\n");
+  fixture.StartControl(2);
+  REQUIRE(fixture.WaitForMembers(1, 2));
+  fixture.SignalControl(2, SIGSTOP);
+  const CommandResult result = fixture.Run(1, {"apply", kSalazar, "--yes"});
+  CHECK(result.exit_status == kExitNotInForceEverywhere);
+  CHECK_THAT(result.output, Catch::Contains("in force on 1 of 2 hosts"));
+  CHECK_THAT(result.output, Catch::Contains("  entry-2/control"));
+  fixture.SignalControl(2, SIGCONT);
+  CHECK(fixture.WaitForOffset(2, 0));
+}
+
 TEST_CASE("bad input gets a numbered error and harms nobody") {
   ControlFixture fixture;
   fixture.StartPlatform();
