--- a/Tests/Control/control_fixture.h
+++ b/Tests/Control/control_fixture.h
@@ -11,7 +11,7 @@
 #include <vector>
 
 #include "LibCore/socket_address.h"
-#include "Tests/Control/child_process.h"
+#include "Tests/Support/Fleet/child_process.h"
 
 namespace wasabi::control {
 
@@ -27,18 +27,22 @@
   ~ControlFixture();
 
   void StartPlatform();
-  // Starts the control daemon of the given number; `extra` is added to its
-  // settings file.
+  // Starts the control daemon of the given number, 1 or 2; `extra` is added to
+  // its settings file.
   void StartControl(int number, const std::string& extra = "");
+  void SignalControl(int number, int signal_number);
   // Ends it without a shutdown.
   void KillControl(int number);
-  ChildProcess& control(int number) { return *controls_.at(number); }
+  // Asks the daemon to shut down; its exit code, or -1 where it does not exit.
+  int StopControl(int number);
   // Starts a stand-in engine that registers itself in `pool`.
   void StartEngine(const std::string& id,
                    const std::string& pool,
                    bool checks_fencing);
   core::SocketAddress EngineAddress(const std::string& id) const;
 
+  // Runs a program of the build to its end.
+  CommandResult RunProgram(const std::vector<std::string>& arguments);
   // Runs wasabictl against the control daemon `number`.
   CommandResult Run(int number, const std::vector<std::string>& arguments);
   // Runs it and reads its output as JSON.
@@ -58,6 +62,8 @@
   // The state of the daemon, as GET /v1/status tells it.
   nlohmann::json Status(int number);
   bool WaitForOffset(int number, int64_t offset);
+  // Waits until the daemon sees so many members.
+  bool WaitForMembers(int number, size_t members);
   // Whether the daemon has recorded an event of this name.
   bool HasEvent(int number, const std::string& name);
 
@@ -65,14 +71,22 @@
   std::string WriteFile(const std::string& name, const std::string& text);
 
  private:
+  using ChildPtr = std::unique_ptr<support::ChildProcess>;
+
   core::SocketAddress ControlAddress(int number) const;
+  // Starts a program of the build and waits until it answers at `address`.
+  ChildPtr StartServer(const std::vector<std::string>& arguments,
+                       const core::SocketAddress& address,
+                       const std::string& health_target);
 
   std::string folder_;
   core::SocketAddress platform_address_;
-  std::unique_ptr<ChildProcess> platform_;
-  std::map<int, std::unique_ptr<ChildProcess>> controls_;
+  ChildPtr platform_;
+  std::map<int, ChildPtr> controls_;
   std::map<int, core::SocketAddress> control_addresses_;
-  std::map<std::string, std::unique_ptr<ChildProcess>> engines_;
+  // The gossip addresses of both control daemons, which are each other's seeds.
+  std::map<int, core::SocketAddress> gossip_addresses_;
+  std::map<std::string, ChildPtr> engines_;
   std::map<std::string, core::SocketAddress> engine_addresses_;
 };
 
