--- a/Tests/Standins/workload_test.cc
+++ b/Tests/Standins/workload_test.cc
@@ -76,6 +76,23 @@
   }
 }
 
+TEST_CASE("answers change neither arrivals nor service calls") {
+  Workload answered(MakeExperiment(), "run");
+  Workload abandoned(MakeExperiment(), "run");
+  for (int i = 0; i < 200; ++i) {
+    const core::Duration now = core::milliseconds(10 * i);
+    REQUIRE(answered.TimeToNextTurn(now) == abandoned.TimeToNextTurn(now));
+    const ChatTurn first = answered.NextTurn(now);
+    const ChatTurn second = abandoned.NextTurn(now);
+    if (i == 0) {
+      CHECK(first == second);
+    }
+    answered.FinishTurn(first, "answer", now);
+    abandoned.AbandonTurn(second);
+    REQUIRE(answered.NextServiceCall() == abandoned.NextServiceCall());
+  }
+}
+
 TEST_CASE("a surge raises the rate and the share of its organisations") {
   constexpr int kArrivals = 20'000;
   struct Case {
--- a/Tests/Support/Engine/main.cc
+++ b/Tests/Support/Engine/main.cc
@@ -90,6 +90,8 @@
 }  // namespace wasabi::support
 
 int main(int argc, char** argv) {
+  // A peer that closes its connection must not end the process.
+  std::signal(SIGPIPE, SIG_IGN);
   gflags::SetUsageMessage("stand-in for a model engine");
   gflags::ParseCommandLineFlags(&argc, &argv, true);
   const absl::Status status = wasabi::support::RunEngine();
--- a/Tests/Support/FaultProxy/main.cc
+++ b/Tests/Support/FaultProxy/main.cc
@@ -44,6 +44,8 @@
 }  // namespace wasabi::support
 
 int main(int argc, char** argv) {
+  // A peer that closes its connection must not end the process.
+  std::signal(SIGPIPE, SIG_IGN);
   gflags::SetUsageMessage("proxy that plants faults in TCP and UDP links");
   gflags::ParseCommandLineFlags(&argc, &argv, true);
   const absl::Status status = wasabi::support::RunProxy();
--- a/Tests/Support/Fleet/fleet.cc
+++ b/Tests/Support/Fleet/fleet.cc
@@ -172,6 +172,11 @@
   return path;
 }
 
+pid_t Fleet::PidOf(const std::string& name) const {
+  const auto it = members_.find(name);
+  return it == members_.end() ? -1 : it->second.process->pid();
+}
+
 core::SocketAddress Fleet::AddressOf(const std::string& name) const {
   const auto it = members_.find(name);
   return it == members_.end() ? core::SocketAddress() : it->second.address;
@@ -364,6 +369,15 @@
                      place.addresses.http);
 }
 
+std::string Fleet::IntentFile() const {
+  if (options_.intent_text.empty()) {
+    return options_.source_folder + "/" + options_.deployment.intent_file;
+  }
+  std::string path = options_.work_folder + "/intent.ini";
+  std::ofstream(path) << options_.intent_text;
+  return path;
+}
+
 absl::Status Fleet::ApplyDeployment() {
   const std::string log = LogPath("wasabictl");
   TRY_ASSIGN(const std::unique_ptr<ChildProcess> process,
--- a/Tests/Support/Fleet/fleet.h
+++ b/Tests/Support/Fleet/fleet.h
@@ -57,6 +57,8 @@
   // Keeps the work folder after the end, for a look at the logs.
   void KeepWorkFolder() { keeps_work_folder_ = true; }
 
+  // The process id of a process; -1 where there is none of that name.
+  pid_t PidOf(const std::string& name) const;
   // The HTTP address of a process, past all proxies.
   core::SocketAddress AddressOf(const std::string& name) const;
   // Those of all processes whose name begins with `prefix`, in order.
@@ -98,6 +100,7 @@
                            const IniOverrides& overrides);
   absl::Status RegisterEntries();
   absl::Status ApplyDeployment();
+  std::string IntentFile() const;
   absl::Status WaitUntilServing();
   bool IsServing(const core::SocketAddress& router) const;
 
--- a/Tests/Support/Fleet/fleet_options.h
+++ b/Tests/Support/Fleet/fleet_options.h
@@ -39,6 +39,8 @@
   // removed after a run without failures.
   std::string work_folder;
   DeploymentProfile deployment;
+  // The text of an intent to apply in place of the deployment's file.
+  std::string intent_text;
   int entries = 3;
   int engines = 9;
   int services = 3;
--- a/Tests/Support/Service/main.cc
+++ b/Tests/Support/Service/main.cc
@@ -60,6 +60,8 @@
 }  // namespace wasabi::support
 
 int main(int argc, char** argv) {
+  // A peer that closes its connection must not end the process.
+  std::signal(SIGPIPE, SIG_IGN);
   gflags::SetUsageMessage("stand-in for a plain service");
   gflags::ParseCommandLineFlags(&argc, &argv, true);
   const absl::Status status = wasabi::support::RunService();
--- a/Utilities/Load/load_run.cc
+++ b/Utilities/Load/load_run.cc
@@ -65,8 +65,10 @@
 void LoadRun::OnTurnArrival() {
   // Arrivals keep to their own time line, so a late timer catches up.
   while (next_turn_ <= loop_->Now() && !has_ended_) {
-    StartTurn();
-    next_turn_ += workload_.TimeToNextTurn(Elapsed());
+    // The planned time, unlike the clock, is the same in every run of a seed.
+    const core::Duration planned = next_turn_ - start_;
+    StartTurn(planned);
+    next_turn_ += workload_.TimeToNextTurn(planned);
   }
   if (!has_ended_) {
     turn_timer_->StartOnce(next_turn_ - loop_->Now());
@@ -83,14 +85,14 @@
   }
 }
 
-void LoadRun::StartTurn() {
-  const ChatTurn turn = workload_.NextTurn(Elapsed());
+void LoadRun::StartTurn(core::Duration planned) {
+  const ChatTurn turn = workload_.NextTurn(planned);
   const std::string request_id =
       fmt::format("{}-request-{}", run_name_, next_request_++);
   ++open_calls_;
   ++open_streams_;
   records_.peak_streams = std::max(records_.peak_streams, open_streams_);
-  ChatCall::Start(&context_, turn, request_id, Elapsed(),
+  ChatCall::Start(&context_, turn, request_id, planned,
                   [this, turn](const ChatOutcome& outcome) {
                     if (outcome.ending == Ending::kAnswered) {
                       workload_.FinishTurn(turn, outcome.text, Elapsed());
--- a/Utilities/Load/load_run.h
+++ b/Utilities/Load/load_run.h
@@ -62,7 +62,7 @@
   core::Duration Elapsed() const { return loop_->Now() - start_; }
   void OnTurnArrival();
   void OnServiceArrival();
-  void StartTurn();
+  void StartTurn(core::Duration planned);
   void StartServiceCall();
   void SendServiceCall(const ServiceCallPlan& plan, size_t first_address);
   void OnWarmUpEnd();
--- a/Utilities/Load/main.cc
+++ b/Utilities/Load/main.cc
@@ -3,6 +3,7 @@
 
 #include <gflags/gflags.h>
 
+#include <csignal>
 #include <fstream>
 #include <iostream>
 #include <sstream>
@@ -121,6 +122,8 @@
 }  // namespace wasabi::load
 
 int main(int argc, char** argv) {
+  // A peer that closes its connection must not end the process.
+  std::signal(SIGPIPE, SIG_IGN);
   gflags::SetUsageMessage(
       "Sends the requests of an experiment to a fleet, checks every answer "
       "and prints the measures.\n"
--- a/Utilities/Load/workload.cc
+++ b/Utilities/Load/workload.cc
@@ -4,12 +4,43 @@
 #include <cmath>
 #include <utility>
 
+#include "LibCore/hash.h"
 #include "LibCore/text.h"
 
 namespace wasabi::load {
 
 using support::ChatMessage;
 
+namespace {
+
+// Seeds of the sources that decide different things.
+enum class Purpose : uint64_t {
+  kArrivals,
+  kTurns,
+  kPauses,
+  kServiceArrivals,
+  kServiceCalls,
+};
+
+core::RandomSource MakeSource(uint64_t seed, Purpose purpose) {
+  return core::RandomSource(
+      core::CombineHashes(seed, static_cast<uint64_t>(purpose)));
+}
+
+// The time to the next arrival of a Poisson process.
+core::Duration TimeToNext(double per_second, core::RandomSource* random) {
+  // 1 - Unit() is in (0, 1], so the logarithm is finite.
+  return core::FromSeconds(-std::log(1 - random->Unit()) / per_second);
+}
+
+uint32_t Pick(const Range& range, core::RandomSource* random) {
+  const auto spread = static_cast<uint64_t>(range.high - range.low + 1);
+  return static_cast<uint32_t>(range.low) +
+         static_cast<uint32_t>(random->Below(spread));
+}
+
+}  // namespace
+
 nlohmann::json BodyOf(const ChatTurn& turn) {
   nlohmann::json messages = nlohmann::json::array();
   for (const ChatMessage& message : turn.messages) {
@@ -23,32 +54,41 @@
 }
 
 Workload::Workload(const Experiment& experiment, std::string run)
-    : experiment_(experiment), run_(std::move(run)), random_(experiment.seed) {}
+    : experiment_(experiment),
+      run_(std::move(run)),
+      arrival_random_(MakeSource(experiment.seed, Purpose::kArrivals)),
+      turn_random_(MakeSource(experiment.seed, Purpose::kTurns)),
+      pause_random_(MakeSource(experiment.seed, Purpose::kPauses)),
+      service_arrival_random_(
+          MakeSource(experiment.seed, Purpose::kServiceArrivals)),
+      service_random_(MakeSource(experiment.seed, Purpose::kServiceCalls)) {}
 
 core::Duration Workload::TimeToNextTurn(core::Duration elapsed) {
-  return TimeToNext(RateAt(elapsed));
+  return TimeToNext(RateAt(elapsed), &arrival_random_);
 }
 
 core::Duration Workload::TimeToNextServiceCall() {
-  return TimeToNext(experiment_.service.calls_per_second);
+  return TimeToNext(experiment_.service.calls_per_second,
+                    &service_arrival_random_);
 }
 
 ChatTurn Workload::NextTurn(core::Duration elapsed) {
   const std::string name = PickChat(elapsed);
   Chat& chat = chats_.at(name);
   const ChatPattern& pattern = experiment_.chats;
-  const bool is_summary = random_.Unit() < pattern.summary_share;
+  const bool is_summary = turn_random_.Unit() < pattern.summary_share;
   ChatTurn turn;
   turn.chat = name;
   turn.organisation = chat.organisation;
   turn.model = pattern.model;
   turn.reusable_tokens = support::TokensOf(chat.history);
-  turn.max_tokens = std::max(1U, Pick(is_summary ? pattern.summary_answer_tokens
-                                                 : pattern.answer_tokens));
+  const Range& answer =
+      is_summary ? pattern.summary_answer_tokens : pattern.answer_tokens;
+  turn.max_tokens = std::max(1U, Pick(answer, &turn_random_));
   const Range& usual =
       chat.history.empty() ? pattern.first_prompt_tokens : pattern.turn_tokens;
   const uint32_t tokens =
-      Pick(is_summary ? pattern.summary_prompt_tokens : usual);
+      Pick(is_summary ? pattern.summary_prompt_tokens : usual, &turn_random_);
   turn.messages = chat.history;
   turn.messages.push_back({"user", MakeText(tokens)});
   return turn;
@@ -65,7 +105,7 @@
   chat.history = turn.messages;
   chat.history.push_back({"assistant", answer});
   const core::Duration pause =
-      core::milliseconds(Pick(experiment_.chats.pause_ms));
+      core::milliseconds(Pick(experiment_.chats.pause_ms, &pause_random_));
   returns_.emplace(elapsed + pause, turn.chat);
 }
 
@@ -74,13 +114,16 @@
 }
 
 ServiceCallPlan Workload::NextServiceCall() {
+  constexpr uint64_t kItems = 1000;
   ServiceCallPlan plan;
-  plan.organisation = PickOrganisation(core::Duration::zero());
+  plan.organisation =
+      PickOrganisation(core::Duration::zero(), &service_random_);
   plan.idempotency_key = fmt::format("{}-key-{}", run_, next_key_++);
-  plan.body = nlohmann::json({{"item", random_.Below(1000)},
+  plan.body = nlohmann::json({{"item", service_random_.Below(kItems)},
                               {"key", plan.idempotency_key}})
                   .dump();
-  plan.is_sent_twice = random_.Unit() < experiment_.service.resend_share;
+  plan.is_sent_twice =
+      service_random_.Unit() < experiment_.service.resend_share;
   return plan;
 }
 
@@ -119,12 +162,8 @@
                   : (1 - pattern.large_share) / small;
 }
 
-core::Duration Workload::TimeToNext(double per_second) {
-  // 1 - Unit() is in (0, 1], so the logarithm is finite.
-  return core::FromSeconds(-std::log(1 - random_.Unit()) / per_second);
-}
-
-std::string Workload::PickOrganisation(core::Duration elapsed) {
+std::string Workload::PickOrganisation(core::Duration elapsed,
+                                       core::RandomSource* random) const {
   const std::vector<std::string>& names = experiment_.organisations.names;
   const std::vector<std::string>& surging = experiment_.surge.organisations;
   std::vector<double> weights;
@@ -137,7 +176,7 @@
     weights.push_back(ShareOf(it) * factor);
     total += weights.back();
   }
-  double left = random_.Unit() * total;
+  double left = random->Unit() * total;
   for (size_t i = 0; i < names.size(); ++i) {
     left -= weights[i];
     if (left < 0) {
@@ -149,7 +188,7 @@
 
 std::string Workload::StartChat(core::Duration elapsed) {
   std::string name = fmt::format("{}-chat-{}", run_, next_chat_++);
-  chats_[name].organisation = PickOrganisation(elapsed);
+  chats_[name].organisation = PickOrganisation(elapsed, &turn_random_);
   return name;
 }
 
@@ -163,18 +202,12 @@
   return name;
 }
 
-uint32_t Workload::Pick(const Range& range) {
-  const auto spread = static_cast<uint64_t>(range.high - range.low + 1);
-  return static_cast<uint32_t>(range.low) +
-         static_cast<uint32_t>(random_.Below(spread));
-}
-
 std::string Workload::MakeText(uint32_t tokens) {
   std::string text;
   text.reserve(size_t{tokens} * support::kBytesPerToken);
   constexpr uint64_t kVariants = 0x1000;
   for (uint32_t i = 0; i < tokens; ++i) {
-    text += fmt::format("{:03x} ", random_.Below(kVariants));
+    text += fmt::format("{:03x} ", turn_random_.Below(kVariants));
   }
   return text;
 }
--- a/Utilities/Load/workload.h
+++ b/Utilities/Load/workload.h
@@ -81,16 +81,21 @@
   double RateAt(core::Duration elapsed) const;
   double ShareOfSurge() const;
   double ShareOf(const std::string& organisation) const;
-  core::Duration TimeToNext(double per_second);
-  std::string PickOrganisation(core::Duration elapsed);
+  std::string PickOrganisation(core::Duration elapsed,
+                               core::RandomSource* random) const;
   std::string StartChat(core::Duration elapsed);
   std::string PickChat(core::Duration elapsed);
-  uint32_t Pick(const Range& range);
   std::string MakeText(uint32_t tokens);
 
   const Experiment experiment_;
   const std::string run_;
-  core::RandomSource random_;
+  // Each decision has a source of its own, so that the times of answers don't
+  // change when requests arrive or what they are.
+  core::RandomSource arrival_random_;
+  core::RandomSource turn_random_;
+  core::RandomSource pause_random_;
+  core::RandomSource service_arrival_random_;
+  core::RandomSource service_random_;
   std::map<std::string, Chat> chats_;
   // Chats in a pause, by the time of their return.
   std::multimap<core::Duration, std::string> returns_;
