Settings: an INI line that is too long is an error

Cause: a list of eight seed addresses made wasabi_control report 'unknown key 22 in section [membership]': inih splits lines of 200 bytes and more without a word. Ruled out: raising the limit, which is compiled into Debian's library. The error now names the line and the limit; settings_line_test fails without the change.

--- a/Libraries/LibCore/settings.cc
+++ b/Libraries/LibCore/settings.cc
@@ -131,6 +131,26 @@
   return CheckValue(*spec, name, entry.section, entry.value);
 }
 
+// The parser splits longer lines without a word, which would turn the rest of a
+// value into a key.
+absl::Status CheckLineLengths(std::string_view text, const std::string& name) {
+  constexpr size_t kMaxLineBytes = INI_MAX_LINE - 2;
+  int number = 1;
+  while (!text.empty()) {
+    const size_t end = text.find('\n');
+    const size_t length = std::min(end, text.size());
+    if (length > kMaxLineBytes) {
+      return MakeStatus(ResultCode::kSettingsUnreadable,
+                        fmt::format("{}:{}: the line has {} bytes; allowed: {}",
+                                    name, number, length, kMaxLineBytes));
+    }
+    text = end == std::string_view::npos ? std::string_view()
+                                         : text.substr(end + 1);
+    ++number;
+  }
+  return absl::OkStatus();
+}
+
 }  // namespace
 
 absl::StatusOr<Settings> Settings::Load(
@@ -150,6 +170,7 @@
     std::string_view text,
     const std::string& name,
     const std::vector<SettingSpec>& schema) {
+  TRY(CheckLineLengths(text, name));
   std::vector<RawEntry> entries;
   const int bad_line = ini_parse_string(
       std::string(text).c_str(),
