--- a/Tests/Support/Fleet/fleet.cc
+++ b/Tests/Support/Fleet/fleet.cc
@@ -27,6 +27,8 @@
 constexpr core::Duration kTimeLineTimeout = std::chrono::seconds(20);
 // Lines of a failed process's log that go into the error.
 constexpr size_t kLogTailLines = 20;
+// Gossip spreads the rest; a line of an INI file has a limited length.
+constexpr size_t kMaxSeeds = 6;
 constexpr int kDataCentres = 3;
 
 std::string Numbered(std::string_view prefix, int number) {
@@ -69,7 +71,7 @@
 
 Fleet::~Fleet() {
   members_.clear();
-  if (owns_work_folder_ && !keeps_work_folder_) {
+  if (owns_work_folder_ && has_stopped_ && !keeps_work_folder_) {
     std::error_code ec;
     std::filesystem::remove_all(options_.work_folder, ec);
   }
@@ -118,6 +120,7 @@
        {"router-", "control-", "engine-", "service-", "proxy", "platform"}) {
     TRY(StopMembers(prefix));
   }
+  has_stopped_ = true;
   return absl::OkStatus();
 }
 
@@ -359,7 +362,7 @@
   place.addresses = daemons_.at(name);
   place.platform = PublicAddress("platform");
   for (const auto& [other, addresses] : daemons_) {
-    if (other != name) {
+    if (other != name && place.gossip_seeds.size() < kMaxSeeds) {
       place.gossip_seeds.push_back(addresses.gossip);
     }
   }
--- a/Tests/Support/Fleet/fleet.h
+++ b/Tests/Support/Fleet/fleet.h
@@ -54,7 +54,8 @@
   // folder and returns the path of the text.
   std::string CollectTimeLine();
 
-  // Keeps the work folder after the end, for a look at the logs.
+  // Keeps the work folder after the end, for a look at the logs; without Stop
+  // it is kept anyway.
   void KeepWorkFolder() { keeps_work_folder_ = true; }
 
   // The process id of a process; -1 where there is none of that name.
@@ -119,6 +120,8 @@
   FleetOptions options_;
   bool owns_work_folder_ = false;
   bool keeps_work_folder_ = false;
+  // All processes were stopped as they should, so no log is needed.
+  bool has_stopped_ = false;
   uint32_t next_ip_ = 0;
   core::SocketAddress proxy_control_;
   std::map<std::string, Member> members_;
