--- a/Tests/Support/Fleet/fleet.cc
+++ b/Tests/Support/Fleet/fleet.cc
@@ -11,6 +11,7 @@
 #include "LibCore/text.h"
 #include "LibCore/try.h"
 #include "Tests/Support/Fleet/http_probe.h"
+#include "Tests/Support/execution_log.h"
 #include "Tests/Support/free_address.h"
 #include "Tests/Support/http_replies.h"
 
@@ -114,6 +115,19 @@
                           name == "platform" ? "/v1/hosts" : "/v1/healthz");
 }
 
+bool Fleet::WaitUntilExecutions(size_t count, core::Duration timeout) const {
+  return WaitUntil(
+      [&] {
+        size_t executions = 0;
+        for (const std::string& path : ExecutionFiles()) {
+          const auto records = ReadExecutionFile(path);
+          executions += records.ok() ? records->size() : 0;
+        }
+        return executions >= count;
+      },
+      timeout);
+}
+
 absl::Status Fleet::Stop() {
   // Daemons go first, so that they find endpoints and platform in place.
   for (const char* prefix :
--- a/Tests/Support/Fleet/fleet.h
+++ b/Tests/Support/Fleet/fleet.h
@@ -41,6 +41,10 @@
   // Starts a process that has ended again, with its old arguments.
   absl::Status Restart(const std::string& name);
 
+  // Waits until the engines have executed at least `count` requests since the
+  // start of the fleet; false after `timeout`.
+  bool WaitUntilExecutions(size_t count, core::Duration timeout) const;
+
   // Ends all processes by SIGTERM, the daemons first, and checks that each
   // exits with code 0. Processes that a test ended itself are not checked.
   absl::Status Stop();
--- a/Utilities/Load/chat_call.cc
+++ b/Utilities/Load/chat_call.cc
@@ -70,7 +70,11 @@
 }
 
 void ChatCall::SendNext() {
-  if (outcome_.sends >= context_->caller.attempts || IsOutOfPatience()) {
+  // Reattachments are bounded by the caller's patience alone: a request that
+  // waits in a queue is silent for long without a fault.
+  const bool has_sends_left =
+      is_reattaching_ || outcome_.sends < context_->caller.attempts;
+  if (!has_sends_left || IsOutOfPatience()) {
     Finish(Ending::kNone, 0);
     return;
   }
@@ -83,7 +87,7 @@
       is_reattaching_ ? MakeReattachment() : MakePost();
   request.address = addresses_[next_address_++];
   request.needs_fresh_connection = needs_fresh_connection_;
-  ++outcome_.sends;
+  outcome_.sends += is_reattaching_ ? 0 : 1;
   reply_ = Reply();
   stream_ = EventStream();
   last_byte_ = context_->loop->Now();
--- a/Utilities/Load/outcome.h
+++ b/Utilities/Load/outcome.h
@@ -42,6 +42,7 @@
   uint32_t prompt_tokens = 0;
   uint32_t cached_tokens = 0;
   uint32_t reusable_tokens = 0;
+  // Sends of the request itself, reattachments left out.
   uint32_t sends = 0;
   uint32_t reattachments = 0;
   // From the start of the experiment to the arrival.
