--- a/Tests/Support/Fleet/fleet.cc
+++ b/Tests/Support/Fleet/fleet.cc
@@ -11,6 +11,7 @@
 #include "LibCore/text.h"
 #include "LibCore/try.h"
 #include "Tests/Support/Fleet/http_probe.h"
+#include "Tests/Support/execution_log.h"
 #include "Tests/Support/free_address.h"
 #include "Tests/Support/http_replies.h"
 
@@ -27,6 +28,8 @@
 constexpr core::Duration kTimeLineTimeout = std::chrono::seconds(20);
 // Lines of a failed process's log that go into the error.
 constexpr size_t kLogTailLines = 20;
+// Gossip spreads the rest; a line of an INI file has a limited length.
+constexpr size_t kMaxSeeds = 6;
 constexpr int kDataCentres = 3;
 
 std::string Numbered(std::string_view prefix, int number) {
@@ -69,7 +72,7 @@
 
 Fleet::~Fleet() {
   members_.clear();
-  if (owns_work_folder_ && !keeps_work_folder_) {
+  if (owns_work_folder_ && has_stopped_ && !keeps_work_folder_) {
     std::error_code ec;
     std::filesystem::remove_all(options_.work_folder, ec);
   }
@@ -112,12 +115,26 @@
                           name == "platform" ? "/v1/hosts" : "/v1/healthz");
 }
 
+bool Fleet::WaitUntilExecutions(size_t count, core::Duration timeout) const {
+  return WaitUntil(
+      [&] {
+        size_t executions = 0;
+        for (const std::string& path : ExecutionFiles()) {
+          const auto records = ReadExecutionFile(path);
+          executions += records.ok() ? records->size() : 0;
+        }
+        return executions >= count;
+      },
+      timeout);
+}
+
 absl::Status Fleet::Stop() {
   // Daemons go first, so that they find endpoints and platform in place.
   for (const char* prefix :
        {"router-", "control-", "engine-", "service-", "proxy", "platform"}) {
     TRY(StopMembers(prefix));
   }
+  has_stopped_ = true;
   return absl::OkStatus();
 }
 
@@ -172,6 +189,11 @@
   return path;
 }
 
+pid_t Fleet::PidOf(const std::string& name) const {
+  const auto it = members_.find(name);
+  return it == members_.end() ? -1 : it->second.process->pid();
+}
+
 core::SocketAddress Fleet::AddressOf(const std::string& name) const {
   const auto it = members_.find(name);
   return it == members_.end() ? core::SocketAddress() : it->second.address;
@@ -354,7 +376,7 @@
   place.addresses = daemons_.at(name);
   place.platform = PublicAddress("platform");
   for (const auto& [other, addresses] : daemons_) {
-    if (other != name) {
+    if (other != name && place.gossip_seeds.size() < kMaxSeeds) {
       place.gossip_seeds.push_back(addresses.gossip);
     }
   }
@@ -364,6 +386,15 @@
                      place.addresses.http);
 }
 
+std::string Fleet::IntentFile() const {
+  if (options_.intent_text.empty()) {
+    return options_.source_folder + "/" + options_.deployment.intent_file;
+  }
+  std::string path = options_.work_folder + "/intent.ini";
+  std::ofstream(path) << options_.intent_text;
+  return path;
+}
+
 absl::Status Fleet::ApplyDeployment() {
   const std::string log = LogPath("wasabictl");
   TRY_ASSIGN(const std::unique_ptr<ChildProcess> process,
--- a/Tests/Support/Fleet/fleet.h
+++ b/Tests/Support/Fleet/fleet.h
@@ -41,6 +41,10 @@
   // Starts a process that has ended again, with its old arguments.
   absl::Status Restart(const std::string& name);
 
+  // Waits until the engines have executed at least `count` requests since the
+  // start of the fleet; false after `timeout`.
+  bool WaitUntilExecutions(size_t count, core::Duration timeout) const;
+
   // Ends all processes by SIGTERM, the daemons first, and checks that each
   // exits with code 0. Processes that a test ended itself are not checked.
   absl::Status Stop();
@@ -54,9 +58,12 @@
   // folder and returns the path of the text.
   std::string CollectTimeLine();
 
-  // Keeps the work folder after the end, for a look at the logs.
+  // Keeps the work folder after the end, for a look at the logs; without Stop
+  // it is kept anyway.
   void KeepWorkFolder() { keeps_work_folder_ = true; }
 
+  // The process id of a process; -1 where there is none of that name.
+  pid_t PidOf(const std::string& name) const;
   // The HTTP address of a process, past all proxies.
   core::SocketAddress AddressOf(const std::string& name) const;
   // Those of all processes whose name begins with `prefix`, in order.
@@ -98,6 +105,7 @@
                            const IniOverrides& overrides);
   absl::Status RegisterEntries();
   absl::Status ApplyDeployment();
+  std::string IntentFile() const;
   absl::Status WaitUntilServing();
   bool IsServing(const core::SocketAddress& router) const;
 
@@ -116,6 +124,8 @@
   FleetOptions options_;
   bool owns_work_folder_ = false;
   bool keeps_work_folder_ = false;
+  // All processes were stopped as they should, so no log is needed.
+  bool has_stopped_ = false;
   uint32_t next_ip_ = 0;
   core::SocketAddress proxy_control_;
   std::map<std::string, Member> members_;
