The cost of a cache miss as a setting of each pool

At today's sizes a runner runs about three requests, so rounding makes the cap bite often, and a cold prefill (some 50 ms) is cheaper than most waits: chats moved on at every second turn. miss_cost_factor weighs a second of cold prefill against a second of waiting at the warm runner.

Both filter chains share one IdentifyFilter: two numbered the requests of a process independently, so that a chat and a service call could share an id.

--- a/Libraries/LibIntent/configuration.h
+++ b/Libraries/LibIntent/configuration.h
@@ -28,6 +28,9 @@
   int64_t max_running = 64;
   // Prefill speed for prompt tokens that are not cached, tokens per second.
   int64_t prefill_tokens_per_second = 8000;
+  // What a second of cold prefill counts against a second of waiting at the
+  // runner that has the chat's context; larger values favour cache reuse.
+  double miss_cost_factor = 1;
 
   auto operator<=>(const ModelPool&) const = default;
 };
--- a/Libraries/LibIntent/configuration_json.cc
+++ b/Libraries/LibIntent/configuration_json.cc
@@ -34,7 +34,8 @@
           {"strategy", it.strategy},
           {"load_bound", it.load_bound},
           {"max_running", it.max_running},
-          {"prefill_tokens_per_second", it.prefill_tokens_per_second}};
+          {"prefill_tokens_per_second", it.prefill_tokens_per_second},
+          {"miss_cost_factor", it.miss_cost_factor}};
 }
 
 json ToJson(const PlainService& it) {
@@ -88,6 +89,8 @@
   TRY(ReadMember(value, "max_running", &it->max_running));
   TRY(ReadMember(value, "prefill_tokens_per_second",
                  &it->prefill_tokens_per_second));
+  TRY(ReadMember(value, "miss_cost_factor", &it->miss_cost_factor));
+  TRY(CheckPositive(it->miss_cost_factor, "miss_cost_factor"));
   if (!std::isfinite(it->load_bound) || it->load_bound < 1) {
     return MakeTypeError("load_bound", "a number from 1 on");
   }
--- a/Libraries/LibIntent/intent.cc
+++ b/Libraries/LibIntent/intent.cc
@@ -80,6 +80,8 @@
        "Most requests that run on one runner at once."},
       {"model *", "prefill_tokens_per_second", SettingKind::kInteger, "8000", 1,
        kMaxTokensPerSecond, "Prefill speed for tokens that are not cached."},
+      {"model *", "miss_cost_factor", SettingKind::kReal, "1", 0.01, 1000,
+       "What a second of cold prefill counts against a second of waiting."},
       TextKey("service *", "pool", std::nullopt,
               "The pool of the service's endpoints."),
       {"service *", "is_repeatable", SettingKind::kBoolean, "false", 0, 0,
@@ -134,6 +136,7 @@
   it.max_running = settings.Integer(section, "max_running");
   it.prefill_tokens_per_second =
       settings.Integer(section, "prefill_tokens_per_second");
+  it.miss_cost_factor = settings.Real(section, "miss_cost_factor");
   return it;
 }
 
--- a/Libraries/LibRouting/runner_admission.cc
+++ b/Libraries/LibRouting/runner_admission.cc
@@ -157,12 +157,14 @@
                            std::max(1.0, policy.prefill_tokens_per_second));
 }
 
-// The time that prefilling the chat's prefix on a cold runner takes.
+// What it costs to prefill the chat's prefix on a cold runner, as a time that
+// may be waited instead.
 core::Duration RunnerAdmission::State::ColdCost(const WorkItem& item) const {
   if (!IsWarm(item)) {
     return core::Duration::zero();
   }
-  return PrefillTime(item.size.reusable_tokens);
+  const core::Duration prefill = PrefillTime(item.size.reusable_tokens);
+  return core::FromSeconds(core::ToSeconds(prefill) * policy.miss_cost_factor);
 }
 
 ServiceDemand RunnerAdmission::State::ServiceOf(const WorkItem& item) const {
--- a/Libraries/LibRouting/runner_admission.h
+++ b/Libraries/LibRouting/runner_admission.h
@@ -23,6 +23,9 @@
   uint32_t max_waiting = 256;
   // Speed of prefilling tokens that are not cached, tokens per second.
   double prefill_tokens_per_second = 8000;
+  // What a second of cold prefill counts against a second of waiting at the
+  // runner that has the chat's context; larger values favour cache reuse.
+  double miss_cost_factor = 1;
   // How long a pointer for a displaced chat is kept, and how many are.
   core::Duration pointer_lifetime = std::chrono::minutes(30);
   size_t max_pointers = 20000;
--- a/Services/Router/owner_controller.cc
+++ b/Services/Router/owner_controller.cc
@@ -173,6 +173,7 @@
       policy.max_running = static_cast<uint32_t>(settings.max_running);
       policy.prefill_tokens_per_second =
           static_cast<double>(settings.prefill_tokens_per_second);
+      policy.miss_cost_factor = settings.miss_cost_factor;
     }
   }
   return policy;
--- a/Services/Router/router.cc
+++ b/Services/Router/router.cc
@@ -219,16 +219,17 @@
 }
 
 void Router::StartFront() {
+  // Shared by both chains, since it numbers the requests of this process.
+  const auto identify =
+      std::make_shared<IdentifyFilter>(&settings_, incarnation_);
   chat_filters_ =
       std::make_unique<FilterChain>(std::vector<std::shared_ptr<Filter>>{
-          std::make_shared<IdentifyFilter>(&settings_, incarnation_),
-          std::make_shared<ParseChatFilter>(),
+          identify, std::make_shared<ParseChatFilter>(),
           std::make_shared<ResolveModelFilter>(),
           std::make_shared<OrganisationLimitFilter>(&rate_limiter_)});
   service_filters_ =
       std::make_unique<FilterChain>(std::vector<std::shared_ptr<Filter>>{
-          std::make_shared<IdentifyFilter>(&settings_, incarnation_),
-          std::make_shared<ResolveServiceFilter>(),
+          identify, std::make_shared<ResolveServiceFilter>(),
           std::make_shared<OrganisationLimitFilter>(&rate_limiter_)});
   session_context_.loop = loop_;
   session_context_.events = &events_;
