--- a/Libraries/LibLedger/call_table.cc
+++ b/Libraries/LibLedger/call_table.cc
@@ -9,6 +9,7 @@
   CallInProgress& it = calls_[call.ledger_key()];
   it.call = call;
   it.stage = stage;
+  body_bytes_ += call.body.size();
   return it;
 }
 
@@ -82,6 +83,7 @@
   CallInProgress* it = Find(key);
   if (it != nullptr) {
     AnswerWaiters(it, outcome);
+    body_bytes_ -= it->call.body.size();
     calls_.erase(key);
   }
 }
--- a/Libraries/LibLedger/call_table.h
+++ b/Libraries/LibLedger/call_table.h
@@ -67,6 +67,8 @@
   std::vector<LedgerKey> KeysIn(CallStage stage) const;
   size_t size() const { return calls_.size(); }
   bool empty() const { return calls_.empty(); }
+  // Bytes of the bodies of all calls in progress.
+  size_t body_bytes() const { return body_bytes_; }
 
   // Adds a waiter and returns its id.
   uint64_t AddWaiter(CallInProgress* call, LedgerCallback callback);
@@ -83,6 +85,7 @@
  private:
   platform::Scheduler* scheduler_;
   absl::node_hash_map<LedgerKey, CallInProgress> calls_;
+  size_t body_bytes_ = 0;
   uint64_t next_attempt_ = 1;
   uint64_t next_waiter_ = 1;
 };
--- a/Libraries/LibLedger/partition_controller.cc
+++ b/Libraries/LibLedger/partition_controller.cc
@@ -312,8 +312,10 @@
   if (!follower_->is_up() || writer_->is_backing_off()) {
     return ResultCode::kPlatformUnavailable;
   }
-  const bool is_full = writer_->queued() >= options_.max_queued ||
-                       state_.size() + calls_.size() >= options_.max_keys;
+  const bool is_full =
+      writer_->queued() >= options_.max_queued ||
+      state_.size() + calls_.size() >= options_.max_keys ||
+      calls_.body_bytes() + call.body.size() > options_.max_body_bytes;
   return is_full ? ResultCode::kOverloaded : ResultCode::kOk;
 }
 
--- a/Libraries/LibLedger/partition_controller.h
+++ b/Libraries/LibLedger/partition_controller.h
@@ -78,9 +78,11 @@
   // Keys are forgotten after this time; a resend must come earlier. The log
   // must keep records for at least as long.
   core::Duration key_lifetime = std::chrono::hours(1);
-  // Bounds of memory: keys of the partition, and calls that wait for a group.
+  // Bounds of memory: keys of the partition, calls that wait for a group, and
+  // bytes of the bodies of all calls in progress.
   size_t max_keys = 200000;
   size_t max_queued = 5000;
+  size_t max_body_bytes = 64U << 20U;
   // Larger bodies of answers are not recorded.
   size_t max_result_bytes = 64U << 10U;
   // The retry time of refusals.
--- a/Tests/LibLedger/partition_controller_test.cc
+++ b/Tests/LibLedger/partition_controller_test.cc
@@ -166,25 +166,29 @@
   std::string name;
   core::Duration deadline;
   size_t max_queued;
+  size_t max_body_bytes;
   ResultCode expected;
 };
 
 TEST_CASE("a refusal before the intent says that the call did not run") {
   const auto refusal = GENERATE(values<Refusal>({
-      {"late", core::Duration::zero(), 10, ResultCode::kDeadlineTooShort},
-      {"full", kDeadline, 0, ResultCode::kOverloaded},
+      {"late", core::Duration::zero(), 10, 100, ResultCode::kDeadlineTooShort},
+      {"full", kDeadline, 0, 100, ResultCode::kOverloaded},
       // The second group waits 100 ms for its turn.
-      {"queued", core::milliseconds(50), 10, ResultCode::kDeadlineTooShort},
+      {"queued", core::milliseconds(50), 10, 100,
+       ResultCode::kDeadlineTooShort},
+      {"large", kDeadline, 10, 3, ResultCode::kOverloaded},
   }));
   CAPTURE(refusal.name);
   LedgerWorld it(1, 1);
   it.options().max_queued = refusal.max_queued;
+  it.options().max_body_bytes = refusal.max_body_bytes;
   it.options().append_burst = 1;
   it.Start();
   it.RunFor(core::seconds(1));
   it.Submit(0, "first", kDeadline);
   it.RunFor(core::milliseconds(10));
-  const size_t call = it.Submit(0, "key", refusal.deadline);
+  const size_t call = it.Submit(0, "key", refusal.deadline, "body");
   it.RunFor(core::seconds(10));
   CHECK(it.CodeOf(call) == refusal.expected);
   CHECK(it.ExecutionsOf("key") == 0);
