A holder of orders that was frozen past its claim, as real processes

Two control daemons, one engine that checks the fencing number and one that ignores it. The holder is stopped with SIGSTOP, the other daemon takes over and brings a newer wanted state; after SIGCONT the old holder sends nothing.

--- a/Tests/Control/control_fixture.cc
+++ b/Tests/Control/control_fixture.cc
@@ -209,15 +209,14 @@
   });
 }
 
-bool ControlFixture::HasEvent(int number, const std::string& name) {
+int ControlFixture::CountEvents(int number, const std::string& name) {
   const nlohmann::json answer =
       Http(ControlAddress(number), "GET", "/v1/events");
+  int count = 0;
   for (const nlohmann::json& event : intent::MemberOf(answer, "events")) {
-    if (intent::MemberOf(event, "name") == nlohmann::json(name)) {
-      return true;
-    }
+    count += intent::MemberOf(event, "name") == nlohmann::json(name) ? 1 : 0;
   }
-  return false;
+  return count;
 }
 
 std::string ControlFixture::WriteFile(const std::string& name,
--- a/Tests/Control/control_fixture.h
+++ b/Tests/Control/control_fixture.h
@@ -64,8 +64,8 @@
   bool WaitForOffset(int number, int64_t offset);
   // Waits until the daemon sees so many members.
   bool WaitForMembers(int number, size_t members);
-  // Whether the daemon has recorded an event of this name.
-  bool HasEvent(int number, const std::string& name);
+  // How many events of this name the daemon has recorded.
+  int CountEvents(int number, const std::string& name);
 
   // Writes a file in the fixture's folder and returns its path.
   std::string WriteFile(const std::string& name, const std::string& text);
--- a/Tests/Control/control_process_test.cc
+++ b/Tests/Control/control_process_test.cc
@@ -143,7 +143,7 @@
               .exit_status == 0);
   fixture.TellPlatform("POST", "/faults/truncate/configuration?end=1");
   CHECK(fixture.WaitUntil(
-      [&] { return fixture.HasEvent(1, "log_went_backwards"); }));
+      [&] { return fixture.CountEvents(1, "log_went_backwards") > 0; }));
   CHECK(BoundInForce(&fixture, 1) == 1.5);
   CHECK(fixture.Run(1, {"confirm", fixture.Plan(1, BoundIntent(2))})
             .exit_status == kExitLogWentBackwards);
@@ -158,12 +158,12 @@
   REQUIRE(fixture.Run(1, {"confirm", fixture.Plan(1, BoundIntent(1.5))})
               .exit_status == 0);
   REQUIRE(fixture.WaitUntil(
-      [&] { return fixture.HasEvent(1, "snapshot_appended"); }));
+      [&] { return fixture.CountEvents(1, "snapshot_appended") > 0; }));
   fixture.TellPlatform("POST", "/faults/forget/configuration?before=2");
   fixture.StartControl(2);
   CHECK(fixture.WaitForOffset(2, 2));
   CHECK(BoundInForce(&fixture, 2) == 1.5);
-  CHECK(fixture.HasEvent(2, "snapshot_loaded"));
+  CHECK(fixture.CountEvents(2, "snapshot_loaded") > 0);
 }
 
 TEST_CASE("a daemon that starts in an outage takes the state of its peers") {
@@ -276,10 +276,65 @@
   fixture.Http(fixture.EngineAddress("runner-2"), "POST", "/v1/orders",
                R"({"model":"m","adapter":"","version":"1","role":"serving"})");
   CHECK(fixture.WaitUntil(
-      [&] { return fixture.HasEvent(1, "order_corrected"); }));
+      [&] { return fixture.CountEvents(1, "order_corrected") > 0; }));
   CHECK(fixture.WaitUntil([&] { return has_version("runner-2"); }));
 }
 
+// Confirms version `version` as the wanted state of both runners.
+void WantVersion(ControlFixture* fixture, int number, int version) {
+  for (const char* endpoint : {"runner-1", "runner-2"}) {
+    const std::string plan = fixture->Plan(
+        number, fmt::format("[intent]\nkind = wanted_state\nendpoint = {}\n"
+                            "model = m\nversion = {}\n",
+                            endpoint, version));
+    // A frozen host makes the answer kNotInForceEverywhere.
+    const int exit_status = fixture->Run(number, {"confirm", plan}).exit_status;
+    CHECK((exit_status == 0 || exit_status == kExitNotInForceEverywhere));
+  }
+}
+
+bool HaveVersion(ControlFixture* fixture, const std::string& version) {
+  for (const char* endpoint : {"runner-1", "runner-2"}) {
+    const json state =
+        fixture->Http(fixture->EngineAddress(endpoint), "GET", "/v1/orders");
+    if (MemberOf(state, "version") != json(version) ||
+        MemberOf(state, "applied") != json(true)) {
+      return false;
+    }
+  }
+  return true;
+}
+
+TEST_CASE("a holder that was frozen past its claim gives no old orders") {
+  const std::string settings =
+      "[control]\nin_force_timeout_ms = 100\n[orders]\nread_back_ms = 200\n";
+  ControlFixture fixture;
+  fixture.StartPlatform();
+  fixture.StartEngine("runner-1", "models", /*checks_fencing=*/true);
+  fixture.StartEngine("runner-2", "models", /*checks_fencing=*/false);
+  fixture.StartControl(1, settings);
+  fixture.StartControl(2, settings);
+  REQUIRE(fixture.WaitForMembers(1, 2));
+  REQUIRE(fixture.WaitForMembers(2, 2));
+  WantVersion(&fixture, 1, 2);
+  REQUIRE(fixture.WaitUntil([&] { return HaveVersion(&fixture, "2"); }));
+
+  const int holder = fixture.CountEvents(1, "order_sent") > 0 ? 1 : 2;
+  const int other = 3 - holder;
+  const int orders_before = fixture.CountEvents(holder, "order_sent");
+  fixture.SignalControl(holder, SIGSTOP);
+  REQUIRE(fixture.WaitForMembers(other, 1));
+  WantVersion(&fixture, other, 3);
+  REQUIRE(fixture.WaitUntil([&] { return HaveVersion(&fixture, "3"); }));
+
+  fixture.SignalControl(holder, SIGCONT);
+  REQUIRE(fixture.WaitForOffset(holder, 3));
+  REQUIRE(fixture.WaitForMembers(other, 2));
+  CHECK(fixture.CountEvents(holder, "order_sent") == orders_before);
+  CHECK(fixture.CountEvents(holder, "order_corrected") == 0);
+  CHECK(HaveVersion(&fixture, "3"));
+}
+
 TEST_CASE("SIGTERM shuts the daemon down after its answers") {
   ControlFixture fixture;
   fixture.StartPlatform();
