Decision bench: sizes off the hash table's doublings, and Advance

Cause: 1000, 4000 and 16000 entries hit the same load factor of the table, so that the slope looked exact (164.7 bytes at each).

--- a/Utilities/DecisionBench/state_cost.cc
+++ b/Utilities/DecisionBench/state_cost.cc
@@ -77,6 +77,22 @@
   admission.NotePointer(item.chat, core::RunnerId("runner-1"), kStart);
 }
 
+// One Advance over `waiting` requests that all have to go on waiting.
+StateCost MeasureAdvance(uint64_t waiting) {
+  constexpr uint64_t kCalls = 2000;
+  RunnerAdmission admission(
+      core::RunnerId("runner-0"),
+      {.max_running = 1, .max_waiting = static_cast<uint32_t>(waiting)});
+  for (uint64_t i = 0; i <= waiting; ++i) {
+    Offer(admission, MakeItem(i));
+  }
+  const auto begin = std::chrono::steady_clock::now();
+  for (uint64_t i = 0; i < kCalls; ++i) {
+    admission.Advance({}, kStart);
+  }
+  return {"advance", waiting, 0, NanosecondsSince(begin) / kCalls};
+}
+
 StateCost MeasureOrder(uint64_t runners) {
   constexpr uint64_t kOrders = 2000;
   std::vector<routing::RunnerView> views(runners);
@@ -98,16 +114,19 @@
 
 std::vector<StateCost> MeasureStateCosts() {
   std::vector<StateCost> costs;
-  for (const uint64_t count : {1000, 4000, 16000}) {
+  for (const uint64_t count : {1000, 3000, 10000, 30000}) {
     costs.push_back(MeasureAdmission("running_request", count,
                                      static_cast<uint32_t>(count), Offer));
   }
-  for (const uint64_t count : {1000, 4000, 16000}) {
+  for (const uint64_t count : {1000, 3000, 10000, 30000}) {
     costs.push_back(MeasureAdmission("waiting_request", count, 1, Offer));
   }
-  for (const uint64_t count : {5000, 20000, 80000}) {
+  for (const uint64_t count : {5000, 15000, 50000, 150000}) {
     costs.push_back(MeasureAdmission("pointer", count, 1, NotePointer));
   }
+  for (const uint64_t waiting : {16, 64, 256}) {
+    costs.push_back(MeasureAdvance(waiting));
+  }
   for (const uint64_t runners : {9, 85, 425, 850}) {
     costs.push_back(MeasureOrder(runners));
   }
