--- a/Libraries/LibRouting/bounded_hash_placement.cc
+++ b/Libraries/LibRouting/bounded_hash_placement.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
-#include "LibRouting/hash_order.h"
+#include "LibRouting/runner_order.h"
 
 namespace wasabi::routing {
 
--- a/Libraries/LibRouting/owners_placement.cc
+++ b/Libraries/LibRouting/owners_placement.cc
@@ -1,6 +1,6 @@
 #include "LibRouting/owners_placement.h"
 
-#include "LibRouting/hash_order.h"
+#include "LibRouting/runner_order.h"
 
 namespace wasabi::routing {
 
--- a/Libraries/LibRouting/plain_hash_placement.cc
+++ b/Libraries/LibRouting/plain_hash_placement.cc
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "LibRouting/hash_order.h"
+#include "LibRouting/runner_order.h"
 
 namespace wasabi::routing {
 
--- a/Libraries/LibRouting/hash_order.cc
+++ b/Libraries/LibRouting/runner_order.cc
@@ -1,4 +1,6 @@
-#include "LibRouting/hash_order.h"
+#include "LibRouting/runner_order.h"
+
+#include <utility>
 
 #include "LibCore/rendezvous.h"
 
@@ -29,4 +31,13 @@
   return available;
 }
 
+std::vector<size_t> ShuffledRunners(const std::vector<RunnerView>& runners,
+                                    core::RandomSource& random) {
+  std::vector<size_t> order = AvailableRunners(runners);
+  for (size_t i = order.size(); i > 1; --i) {
+    std::swap(order[i - 1], order[random.Below(i)]);
+  }
+  return order;
+}
+
 }  // namespace wasabi::routing
--- a/Libraries/LibRouting/hash_order.h
+++ b/Libraries/LibRouting/runner_order.h
@@ -1,12 +1,13 @@
-// The preference order that hashing gives a chat over the runners of a pool.
+// Orders of a pool's runners that the placement strategies share.
 
-#ifndef LIBROUTING_HASH_ORDER_H_
-#define LIBROUTING_HASH_ORDER_H_
+#ifndef LIBROUTING_RUNNER_ORDER_H_
+#define LIBROUTING_RUNNER_ORDER_H_
 
 #include <cstdint>
 #include <vector>
 
 #include "LibCore/identifier.h"
+#include "LibCore/random_source.h"
 #include "LibRouting/placement.h"
 
 namespace wasabi::routing {
@@ -22,6 +23,10 @@
 // Indices of the runners with a positive weight, in the order of `runners`.
 std::vector<size_t> AvailableRunners(const std::vector<RunnerView>& runners);
 
+// The same indices in a random order.
+std::vector<size_t> ShuffledRunners(const std::vector<RunnerView>& runners,
+                                    core::RandomSource& random);
+
 }  // namespace wasabi::routing
 
-#endif  // LIBROUTING_HASH_ORDER_H_
+#endif  // LIBROUTING_RUNNER_ORDER_H_
--- a/Utilities/DecisionBench/main.cc
+++ b/Utilities/DecisionBench/main.cc
@@ -78,8 +78,10 @@
 }
 
 int Run() {
-  if (FLAGS_runners == 0 || FLAGS_seconds <= FLAGS_warm_up_seconds) {
-    fmt::print(stderr, "--runners and --seconds beyond the warm-up needed\n");
+  if (FLAGS_runners < 2 || FLAGS_seconds <= FLAGS_warm_up_seconds) {
+    fmt::print(
+        stderr,
+        "--runners (two or more) and --seconds beyond the warm-up needed\n");
     return static_cast<int>(core::ResultCode::kUsage);
   }
   const SimulationOptions options = OptionsFromFlags();
--- a/Utilities/DecisionBench/pool_simulation.cc
+++ b/Utilities/DecisionBench/pool_simulation.cc
@@ -342,9 +342,7 @@
                                                     views_[runner].id, now_);
   }
   if (request.arrival >= measure_from_) {
-    const double mean = static_cast<double>(total_running_) /
-                        static_cast<double>(running_.size());
-    starts_above_bound_.Add(running_[runner] > CapAt(mean));
+    starts_above_bound_.Add(running_[runner] > CapAt(MeanRunning()));
     waited_.Add(request.has_waited);
     displaced_.Add(!is_home);
     waits_.push_back(core::ToSeconds(now_ - request.arrival));
@@ -432,22 +430,28 @@
   return std::clamp<double>(cap, 1, options_.max_running);
 }
 
+// Mean over the runners that take work.
+double PoolSimulation::MeanRunning() const {
+  uint64_t sum = total_running_;
+  size_t runners = running_.size();
+  if (left_runner_.has_value()) {
+    sum -= running_[*left_runner_];
+    --runners;
+  }
+  return static_cast<double>(sum) / static_cast<double>(runners);
+}
+
 void PoolSimulation::SampleLoad() {
   if (now_ < measure_from_) {
     return;
   }
-  double sum = 0;
   double most = 0;
-  double taking_work = 0;
   for (size_t i = 0; i < running_.size(); ++i) {
-    if (views_[i].weight <= 0) {
-      continue;
+    if (views_[i].weight > 0) {
+      most = std::max<double>(most, running_[i]);
     }
-    sum += running_[i];
-    most = std::max<double>(most, running_[i]);
-    ++taking_work;
   }
-  const double mean = sum / taking_work;
+  const double mean = MeanRunning();
   skews_.push_back(most / std::max(1.0, mean));
   const double excess = most - CapAt(mean);
   above_bound_.Add(excess > 0);
--- a/Utilities/DecisionBench/pool_simulation.h
+++ b/Utilities/DecisionBench/pool_simulation.h
@@ -168,6 +168,7 @@
 
   void PublishReports();
   void SampleLoad();
+  double MeanRunning() const;
   double CapAt(double mean) const;
   const routing::PoolDemand& LaggingDemand() const;
 
