A minimum cap, and a trend that ignores noise

With few requests per runner the bound itself costs most of the reuse, since ceil(1.25 x 1) = 2.

Ruled out: a minimum above 1 by default, since the promise is stated as ceil(bound x mean).

--- a/Libraries/LibRouting/demand_trend.cc
+++ b/Libraries/LibRouting/demand_trend.cc
@@ -29,9 +29,13 @@
                                  core::TimePoint now) const {
   // The part of the sum that is kept however steep the trend is.
   constexpr double kMinimumFactor = 0.5;
+  // The sum of few requests fluctuates by about its square root; a slope within
+  // that, per second, is not a trend.
+  constexpr double kNoise = 0.5;
+  const double noise = kNoise / std::sqrt(std::max(1.0, latest_.requests));
+  const double fall = std::min(0.0, slope_ + noise);
   const double age = core::ToSeconds(lag + (now - latest_change_));
-  const double factor =
-      std::clamp(1 + std::min(0.0, slope_) * age, kMinimumFactor, 1.0);
+  const double factor = std::clamp(1 + fall * age, kMinimumFactor, 1.0);
   PoolDemand estimate = latest_;
   estimate.requests *= factor;
   estimate.tokens *= factor;
--- a/Libraries/LibRouting/load_cap.cc
+++ b/Libraries/LibRouting/load_cap.cc
@@ -18,7 +18,7 @@
 }  // namespace
 
 bool LoadCap::Admits(const RunnerLoad& load) const {
-  if (load.requests == 0) {
+  if (load.requests < free_requests) {
     return true;
   }
   return load.requests < requests && load.tokens < tokens;
@@ -26,8 +26,9 @@
 
 LoadCap MakeLoadCap(const LoadCapInput& input) {
   const uint32_t limit = std::max(1U, input.max_running);
+  const uint32_t free_requests = std::clamp(input.minimum_cap, 1U, limit);
   if (input.pool.runners == 0) {
-    return {limit, std::numeric_limits<double>::infinity()};
+    return {limit, std::numeric_limits<double>::infinity(), free_requests};
   }
   const double runners = input.pool.runners;
   const double factor = input.load_bound * input.share / runners;
@@ -35,7 +36,8 @@
   const double tokens = std::max(input.pool.tokens, input.own.tokens);
   const double bounded =
       std::min<double>(CeilRequests(factor * requests), limit);
-  return {static_cast<uint32_t>(std::max(1.0, bounded)), factor * tokens};
+  const auto cap = std::max(free_requests, static_cast<uint32_t>(bounded));
+  return {cap, factor * tokens, free_requests};
 }
 
 }  // namespace wasabi::routing
--- a/Libraries/LibRouting/load_cap.h
+++ b/Libraries/LibRouting/load_cap.h
@@ -26,6 +26,8 @@
   // A request is admitted while the outstanding work is below this, so the
   // load ends at most one request's worth above it.
   double tokens = 0;
+  // Requests up to which neither limit applies.
+  uint32_t free_requests = 1;
 
   auto operator<=>(const LoadCap&) const = default;
 
@@ -37,6 +39,8 @@
 struct LoadCapInput {
   double load_bound = 1.25;
   uint32_t max_running = 1;
+  // Requests that a runner may run whatever the mean.
+  uint32_t minimum_cap = 1;
   // Share of the bound during slow start, in (0, 1].
   double share = 1;
   // Latest known demand on the pool; no runners when nothing is known yet.
@@ -45,8 +49,8 @@
   PoolDemand own;
 };
 
-// ceil(load_bound × mean) requests, at most max_running, and load_bound × mean
-// tokens. Without a known mean only max_running applies.
+// ceil(load_bound × mean) requests, between minimum_cap and max_running, and
+// load_bound × mean tokens. Without a known mean only max_running applies.
 LoadCap MakeLoadCap(const LoadCapInput& input);
 
 }  // namespace wasabi::routing
--- a/Libraries/LibRouting/runner_admission.cc
+++ b/Libraries/LibRouting/runner_admission.cc
@@ -116,6 +116,7 @@
 LoadCap RunnerAdmission::State::Cap(core::TimePoint now) const {
   return MakeLoadCap({.load_bound = policy.load_bound,
                       .max_running = policy.max_running,
+                      .minimum_cap = policy.minimum_cap,
                       .share = load_share,
                       .pool = trend.Estimate(policy.pool_lag, now),
                       .own = Demand(now)});
--- a/Libraries/LibRouting/runner_admission.h
+++ b/Libraries/LibRouting/runner_admission.h
@@ -28,6 +28,9 @@
   size_t max_pointers = 20000;
   // Age of the pool's sums when they arrive.
   core::Duration pool_lag = std::chrono::seconds(1);
+  // Requests that a runner may run whatever the mean. Above 1 it trades the
+  // bound of a pool with few requests per runner for cache reuse.
+  uint32_t minimum_cap = 1;
 
   auto operator<=>(const AdmissionPolicy&) const = default;
 };
--- a/Tests/LibRouting/runner_admission_test.cc
+++ b/Tests/LibRouting/runner_admission_test.cc
@@ -78,6 +78,20 @@
         row.expected);
 }
 
+TEST_CASE("the minimum cap holds whatever the mean, up to max_running") {
+  AdmissionPolicy policy;
+  policy.minimum_cap = 4;
+  policy.max_running = 6;
+  LoadedRunner runner(3, policy);
+  CHECK(runner.Offer(MakeItem("fourth"), Uniform(0.1, 1)) == Verdict::kRun);
+  CHECK(runner.Offer(MakeItem("fifth"), Uniform(0.1, 1)) == Verdict::kTryNext);
+  policy.minimum_cap = 100;
+  runner->SetPolicy(policy);
+  CHECK(runner.Offer(MakeItem("fifth"), Uniform(0.1, 1)) == Verdict::kRun);
+  CHECK(runner.Offer(MakeItem("sixth"), Uniform(0.1, 1)) == Verdict::kRun);
+  CHECK(runner.Offer(MakeItem("seventh"), Uniform(0.1, 1)) != Verdict::kRun);
+}
+
 struct WaitRow {
   const char* name;
   double prefill_tokens_per_second;
--- a/Utilities/DecisionBench/main.cc
+++ b/Utilities/DecisionBench/main.cc
@@ -18,6 +18,7 @@
 DEFINE_double(requests_per_second, 4900, "Arrivals outside the surge.");
 DEFINE_double(pause_seconds, 60, "Mean pause between two turns of a chat, s.");
 DEFINE_uint32(max_running, 256, "Most requests that run on one runner.");
+DEFINE_uint32(minimum_cap, 1, "Requests on a runner whatever the mean.");
 DEFINE_uint32(max_choices, 8, "Most runners tried for a request; 0: all.");
 DEFINE_double(service_seconds, 10, "Mean service time, s (lognormal).");
 DEFINE_double(prefill_tokens_per_second, 8000, "Prefill speed of a runner.");
@@ -44,6 +45,7 @@
   options.requests_per_second = FLAGS_requests_per_second;
   options.pause_seconds = FLAGS_pause_seconds;
   options.max_running = FLAGS_max_running;
+  options.minimum_cap = FLAGS_minimum_cap;
   options.max_choices = FLAGS_max_choices;
   options.service_seconds = FLAGS_service_seconds;
   options.prefill_tokens_per_second = FLAGS_prefill_tokens_per_second;
--- a/Utilities/DecisionBench/pool_simulation.cc
+++ b/Utilities/DecisionBench/pool_simulation.cc
@@ -82,7 +82,8 @@
       .max_running = options.max_running,
       .max_waiting = options.max_running,
       .prefill_tokens_per_second = options.prefill_tokens_per_second,
-      .pool_lag = options.report_lag};
+      .pool_lag = options.report_lag,
+      .minimum_cap = options.minimum_cap};
   for (uint32_t i = 0; i < options.runners; ++i) {
     const core::RunnerId id(fmt::format("runner-{}", i));
     views_.push_back({id, 1.0, 0});
--- a/Utilities/DecisionBench/pool_simulation.h
+++ b/Utilities/DecisionBench/pool_simulation.h
@@ -33,6 +33,7 @@
   double pause_seconds = 60;
   double load_bound = 1.25;
   uint32_t max_running = 256;
+  uint32_t minimum_cap = 1;
   // Most runners that are tried for a request; 0 means all.
   uint32_t max_choices = 8;
   // Mean and log-space deviation of the lognormal service times.
--- a/Utilities/DecisionBench/report.cc
+++ b/Utilities/DecisionBench/report.cc
@@ -83,6 +83,7 @@
           {"requests_per_second", options.requests_per_second},
           {"pause_seconds", options.pause_seconds},
           {"max_running", options.max_running},
+          {"minimum_cap", options.minimum_cap},
           {"max_choices", options.max_choices},
           {"service_seconds", options.service_seconds},
           {"service_deviation", options.service_deviation},
