Router: last choices, honest ledger refusals, ledger bytes apart

The ledger's records are counted apart from control traffic, since they grow with the calls that need them.

--- a/Services/Router/chat_session.cc
+++ b/Services/Router/chat_session.cc
@@ -21,6 +21,8 @@
 // Answers that broke off are first resumed on the runner that has the context.
 constexpr uint32_t kMaxSameRunnerRetries = 2;
 constexpr uint32_t kMaxCrashes = 2;
+// Times that the preference order is walked again after a last choice.
+constexpr uint32_t kMaxRestarts = 3;
 constexpr core::Duration kQuarantineRetryAfter = std::chrono::minutes(10);
 constexpr core::Duration kOverloadRetryAfter = std::chrono::seconds(1);
 // The owner ends a request at its deadline; the entry waits this much longer
@@ -176,7 +178,7 @@
   work.content_digest = request_.content_digest;
   work.remaining_ms = std::max<int64_t>(core::ToMilliseconds(remaining), 0);
   work.choice = choice;
-  work.is_last_choice = choice + 1 >= order_.size();
+  work.is_last_choice = IsLastChoice(runner);
   work.pointer_use = pointer_use_;
   work.attempt = attempt_;
   work.resume_from = record_->next_index();
@@ -186,6 +188,13 @@
   return work;
 }
 
+bool ChatSession::IsLastChoice(const core::RunnerId& runner) const {
+  return std::none_of(order_.begin(), order_.end(),
+                      [&](const core::RunnerId& it) {
+                        return it != runner && !excluded_runners_.contains(it);
+                      });
+}
+
 void ChatSession::OnStarted() {
   if (request_.chat.empty() || order_.empty() ||
       current_runner_ == order_.front()) {
@@ -205,10 +214,20 @@
 }
 
 void ChatSession::OnTryNext() {
+  const bool was_last_choice = IsLastChoice(current_runner_);
   excluded_runners_.insert(current_runner_);
   if (pointer_use_ == routing::PointerUse::kFollowed) {
     pointer_use_ = routing::PointerUse::kSkipped;
   }
+  if (was_last_choice && restarts_ < kMaxRestarts) {
+    // Only a runner that stopped taking work turns a last choice away; the
+    // others may have room by now.
+    ++restarts_;
+    excluded_runners_ = {current_runner_};
+    choice_ = 0;
+    RetryAfterBackoff();
+    return;
+  }
   TryCurrent();
 }
 
--- a/Services/Router/chat_session.h
+++ b/Services/Router/chat_session.h
@@ -63,6 +63,9 @@
                                      bool* is_forced) const;
   SubmitWork MakeWork(const core::RunnerId& runner, uint32_t choice) const;
 
+  // True where no other runner of the order is left to try.
+  bool IsLastChoice(const core::RunnerId& runner) const;
+
   void OnStarted();
   void OnTryNext();
   void OnFollowPointer(const core::RunnerId& runner);
@@ -93,6 +96,7 @@
   uint32_t host_retries_ = 0;
   uint32_t same_runner_retries_ = 0;
   uint32_t crashes_ = 0;
+  uint32_t restarts_ = 0;
   routing::PointerUse pointer_use_ = routing::PointerUse::kUnused;
   bool is_ended_ = false;
   std::shared_ptr<TrySink> current_try_;
--- a/Services/Router/router.cc
+++ b/Services/Router/router.cc
@@ -70,6 +70,7 @@
       events_(settings.host.value(), settings.event_capacity),
       data_client_(loop),
       control_client_(loop),
+      ledger_client_(loop),
       answers_(settings.answer_lifetime, settings.answer_memory_bytes) {}
 
 Router::~Router() {
@@ -83,6 +84,8 @@
   log_options.address = settings_.platform_address;
   log_client_ =
       std::make_unique<platform::HttpLogClient>(&control_client_, log_options);
+  ledger_log_client_ =
+      std::make_unique<platform::HttpLogClient>(&ledger_client_, log_options);
   host_list_client_ = std::make_unique<platform::HttpHostListClient>(
       &control_client_, settings_.platform_address);
   configuration_ =
@@ -207,7 +210,7 @@
   LedgerContext ledger_context;
   ledger_context.loop = loop_;
   ledger_context.events = &events_;
-  ledger_context.log = log_client_.get();
+  ledger_context.log = ledger_log_client_.get();
   ledger_context.link = link_.get();
   ledger_context.caller = service_caller_.get();
   ledger_context.self = settings_.host;
@@ -285,6 +288,13 @@
 
 void Router::RegisterGauges() {
   metrics_.Gauge("control_bytes_total", [this] { return ControlBytes(); });
+  metrics_.Gauge("ledger_bytes_total", [this] {
+    return static_cast<double>(ledger_client_.bytes_transferred());
+  });
+  metrics_.Gauge("gossip_bytes_total", [this] {
+    return static_cast<double>(gossip_->bytes_sent() +
+                               gossip_->bytes_received());
+  });
   metrics_.Gauge("owned_runners", [this] {
     return static_cast<double>(owners_->owned_runners());
   });
@@ -514,6 +524,7 @@
   call.content_digest = ledger::DigestOf(call.service, call.path, call.body);
   call.deadline_ms = core::ToMilliseconds(context.deadline - context.now);
   call.request_id = context.request;
+  call.trace_parent = context.trace_parent;
   ledger_->Submit(call, [this, exchange, request = context.request.value()](
                             const ledger::LedgerOutcome& outcome) {
     AnswerLedgerCall(exchange, request, outcome);
@@ -527,6 +538,14 @@
   events_.Record(code == ResultCode::kOk ? EventCode::kRequestAnswered
                                          : EventCode::kRequestFailed,
                  request_id, fmt::format("code={}", outcome.code));
+  if (code == ResultCode::kOk && !outcome.is_body_kept) {
+    RespondError(exchange,
+                 core::MakeStatus(ResultCode::kOffsetNotKept,
+                                  "the call ran; its answer was too large to "
+                                  "be kept for a resend"),
+                 request_id);
+    return;
+  }
   if (code == ResultCode::kOk) {
     RespondServiceAnswer(exchange, request_id, outcome.http_status,
                          outcome.body);
--- a/Services/Router/router.h
+++ b/Services/Router/router.h
@@ -101,9 +101,12 @@
   core::Metrics metrics_;
   http::Client data_client_;
   http::Client control_client_;
+  // Carries the ledger's records, which grow with the calls that need them.
+  http::Client ledger_client_;
   AnswerStore answers_;
   EndpointDirectory directory_;
   std::unique_ptr<platform::HttpLogClient> log_client_;
+  std::unique_ptr<platform::HttpLogClient> ledger_log_client_;
   std::unique_ptr<platform::HttpHostListClient> host_list_client_;
   std::shared_ptr<intent::ConfigurationFollower> configuration_;
   std::unique_ptr<link::LinkNode> link_;
--- a/Services/Router/router_settings.cc
+++ b/Services/Router/router_settings.cc
@@ -81,7 +81,7 @@
        kHourMs, "How long a finished answer can be fetched again."},
       {"limits", "answer_memory_mb", SettingKind::kInteger, "64", 1, 4096,
        "Memory for answers that can be fetched again, in MiB."},
-      {"endpoints", "load_poll_ms", SettingKind::kInteger, "250", 20, 10000,
+      {"endpoints", "load_poll_ms", SettingKind::kInteger, "500", 20, 10000,
        "Period of the load reports of owned runners, in milliseconds."},
       {"endpoints", "silence_ms", SettingKind::kInteger, "1500", 50, 600000,
        "A stream without data for this long is taken up on a fresh "
