Suspicions: no second opinion at half time; link test of a successor

The drain test had passed without the check for GOAWAY, because the listener was closed too; a successor at the same address shows the fresh connection.

--- a/Libraries/LibMembership/gossip_protocol.cc
+++ b/Libraries/LibMembership/gossip_protocol.cc
@@ -25,8 +25,6 @@
 constexpr int kMaxHealth = 3;
 // Suspicion time in probe periods, times the decimal logarithm of the members.
 constexpr double kSuspicionPeriods = 3;
-// Members that are asked about a suspicion at half of its time.
-constexpr int kSuspicionChecks = 2;
 // Fewer peers than this can't tell whether this member is isolated.
 constexpr size_t kMinPeersForIsolation = 4;
 constexpr int kIsolationPeriods = 3;
@@ -87,7 +85,6 @@
   } else if (IsIsolated(now)) {
     RestartSuspicions(now);
   }
-  CheckSuspicions(now);
   ExpireSuspicions(now);
   AdvanceProbe(now);
   PublishOffset(now);
@@ -357,22 +354,6 @@
   }
 }
 
-void GossipProtocol::CheckSuspicions(core::TimePoint now) {
-  std::vector<uint64_t> unchecked;
-  for (auto& [id_hash, suspicion] : suspicions_) {
-    if (!suspicion.is_checked && now >= suspicion.HalfTime() &&
-        unchecked.size() < kMaxWanted) {
-      suspicion.is_checked = true;
-      unchecked.push_back(id_hash);
-    }
-  }
-  for (int i = 0; i < kSuspicionChecks && !unchecked.empty(); ++i) {
-    if (const Member* peer = RandomPeer()) {
-      SendPull(peer->gossip_address, unchecked);
-    }
-  }
-}
-
 core::Duration GossipProtocol::SuspicionTime() const {
   const auto members = static_cast<double>(directory_.present().size());
   const double scale = std::max(1.0, std::log10(members));
--- a/Libraries/LibMembership/gossip_protocol.h
+++ b/Libraries/LibMembership/gossip_protocol.h
@@ -125,9 +125,6 @@
   struct Suspicion {
     core::TimePoint started_at{};
     core::TimePoint deadline{};
-    // Whether another member was asked for a refutation.
-    bool is_checked = false;
-
     core::TimePoint HalfTime() const {
       return started_at + (deadline - started_at) / 2;
     }
@@ -166,9 +163,6 @@
   // Suspicion.
   void Suspect(uint64_t id_hash, core::TimePoint now);
   void ExpireSuspicions(core::TimePoint now);
-  // Asks another member about those suspected for half of the time, in case a
-  // refutation has passed this member by.
-  void CheckSuspicions(core::TimePoint now);
   core::Duration SuspicionTime() const;
   // True when nothing was heard from any of several members, so that the fault
   // is more likely here than there.
--- a/Tests/LibLink/link_node_test.cc
+++ b/Tests/LibLink/link_node_test.cc
@@ -323,11 +323,34 @@
   CHECK(Wait(*Start(*client, server->address(), "y")) ==
         ResultCode::kPeerUnreachable);
   CHECK_FALSE(server->IsDrained());
+  // A successor at the address gets new calls over a connection of its own.
+  const auto successor = MakeNode("127.0.2.1", Echo, [&](LinkOptions& options) {
+    options.listen_address = server->address();
+  });
+  CHECK(Wait(*Start(*client, server->address(), "z")) == ResultCode::kOk);
+  CHECK_FALSE(first->code.has_value());
   Echo(inbound);
   CHECK(Wait(*first) == ResultCode::kOk);
   RunUntil([&] { return server->IsDrained(); });
 }
 
+TEST_CASE_METHOD(LoopFixture, "a peer that restarted is reached again") {
+  auto server = MakeNode("127.0.2.1", Echo);
+  const core::SocketAddress address = server->address();
+  const auto client = MakeNode("127.0.2.2", Echo);
+  CHECK(Wait(*Start(*client, address, "x")) == ResultCode::kOk);
+  server->StopAccepting();
+  server.reset();
+  server = MakeNode("127.0.2.1", Echo, [&](LinkOptions& options) {
+    options.listen_address = address;
+  });
+  // The old connection may be lost before or after the request is sent on it.
+  const ResultCode code = Wait(*Start(*client, address, "y"));
+  CHECK((code == ResultCode::kPeerSilent ||
+         code == ResultCode::kPeerUnreachable));
+  CHECK(Wait(*Start(*client, address, "z")) == ResultCode::kOk);
+}
+
 TEST_CASE_METHOD(LoopFixture, "Lamport stamps travel with calls") {
   core::EventRing client_ring("client", 16);
   core::EventRing server_ring("server", 16);
