--- a/Tests/LibLink/link_node_test.cc
+++ b/Tests/LibLink/link_node_test.cc
@@ -201,12 +201,19 @@
     options.max_message_bytes = 1000;
   };
   const auto ignore = [](LinkOptions&) {};
+  int handled = 0;
+  const auto echo = [&](const auto& call) {
+    ++handled;
+    Echo(call);
+  };
   const auto server =
-      MakeNode("127.0.2.1", Echo, server_limits ? limit : ignore);
+      MakeNode("127.0.2.1", echo, server_limits ? limit : ignore);
   const auto client =
       MakeNode("127.0.2.2", Echo, server_limits ? ignore : limit);
   CHECK(Wait(*Start(*client, server->address(), std::string(1001, 'x'))) ==
         ResultCode::kMalformedMessage);
+  // A request that is too large never reaches the handler.
+  CHECK(handled == (server_limits ? 0 : 1));
   CHECK(Wait(*Start(*client, server->address(), std::string(1000, 'x'))) ==
         ResultCode::kOk);
 }
