--- a/Tests/Support/Fleet/main.cc
+++ b/Tests/Support/Fleet/main.cc
@@ -5,7 +5,9 @@
 
 #include <chrono>
 #include <csignal>
+#include <fstream>
 #include <iostream>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -30,6 +32,11 @@
 DEFINE_string(router_settings,
               "",
               "settings of the routers, as SECTION.KEY=VALUE,…");
+DEFINE_string(strategy,
+              "",
+              "placement strategy in place of the intent's: owners, random, "
+              "least_reported, plain_hash or bounded_hash");
+DEFINE_string(load_bound, "", "load bound in place of the intent's");
 DEFINE_string(experiment, "", "experiment to run; hold the fleet when empty");
 DEFINE_string(load_flags, "", "flags for wasabi_load, separated by commas");
 DEFINE_int32(timeout_s, 900, "longest time of an experiment, seconds");
@@ -53,12 +60,35 @@
   return overrides;
 }
 
+// The text of the intent file at `path` with the flags' values for `strategy`
+// and `load_bound`.
+std::string MakeIntent(const std::string& path) {
+  const std::map<std::string, std::string> overrides = {
+      {"strategy", FLAGS_strategy}, {"load_bound", FLAGS_load_bound}};
+  std::ifstream file(path);
+  std::string text;
+  std::string line;
+  while (std::getline(file, line)) {
+    for (const auto& [key, value] : overrides) {
+      if (!value.empty() && line.starts_with(key + " =")) {
+        line = fmt::format("{} = {}", key, value);
+      }
+    }
+    text += line + "\n";
+  }
+  return text;
+}
+
 absl::StatusOr<FleetOptions> OptionsFromFlags() {
   FleetOptions options;
   options.binary_folder = FLAGS_binaries;
   options.source_folder = FLAGS_sources;
   options.work_folder = FLAGS_work_folder;
   TRY_ASSIGN(options.deployment, FindDeployment(FLAGS_deployment));
+  if (!FLAGS_strategy.empty() || !FLAGS_load_bound.empty()) {
+    options.intent_text =
+        MakeIntent(FLAGS_sources + "/" + options.deployment.intent_file);
+  }
   options.entries = FLAGS_entries;
   options.engines = FLAGS_engines;
   options.services = FLAGS_services;
