--- a/Tests/Support/Fleet/fleet.cc
+++ b/Tests/Support/Fleet/fleet.cc
@@ -397,13 +397,12 @@
 
 absl::Status Fleet::ApplyDeployment() {
   const std::string log = LogPath("wasabictl");
-  TRY_ASSIGN(const std::unique_ptr<ChildProcess> process,
-             ChildProcess::Start({options_.binary_folder + "/wasabictl",
-                                  "--control=" + JoinAddresses(controls()),
-                                  "--yes", "--operator_name=fleet", "apply",
-                                  options_.source_folder + "/" +
-                                      options_.deployment.intent_file},
-                                 log));
+  TRY_ASSIGN(
+      const std::unique_ptr<ChildProcess> process,
+      ChildProcess::Start({options_.binary_folder + "/wasabictl",
+                           "--control=" + JoinAddresses(controls()), "--yes",
+                           "--operator_name=fleet", "apply", IntentFile()},
+                          log));
   const std::optional<ProcessExit> exit = process->Wait(kApplyTimeout);
   if (!exit || *exit != ProcessExit{0, 0}) {
     return Failure(fmt::format("wasabictl apply failed: {}\n{}",
