--- a/Libraries/LibLedger/partition_controller.cc
+++ b/Libraries/LibLedger/partition_controller.cc
@@ -386,6 +386,9 @@
     it->sent_at = dependencies_.scheduler->Now();
     Report(EventCode::kIntentAppended, it->call.request_id.value(),
            intent.key.key);
+    if (!options_.awaits_read_back) {
+      Run(intent.key);
+    }
   }
 }
 
@@ -412,7 +415,7 @@
 
 void PartitionController::OnIntentWon(const LedgerRecord& intent) {
   CallInProgress* it = calls_.FindAttempt(intent.key, intent.attempt);
-  if (it == nullptr) {
+  if (it == nullptr || !options_.awaits_read_back) {
     return;
   }
   Report(EventCode::kIntentWon, it->call.request_id.value(), intent.key.key);
@@ -428,7 +431,7 @@
 
 void PartitionController::OnIntentLost(const LedgerRecord& intent) {
   CallInProgress* it = calls_.FindAttempt(intent.key, intent.attempt);
-  if (it == nullptr) {
+  if (it == nullptr || !options_.awaits_read_back) {
     return;
   }
   Report(EventCode::kIntentLost, it->call.request_id.value(), intent.key.key);
--- a/Libraries/LibLedger/partition_controller.h
+++ b/Libraries/LibLedger/partition_controller.h
@@ -87,6 +87,9 @@
   size_t max_result_bytes = 64U << 10U;
   // The retry time of refusals.
   core::Duration retry_after = core::milliseconds(500);
+  // Whether a call runs only after its intent was read back. Tests switch it
+  // off to see that the proofs notice; everything else needs it.
+  bool awaits_read_back = true;
   // Close finishes after this time even if records could not be appended.
   core::Duration close_timeout = core::seconds(15);
 };
--- a/Services/Router/ledger_controller.h
+++ b/Services/Router/ledger_controller.h
@@ -31,6 +31,8 @@
   link::Link* link = nullptr;
   ServiceCaller* caller = nullptr;
   core::HostId self;
+  // See ledger::PartitionOptions.
+  bool awaits_read_back = true;
   std::function<membership::MemberTableView()> members;
   std::function<intent::ConfigurationView()> configuration;
 };
--- a/Services/Router/router.cc
+++ b/Services/Router/router.cc
@@ -211,6 +211,7 @@
   ledger_context.link = link_.get();
   ledger_context.caller = service_caller_.get();
   ledger_context.self = settings_.host;
+  ledger_context.awaits_read_back = !settings_.IsDisabled("ledger_read_back");
   ledger_context.members = [this] { return gossip_->table(); };
   ledger_context.configuration = [this] { return configuration_->current(); };
   ledger_ = std::make_unique<LedgerController>(
@@ -543,7 +544,8 @@
 
 void Router::RunServiceCall(const std::shared_ptr<http::Exchange>& exchange,
                             const RequestContext& context) {
-  if (!context.plain_service->is_repeatable) {
+  if (!context.plain_service->is_repeatable &&
+      !settings_.IsDisabled("ledger")) {
     RunLedgerCall(exchange, context);
     return;
   }
--- a/Tests/Support/Scenario/scenario.cc
+++ b/Tests/Support/Scenario/scenario.cc
@@ -3,6 +3,7 @@
 #include <unistd.h>
 
 #include <array>
+#include <cstdlib>
 #include <fstream>
 #include <sstream>
 
@@ -70,6 +71,9 @@
     options.deployment = *deployment;
   }
   options.engines = kSmallEngines;
+  if (const char* disabled = std::getenv("WASABI_DISABLED_MECHANISMS")) {
+    options.router_settings["testing"]["disabled_mechanisms"] = disabled;
+  }
   return options;
 }
 
--- a/Tests/Support/Scenario/scenario.h
+++ b/Tests/Support/Scenario/scenario.h
@@ -17,7 +17,9 @@
 namespace wasabi::support {
 
 // The options of a fleet for integration tests: the programs of this build, the
-// deployment "salazar", a few engines, services and entries.
+// deployment "salazar", a few engines, services and entries. The routers run
+// without the mechanisms that the environment variable
+// WASABI_DISABLED_MECHANISMS names, to see a proof fail.
 FleetOptions SmallFleet();
 
 // The load of one scenario.
