Ledger: an entry does not say "not run" on its own

Tests/Integration/not_run_test.cc sends keys through two routers at once under refusing services, an outage, a flapping and a slow platform with deadlines of 60 ms, and lost append answers followed by an outage; then it sends keys again through all hosts while their first attempt runs at a slow service. It found two faults, both of a resend that was refused while the first attempt ran:

- Owner killed: code 303, keys owner-killed-0 and -1 "refused and run".
Cause: an entry that reached no owner before the deadline said no_endpoint, because its own request had reached nobody.
Ruled out: the ledger itself, whose refusals are said only by an owner that has folded the stream.
The entry now says outcome_unknown with a retry time.
- Organisation over its rate: 91 keys refused, the first attempt's key among them, and it ran.
Cause: OrganisationLimitFilter refuses at the entry, which knows no keys.
The entry now marks such a call, and the owner refuses it only where the key has no record (304 as before); a known key gets its outcome.

--- a/Libraries/LibLedger/ledger_call.h
+++ b/Libraries/LibLedger/ledger_call.h
@@ -31,6 +31,9 @@
   core::RequestId request_id;
   // The caller's traceparent header, or empty.
   std::string trace_parent;
+  // The organisation's request rate is used up: only a key that is known
+  // already gets its outcome.
+  bool is_over_rate = false;
 
   auto operator<=>(const LedgerCall&) const = default;
 
@@ -44,7 +47,8 @@
                  content_digest,
                  deadline_ms,
                  request_id,
-                 trace_parent);
+                 trace_parent,
+                 is_over_rate);
 };
 
 // How a call ended. A resend of the same key gets an equal outcome once it is
--- a/Libraries/LibLedger/partition_controller.cc
+++ b/Libraries/LibLedger/partition_controller.cc
@@ -309,6 +309,9 @@
   if (call.deadline_ms <= 0) {
     return ResultCode::kDeadlineTooShort;
   }
+  if (call.is_over_rate) {
+    return ResultCode::kOrganisationLimit;
+  }
   if (!follower_->is_up() || writer_->is_backing_off()) {
     return ResultCode::kPlatformUnavailable;
   }
--- a/Libraries/LibLedger/partition_controller.h
+++ b/Libraries/LibLedger/partition_controller.h
@@ -14,7 +14,8 @@
 //  - kOutcomeUnknown without a retry time: recorded; the call may have run and
 //    is never run again. With a retry time: this host can't tell; the same key
 //    may be sent again safely;
-//  - kPlatformUnavailable, kOverloaded, kDeadlineTooShort: this request did not
+//  - kPlatformUnavailable, kOverloaded, kDeadlineTooShort, kOrganisationLimit:
+//  this request did not
 //    run and will not; the key has no record and may be sent again. Where this
 //    host may have missed records of another owner, kOutcomeUnknown with a
 //    retry time takes their place;
--- a/Services/Router/ledger_controller.cc
+++ b/Services/Router/ledger_controller.cc
@@ -87,8 +87,8 @@
         self->OnOutcome(*outcome);
       }
     };
-    handlers.on_done = [self = shared_from_this()](const absl::Status& status) {
-      self->OnCallDone(status);
+    handlers.on_done = [self = shared_from_this()](const absl::Status&) {
+      self->OnCallDone();
     };
     context.link->Call(owner->link_address, link::CallKind::kLedgerCall,
                        core::Encode(call_), std::move(handlers));
@@ -121,12 +121,10 @@
     callback_(outcome);
   }
 
-  void OnCallDone(const absl::Status& status) {
+  void OnCallDone() {
     if (is_ended_ || is_waiting_) {
       return;
     }
-    may_have_arrived_ =
-        may_have_arrived_ || core::CodeOf(status) == ResultCode::kPeerSilent;
     TryLater();
   }
 
@@ -143,11 +141,9 @@
 
   void GiveUp() {
     is_ended_ = true;
-    // A call that may have reached an owner may run there.
-    callback_(ledger::MakeOutcome(may_have_arrived_
-                                      ? ResultCode::kOutcomeUnknown
-                                      : ResultCode::kNoEndpoint,
-                                  kRetryAfter));
+    // An earlier call with the same key may run at an owner that this host
+    // can't reach, so only an owner may say that a call does not run.
+    callback_(ledger::MakeOutcome(ResultCode::kOutcomeUnknown, kRetryAfter));
   }
 
   LedgerController* controller_;
@@ -158,7 +154,6 @@
   std::set<core::HostId> avoided_;
   std::unique_ptr<core::Timer> timer_;
   int tries_ = 0;
-  bool may_have_arrived_ = false;
   bool is_waiting_ = false;
   bool is_ended_ = false;
 };
--- a/Services/Router/organisation_limit_filter.cc
+++ b/Services/Router/organisation_limit_filter.cc
@@ -10,6 +10,12 @@
   if (wait == core::Duration::zero()) {
     return absl::OkStatus();
   }
+  const bool is_ledger_call = context->plain_service != nullptr &&
+                              !context->plain_service->is_repeatable;
+  if (is_ledger_call) {
+    context->is_over_rate = true;
+    return absl::OkStatus();
+  }
   return core::MakeRefusal(core::ResultCode::kOrganisationLimit,
                            "the organisation's request rate is used up", wait);
 }
--- a/Services/Router/organisation_limit_filter.h
+++ b/Services/Router/organisation_limit_filter.h
@@ -13,7 +13,9 @@
   explicit OrganisationLimitFilter(routing::RateLimiter* limiter)
       : limiter_(limiter) {}
 
-  // kOrganisationLimit with the time until the next request may come.
+  // kOrganisationLimit with the time until the next request may come. A call
+  // that may not be repeated is only marked: an earlier call with its key may
+  // have run, so the entry can't say that it does not run.
   absl::Status Apply(RequestContext* context) override;
 
  private:
--- a/Services/Router/request_context.h
+++ b/Services/Router/request_context.h
@@ -26,6 +26,9 @@
   const intent::Deployment* deployment = nullptr;
   double organisation_weight = 1.0;
   double organisation_rate = 0;
+  // The organisation's rate is used up, which the ledger's owner tells the
+  // caller of a call that may not be repeated.
+  bool is_over_rate = false;
   routing::Priority priority = routing::Priority::kNormal;
   core::TimePoint deadline;
   std::string trace_parent;
--- a/Services/Router/router.cc
+++ b/Services/Router/router.cc
@@ -515,6 +515,7 @@
   call.content_digest = ledger::DigestOf(call.service, call.path, call.body);
   call.deadline_ms = core::ToMilliseconds(context.deadline - context.now);
   call.request_id = context.request;
+  call.is_over_rate = context.is_over_rate;
   ledger_->Submit(call, [this, exchange, request = context.request.value()](
                             const ledger::LedgerOutcome& outcome) {
     AnswerLedgerCall(exchange, request, outcome);
--- a/Tests/LibLedger/ledger_world.cc
+++ b/Tests/LibLedger/ledger_world.cc
@@ -45,7 +45,8 @@
 size_t LedgerWorld::Submit(size_t host,
                            const std::string& key,
                            core::Duration deadline,
-                           const std::string& body) {
+                           const std::string& body,
+                           bool is_over_rate) {
   const size_t index = submissions_.size();
   LedgerCall call;
   call.organisation = core::OrganisationId(kOrganisation);
@@ -53,6 +54,7 @@
   call.service = "service";
   call.path = "/path";
   call.body = body;
+  call.is_over_rate = is_over_rate;
   call.content_digest = DigestOf(call.service, call.path, call.body);
   call.deadline_ms = core::ToMilliseconds(deadline);
   call.request_id = core::RequestId("request-" + std::to_string(index));
--- a/Tests/LibLedger/ledger_world.h
+++ b/Tests/LibLedger/ledger_world.h
@@ -48,7 +48,8 @@
   size_t Submit(size_t host,
                 const std::string& key,
                 core::Duration deadline,
-                const std::string& body = "");
+                const std::string& body = "",
+                bool is_over_rate = false);
   void Pause(size_t host);
   void Resume(size_t host);
   // Ends the process on `host` without notice, and starts a new one.
--- a/Tests/LibLedger/partition_controller_test.cc
+++ b/Tests/LibLedger/partition_controller_test.cc
@@ -36,6 +36,22 @@
   CHECK(it.ExecutionsOf("key") == 1);
 }
 
+TEST_CASE("over the rate a new key is refused and a known one answered") {
+  Fixture it(1);
+  const size_t known = it.Submit(0, "known", kDeadline);
+  const size_t joining = it.Submit(0, "known", kDeadline, "", true);
+  it.RunFor(core::seconds(1));
+  const size_t later = it.Submit(0, "known", kDeadline, "", true);
+  const size_t fresh = it.Submit(0, "fresh", kDeadline, "", true);
+  it.RunFor(core::seconds(1));
+  for (const size_t i : {known, joining, later}) {
+    CHECK(it.CodeOf(i) == ResultCode::kOk);
+  }
+  CHECK(it.CodeOf(fresh) == ResultCode::kOrganisationLimit);
+  CHECK(it.ExecutionsOf("known") == 1);
+  CHECK(it.ExecutionsOf("fresh") == 0);
+}
+
 TEST_CASE("a key with other content is refused at every stage") {
   Fixture it(2);
   it.Submit(0, "key", kDeadline, "content");
