Router: bad input is numbered, counted and harmless

Before: the answer to an oversized body had no message; headers of 12 KiB were accepted; dropped datagrams and skipped records were not in /metrics. Now headers over 8 KiB together are request_too_large, the gauges datagrams_dropped_total and records_skipped_total count, and a body that nests deeper than 100 is refused, since writing JSON back recurses with its depth.

Not covered: headers of more than 32 KiB are answered 431 by libmicrohttpd itself, without a number and uncounted.

--- a/Libraries/LibHttp/server.cc
+++ b/Libraries/LibHttp/server.cc
@@ -38,6 +38,24 @@
   return MHD_YES;
 }
 
+size_t BytesOf(const Headers& headers) {
+  size_t bytes = 0;
+  for (const Headers::Field& field : headers.fields()) {
+    bytes += field.first.size() + field.second.size();
+  }
+  return bytes;
+}
+
+void RespondTooLarge(Exchange* exchange) {
+  exchange->Respond(
+      kPayloadTooLarge,
+      {{"Content-Type", "application/json"},
+       {std::string(kResultCodeHeader),
+        std::to_string(static_cast<int>(core::ResultCode::kRequestTooLarge))}},
+      R"({"error":{"code":201,"name":"request_too_large",)"
+      R"("message":"the body or the headers are too large"}})");
+}
+
 std::string PeerOf(MHD_Connection* connection) {
   const MHD_ConnectionInfo* info =
       MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
@@ -227,6 +245,8 @@
     fresh->request.peer = PeerOf(connection);
     MHD_get_connection_values(connection, MHD_HEADER_KIND, &AddHeader,
                               &fresh->request.headers);
+    fresh->is_too_large =
+        BytesOf(fresh->request.headers) > options_.max_header_bytes;
     MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, &AddQueryItem,
                               &fresh->request.query);
     *pending = fresh;
@@ -256,12 +276,7 @@
       if (reject_observer_) {
         reject_observer_(kPayloadTooLarge);
       }
-      exchange->Respond(kPayloadTooLarge,
-                        {{"Content-Type", "application/json"},
-                         {std::string(kResultCodeHeader),
-                          std::to_string(static_cast<int>(
-                              core::ResultCode::kRequestTooLarge))}},
-                        R"({"error":{"code":201,"name":"request_too_large"}})");
+      RespondTooLarge(exchange);
     } else {
       handler_(it->exchange);
     }
--- a/Libraries/LibHttp/server.h
+++ b/Libraries/LibHttp/server.h
@@ -21,6 +21,9 @@
   core::SocketAddress address;
   // Requests with a larger body are answered 413.
   size_t max_body_bytes = 4U << 20U;
+  // So are requests whose headers are larger together. libmicrohttpd answers
+  // 431 by itself where they don't fit into the connection's memory.
+  size_t max_header_bytes = 8U << 10U;
   // Memory for one connection's headers, in bytes.
   size_t connection_memory_bytes = 32U << 10U;
   // Idle connections are closed after this many seconds.
--- a/Services/Router/parse_chat_filter.cc
+++ b/Services/Router/parse_chat_filter.cc
@@ -21,6 +21,22 @@
 constexpr uint32_t kDefaultOutputTokens = 256;
 constexpr uint32_t kMaxOutputTokens = 1U << 20U;
 constexpr size_t kMaxChatKeyBytes = 256;
+// Deeper bodies are refused, since writing JSON recurses with its depth.
+constexpr int kMaxJsonDepth = 100;
+
+// The JSON value in `text`, or a discarded one where it does not parse or nests
+// too deeply.
+json ParseBounded(const std::string& text) {
+  bool is_too_deep = false;
+  const auto check_depth = [&is_too_deep](int depth,
+                                          json::parse_event_t /*event*/,
+                                          json& /*parsed*/) {
+    is_too_deep |= depth > kMaxJsonDepth;
+    return !is_too_deep;
+  };
+  json body = json::parse(text, check_depth, false);
+  return is_too_deep ? json(json::value_t::discarded) : body;
+}
 
 bool IsMessageList(const json& messages) {
   if (!messages.is_array() || messages.empty()) {
@@ -61,10 +77,10 @@
 }  // namespace
 
 absl::Status ParseChatFilter::Apply(RequestContext* context) {
-  json body = json::parse(context->http->body, nullptr, false);
+  json body = ParseBounded(context->http->body);
   if (!body.is_object()) {
     return MakeStatus(ResultCode::kMalformedRequest,
-                      "the body is not a JSON object");
+                      "the body is not a JSON object, or nests too deeply");
   }
   context->model = TextOf(body, "model");
   if (context->model.empty()) {
--- a/Services/Router/router.cc
+++ b/Services/Router/router.cc
@@ -95,6 +95,11 @@
   RegisterGauges();
   configuration_->AddObserver(
       [this](const intent::ConfigurationView&) { OnFleetChanged(); });
+  configuration_->AddStepObserver([this](const intent::FoldStep& step) {
+    if (step.result.outcome == intent::FoldOutcome::kMalformed) {
+      ++metrics_.Counter("records_skipped_total");
+    }
+  });
   configuration_->Start();
   host_list_ = std::make_unique<HostListPoller>(
       loop_, host_list_client_.get(), &directory_, settings_.host_list_period,
@@ -295,6 +300,9 @@
   metrics_.Gauge("applied_offset", [this] {
     return static_cast<double>(configuration_->applied_offset());
   });
+  metrics_.Gauge("datagrams_dropped_total", [this] {
+    return static_cast<double>(gossip_->datagrams_dropped());
+  });
   metrics_.Gauge("answers_kept",
                  [this] { return static_cast<double>(answers_.size()); });
 }
