--- a/Libraries/LibLedger/partition_controller.h
+++ b/Libraries/LibLedger/partition_controller.h
@@ -14,7 +14,8 @@
 //  - kOutcomeUnknown without a retry time: recorded; the call may have run and
 //    is never run again. With a retry time: this host can't tell; the same key
 //    may be sent again safely;
-//  - kPlatformUnavailable, kOverloaded, kDeadlineTooShort: this request did not
+//  - kPlatformUnavailable, kOverloaded, kDeadlineTooShort, kOrganisationLimit:
+//  this request did not
 //    run and will not; the key has no record and may be sent again. Where this
 //    host may have missed records of another owner, kOutcomeUnknown with a
 //    retry time takes their place;
@@ -87,6 +88,9 @@
   size_t max_result_bytes = 64U << 10U;
   // The retry time of refusals.
   core::Duration retry_after = core::milliseconds(500);
+  // Whether a call runs only after its intent was read back. Tests switch it
+  // off to see that the proofs notice; everything else needs it.
+  bool awaits_read_back = true;
   // Close finishes after this time even if records could not be appended.
   core::Duration close_timeout = core::seconds(15);
 };
--- a/Services/Router/ledger_controller.cc
+++ b/Services/Router/ledger_controller.cc
@@ -141,8 +141,8 @@
 
   void GiveUp() {
     is_ended_ = true;
-    // Even if this call reached no owner, the same key may run through another
-    // entry. The retry time invites the caller to ask again with the key.
+    // An earlier call with the same key may run at an owner that this host
+    // can't reach, so only an owner may say that a call does not run.
     callback_(ledger::MakeOutcome(ResultCode::kOutcomeUnknown, kRetryAfter));
   }
 
@@ -190,6 +190,7 @@
   ledger::PartitionOptions options;
   options.partition = partition;
   options.writer = random_.Next();
+  options.awaits_read_back = context_.awaits_read_back;
   const auto controller =
       ledger::PartitionController::Create(dependencies, options);
   partitions_[partition] = controller;
--- a/Services/Router/router.cc
+++ b/Services/Router/router.cc
@@ -98,6 +98,11 @@
   RegisterGauges();
   configuration_->AddObserver(
       [this](const intent::ConfigurationView&) { OnFleetChanged(); });
+  configuration_->AddStepObserver([this](const intent::FoldStep& step) {
+    if (step.result.outcome == intent::FoldOutcome::kMalformed) {
+      ++metrics_.Counter("records_skipped_total");
+    }
+  });
   configuration_->Start();
   host_list_ = std::make_unique<HostListPoller>(
       loop_, host_list_client_.get(), &directory_, settings_.host_list_period,
@@ -214,6 +219,7 @@
   ledger_context.link = link_.get();
   ledger_context.caller = service_caller_.get();
   ledger_context.self = settings_.host;
+  ledger_context.awaits_read_back = !settings_.IsDisabled("ledger_read_back");
   ledger_context.members = [this] { return gossip_->table(); };
   ledger_context.configuration = [this] { return configuration_->current(); };
   ledger_ = std::make_unique<LedgerController>(
@@ -304,6 +310,9 @@
   metrics_.Gauge("applied_offset", [this] {
     return static_cast<double>(configuration_->applied_offset());
   });
+  metrics_.Gauge("datagrams_dropped_total", [this] {
+    return static_cast<double>(gossip_->datagrams_dropped());
+  });
   metrics_.Gauge("answers_kept",
                  [this] { return static_cast<double>(answers_.size()); });
 }
@@ -525,6 +534,7 @@
   call.deadline_ms = core::ToMilliseconds(context.deadline - context.now);
   call.request_id = context.request;
   call.trace_parent = context.trace_parent;
+  call.is_over_rate = context.is_over_rate;
   ledger_->Submit(call, [this, exchange, request = context.request.value()](
                             const ledger::LedgerOutcome& outcome) {
     AnswerLedgerCall(exchange, request, outcome);
@@ -562,7 +572,8 @@
 
 void Router::RunServiceCall(const std::shared_ptr<http::Exchange>& exchange,
                             const RequestContext& context) {
-  if (!context.plain_service->is_repeatable) {
+  if (!context.plain_service->is_repeatable &&
+      !settings_.IsDisabled("ledger")) {
     RunLedgerCall(exchange, context);
     return;
   }
--- a/Tests/Support/Scenario/scenario.cc
+++ b/Tests/Support/Scenario/scenario.cc
@@ -71,8 +71,8 @@
     options.deployment = *deployment;
   }
   options.engines = kSmallEngines;
-  if (const char* names = std::getenv("WASABI_DISABLED_MECHANISMS")) {
-    options.router_settings["testing"]["disabled_mechanisms"] = names;
+  if (const char* disabled = std::getenv("WASABI_DISABLED_MECHANISMS")) {
+    options.router_settings["testing"]["disabled_mechanisms"] = disabled;
   }
   return options;
 }
