Chat session: no refusal for a request that may have run

Found by crash_quarantine_test with quarantine off: the caller of a request that had crashed its endpoints was told 300 (overloaded), which means that it did not run. Cause: after a broken attempt the session walks the preference order again and, where no runner is left, ended with the refusal of a request that was never tried. Ruled out: the owner, whose own result was endpoint_failed. It needs no fault of quarantine: one engine is enough, which is the new test case.

Before: 300 after the crash of the only engine. After: 401 (answer_cut). Quarantined requests keep 302, as their callers must learn when to return.

--- a/Services/Router/chat_session.cc
+++ b/Services/Router/chat_session.cc
@@ -29,6 +29,13 @@
 // for it to say so.
 constexpr core::Duration kDeadlineGrace = std::chrono::milliseconds(50);
 
+// Whether a try that ended with `code` may have reached an engine.
+bool MayHaveRun(ResultCode code) {
+  return code == ResultCode::kPeerSilent || code == ResultCode::kAnswerCut ||
+         code == ResultCode::kCrossedAnswer ||
+         code == ResultCode::kEndpointFailed;
+}
+
 }  // namespace
 
 // Hears one try; a try that the session has left behind is not heard.
@@ -255,6 +262,7 @@
 }
 
 void ChatSession::OnTryDone(const absl::Status& status) {
+  may_have_run_ = may_have_run_ || MayHaveRun(core::CodeOf(status));
   switch (core::CodeOf(status)) {
     case ResultCode::kOk:
       Finish(status);
@@ -356,11 +364,23 @@
   return true;
 }
 
-void ChatSession::Finish(const absl::Status& status) {
+absl::Status ChatSession::WithoutFalseRefusal(
+    const absl::Status& status) const {
+  // Callers of a quarantined request are told so, with the time to stay away.
+  const bool is_false_refusal =
+      may_have_run_ && core::RetryAfterOf(status).has_value() &&
+      core::CodeOf(status) != ResultCode::kQuarantined;
+  return is_false_refusal
+             ? MakeStatus(ResultCode::kAnswerCut, core::MessageOf(status))
+             : status;
+}
+
+void ChatSession::Finish(const absl::Status& outcome) {
   if (is_ended_) {
     return;
   }
   is_ended_ = true;
+  const absl::Status status = WithoutFalseRefusal(outcome);
   const bool is_refusal = core::RetryAfterOf(status).has_value();
   const EventCode code = status.ok()  ? EventCode::kRequestAnswered
                          : is_refusal ? EventCode::kRequestRefused
--- a/Services/Router/chat_session.h
+++ b/Services/Router/chat_session.h
@@ -77,7 +77,10 @@
   void ResumeOnNextRunner(const absl::Status& status);
   void RetryAfterBackoff();
   bool TakeRetry();
-  void Finish(const absl::Status& status);
+  void Finish(const absl::Status& outcome);
+  // `status`, or an error in place of a refusal, which would say that a request
+  // that may have run did not.
+  absl::Status WithoutFalseRefusal(const absl::Status& status) const;
   void RecordEvent(core::EventCode code, const std::string& detail);
 
   const SessionContext* context_;
@@ -98,6 +101,7 @@
   uint32_t crashes_ = 0;
   uint32_t restarts_ = 0;
   routing::PointerUse pointer_use_ = routing::PointerUse::kUnused;
+  bool may_have_run_ = false;
   bool is_ended_ = false;
   std::shared_ptr<TrySink> current_try_;
   std::unique_ptr<core::Timer> backoff_timer_;
--- a/Tests/Integration/crash_quarantine_test.cc
+++ b/Tests/Integration/crash_quarantine_test.cc
@@ -136,12 +136,30 @@
   INFO(scenario.LoadOutput());
   INFO(fmt::format("lost: {}", fmt::join(lost, ", ")));
   INFO(scenario.TimeLine());
-  CHECK(lost.size() > 0);
+  CHECK_FALSE(lost.empty());
   CHECK(lost.size() <= kMaxLostEndpoints);
   CHECK(result->at("whole_answers") == result->at("requests"));
   CHECK(result->at("wrong_answers") == 0);
   CHECK(result->at("lost") == 0);
 }
 
+TEST_CASE("a request whose only endpoint crashed isn't called not run") {
+  FleetOptions options = SmallFleet();
+  options.engines = 1;
+  const auto scenario = Scenario::Create(options);
+  INFO(scenario.status().ToString());
+  REQUIRE(scenario.ok());
+  const Fleet& fleet = (*scenario)->fleet();
+  PlantCrash(fleet);
+  const auto response =
+      FetchNow(FatalRequest(fleet, fleet.routers().front(), 1));
+  INFO(response.status().ToString());
+  REQUIRE(response.ok());
+  INFO(response->body);
+  INFO((*scenario)->TimeLine());
+  CHECK(response->headers.Get(http::kResultCodeHeader) ==
+        std::to_string(static_cast<int>(core::ResultCode::kAnswerCut)));
+}
+
 }  // namespace
 }  // namespace wasabi::support
--- a/Tests/Integration/whole_answer_test.cc
+++ b/Tests/Integration/whole_answer_test.cc
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "LibCore/text.h"
 #include "Tests/Support/Fleet/http_probe.h"
 #include "Tests/Support/Scenario/scenario.h"
 #include "Tests/Support/http_replies.h"
@@ -55,7 +56,7 @@
   return [prefix, suffix](Fleet* fleet) {
     const size_t links = fleet->AddressesOf(prefix).size();
     for (size_t i = 1; i <= links; ++i) {
-      const std::string link = prefix + std::to_string(i) + suffix;
+      const std::string link = fmt::format("{}{}{}", prefix, i, suffix);
       const absl::Status status =
           fleet->PlantLinkFault(link, {{"kind", "half_open"}});
       INFO(link << ": " << status.ToString());
