--- a/Libraries/LibCore/result_code.cc
+++ b/Libraries/LibCore/result_code.cc
@@ -56,7 +56,8 @@
     {ResultCode::kDeadlineTooShort, "deadline_too_short", 504,
      "The deadline passed before the request started; it did not run."},
     {ResultCode::kQuarantined, "quarantined", 422,
-     "Requests with this content crashed endpoints; it did not run."},
+     "Requests with this content crash endpoints and are refused; this one "
+     "may have run."},
     {ResultCode::kNoEndpoint, "no_endpoint", 503,
      "The pool has no live endpoint; it did not run."},
     {ResultCode::kOrganisationLimit, "organisation_limit", 429,
--- a/Meta/update_tables.py
+++ b/Meta/update_tables.py
@@ -25,7 +25,7 @@
         "# Result codes",
         "",
         "Every error carries one of these numbers: in the header `X-Result-Code`, in the body's `error.code`, and in",
-        "logs. Codes of the 3xx range mean that the request did not run. `Meta/update_tables.py` writes this page.",
+        "logs. Codes of the 3xx range but 302 mean that the request did not run. `Meta/update_tables.py` writes this page.",
         "",
         "| code | name | HTTP status | meaning |",
         "| --- | --- | --- | --- |",
