--- a/Tests/Support/FaultProxy/tcp_relay.cc
+++ b/Tests/Support/FaultProxy/tcp_relay.cc
@@ -253,11 +253,12 @@
   // number that the link is known by; its port is any free one.
   sockaddr_in source = address_.ToNative();
   source.sin_port = 0;
-  bind(target, reinterpret_cast<const sockaddr*>(&source), sizeof(source));
+  const bool is_bound = bind(target, reinterpret_cast<const sockaddr*>(&source),
+                             sizeof(source)) == 0;
   const sockaddr_in native = target_.ToNative();
   const int result = connect(target, reinterpret_cast<const sockaddr*>(&native),
                              sizeof(native));
-  if (result != 0 && errno != EINPROGRESS) {
+  if (!is_bound || (result != 0 && errno != EINPROGRESS)) {
     close(client);
     close(target);
     return;
