--- a/Services/Router/router.cc
+++ b/Services/Router/router.cc
@@ -92,6 +92,7 @@
       intent::ConfigurationFollower::Create(loop_, log_client_.get(), &events_);
   TRY(StartLink());
   TRY(StartMembership());
+  StartCatchUp();
   StartOwners();
   StartFront();
   TRY(StartHttp());
@@ -164,6 +165,15 @@
   return absl::OkStatus();
 }
 
+void Router::StartCatchUp() {
+  if (settings_.IsDisabled("peer_configuration")) {
+    return;
+  }
+  catch_up_ = std::make_unique<intent::ConfigurationCatchUp>(
+      loop_, link_.get(), configuration_, settings_.host,
+      [this] { return gossip_->table(); });
+}
+
 void Router::StartOwners() {
   quarantine_ = std::make_unique<QuarantineController>(
       loop_, &events_, link_.get(), settings_.host,
@@ -344,6 +354,9 @@
     case link::CallKind::kReattach:
       ServeReattach(answers_, call);
       return;
+    case link::CallKind::kFetchConfiguration:
+      intent::AnswerFetchConfiguration(*configuration_, call.get());
+      return;
     default:
       call->Finish(core::MakeStatus(ResultCode::kNoSuchResource,
                                     "the router does not serve this call"));
@@ -407,9 +420,6 @@
   answers_.Trim(loop_->Now());
   quarantine_->Tick();
   ShareDemand();
-  if (!configuration_->is_synchronized()) {
-    FetchConfigurationFromPeers();
-  }
   if (is_stopping_ && loop_->Now() >= stop_listening_at_ && IsDrained()) {
     server_->StopListening();
     events_.Record(EventCode::kProcessStopped, "", "");
@@ -432,27 +442,6 @@
   }
 }
 
-void Router::FetchConfigurationFromPeers() {
-  const membership::MemberTableView members = gossip_->table();
-  for (const membership::Member& member : members->members()) {
-    if (member.id == settings_.host ||
-        member.applied_offset <= configuration_->applied_offset()) {
-      continue;
-    }
-    link_->Call(member.link_address, link::CallKind::kFetchConfiguration,
-                core::Encode(configuration_->applied_offset()),
-                {[this](std::string_view bytes) {
-                   const auto offer =
-                       core::Decode<intent::ConfigurationOffer>(bytes);
-                   if (offer.ok()) {
-                     (void)configuration_->Load(*offer);
-                   }
-                 },
-                 [](const absl::Status&) {}});
-    return;
-  }
-}
-
 bool Router::IsReady() const {
   return !is_stopping_ && host_list_->has_list() &&
          configuration_->is_synchronized();
@@ -469,6 +458,10 @@
   }
   is_stopping_ = true;
   events_.Record(EventCode::kProcessStopping, "", "");
+  if (settings_.IsDisabled("graceful_shutdown")) {
+    loop_->Stop();
+    return;
+  }
   gossip_->AnnounceLeaving();
   stop_listening_at_ =
       loop_->Now() + settings_.host_answer_lifetime + kStopMargin;
--- a/Services/Router/router.h
+++ b/Services/Router/router.h
@@ -13,6 +13,7 @@
 #include "LibCore/metrics.h"
 #include "LibHttp/client.h"
 #include "LibHttp/server.h"
+#include "LibIntent/configuration_exchange.h"
 #include "LibIntent/configuration_follower.h"
 #include "LibLink/link_node.h"
 #include "LibLoad/pool_load_service.h"
@@ -66,6 +67,7 @@
   absl::Status StartHttp();
   void StartOwners();
   void StartFront();
+  void StartCatchUp();
   void RegisterGauges();
 
   void OnInboundCall(const std::shared_ptr<link::InboundCall>& call);
@@ -77,7 +79,6 @@
   void OnTick();
   void OnSlowTick();
   void ShareDemand();
-  void FetchConfigurationFromPeers();
   bool IsReady() const;
   bool IsDrained() const;
   std::string StatusJson() const;
@@ -111,6 +112,7 @@
   std::shared_ptr<intent::ConfigurationFollower> configuration_;
   std::unique_ptr<link::LinkNode> link_;
   std::unique_ptr<membership::GossipNode> gossip_;
+  std::unique_ptr<intent::ConfigurationCatchUp> catch_up_;
   std::unique_ptr<load::PoolLoadService> pool_loads_;
   std::set<core::PoolId> shared_pools_;
   std::unique_ptr<membership::FactService> facts_;
--- a/Tests/Support/Scenario/scenario.h
+++ b/Tests/Support/Scenario/scenario.h
@@ -51,6 +51,9 @@
   // checker found.
   std::string LoadOutput() const;
 
+  // Whether wasabi_load still runs.
+  bool IsLoadRunning() { return load_ && !load_->Poll(); }
+
   // The time line of all daemons, for the message of a failed check.
   std::string TimeLine();
 
