Proof: a leaving endpoint gets nothing new

leaving_endpoint_test judges by the engine's own executions: nothing starts 3 s after it left, and something starts after it returned. Three departures: the load report says so in a fivefold surge while the engine goes on taking requests (the new fault "leave" of the stand-in; the host list never shows it), SIGTERM with a host list that lags 4 s, and an operator's drain.

The other two departures do not need the report: an engine that stops refuses by itself, and a drain is configuration.

--- a/Services/Router/runner_owner.cc
+++ b/Services/Router/runner_owner.cc
@@ -461,7 +461,9 @@
                            report.age);
   context_->report_load(runner_, requests);
   health_.ObserveSuccess(now);
-  health_.SetLeaving(report.is_leaving, now);
+  health_.SetLeaving(
+      report.is_leaving && !context_->settings->IsDisabled("leaving_report"),
+      now);
   ApplyHealth();
   AdmitEarlyWork();
 }
--- a/Tests/Support/Engine/engine_faults.cc
+++ b/Tests/Support/Engine/engine_faults.cc
@@ -28,6 +28,7 @@
     FaultName{"silence_open", FaultKind::kSilenceOpen},
     FaultName{"refuse", FaultKind::kRefuse},
     FaultName{"no_load_reports", FaultKind::kNoLoadReports},
+    FaultName{"leave", FaultKind::kLeave},
 };
 
 // The longest time that a fault may last, so that no test hangs on one.
--- a/Tests/Support/Engine/engine_faults.h
+++ b/Tests/Support/Engine/engine_faults.h
@@ -37,6 +37,9 @@
   kRefuse,
   // Load reports are answered 503 for a while.
   kNoLoadReports,
+  // The load report says for a while that the engine leaves, while it takes
+  // requests as before and the host list does not show it.
+  kLeave,
 };
 
 // One planted fault. Fields that a kind doesn't use are ignored.
--- a/Tests/Support/Engine/engine_server.cc
+++ b/Tests/Support/Engine/engine_server.cc
@@ -371,7 +371,7 @@
   body["waiting"] = report_.load.waiting;
   body["outstanding_tokens"] = report_.load.outstanding_tokens;
   body["kv_free"] = report_.load.kv_free;
-  body["leaving"] = is_leaving_;
+  body["leaving"] = is_leaving_ || now < reports_leaving_until_;
   body["age_ms"] = core::ToMilliseconds(now - report_.made);
   RespondJson(exchange, kHttpOk, body);
 }
@@ -504,6 +504,9 @@
     case FaultKind::kNoLoadReports:
       no_reports_until_ = loop_->Now() + fault.duration;
       return;
+    case FaultKind::kLeave:
+      reports_leaving_until_ = loop_->Now() + fault.duration;
+      return;
     default:
       faults_.Add(fault);
       return;
--- a/Tests/Support/Engine/engine_server.h
+++ b/Tests/Support/Engine/engine_server.h
@@ -161,6 +161,7 @@
   bool is_stepping_ = false;
   LoadReport report_;
   core::TimePoint no_reports_until_;
+  core::TimePoint reports_leaving_until_;
   std::deque<LoadSample> samples_;
   uint32_t peak_running_ = 0;
   std::deque<CacheNotice> cache_notices_;
