--- a/Tests/Support/Fleet/fleet.cc
+++ b/Tests/Support/Fleet/fleet.cc
@@ -103,7 +103,7 @@
   return *exit;
 }
 
-absl::Status Fleet::Restart(const std::string& name) {
+absl::Status Fleet::StartAgain(const std::string& name) {
   const auto it = members_.find(name);
   if (it == members_.end()) {
     return Failure(fmt::format("no process is named {}", name));
@@ -111,6 +111,11 @@
   TRY_ASSIGN(it->second.process,
              ChildProcess::Start(it->second.arguments, LogPath(name)));
   it->second.is_expected_to_end = false;
+  return absl::OkStatus();
+}
+
+absl::Status Fleet::Restart(const std::string& name) {
+  TRY(StartAgain(name));
   return WaitUntilHealthy(name,
                           name == "platform" ? "/v1/hosts" : "/v1/healthz");
 }
--- a/Tests/Support/Fleet/fleet.h
+++ b/Tests/Support/Fleet/fleet.h
@@ -39,6 +39,8 @@
   absl::StatusOr<ProcessExit> WaitForExit(const std::string& name,
                                           core::Duration timeout);
   // Starts a process that has ended again, with its old arguments.
+  absl::Status StartAgain(const std::string& name);
+  // As StartAgain, and waits until it is healthy.
   absl::Status Restart(const std::string& name);
 
   // Waits until the engines have executed at least `count` requests since the
