Leaving members own where nobody else is known

planned_stop_test failed in 3 of 15 runs, all on a busy machine: two routers were stopped 13 ms after the third had started again. Until gossip told them of it, each saw only leaving members, so nothing had an owner: chats were refused with 303 and two ledger calls ended as 402 or as refused. Ruled out: the ledger's hand-over (no append failed), the platform (up), and callers' old host lists (0 reattachments). Leaving routers finish their work and still serve, so they now own things where no other member is known.

--- a/Libraries/LibMembership/member_table.cc
+++ b/Libraries/LibMembership/member_table.cc
@@ -28,6 +28,20 @@
   return selected;
 }
 
+// Members of `role` that may own things. Leaving ones finish their work and
+// still serve, so they own where nobody else is known: a member that starts
+// while all others leave is unknown to them for a moment.
+std::vector<const Member*> SelectOwners(const std::vector<Member>& members,
+                                        MemberRole role) {
+  auto owners = Select(
+      members, [role](const Member& member) { return CanOwn(member, role); });
+  if (!owners.empty()) {
+    return owners;
+  }
+  return Select(members,
+                [role](const Member& member) { return member.role == role; });
+}
+
 std::vector<core::RendezvousCandidate> ToCandidates(
     const std::vector<const Member*>& members) {
   std::vector<core::RendezvousCandidate> candidates;
@@ -75,9 +89,7 @@
 
 const Member* MemberTable::OwnerOf(std::string_view thing,
                                    MemberRole role) const {
-  return Winner(thing, Select(members_, [role](const Member& member) {
-                  return CanOwn(member, role);
-                }));
+  return Winner(thing, SelectOwners(members_, role));
 }
 
 const Member* MemberTable::OwnerWithin(
@@ -92,8 +104,7 @@
 
 std::vector<const Member*> MemberTable::OwnersInOrder(std::string_view thing,
                                                       MemberRole role) const {
-  const std::vector<const Member*> members = Select(
-      members_, [role](const Member& member) { return CanOwn(member, role); });
+  const std::vector<const Member*> members = SelectOwners(members_, role);
   std::vector<const Member*> ordered;
   ordered.reserve(members.size());
   for (const size_t index :
--- a/Libraries/LibMembership/member_table.h
+++ b/Libraries/LibMembership/member_table.h
@@ -27,7 +27,8 @@
 
   // The member that owns `thing` (a runner, a ledger partition, …) by
   // rendezvous hashing over the members of `role` that are alive or suspect,
-  // or nullptr where there is none. Hosts may disagree for seconds.
+  // over those that are leaving where there are no others, or nullptr. Hosts
+  // may disagree for seconds.
   const Member* OwnerOf(std::string_view thing, MemberRole role) const;
 
   // As OwnerOf, among the members of one data centre.
