--- a/Services/Router/host_list_poller.h
+++ b/Services/Router/host_list_poller.h
@@ -13,6 +13,8 @@
 
 namespace wasabi::router {
 
+// FIXME: A router that starts while the platform is out has no list until it
+// is back; its peers could hand theirs over, as they do the configuration.
 class HostListPoller {
  public:
   // Calls `on_change` after each change of the list.
--- a/Services/Router/router.cc
+++ b/Services/Router/router.cc
@@ -73,6 +73,9 @@
       ledger_client_(loop),
       answers_(settings.answer_lifetime, settings.answer_memory_bytes) {}
 
+// FIXME: Destroying a router with work in flight crashes: the link ends its
+// calls after the parts that hear of it are gone. Graceful shutdown, the only
+// way out of the loop, leaves nothing in flight.
 Router::~Router() {
   if (configuration_ != nullptr) {
     configuration_->Stop();
