--- a/Libraries/LibIntent/configuration.cc
+++ /dev/null
@@ -1,1 +0,0 @@
-#include "LibIntent/configuration.h"
--- a/Libraries/LibLink/link.cc
+++ /dev/null
@@ -1,1 +0,0 @@
-#include "LibLink/link.h"
--- a/Libraries/LibRouting/work_item.cc
+++ /dev/null
@@ -1,1 +0,0 @@
-#include "LibRouting/work_item.h"
