--- a/Libraries/LibPlatform/topic_view.cc
+++ b/Libraries/LibPlatform/topic_view.cc
@@ -11,6 +11,9 @@
 
 // An answer says what the platform knew when it sent it, at most this long ago.
 constexpr core::Duration kAnswerDelay = core::milliseconds(250);
+// A view that is older than this shows an outage, of the platform or of the way
+// to it: hosts that can read do so well before.
+constexpr core::Duration kOutageAge = core::milliseconds(1500);
 
 }  // namespace
 
@@ -48,6 +51,7 @@
   if (needs_snapshot_ || complete_from > *next_) {
     return false;
   }
+  NoteRecovery();
   if (next > *next_) {
     ApplyTail({.records = records, .next = next});
   }
@@ -62,6 +66,7 @@
     return;
   }
   needs_snapshot_ = false;
+  NoteRecovery();
   ApplySnapshot(copy);
   Confirm(scheduler_->Now() - age);
 }
@@ -113,6 +118,7 @@
     return;
   }
   needs_snapshot_ = false;
+  NoteRecovery();
   ApplySnapshot(*page);
   Confirm(started_at);
 }
@@ -129,6 +135,7 @@
     // Another host's report was newer than this answer.
     return;
   }
+  NoteRecovery();
   ApplyTail(*page);
   Confirm(std::max(started_at, scheduler_->Now() - kAnswerDelay));
 }
@@ -158,6 +165,14 @@
   }
 }
 
+void TopicView::NoteRecovery() {
+  const core::TimePoint now = scheduler_->Now();
+  const bool was_loaded = confirmed_at_ != core::TimePoint();
+  if (was_loaded && now - confirmed_at_ > kOutageAge) {
+    recovered_at_ = now;
+  }
+}
+
 void TopicView::Confirm(core::TimePoint at) {
   confirmed_at_ = std::max(confirmed_at_, at);
   backoff_.Reset();
@@ -183,9 +198,6 @@
     return;
   }
   is_reachable_ = is_reachable;
-  if (is_reachable) {
-    reachable_since_ = read_at_;
-  }
   if (handlers_.on_reachable) {
     handlers_.on_reachable(is_reachable);
   }
--- a/Libraries/LibPlatform/topic_view.h
+++ b/Libraries/LibPlatform/topic_view.h
@@ -73,8 +73,9 @@
   bool is_reachable() const { return is_reachable_; }
   // When the platform last answered this host.
   core::TimePoint read_at() const { return read_at_; }
-  // When the platform answered this host again after an outage.
-  core::TimePoint reachable_since() const { return reachable_since_; }
+  // When the view became current after it had been out of date for long, from
+  // the platform or from another host; a default TimePoint if it never was.
+  core::TimePoint recovered_at() const { return recovered_at_; }
 
  private:
   void ReadSnapshot();
@@ -83,6 +84,8 @@
   void OnTail(core::TimePoint started_at, absl::StatusOr<KeyedPage> page);
   void ApplySnapshot(const KeyedPage& page);
   void ApplyTail(const KeyedPage& page);
+  // To be called with news, before it is applied.
+  void NoteRecovery();
   void Confirm(core::TimePoint at);
   void OnFailure(const absl::Status& status);
   void SetReachable(bool is_reachable);
@@ -99,7 +102,7 @@
   core::TimePoint confirmed_at_{};
   core::TimePoint read_at_{};
   core::TimePoint next_try_at_{};
-  core::TimePoint reachable_since_{};
+  core::TimePoint recovered_at_{};
   bool is_reading_ = false;
   bool is_reachable_ = true;
   bool needs_snapshot_ = true;
--- a/Services/Forwarder/registration_controller.cc
+++ b/Services/Forwarder/registration_controller.cc
@@ -105,15 +105,12 @@
 }
 
 core::Duration RegistrationController::Grace() const {
-  if (!view_->is_reachable()) {
-    return kReturnGrace;
-  }
-  if (view_->reachable_since() == core::TimePoint()) {
+  if (view_->recovered_at() == core::TimePoint()) {
     return core::Duration::zero();
   }
-  // The time counts from the return, so that an endpoint that leaves just after
-  // an outage is not kept for longer than others.
-  const core::TimePoint ends_at = view_->reachable_since() + kReturnGrace;
+  // The time counts from the recovery, so that an endpoint that leaves after an
+  // outage is not kept for longer than others.
+  const core::TimePoint ends_at = view_->recovered_at() + kReturnGrace;
   return std::max(ends_at - scheduler_->Now(), core::Duration::zero());
 }
 
--- /dev/null
+++ b/Tests/Forwarder/registration_controller_test.cc
@@ -0,0 +1,143 @@
+#include "Services/Forwarder/registration_controller.h"
+
+#include <catch2/catch.hpp>
+#include <string>
+
+#include "Tests/Support/FakeLog/virtual_scheduler.h"
+#include "Tests/Support/TopicStore/fake_topic_client.h"
+
+namespace wasabi::forwarder {
+namespace {
+
+using core::milliseconds;
+using core::seconds;
+
+constexpr const char* kTopic = "registrations";
+const core::PoolId kPool("p");
+
+// A registration is the pool's name; anything else can't be read.
+class PlainRecords : public forwarding::RecordProtocol {
+ public:
+  absl::StatusOr<forwarding::RouteTableView> DecodeConfiguration(
+      const std::string& /*text*/) const override {
+    return core::MakeStatus(core::ResultCode::kMalformedRecord, "none");
+  }
+  absl::StatusOr<forwarding::Registration> DecodeRegistration(
+      const std::string& id,
+      const std::string& text) const override {
+    if (text != kPool.value()) {
+      return core::MakeStatus(core::ResultCode::kMalformedRecord, "unreadable");
+    }
+    forwarding::Registration registration;
+    registration.endpoint.id = core::RunnerId(id);
+    registration.endpoint.pool = kPool;
+    registration.sequence = ++sequence_;
+    return registration;
+  }
+
+ private:
+  mutable int64_t sequence_ = 0;
+};
+
+struct Fixture {
+  Fixture() : events("test", 100) {
+    auto topics = std::make_unique<support::FakeTopicClient>(&scheduler);
+    store = topics.get();
+    adapters.topics = std::move(topics);
+    adapters.records = std::make_unique<PlainRecords>();
+    adapters.names.registrations = kTopic;
+    controller = std::make_unique<RegistrationController>(
+        &adapters, &scheduler, &events, &endpoints, 1);
+    for (const char* id : {"e1", "e2"}) {
+      store->Write(kTopic, id, kPool.value());
+    }
+    RunFor(seconds(1));
+  }
+
+  // Reads the platform as the fleet's reader does.
+  void RunFor(core::Duration duration) {
+    for (core::Duration t{}; t < duration; t += milliseconds(50)) {
+      if (is_reading) {
+        controller->view()->RefreshIfOlder(milliseconds(200),
+                                           core::Duration::zero());
+      }
+      scheduler.RunFor(milliseconds(50));
+      controller->Tick();
+    }
+  }
+
+  size_t Available() const { return endpoints.Available(kPool).size(); }
+
+  testing::VirtualScheduler scheduler;
+  core::EventRing events;
+  forwarding::AdapterSet adapters;
+  support::FakeTopicClient* store = nullptr;
+  forwarding::EndpointTable endpoints;
+  std::unique_ptr<RegistrationController> controller;
+  bool is_reading = true;
+};
+
+TEST_CASE("an endpoint whose registration went gets no new work") {
+  Fixture it;
+  REQUIRE(it.Available() == 2);
+  it.store->Write(kTopic, "e1", std::nullopt);
+  it.RunFor(milliseconds(500));
+  CHECK(it.Available() == 1);
+}
+
+TEST_CASE("a registration that can't be read names no endpoint") {
+  Fixture it;
+  it.store->Write(kTopic, "e1", "\xff{");
+  it.store->Write(kTopic, "e3", "[]");
+  it.RunFor(milliseconds(500));
+  CHECK(it.Available() == 1);
+}
+
+TEST_CASE("living endpoints that lapsed in an outage are kept until it is over") {
+  Fixture it;
+  it.store->SetDown(true);
+  it.RunFor(seconds(4));
+  it.store->Write(kTopic, "e1", std::nullopt);
+  it.store->Write(kTopic, "e2", std::nullopt);
+  it.store->SetDown(false);
+  it.RunFor(milliseconds(1500));
+  CHECK(it.Available() == 2);
+  it.store->Write(kTopic, "e1", kPool.value());
+  it.RunFor(seconds(2));
+  CHECK(it.Available() == 1);
+}
+
+// Salazar, trouble-1 --seed 758061074704: the grace of a drop began anew with
+// the drop, and so went beyond the bound for endpoints that leave.
+TEST_CASE("an endpoint that leaves after an outage is not kept for longer") {
+  Fixture it;
+  it.store->SetDown(true);
+  it.RunFor(seconds(4));
+  it.store->SetDown(false);
+  it.RunFor(milliseconds(1500));
+  it.store->Write(kTopic, "e1", std::nullopt);
+  it.RunFor(milliseconds(1000));
+  CHECK(it.Available() == 1);
+}
+
+// Salazar, scale-2 --seed 1092586271341: a host that had failed to read once,
+// and then heard all from others, took itself to be in an outage for good.
+TEST_CASE("a host that hears from others is not in an outage") {
+  Fixture it;
+  it.store->SetDown(true);
+  it.RunFor(milliseconds(500));
+  it.is_reading = false;
+  const auto report = [&it](platform::Offset next,
+                            const std::vector<platform::KeyedRecord>& records) {
+    it.controller->view()->ApplyReport(0, next, records, milliseconds(50));
+    it.RunFor(milliseconds(500));
+  };
+  for (int i = 0; i < 10; ++i) {
+    report(2, {});
+  }
+  report(3, {{.key = "e1", .value = std::nullopt, .offset = 2}});
+  CHECK(it.Available() == 1);
+}
+
+}  // namespace
+}  // namespace wasabi::forwarder
--- /dev/null
+++ b/Tests/LibForwarding/endpoint_selector_test.cc
@@ -0,0 +1,130 @@
+#include "LibForwarding/endpoint_selector.h"
+
+#include <catch2/catch.hpp>
+#include <cmath>
+#include <map>
+#include <vector>
+
+#include "LibCore/hash.h"
+
+namespace wasabi::forwarding {
+namespace {
+
+using Candidates = std::vector<EndpointCandidate>;
+
+constexpr uint32_t kSlots = 64;
+
+Candidates MakePool(size_t n) {
+  Candidates pool;
+  for (size_t i = 0; i < n; ++i) {
+    pool.push_back({.hash = core::StableHash(std::to_string(i)),
+                    .slots = kSlots});
+  }
+  return pool;
+}
+
+size_t Choose(const Candidates& pool, std::optional<uint64_t> key) {
+  const Selection selection = SelectEndpoint(pool, key, 1, {});
+  REQUIRE(selection.outcome == SelectionOutcome::kChosen);
+  return selection.index;
+}
+
+TEST_CASE("a prompt goes to the same endpoint while that takes work") {
+  const Candidates pool = MakePool(9);
+  std::map<size_t, int> counts;
+  constexpr uint64_t kKeys = 900;
+  for (uint64_t key = 0; key < kKeys; ++key) {
+    const size_t chosen = Choose(pool, core::CombineHashes(key, 7));
+    CHECK(Choose(pool, core::CombineHashes(key, 7)) == chosen);
+    ++counts[chosen];
+  }
+  CHECK(counts.size() == pool.size());
+}
+
+TEST_CASE("an endpoint that joins takes only the prompts that it wins") {
+  const Candidates before = MakePool(9);
+  const Candidates after = MakePool(10);
+  constexpr uint64_t kKeys = 1000;
+  uint64_t moved = 0;
+  for (uint64_t key = 0; key < kKeys; ++key) {
+    const size_t chosen = Choose(after, core::CombineHashes(key, 7));
+    const bool is_moved = chosen != Choose(before, core::CombineHashes(key, 7));
+    moved += is_moved ? 1 : 0;
+    CHECK((!is_moved || chosen == 9));
+  }
+  CHECK(moved < kKeys / 5);
+}
+
+TEST_CASE("a hot prompt fills endpoints up to the bound and no further") {
+  // Every request is about one thing: the load pattern of a hot key.
+  Candidates pool = MakePool(9);
+  constexpr int kRequests = 200;
+  const SelectionPolicy policy;
+  for (int i = 0; i < kRequests; ++i) {
+    const Selection selection = SelectEndpoint(pool, 42, 1, policy);
+    REQUIRE(selection.outcome == SelectionOutcome::kChosen);
+    ++pool[selection.index].load;
+    const double mean = static_cast<double>(i + 1) / 9;
+    // The stated bound: the multiple of the mean, rounded up to a request.
+    CHECK(pool[selection.index].load <= std::ceil(policy.load_bound * mean));
+  }
+}
+
+struct EligibleCase {
+  const char* what;
+  void (*change)(EndpointCandidate& it);
+};
+
+TEST_CASE("an endpoint that can't serve is passed over") {
+  const EligibleCase cases[] = {
+      {"down", [](EndpointCandidate& it) { it.is_down = true; }},
+      {"tried before", [](EndpointCandidate& it) { it.is_excluded = true; }},
+      {"failing", [](EndpointCandidate& it) { it.failure_share = 0.4; }},
+      {"full", [](EndpointCandidate& it) { it.load = it.slots; }},
+  };
+  for (const EligibleCase& row : cases) {
+    INFO(row.what);
+    for (const std::optional<uint64_t> key :
+         {std::optional<uint64_t>(), std::optional<uint64_t>(5)}) {
+      Candidates pool = MakePool(3);
+      const size_t first = Choose(pool, key);
+      row.change(pool[first]);
+      CHECK(Choose(pool, key) != first);
+    }
+  }
+}
+
+TEST_CASE("endpoints that all fail are still used") {
+  Candidates pool = MakePool(3);
+  for (EndpointCandidate& it : pool) {
+    it.failure_share = 0.9;
+    it.is_down = true;
+  }
+  CHECK(SelectEndpoint(pool, std::nullopt, 1, {}).outcome ==
+        SelectionOutcome::kChosen);
+}
+
+TEST_CASE("a pool says whether waiting can help") {
+  Candidates pool = MakePool(2);
+  CHECK(SelectEndpoint({}, 1, 1, {}).outcome == SelectionOutcome::kNone);
+  pool[0].load = kSlots;
+  pool[1].load = kSlots;
+  CHECK(SelectEndpoint(pool, 1, 1, {}).outcome == SelectionOutcome::kAllFull);
+  pool[0].is_excluded = true;
+  pool[1].is_excluded = true;
+  CHECK(SelectEndpoint(pool, 1, 1, {}).outcome == SelectionOutcome::kNone);
+}
+
+TEST_CASE("without affinity the least loaded and nearest is chosen") {
+  Candidates pool = MakePool(3);
+  pool[0].load = 2;
+  pool[1].load = 1;
+  pool[2].load = 1;
+  pool[2].is_near = true;
+  CHECK(Choose(pool, std::nullopt) == 2);
+  pool[2].load = 3;
+  CHECK(Choose(pool, std::nullopt) == 1);
+}
+
+}  // namespace
+}  // namespace wasabi::forwarding
--- /dev/null
+++ b/Tests/LibForwarding/load_board_test.cc
@@ -0,0 +1,55 @@
+#include "LibForwarding/load_board.h"
+
+#include <catch2/catch.hpp>
+
+namespace wasabi::forwarding {
+namespace {
+
+using core::HostId;
+using core::RunnerId;
+using core::seconds;
+
+const RunnerId kEndpoint("e");
+
+LoadReport Report(uint64_t sequence, uint32_t requests) {
+  LoadReport report;
+  report.sequence = sequence;
+  report.requests = {{kEndpoint.Hash(), requests}};
+  return report;
+}
+
+TEST_CASE("own counts and the latest report of each host add up") {
+  LoadBoard board;
+  const core::TimePoint now{seconds(1)};
+  board.Start(kEndpoint);
+  board.Start(kEndpoint);
+  board.ApplyReport(HostId("a"), Report(1, 5), now);
+  board.ApplyReport(HostId("b"), Report(1, 3), now);
+  board.ApplyReport(HostId("a"), Report(2, 4), now);
+  CHECK(board.Load(kEndpoint) == 9);
+  board.Finish(kEndpoint);
+  CHECK(board.Load(kEndpoint) == 8);
+  CHECK(board.MakeReport().requests ==
+        std::vector<std::pair<uint64_t, uint32_t>>{{kEndpoint.Hash(), 1}});
+}
+
+TEST_CASE("a report that arrives late is dropped, one of a new start isn't") {
+  LoadBoard board;
+  const core::TimePoint now{seconds(1)};
+  board.ApplyReport(HostId("a"), Report(40, 5), now);
+  board.ApplyReport(HostId("a"), Report(39, 1), now);
+  CHECK(board.Load(kEndpoint) == 5);
+  board.ApplyReport(HostId("a"), Report(1, 2), now);
+  CHECK(board.Load(kEndpoint) == 2);
+}
+
+TEST_CASE("a host that stops to report is forgotten") {
+  LoadBoard board;
+  board.ApplyReport(HostId("a"), Report(1, 5), core::TimePoint(seconds(1)));
+  board.ApplyReport(HostId("b"), Report(1, 1), core::TimePoint(seconds(3)));
+  board.Expire(seconds(1), core::TimePoint(seconds(3)));
+  CHECK(board.Load(kEndpoint) == 1);
+}
+
+}  // namespace
+}  // namespace wasabi::forwarding
--- /dev/null
+++ b/Tests/LibPlatform/topic_view_test.cc
@@ -0,0 +1,190 @@
+#include "LibPlatform/topic_view.h"
+
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+#include "Tests/Support/FakeLog/virtual_scheduler.h"
+#include "Tests/Support/TopicStore/fake_topic_client.h"
+
+namespace wasabi::platform {
+namespace {
+
+using core::milliseconds;
+using core::seconds;
+
+constexpr core::Duration kNoWait{};
+
+// A view of topic "t" that notes what it hears as "key=value@offset".
+struct Fixture {
+  Fixture() : client(&scheduler) {
+    TopicViewHandlers handlers;
+    handlers.on_snapshot = [this](const std::vector<KeyedRecord>& records) {
+      ++snapshots;
+      for (const KeyedRecord& it : records) {
+        Note(it);
+      }
+    };
+    handlers.on_record = [this](const KeyedRecord& it) { Note(it); };
+    handlers.on_reachable = [this](bool is_reachable) {
+      reachable.push_back(is_reachable);
+    };
+    view = std::make_shared<TopicView>(&client, &scheduler,
+                                       TopicViewOptions{.topic = "t"},
+                                       std::move(handlers));
+  }
+
+  void Note(const KeyedRecord& it) {
+    heard.push_back(it.key + "=" + it.value.value_or("dropped") + "@" +
+                    std::to_string(it.offset));
+  }
+
+  // Refreshes whenever the view is older than 100 ms.
+  void RunFor(core::Duration duration) {
+    for (core::Duration t{}; t < duration; t += milliseconds(50)) {
+      view->RefreshIfOlder(milliseconds(100), kNoWait);
+      scheduler.RunFor(milliseconds(50));
+    }
+  }
+
+  testing::VirtualScheduler scheduler;
+  support::FakeTopicClient client;
+  std::vector<std::string> heard;
+  std::vector<bool> reachable;
+  int snapshots = 0;
+  std::shared_ptr<TopicView> view;
+};
+
+using Texts = std::vector<std::string>;
+
+TEST_CASE("a view takes a snapshot, then each record once") {
+  Fixture it;
+  it.client.Write("t", "a", "1");
+  it.client.Write("t", "b", "2");
+  it.RunFor(seconds(1));
+  it.client.Write("t", "a", "3");
+  it.client.Write("t", "b", std::nullopt);
+  it.RunFor(seconds(1));
+  CHECK(it.snapshots == 1);
+  CHECK(it.heard == Texts{"a=1@0", "b=2@1", "a=3@2", "b=dropped@3"});
+  CHECK(it.view->Copy().records ==
+        std::vector<KeyedRecord>{{.key = "a", .value = "3", .offset = 2}});
+}
+
+TEST_CASE("a view that missed deleted records takes a snapshot") {
+  Fixture it;
+  it.client.Write("t", "a", "1");
+  it.RunFor(seconds(1));
+  it.client.SetDown(true);
+  it.RunFor(seconds(1));
+  it.client.Write("t", "a", "2");
+  it.client.Compact("t");
+  it.client.SetDown(false);
+  it.RunFor(seconds(2));
+  CHECK(it.snapshots == 2);
+  CHECK(it.heard.back() == "a=2@1");
+  CHECK(it.reachable == std::vector<bool>{false, true});
+}
+
+TEST_CASE("a topic that goes backwards changes nothing") {
+  Fixture it;
+  it.client.Write("t", "a", "1");
+  it.client.Write("t", "a", "2");
+  it.RunFor(seconds(1));
+  it.client.RewindTo("t", 1);
+  it.RunFor(seconds(1));
+  CHECK(it.view->next() == 2);
+  CHECK(it.heard == Texts{"a=2@1"});
+}
+
+TEST_CASE("a view tells its age while the platform is silent") {
+  Fixture it;
+  it.RunFor(seconds(1));
+  const core::TimePoint confirmed_at = it.view->confirmed_at();
+  it.client.SetSilent(true);
+  it.RunFor(seconds(3));
+  CHECK(it.scheduler.Now() - it.view->confirmed_at() >= milliseconds(2800));
+  CHECK(it.view->confirmed_at() - confirmed_at < milliseconds(200));
+}
+
+struct ReportCase {
+  const char* what;
+  Offset complete_from;
+  Offset next;
+  std::vector<KeyedRecord> records;
+  bool is_current;
+  Offset next_after;
+  Texts heard;
+};
+
+TEST_CASE("reports of other hosts move a view forwards only") {
+  // The view is at offset 2 before each report.
+  const KeyedRecord old_record{.key = "a", .value = "0", .offset = 0};
+  const KeyedRecord new_record{.key = "a", .value = "9", .offset = 4};
+  const ReportCase cases[] = {
+      {"nothing new", 0, 2, {}, true, 2, {}},
+      {"heartbeats only", 1, 6, {}, true, 6, {}},
+      {"a change", 2, 5, {old_record, new_record}, true, 5, {"a=9@4"}},
+      {"a gap", 3, 5, {new_record}, false, 2, {}},
+      {"older than the view", 0, 1, {old_record}, true, 2, {}},
+  };
+  for (const ReportCase& row : cases) {
+    Fixture it;
+    it.client.Write("t", "a", "1");
+    it.client.Write("t", "a", "2");
+    it.RunFor(seconds(1));
+    it.heard.clear();
+    INFO(row.what);
+    CHECK(it.view->ApplyReport(row.complete_from, row.next, row.records,
+                               milliseconds(10)) == row.is_current);
+    CHECK(it.view->next() == row.next_after);
+    CHECK(it.heard == row.heard);
+  }
+}
+
+TEST_CASE("a copy from another host replaces an older view only") {
+  Fixture it;
+  KeyedPage copy;
+  copy.next = 7;
+  copy.records = {{.key = "a", .value = "5", .offset = 6}};
+  it.view->ApplyCopy(copy, milliseconds(100));
+  CHECK(it.view->is_loaded());
+  CHECK(it.heard == Texts{"a=5@6"});
+  copy.next = 3;
+  it.view->ApplyCopy(copy, milliseconds(0));
+  CHECK(it.view->next() == 7);
+  CHECK(it.snapshots == 1);
+}
+
+struct RecoveryCase {
+  const char* what;
+  core::Duration outage;
+  bool is_relayed;
+  bool has_recovered;
+};
+
+TEST_CASE("a view notes when it becomes current after a long time") {
+  const RecoveryCase cases[] = {
+      {"a short pause", milliseconds(500), false, false},
+      {"an outage", seconds(3), false, true},
+      {"an outage that ends with a report of another host", seconds(3), true,
+       true},
+  };
+  for (const RecoveryCase& row : cases) {
+    Fixture it;
+    it.RunFor(seconds(1));
+    it.client.SetDown(true);
+    it.RunFor(row.outage);
+    if (row.is_relayed) {
+      it.view->ApplyReport(0, 0, {}, milliseconds(10));
+    } else {
+      it.client.SetDown(false);
+      it.RunFor(seconds(1));
+    }
+    INFO(row.what);
+    CHECK((it.view->recovered_at() != core::TimePoint()) == row.has_recovered);
+  }
+}
+
+}  // namespace
+}  // namespace wasabi::platform
