--- a/Libraries/LibHttp/origin_connection.cc
+++ b/Libraries/LibHttp/origin_connection.cc
@@ -60,6 +60,7 @@
                              OriginCallbacks callbacks) {
   callbacks_ = std::move(callbacks);
   is_active_ = true;
+  self_ = shared_from_this();
   is_head_request_ = request.method == "HEAD";
   skipped_answers_ = 0;
   ++call_count_;
@@ -109,6 +110,7 @@
 }
 
 void OriginConnection::Close() {
+  const auto self = std::exchange(self_, nullptr);
   is_active_ = false;
   callbacks_ = {};
   connect_timer_.reset();
@@ -237,6 +239,7 @@
     return;
   }
   const auto self = shared_from_this();
+  self_.reset();
   is_active_ = false;
   connect_timer_.reset();
   // Bytes after the answer, or an answer before the whole request was sent,
--- a/Libraries/LibHttp/origin_connection.h
+++ b/Libraries/LibHttp/origin_connection.h
@@ -45,6 +45,8 @@
   core::EventLoop* const loop_;
   const std::weak_ptr<OriginClient*> client_;
   const core::SocketAddress address_;
+  // Keeps the connection alive while it carries a call.
+  std::shared_ptr<OriginConnection> self_;
   std::shared_ptr<TcpStream> stream_;
   std::unique_ptr<core::Timer> connect_timer_;
   std::unique_ptr<MessageParser> parser_;
--- /dev/null
+++ b/Tests/LibHttp/forwarding_connections_test.cc
@@ -0,0 +1,324 @@
+// RequestServer and OriginClient against raw sockets.
+
+#include <catch2/catch.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "LibCore/event_loop.h"
+#include "LibCore/text.h"
+#include "LibHttp/origin_client.h"
+#include "LibHttp/request_server.h"
+#include "LibHttp/tcp_stream.h"
+#include "Tests/Support/RawServer/raw_server.h"
+#include "Tests/Support/free_address.h"
+
+namespace wasabi::http {
+namespace {
+
+using support::RawServer;
+
+constexpr core::Duration kTestTimeout = core::seconds(10);
+
+// Runs the loop until `is_done` or the timeout; true when it is done.
+bool RunUntil(core::EventLoop* loop, const std::function<bool()>& is_done) {
+  const core::TimePoint end = loop->Now() + kTestTimeout;
+  const auto timer = loop->NewTimer([&]() {
+    if (is_done() || loop->Now() > end) {
+      loop->Stop();
+    }
+  });
+  timer->StartRepeating(core::milliseconds(5));
+  loop->Run();
+  return is_done();
+}
+
+std::string Joined(std::string_view first, std::string_view second) {
+  return fmt::format("{}{}", first, second);
+}
+
+// A server that notes its transactions, and one raw caller.
+struct ServerFixture {
+  ServerFixture()
+      : address(support::FreeAddress(support::LoopbackIp(1))),
+        server(*RequestServer::Create(
+            &loop,
+            address,
+            [this](const std::shared_ptr<Transaction>& it) {
+              transactions.push_back(it);
+            })) {}
+
+  void Connect() {
+    caller = *TcpStream::Connect(&loop, address);
+    TcpStream::Callbacks callbacks;
+    callbacks.on_connected = []() {};
+    callbacks.on_data = [this](std::string_view bytes) {
+      received.append(bytes);
+    };
+    callbacks.on_end = [this](TcpStream::End /*end*/) { has_ended = true; };
+    caller->Start(std::move(callbacks));
+  }
+
+  void AwaitRequests(size_t n) {
+    REQUIRE(RunUntil(&loop, [&]() { return transactions.size() >= n; }));
+  }
+  void AwaitText(const std::string& text) {
+    REQUIRE(RunUntil(
+        &loop, [&]() { return received.find(text) != std::string::npos; }));
+  }
+
+  core::EventLoop loop;
+  core::SocketAddress address;
+  std::vector<std::shared_ptr<Transaction>> transactions;
+  std::unique_ptr<RequestServer> server;
+  std::shared_ptr<TcpStream> caller;
+  std::string received;
+  bool has_ended = false;
+};
+
+constexpr const char* kGet = "GET /x?q=%20 HTTP/1.1\r\nHost: h\r\n\r\n";
+
+TEST_CASE("pipelined requests are handed over one at a time") {
+  ServerFixture it;
+  it.Connect();
+  it.caller->Write(Joined(kGet, kGet));
+  it.AwaitRequests(1);
+  CHECK(it.transactions[0]->request().target == "/x?q=%20");
+  CHECK(it.transactions.size() == 1);
+  it.transactions[0]->Respond({.status = 200, .body = "one"});
+  it.AwaitRequests(2);
+  it.transactions[1]->Respond({.status = 200, .body = "two"});
+  it.AwaitText("two");
+  CHECK(it.server->open_transactions() == 0);
+}
+
+TEST_CASE("a caller that leaves is noticed while its request waits") {
+  ServerFixture it;
+  it.Connect();
+  it.caller->Write(kGet);
+  it.AwaitRequests(1);
+  bool is_gone = false;
+  it.transactions[0]->OnCallerGone([&is_gone]() { is_gone = true; });
+  it.caller->Close();
+  CHECK(RunUntil(&it.loop, [&]() { return is_gone; }));
+}
+
+TEST_CASE("a caller that leaves is noticed in the middle of a stream") {
+  ServerFixture it;
+  it.Connect();
+  it.caller->Write(kGet);
+  it.AwaitRequests(1);
+  bool is_gone = false;
+  it.transactions[0]->OnCallerGone([&is_gone]() { is_gone = true; });
+  it.transactions[0]->StartStream(200, {}, std::nullopt);
+  it.transactions[0]->Write("piece");
+  it.AwaitText("piece");
+  it.caller->Close();
+  CHECK(RunUntil(&it.loop, [&]() { return is_gone; }));
+}
+
+TEST_CASE("a stream that is aborted does not look complete") {
+  for (const std::optional<uint64_t> length :
+       {std::optional<uint64_t>(), std::optional<uint64_t>(101)}) {
+    ServerFixture it;
+    it.Connect();
+    it.caller->Write(kGet);
+    it.AwaitRequests(1);
+    it.transactions[0]->StartStream(200, {}, length);
+    it.transactions[0]->Write("part");
+    it.transactions[0]->Abort();
+    CHECK(RunUntil(&it.loop, [&]() { return it.has_ended; }));
+    CHECK(it.received.find("part") != std::string::npos);
+    CHECK(it.received.find("0\r\n\r\n") == std::string::npos);
+  }
+}
+
+TEST_CASE("a body shorter than announced breaks the connection") {
+  ServerFixture it;
+  it.Connect();
+  it.caller->Write(kGet);
+  it.AwaitRequests(1);
+  it.transactions[0]->StartStream(200, {}, 10);
+  it.transactions[0]->Write("part");
+  it.transactions[0]->Finish();
+  CHECK(RunUntil(&it.loop, [&]() { return it.has_ended; }));
+}
+
+TEST_CASE("a stopping server ends connections with their next answer") {
+  ServerFixture it;
+  it.Connect();
+  it.caller->Write(kGet);
+  it.AwaitRequests(1);
+  it.server->CloseAfterAnswers();
+  it.transactions[0]->Respond({.status = 200, .body = "last"});
+  it.AwaitText("Connection: close");
+  CHECK(RunUntil(&it.loop, [&]() { return it.has_ended; }));
+}
+
+TEST_CASE("malformed requests are answered and closed") {
+  struct Row {
+    const char* text;
+    const char* status;
+  };
+  const Row rows[] = {
+      {"nonsense\r\n\r\n", " 400 "},
+      {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n"
+       "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+       " 400 "},
+  };
+  for (const Row& row : rows) {
+    ServerFixture it;
+    it.Connect();
+    it.caller->Write(row.text);
+    it.AwaitText(row.status);
+    CHECK(RunUntil(&it.loop, [&]() { return it.has_ended; }));
+    CHECK(it.transactions.empty());
+  }
+}
+
+// What a call heard.
+struct CallResult {
+  std::vector<int> statuses;
+  std::string body;
+  std::optional<OriginEnd> end;
+};
+
+// A client that sends requests with the id "1" to a raw server.
+struct ClientFixture {
+  ClientFixture()
+      : server(&loop, support::FreeAddress(support::LoopbackIp(2))),
+        client(&loop) {}
+
+  std::shared_ptr<OriginCall> Send(CallResult* result) {
+    OriginRequest request;
+    request.address = server.address();
+    request.method = "POST";
+    request.target = std::string("/");
+    request.headers.Add("Id", "1");
+    request.body = "body";
+    request.connect_timeout = core::milliseconds(300);
+    OriginCallbacks callbacks;
+    callbacks.is_expected = [](const MessageHead& head) {
+      return head.headers.Get("Id") == "1";
+    };
+    callbacks.on_head = [result](const MessageHead& head) {
+      result->statuses.push_back(head.status);
+    };
+    callbacks.on_body = [result](std::string_view piece) {
+      result->body.append(piece);
+    };
+    callbacks.on_end = [result](OriginEnd end) { result->end = end; };
+    return client.Send(request, std::move(callbacks));
+  }
+
+  CallResult SendAndAwait() {
+    CallResult result;
+    Send(&result);
+    RunUntil(&loop, [&]() { return result.end.has_value(); });
+    return result;
+  }
+
+  core::EventLoop loop;
+  RawServer server;
+  OriginClient client;
+};
+
+constexpr const char* kAnswer =
+    "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok";
+constexpr const char* kForeign =
+    "HTTP/1.1 503 No\r\nId: 0\r\nContent-Length: 3\r\n\r\nbad";
+
+struct AnswerCase {
+  const char* what;
+  std::string answer;
+  // The server closes the connection after the answer.
+  bool closes;
+  OriginEnd end;
+  std::string body;
+  // Whether the connection serves another request.
+  bool is_reused;
+};
+
+TEST_CASE("answers are told from what is none") {
+  const std::string chunked =
+      "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const AnswerCase cases[] = {
+      {"a whole answer", kAnswer, false, OriginEnd::kComplete, "ok", true},
+      {"a foreign answer before it", Joined(kForeign, kAnswer), false,
+       OriginEnd::kComplete, "ok", true},
+      {"an interim answer before it",
+       Joined("HTTP/1.1 102 Processing\r\n\r\n", kAnswer), false,
+       OriginEnd::kComplete, "ok", true},
+      {"bytes after it", Joined(kAnswer, kForeign), false,
+       OriginEnd::kComplete, "ok", false},
+      {"the end of the connection announced",
+       "HTTP/1.1 200 OK\r\nId: 1\r\nConnection: close\r\n"
+       "Content-Length: 2\r\n\r\nok",
+       false, OriginEnd::kComplete, "ok", false},
+      {"no length, ended in order", "HTTP/1.1 200 OK\r\nId: 1\r\n\r\nok", true,
+       OriginEnd::kComplete, "ok", false},
+      {"cut", "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 9\r\n\r\nok", true,
+       OriginEnd::kCut, "ok", false},
+      {"chunks cut", Joined(chunked, "2\r\nok\r\n"), true, OriginEnd::kCut, "ok",
+       false},
+      {"no answer", "", true, OriginEnd::kCut, "", false},
+      {"no HTTP", "garbage\r\n\r\n", false, OriginEnd::kMalformed, "", false},
+      {"only a foreign answer", kForeign, true, OriginEnd::kCut, "", false},
+  };
+  for (const AnswerCase& row : cases) {
+    INFO(row.what);
+    ClientFixture it;
+    it.server.SetAnswer(row.answer, row.closes);
+    const CallResult first = it.SendAndAwait();
+    CHECK(first.end == row.end);
+    CHECK(first.body == row.body);
+    it.server.SetAnswer(kAnswer, false);
+    CHECK(it.SendAndAwait().end == OriginEnd::kComplete);
+    CHECK(it.server.accepted() == (row.is_reused ? 1U : 2U));
+    CHECK(it.server.requests() == 2);
+  }
+}
+
+TEST_CASE("a request is sent once when a kept connection breaks under it") {
+  ClientFixture it;
+  it.server.SetAnswer(kAnswer, false);
+  REQUIRE(it.SendAndAwait().end == OriginEnd::kComplete);
+  it.server.SetAnswer("", true);
+  CHECK(it.SendAndAwait().end == OriginEnd::kCut);
+  CHECK(it.server.requests() == 2);
+}
+
+TEST_CASE("a refused connection says that nothing was sent") {
+  ClientFixture it;
+  it.server.StopListening();
+  CHECK(it.SendAndAwait().end == OriginEnd::kNotSent);
+}
+
+TEST_CASE("a cancelled call closes its connection and is not heard of") {
+  ClientFixture it;
+  it.server.SetAnswer("", false);
+  CallResult result;
+  const auto call = it.Send(&result);
+  REQUIRE(RunUntil(&it.loop, [&]() { return it.server.requests() == 1; }));
+  call->Cancel();
+  CHECK(RunUntil(&it.loop, [&]() { return it.server.open() == 0; }));
+  CHECK_FALSE(result.end.has_value());
+}
+
+TEST_CASE("an idle connection that the server closes is not used again") {
+  ClientFixture it;
+  it.server.SetAnswer(kAnswer, false);
+  REQUIRE(it.SendAndAwait().end == OriginEnd::kComplete);
+  it.server.CloseAll();
+  REQUIRE(RunUntil(&it.loop, [&]() { return it.server.open() == 0; }));
+  bool has_waited = false;
+  const auto timer = it.loop.NewTimer([&has_waited]() { has_waited = true; });
+  timer->StartOnce(core::milliseconds(50));
+  REQUIRE(RunUntil(&it.loop, [&]() { return has_waited; }));
+  CHECK(it.SendAndAwait().end == OriginEnd::kComplete);
+  CHECK(it.server.accepted() == 2);
+}
+
+}  // namespace
+}  // namespace wasabi::http
--- /dev/null
+++ b/Tests/LibHttp/message_parser_test.cc
@@ -0,0 +1,134 @@
+#include "LibHttp/message_parser.h"
+
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+namespace wasabi::http {
+namespace {
+
+struct Parsed {
+  ParseResult result = ParseResult::kMore;
+  std::vector<MessageHead> heads;
+  std::string body;
+  std::string rest;
+};
+
+ParserLimits SmallLimits() {
+  ParserLimits limits;
+  limits.max_header_bytes = 200;
+  limits.max_body_bytes = 20;
+  return limits;
+}
+
+// Feeds `text` in pieces of `step` bytes.
+Parsed Parse(MessageKind kind, const std::string& text, size_t step) {
+  Parsed parsed;
+  MessageParser::Callbacks callbacks;
+  callbacks.on_head = [&parsed](MessageHead head) {
+    parsed.heads.push_back(std::move(head));
+  };
+  callbacks.on_body = [&parsed](std::string_view piece) {
+    parsed.body.append(piece);
+  };
+  MessageParser parser(kind, SmallLimits(), std::move(callbacks));
+  for (size_t i = 0; i < text.size(); i += step) {
+    if (parsed.result == ParseResult::kMore) {
+      parsed.rest.append(text, i, step);
+      parsed.result = parser.Feed(&parsed.rest);
+    } else {
+      parsed.rest.append(text, i, step);
+    }
+  }
+  if (parsed.result == ParseResult::kMore && parser.FinishAtEnd()) {
+    parsed.result = ParseResult::kComplete;
+  }
+  return parsed;
+}
+
+struct ParseCase {
+  const char* what;
+  MessageKind kind;
+  std::string text;
+  ParseResult result;
+  std::string body;
+  std::string rest;
+};
+
+TEST_CASE("messages are parsed alike however they arrive") {
+  using Kind = MessageKind;
+  using Result = ParseResult;
+  const std::string get = "GET /a%20b?x=1&x=2 HTTP/1.1\r\nHost: h\r\n\r\n";
+  const std::string post = "POST / HTTP/1.1\r\nHost: h\r\n";
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  const ParseCase cases[] = {
+      {"a request without a body", Kind::kRequest, get, Result::kComplete, "",
+       ""},
+      {"a body with a length", Kind::kRequest,
+       post + "Content-Length: 3\r\n\r\nabc", Result::kComplete, "abc", ""},
+      {"a body in chunks", Kind::kRequest,
+       post + "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n",
+       Result::kComplete, "abc", ""},
+      {"two requests", Kind::kRequest, get + get, Result::kComplete, "", get},
+      {"a length and chunks", Kind::kRequest,
+       post + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+       Result::kMalformed, "", ""},
+      {"chunks and a length", Kind::kRequest,
+       post + "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n0\r\n\r\n",
+       Result::kMalformed, "", ""},
+      {"two lengths", Kind::kRequest,
+       post + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+       Result::kMalformed, "", ""},
+      {"another transfer coding", Kind::kRequest,
+       post + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+       Result::kMalformed, "", ""},
+      {"a misspelt transfer coding", Kind::kRequest,
+       post + "Transfer-Encoding: xchunked\r\n\r\nabc", Result::kMalformed, "",
+       ""},
+      {"a blank before the colon", Kind::kRequest,
+       post + "Content-Length : 3\r\n\r\nabc", Result::kMalformed, "", ""},
+      {"no HTTP", Kind::kRequest, "\x16\x03\x01 hello\r\n\r\n",
+       Result::kMalformed, "", ""},
+      {"large headers", Kind::kRequest,
+       post + "X: " + std::string(300, 'x') + "\r\n\r\n",
+       Result::kHeaderTooLarge, "", ""},
+      {"a large body", Kind::kRequest,
+       post + "Content-Length: 21\r\n\r\n" + std::string(21, 'x'),
+       Result::kBodyTooLarge, "", ""},
+      {"an answer that ends with its connection", Kind::kResponse,
+       ok + "\r\nabc", Result::kComplete, "abc", ""},
+      {"an answer that is cut", Kind::kResponse,
+       ok + "Content-Length: 5\r\n\r\nabc", Result::kMore, "abc", ""},
+      {"chunks that are cut", Kind::kResponse,
+       ok + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n", Result::kMore,
+       "abc", ""},
+      {"bytes after an answer", Kind::kResponse,
+       ok + "Content-Length: 3\r\n\r\nabcX", Result::kComplete, "abc", "X"},
+  };
+  for (const ParseCase& row : cases) {
+    for (const size_t step : {size_t{1}, size_t{7}, size_t{10000}}) {
+      INFO(row.what << " in steps of " << step);
+      const Parsed parsed = Parse(row.kind, row.text, step);
+      CHECK(parsed.result == row.result);
+      if (row.result == ParseResult::kComplete) {
+        CHECK(parsed.body == row.body);
+        CHECK(parsed.rest == row.rest);
+      }
+    }
+  }
+}
+
+TEST_CASE("the target and the fields are kept as they came") {
+  const Parsed parsed = Parse(
+      MessageKind::kRequest,
+      "GET /a%2Fb?y=%41&x=+1 HTTP/1.1\r\nhOsT: h\r\nX-A:  b \r\nX-A: c\r\n\r\n",
+      1000);
+  REQUIRE(parsed.heads.size() == 1);
+  const MessageHead& head = parsed.heads.front();
+  CHECK(head.target == "/a%2Fb?y=%41&x=+1");
+  CHECK(head.headers.fields() ==
+        std::vector<Headers::Field>{{"hOsT", "h"}, {"X-A", "b"}, {"X-A", "c"}});
+}
+
+}  // namespace
+}  // namespace wasabi::http
