--- a/Services/Forwarder/fleet_controller.cc
+++ b/Services/Forwarder/fleet_controller.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "LibCore/compression.h"
 #include "LibCore/message.h"
 #include "LibCore/text.h"
 #include "LibCore/try.h"
@@ -42,6 +43,9 @@
 constexpr core::Duration kFleetTopicRetry = core::milliseconds(500);
 constexpr core::Duration kRegistrationRetry = core::milliseconds(500);
 constexpr core::Duration kCopyTimeout = core::milliseconds(400);
+// Configurations that follow each other quickly are fetched together.
+constexpr core::Duration kCopyInterval = core::milliseconds(300);
+constexpr size_t kMaxCopyBytes = 16U << 20U;
 // A data centre with fewer hosts that take requests is helped out by others.
 constexpr size_t kMinNearHosts = 2;
 constexpr int kLoadReportLifetimes = 4;
@@ -58,6 +62,16 @@
                            core::Clock::now().time_since_epoch().count());
 }
 
+absl::StatusOr<forwarding::TopicCopy> DecodeCopy(
+    const absl::StatusOr<http::ClientResponse>& response) {
+  if (!response.ok()) {
+    return response.status();
+  }
+  TRY_ASSIGN(const std::string body,
+             core::Decompress(response->body, kMaxCopyBytes));
+  return core::Decode<forwarding::TopicCopy>(body);
+}
+
 bool TakesRequests(const Member& member) {
   const bool is_up = member.state == MemberState::kAlive ||
                      member.state == MemberState::kSuspect;
@@ -158,8 +172,8 @@
 std::string FleetController::EncodedCopy(uint8_t topic) const {
   for (const RelayedTopic& it : topics_) {
     if (it.relay->topic() == topic && it.view->is_loaded()) {
-      return core::Encode(
-          forwarding::MakeTopicCopy(*it.view, context_.loop->Now()));
+      return core::Compress(core::Encode(
+          forwarding::MakeTopicCopy(*it.view, context_.loop->Now())));
     }
   }
   return {};
@@ -318,9 +332,11 @@
 
 void FleetController::FetchCopy(const Member& from, const RelayedTopic& topic) {
   const uint8_t number = topic.relay->topic();
-  if (!fetching_.insert(number).second) {
+  const core::TimePoint now = context_.loop->Now();
+  if (now < next_copy_at_[number] || !fetching_.insert(number).second) {
     return;
   }
+  next_copy_at_[number] = now + kCopyInterval;
   http::ClientRequest request;
   request.address = from.link_address;
   request.target = fmt::format("/v1/topics/{}", number);
@@ -329,10 +345,7 @@
       request, [this, number, view = topic.view](
                    const absl::StatusOr<http::ClientResponse>& response) {
         fetching_.erase(number);
-        const auto copy =
-            response.ok()
-                ? core::Decode<forwarding::TopicCopy>(response->body)
-                : absl::StatusOr<forwarding::TopicCopy>(response.status());
+        const auto copy = DecodeCopy(response);
         if (copy.ok()) {
           forwarding::ApplyTopicCopy(*copy, view);
           return;
--- a/Services/Forwarder/fleet_controller.h
+++ b/Services/Forwarder/fleet_controller.h
@@ -9,6 +9,7 @@
 #ifndef SERVICES_FORWARDER_FLEET_CONTROLLER_H_
 #define SERVICES_FORWARDER_FLEET_CONTROLLER_H_
 
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -56,7 +57,7 @@
 
   // The topics that are kept current from now on.
   void SetTopics(std::vector<RelayedTopic> topics);
-  // This host's copy of the topic with this number, encoded; "" for none.
+  // This host's copy of the topic with this number, compressed; "" for none.
   std::string EncodedCopy(uint8_t topic) const;
 
   // Takes changed bounds; addresses stay as they are.
@@ -107,6 +108,7 @@
   std::vector<RelayedTopic> topics_;
   // Topics of which a copy is being fetched.
   std::set<uint8_t> fetching_;
+  std::map<uint8_t, core::TimePoint> next_copy_at_;
   std::unique_ptr<core::Timer> ticker_;
   core::TimePoint next_topic_report_at_{};
   core::TimePoint next_load_report_at_{};
