--- a/Libraries/LibCore/log.cc
+++ b/Libraries/LibCore/log.cc
@@ -1,18 +1,44 @@
 #include "LibCore/log.h"
 
+#include <unistd.h>
+
+#include <algorithm>
 #include <boost/log/core.hpp>
-#include <boost/log/keywords/auto_flush.hpp>
-#include <boost/log/keywords/format.hpp>
+#include <boost/log/expressions.hpp>
+#include <boost/log/sinks/sync_frontend.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_logger.hpp>
-#include <boost/log/utility/setup/console.hpp>
-#include <iostream>
+#include <boost/make_shared.hpp>
+#include <boost/smart_ptr/shared_ptr.hpp>
+
+#include "LibCore/log_sink.h"
+#include "LibCore/time.h"
 
 namespace wasabi::core {
 
 namespace {
 
-LogLevel g_log_level = LogLevel::kOff;
+using Frontend = boost::log::sinks::synchronous_sink<LogSink>;
+
+// Lines of single requests that a process may write: in a second on average,
+// and at once.
+constexpr double kRequestLinesPerSecond = 200;
+constexpr double kRequestLineBurst = 400;
+
+// All logging happens on the process's one thread.
+struct LogState {
+  LogLevel level = LogLevel::kOff;
+  boost::shared_ptr<LogSink> sink;
+  double request_lines = kRequestLineBurst;
+  TimePoint refilled_at{};
+  uint64_t over_rate = 0;
+  uint64_t reported_left_out = 0;
+};
+
+LogState& State() {
+  static LogState state;
+  return state;
+}
 
 bool IsRequestEvent(EventCode code) {
   constexpr int kFirstRequestEvent = 200;
@@ -21,30 +47,79 @@
   return number >= kFirstRequestEvent && number <= kLastRequestEvent;
 }
 
+bool TakeRequestLine(LogState& state) {
+  const TimePoint now = Clock::now();
+  if (state.refilled_at != TimePoint()) {
+    state.request_lines = std::min(
+        kRequestLineBurst,
+        state.request_lines +
+            ToSeconds(now - state.refilled_at) * kRequestLinesPerSecond);
+  }
+  state.refilled_at = now;
+  if (state.request_lines < 1) {
+    ++state.over_rate;
+    return false;
+  }
+  state.request_lines -= 1;
+  return true;
+}
+
+void AddSink(LogState& state) {
+  state.sink = boost::make_shared<LogSink>(STDOUT_FILENO);
+  const auto frontend = boost::make_shared<Frontend>(state.sink);
+  frontend->set_formatter(boost::log::expressions::stream
+                          << boost::log::expressions::smessage);
+  boost::log::core::get()->add_sink(frontend);
+}
+
+boost::log::sources::severity_logger<int>& Logger() {
+  static boost::log::sources::severity_logger<int> logger;
+  return logger;
+}
+
+void ReportLeftOut(std::string_view process_name, LogState& state) {
+  const uint64_t left_out = LogLinesLeftOut();
+  if (left_out == state.reported_left_out) {
+    return;
+  }
+  BOOST_LOG_SEV(Logger(), 0)
+      << "process=" << process_name
+      << " lines_left_out=" << left_out - state.reported_left_out;
+  // The report itself may have been left out, which counts towards the next.
+  state.reported_left_out = left_out;
+}
+
 }  // namespace
 
 void SetLogLevel(LogLevel level) {
-  const bool is_first = g_log_level == LogLevel::kOff;
-  g_log_level = level;
-  if (is_first && level != LogLevel::kOff) {
-    boost::log::add_console_log(std::clog,
-                                boost::log::keywords::format = "%Message%",
-                                boost::log::keywords::auto_flush = true);
+  LogState& state = State();
+  state.level = level;
+  if (state.sink == nullptr && level != LogLevel::kOff) {
+    AddSink(state);
   }
 }
 
 void WriteLog(std::string_view process_name, const Event& event) {
-  if (g_log_level == LogLevel::kOff ||
-      (IsRequestEvent(event.code) && g_log_level != LogLevel::kRequest)) {
+  LogState& state = State();
+  if (state.level == LogLevel::kOff) {
     return;
   }
-  static boost::log::sources::severity_logger<int> logger;
-  BOOST_LOG_SEV(logger, 0) << "time_ns=" << event.wall_nanoseconds
-                           << " process=" << process_name
-                           << " event=" << static_cast<int>(event.code)
-                           << " name=" << Describe(event.code).name
-                           << " request=" << event.request_id << " "
-                           << event.detail;
+  if (IsRequestEvent(event.code) &&
+      (state.level != LogLevel::kRequest || !TakeRequestLine(state))) {
+    return;
+  }
+  ReportLeftOut(process_name, state);
+  BOOST_LOG_SEV(Logger(), 0) << "time_ns=" << event.wall_nanoseconds
+                             << " process=" << process_name
+                             << " event=" << static_cast<int>(event.code)
+                             << " name=" << Describe(event.code).name
+                             << " request=" << event.request_id << " "
+                             << event.detail;
+}
+
+uint64_t LogLinesLeftOut() {
+  const LogState& state = State();
+  return state.over_rate + (state.sink == nullptr ? 0 : state.sink->left_out());
 }
 
 }  // namespace wasabi::core
--- a/Libraries/LibCore/log.h
+++ b/Libraries/LibCore/log.h
@@ -1,10 +1,13 @@
-// The structured log: one line an event, in the form
-//   time=… process=… event=309 name=runner_up request=… detail words
-// on standard error. Boost.Log writes it.
+// The structured log: one line an event on standard output, in the form
+//   time_ns=… process=… event=309 name=runner_up request=… key=value …
+// Boost.Log writes it. It never blocks: a line that standard output can't take
+// at once is left out, and so are lines of single requests beyond a rate. The
+// number of lines left out is written as soon as there is room.
 
 #ifndef LIBCORE_LOG_H_
 #define LIBCORE_LOG_H_
 
+#include <cstdint>
 #include <string_view>
 
 #include "LibCore/event.h"
@@ -20,6 +23,9 @@
 // Writes one event where the level admits it.
 void WriteLog(std::string_view process_name, const Event& event);
 
+// Lines that were left out since the start of the process.
+uint64_t LogLinesLeftOut();
+
 }  // namespace wasabi::core
 
 #endif  // LIBCORE_LOG_H_
--- /dev/null
+++ b/Libraries/LibForwarding/crash_watch.cc
@@ -0,0 +1,75 @@
+#include "LibForwarding/crash_watch.h"
+
+#include <utility>
+
+#include "LibCore/text.h"
+
+namespace wasabi::forwarding {
+
+namespace {
+
+// All connections to an endpoint that crashes break within this time.
+constexpr core::Duration kGatherTime = core::milliseconds(40);
+// An endpoint that neither takes nor refuses a connection for this long may be
+// cut off, which is no crash.
+constexpr core::Duration kProbeTimeout = core::milliseconds(300);
+
+}  // namespace
+
+CrashWatch::CrashWatch(core::EventLoop* loop,
+                       core::EventRing* events,
+                       routing::QuarantineTable* quarantine)
+    : loop_(loop), events_(events), quarantine_(quarantine) {}
+
+void CrashWatch::NoteCut(const Endpoint& endpoint, uint64_t content_digest) {
+  Case& it = cases_[endpoint.id];
+  it.digests.push_back(content_digest);
+  if (it.timer != nullptr) {
+    return;
+  }
+  it.endpoint = endpoint;
+  it.timer = loop_->NewTimer([this, id = endpoint.id]() { Probe(id); });
+  it.timer->StartOnce(kGatherTime);
+}
+
+void CrashWatch::Probe(const core::RunnerId& id) {
+  Case& it = cases_[id];
+  auto probe = http::TcpStream::Connect(loop_, it.endpoint.address);
+  if (!probe.ok()) {
+    Close(id, false);
+    return;
+  }
+  it.probe = *std::move(probe);
+  it.timer = loop_->NewTimer([this, id]() { Close(id, false); });
+  it.timer->StartOnce(kProbeTimeout);
+  http::TcpStream::Callbacks callbacks;
+  callbacks.on_connected = [this, id]() { Close(id, false); };
+  callbacks.on_data = [](std::string_view /*bytes*/) {};
+  callbacks.on_end = [this, id](http::TcpStream::End /*end*/) {
+    Close(id, true);
+  };
+  it.probe->Start(std::move(callbacks));
+}
+
+void CrashWatch::Close(const core::RunnerId& id, bool has_crashed) {
+  const auto it = cases_.find(id);
+  if (it == cases_.end()) {
+    return;
+  }
+  const Case closed = std::move(it->second);
+  cases_.erase(it);
+  if (closed.probe != nullptr) {
+    closed.probe->Close();
+  }
+  if (!has_crashed) {
+    return;
+  }
+  const auto incarnation = static_cast<uint64_t>(closed.endpoint.started_at_ms);
+  quarantine_->RecordCrash(routing::MakeCrashId(id, incarnation),
+                           closed.digests, loop_->Now());
+  events_->Record(core::EventCode::kDigestSuspected, "",
+                  fmt::format("endpoint={} requests={}", id.value(),
+                              closed.digests.size()));
+}
+
+}  // namespace wasabi::forwarding
--- a/Libraries/LibForwarding/forward_attempt.cc
+++ b/Libraries/LibForwarding/forward_attempt.cc
@@ -105,6 +105,7 @@
       return;
     case http::OriginEnd::kCut:
       context_->monitor->RecordFailure(endpoint_.id, now);
+      context_->crashes->NoteCut(endpoint_, request_.content_digest);
       Finish(AttemptEnd::kCut);
       return;
     case http::OriginEnd::kMalformed:
--- a/Libraries/LibForwarding/forward_context.h
+++ b/Libraries/LibForwarding/forward_context.h
@@ -11,6 +11,7 @@
 #include "LibCore/event_ring.h"
 #include "LibCore/metrics.h"
 #include "LibCore/random_source.h"
+#include "LibForwarding/crash_watch.h"
 #include "LibForwarding/endpoint_monitor.h"
 #include "LibForwarding/endpoint_selector.h"
 #include "LibForwarding/endpoint_table.h"
@@ -35,6 +36,7 @@
   LoadBoard* loads = nullptr;
   WaitingLine* waiting = nullptr;
   routing::QuarantineTable* quarantine = nullptr;
+  CrashWatch* crashes = nullptr;
   core::RandomSource* random = nullptr;
   SelectionPolicy selection;
   RetryAllowancePolicy retry_policy;
--- a/Libraries/LibMembership/application_kind.h
+++ b/Libraries/LibMembership/application_kind.h
@@ -18,6 +18,7 @@
   // Services/Forwarder.
   kTopicReport = 80,
   kEndpointLoads = 81,
+  kCrashes = 82,
 };
 
 }  // namespace wasabi::membership
--- a/Services/Forwarder/fleet_controller.cc
+++ b/Services/Forwarder/fleet_controller.cc
@@ -46,6 +46,10 @@
 // Configurations that follow each other quickly are fetched together.
 constexpr core::Duration kCopyInterval = core::milliseconds(300);
 constexpr size_t kMaxCopyBytes = 16U << 20U;
+// Suspects of one crash that fit a datagram.
+constexpr size_t kMaxSuspects = 60;
+constexpr int kCrashSends = 3;
+constexpr core::Duration kCrashSendInterval = core::milliseconds(200);
 // A data centre with fewer hosts that take requests is helped out by others.
 constexpr size_t kMinNearHosts = 2;
 constexpr int kLoadReportLifetimes = 4;
@@ -118,6 +122,11 @@
       [this](const Member& from, std::string_view body) {
         return OnLoadReport(from, body);
       });
+  gossip_->SetApplicationHandler(
+      static_cast<uint8_t>(ApplicationKind::kCrashes),
+      [this](const Member& /*from*/, std::string_view body) {
+        return OnCrashes(body);
+      });
   duties_ =
       DeriveDuties(*gossip_->table(), settings_.host, settings_.data_centre);
   for (const core::SocketAddress& it : settings_.seeds) {
@@ -239,6 +248,7 @@
   RefreshTopics();
   SendTopicReports();
   SendLoadReport();
+  SendCrashes();
 }
 
 core::Duration FleetController::FallbackAge() const {
@@ -313,6 +323,42 @@
          core::Encode(context_.loads->MakeReport()));
 }
 
+void FleetController::SendCrashes() {
+  const core::TimePoint now = context_.loop->Now();
+  const routing::QuarantineDelta delta = context_.quarantine->TakeDelta(now);
+  for (const routing::CrashRecord& it : delta.crashes) {
+    // One record a datagram, and no more suspects than fit.
+    routing::CrashRecord record = it;
+    record.digests.resize(std::min(record.digests.size(), kMaxSuspects));
+    record.cleared.resize(std::min(record.cleared.size(), kMaxSuspects));
+    crash_news_.push_back(
+        {.body = core::Encode(routing::QuarantineDelta{.crashes = {record}}),
+         .remaining_sends = kCrashSends,
+         .next_at = now});
+  }
+  for (CrashNews& it : crash_news_) {
+    if (now < it.next_at) {
+      continue;
+    }
+    SendTo(duties_.others, static_cast<uint8_t>(ApplicationKind::kCrashes),
+           it.body);
+    --it.remaining_sends;
+    it.next_at = now + kCrashSendInterval;
+  }
+  std::erase_if(crash_news_,
+                [](const CrashNews& it) { return it.remaining_sends <= 0; });
+}
+
+absl::Status FleetController::OnCrashes(std::string_view body) {
+  TRY_ASSIGN(const routing::QuarantineDelta delta,
+             core::Decode<routing::QuarantineDelta>(body));
+  // What others told is theirs to repeat, so it must not look like own news.
+  SendCrashes();
+  context_.quarantine->Merge(delta, context_.loop->Now());
+  context_.quarantine->TakeDelta(context_.loop->Now());
+  return absl::OkStatus();
+}
+
 absl::Status FleetController::OnTopicReport(const Member& from,
                                             std::string_view body) {
   TRY_ASSIGN(const forwarding::TopicReport report,
--- a/Services/Forwarder/fleet_controller.h
+++ b/Services/Forwarder/fleet_controller.h
@@ -9,6 +9,7 @@
 #ifndef SERVICES_FORWARDER_FLEET_CONTROLLER_H_
 #define SERVICES_FORWARDER_FLEET_CONTROLLER_H_
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <set>
@@ -23,6 +24,7 @@
 #include "LibHttp/client.h"
 #include "LibMembership/gossip_node.h"
 #include "LibPlatform/topic_view.h"
+#include "LibRouting/quarantine_table.h"
 #include "Services/Forwarder/fleet_duties.h"
 #include "Services/Forwarder/forwarder_settings.h"
 
@@ -43,6 +45,7 @@
   http::Client* client = nullptr;
   const forwarding::AdapterSet* adapters = nullptr;
   forwarding::LoadBoard* loads = nullptr;
+  routing::QuarantineTable* quarantine = nullptr;
 };
 
 class FleetController {
@@ -76,6 +79,13 @@
   size_t host_count() const;
 
  private:
+  // An encoded message that is sent several times, as datagrams get lost.
+  struct CrashNews {
+    std::string body;
+    int remaining_sends = 0;
+    core::TimePoint next_at{};
+  };
+
   FleetController(const FleetContext& context,
                   const ForwarderSettings& settings);
 
@@ -87,10 +97,12 @@
   void RefreshTopics();
   void SendTopicReports();
   void SendLoadReport();
+  void SendCrashes();
   absl::Status OnTopicReport(const membership::Member& from,
                              std::string_view body);
   absl::Status OnLoadReport(const membership::Member& from,
                             std::string_view body);
+  absl::Status OnCrashes(std::string_view body);
   void FetchCopy(const membership::Member& from, const RelayedTopic& topic);
   // Whether this host reads the platform for others now.
   bool IsActingReader(const RelayedTopic& topic) const;
@@ -110,6 +122,8 @@
   std::set<uint8_t> fetching_;
   std::map<uint8_t, core::TimePoint> next_copy_at_;
   std::unique_ptr<core::Timer> ticker_;
+  // News of crashes that is still to be repeated, oldest first.
+  std::deque<CrashNews> crash_news_;
   core::TimePoint next_topic_report_at_{};
   core::TimePoint next_load_report_at_{};
   core::TimePoint next_registration_at_{};
--- a/Services/Forwarder/forwarder_daemon.cc
+++ b/Services/Forwarder/forwarder_daemon.cc
@@ -21,6 +21,8 @@
 constexpr core::Duration kDiscoverySlack = core::milliseconds(400);
 // What is still in flight is broken off this long before the kill.
 constexpr core::Duration kKillLead = core::milliseconds(300);
+// Content that crashes endpoints is refused for this long.
+constexpr core::Duration kQuarantineTime = core::seconds(180);
 constexpr core::Duration kRetryWithoutConfiguration = core::milliseconds(300);
 
 constexpr int kOkStatus = 200;
@@ -55,7 +57,9 @@
       platform_client_(loop),
       origin_client_(loop),
       adapters_(make_adapters(&platform_client_, settings.platform_address)),
-      scheduler_(loop) {}
+      scheduler_(loop),
+      quarantine_({.lifetime = kQuarantineTime}),
+      crashes_(loop, &events_, &quarantine_) {}
 
 ForwarderDaemon::~ForwarderDaemon() = default;
 
@@ -81,7 +85,8 @@
                                               .events = &events_,
                                               .client = &platform_client_,
                                               .adapters = &adapters_,
-                                              .loads = &loads_},
+                                              .loads = &loads_,
+                                              .quarantine = &quarantine_},
                                              settings_));
   fleet_->SetTopics({{.view = configuration_->view(),
                       .relay = configuration_->relay()},
@@ -132,6 +137,7 @@
   context_.loads = &loads_;
   context_.waiting = &waiting_;
   context_.quarantine = &quarantine_;
+  context_.crashes = &crashes_;
   context_.random = &random_;
   context_.selection.load_bound = settings_.load_bound;
   context_.retry_policy = settings_.retries;
--- a/Services/Forwarder/forwarder_daemon.h
+++ b/Services/Forwarder/forwarder_daemon.h
@@ -92,6 +92,7 @@
   forwarding::LoadBoard loads_;
   forwarding::WaitingLine waiting_;
   routing::QuarantineTable quarantine_;
+  forwarding::CrashWatch crashes_;
   forwarding::ForwardContext context_;
   std::unique_ptr<ConfigurationController> configuration_;
   std::unique_ptr<RegistrationController> registrations_;
--- /dev/null
+++ b/Tests/LibForwarding/crash_watch_test.cc
@@ -0,0 +1,66 @@
+#include "LibForwarding/crash_watch.h"
+
+#include <catch2/catch.hpp>
+#include <functional>
+
+#include "Tests/Support/RawServer/raw_server.h"
+#include "Tests/Support/free_address.h"
+
+namespace wasabi::forwarding {
+namespace {
+
+using routing::QuarantineVerdict;
+
+constexpr uint64_t kDigest = 7;
+
+struct Fixture {
+  Endpoint MakeEndpoint(const char* id, const core::SocketAddress& address) {
+    Endpoint endpoint;
+    endpoint.id = core::RunnerId(id);
+    endpoint.address = address;
+    return endpoint;
+  }
+
+  void RunFor(core::Duration duration) {
+    const auto timer = loop.NewTimer([this]() { loop.Stop(); });
+    timer->StartOnce(duration);
+    loop.Run();
+  }
+
+  QuarantineVerdict Verdict() {
+    return quarantine.VerdictFor(kDigest, loop.Now());
+  }
+
+  core::EventLoop loop;
+  core::EventRing events{"test", 100};
+  routing::QuarantineTable quarantine;
+  CrashWatch watch{&loop, &events, &quarantine};
+};
+
+constexpr core::Duration kLongEnough = core::milliseconds(600);
+
+TEST_CASE("content that was cut off at two crashed endpoints is refused") {
+  Fixture it;
+  const core::SocketAddress closed =
+      support::FreeAddress(support::LoopbackIp(4));
+  it.watch.NoteCut(it.MakeEndpoint("e1", closed), kDigest);
+  it.RunFor(kLongEnough);
+  CHECK(it.Verdict() != QuarantineVerdict::kRefuse);
+  it.watch.NoteCut(it.MakeEndpoint("e2", closed), kDigest);
+  it.RunFor(kLongEnough);
+  CHECK(it.Verdict() == QuarantineVerdict::kRefuse);
+}
+
+TEST_CASE("a connection that breaks at a living endpoint is no crash") {
+  Fixture it;
+  const support::RawServer server(
+      &it.loop, support::FreeAddress(support::LoopbackIp(5)));
+  for (const char* id : {"e1", "e2", "e3"}) {
+    it.watch.NoteCut(it.MakeEndpoint(id, server.address()), kDigest);
+  }
+  it.RunFor(kLongEnough);
+  CHECK(it.Verdict() == QuarantineVerdict::kClear);
+}
+
+}  // namespace
+}  // namespace wasabi::forwarding
--- /dev/null
+++ b/Tests/PlatformAdapter/endpoint_codec_test.cc
@@ -0,0 +1,191 @@
+#include "platform/endpoint_codec.h"
+
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+#include "platform/configuration_codec.h"
+
+namespace wasabi::adapter {
+namespace {
+
+using forwarding::AttemptVerdict;
+using Fields = std::vector<http::Headers::Field>;
+
+struct Fixture {
+  Fixture() {
+    request.id = core::RequestId("id1");
+    request.organisation = core::OrganisationId("t1");
+    request.priority = 12;
+    request.route = &route;
+    request.method = "POST";
+    request.target = "/x?y=%41";
+    request.headers.Add("Request-Id", "id1");
+    endpoint.id = core::RunnerId("e1");
+  }
+
+  forwarding::Route route;
+  forwarding::ForwardRequest request;
+  forwarding::Endpoint endpoint;
+  EndpointCodec codec;
+};
+
+TEST_CASE("an attempt names its endpoint, organisation and remaining time") {
+  Fixture it;
+  it.route.has_prompt_affinity = true;
+  const http::OriginRequest origin = it.codec.Encode(
+      it.request, it.endpoint,
+      {.remaining = core::milliseconds(1234), .resume_after = 5});
+  CHECK(origin.target == "/x?y=%41");
+  CHECK(origin.headers.fields() == Fields{{"Request-Id", "id1"},
+                                          {"Deadline-Ms", "1234"},
+                                          {"Expect-Instance", "e1"},
+                                          {"Tenant", "t1"},
+                                          {"Last-Event-Id", "5"},
+                                          {"Request-Priority", "9"}});
+}
+
+TEST_CASE("a request without an organisation names none") {
+  Fixture it;
+  it.request.organisation = core::OrganisationId();
+  const http::OriginRequest origin =
+      it.codec.Encode(it.request, it.endpoint, {});
+  CHECK_FALSE(origin.headers.Find("Tenant").has_value());
+  // An endpoint stops at once at zero.
+  CHECK(origin.headers.Get("Deadline-Ms") == "1");
+}
+
+struct VerdictCase {
+  const char* what;
+  int status;
+  Fields fields;
+  bool is_reused;
+  AttemptVerdict verdict;
+};
+
+TEST_CASE("answers are told from what promises nothing") {
+  const http::Headers::Field id{"Request-Id", "id1"};
+  const http::Headers::Field signature{"Response-Signature", "s"};
+  const VerdictCase cases[] = {
+      {"success", 200, {id, signature}, true, AttemptVerdict::kSuccess},
+      {"no signature", 200, {id}, false, AttemptVerdict::kInvalid},
+      {"no id", 200, {signature}, false, AttemptVerdict::kInvalid},
+      {"an encoded body",
+       200,
+       {id, signature, {"Content-Encoding", "gzip"}},
+       false,
+       AttemptVerdict::kInvalid},
+      {"shed", 503, {{"Not-Executed", "1"}}, false, AttemptVerdict::kNotRun},
+      {"shed, on a used connection, by whom?",
+       503,
+       {{"Not-Executed", "1"}},
+       true,
+       AttemptVerdict::kInvalid},
+      {"shed with the id",
+       503,
+       {id, {"Not-Executed", "1"}},
+       true,
+       AttemptVerdict::kNotRun},
+      {"another endpoint", 421, {}, false, AttemptVerdict::kNotRun},
+      {"503 without a promise", 503, {id}, false, AttemptVerdict::kInvalid},
+      {"429 without a promise", 429, {id}, false, AttemptVerdict::kInvalid},
+      {"408 without a promise", 408, {id}, false, AttemptVerdict::kInvalid},
+      {"an error", 500, {id, signature}, false, AttemptVerdict::kFailure},
+      {"its deadline", 504, {id, signature}, false, AttemptVerdict::kFailure},
+      {"a bad request", 400, {id}, false, AttemptVerdict::kFinal},
+      {"a redirect", 302, {id}, false, AttemptVerdict::kInvalid},
+  };
+  for (const VerdictCase& row : cases) {
+    INFO(row.what);
+    Fixture it;
+    http::MessageHead head;
+    head.status = row.status;
+    for (const auto& [name, value] : row.fields) {
+      head.headers.Add(name, value);
+    }
+    CHECK(it.codec.Classify(it.request, head, row.is_reused) == row.verdict);
+  }
+}
+
+TEST_CASE("an answer with another id is not this request's") {
+  Fixture it;
+  http::MessageHead head;
+  CHECK(it.codec.IsAnswerTo(it.request, head));
+  head.headers.Add("request-id", "id1");
+  CHECK(it.codec.IsAnswerTo(it.request, head));
+  http::MessageHead other;
+  other.headers.Add("Request-Id", "id2");
+  CHECK_FALSE(it.codec.IsAnswerTo(it.request, other));
+}
+
+struct RegistrationCase {
+  const char* what;
+  const char* text;
+  bool is_readable;
+};
+
+TEST_CASE("registrations of other writers name no endpoint") {
+  const RegistrationCase cases[] = {
+      {"whole",
+       R"({"service":"p","address":"10.0.0.1:80","zone":"z","slots":4,
+           "state":"ready","seq":3,"born":1700000000000})",
+       true},
+      {"no sequence and start",
+       R"({"service":"p","address":"10.0.0.1:80","zone":"z","slots":4,
+           "state":"draining"})",
+       true},
+      {"fields of later releases",
+       R"({"service":"p","address":"10.0.0.1:80","zone":"z","slots":4,
+           "state":"ready","seq":3,"new":{"a":[1]}})",
+       true},
+      {"no address", R"({"service":"p","zone":"z","slots":4,"state":"ready"})",
+       false},
+      {"an address of another type",
+       R"({"service":"p","address":7,"zone":"z","slots":4,"state":"ready"})",
+       false},
+      {"an address that is none",
+       R"({"service":"p","address":"h:80","zone":"z","slots":4,
+           "state":"ready"})",
+       false},
+      {"an unknown state",
+       R"({"service":"p","address":"10.0.0.1:80","zone":"z","slots":4,
+           "state":"warming"})",
+       false},
+      {"no slots",
+       R"({"service":"p","address":"10.0.0.1:80","zone":"z","slots":0,
+           "state":"ready"})",
+       false},
+      {"slots as text",
+       R"({"service":"p","address":"10.0.0.1:80","zone":"z","slots":"4",
+           "state":"ready"})",
+       false},
+      {"a sequence of another type",
+       R"({"service":"p","address":"10.0.0.1:80","zone":"z","slots":4,
+           "state":"ready","seq":"x"})",
+       false},
+      {"a list", "[1]", false},
+      {"no JSON", "\xff\xfe", false},
+      {"empty", "", false},
+  };
+  for (const RegistrationCase& row : cases) {
+    INFO(row.what);
+    CHECK(DecodeRegistration("e1", row.text).ok() == row.is_readable);
+  }
+  const auto whole = DecodeRegistration("e1", cases[0].text);
+  CHECK(whole->endpoint.started_at_ms == 1700000000000);
+  CHECK(whole->sequence == 3);
+  CHECK_FALSE(whole->endpoint.is_leaving);
+  CHECK(DecodeRegistration("e1", cases[1].text)->endpoint.is_leaving);
+}
+
+TEST_CASE("a configuration that can't be read is an error") {
+  for (const char* text :
+       {"", "{", "[]", R"({"version":"7"})",
+        R"({"version":7,"routes":[{"name":"x"}],"services":[]})"}) {
+    INFO(text);
+    CHECK_FALSE(DecodeConfiguration(text).ok());
+  }
+}
+
+}  // namespace
+}  // namespace wasabi::adapter
--- /dev/null
+++ b/Tests/PlatformAdapter/store_client_test.cc
@@ -0,0 +1,183 @@
+#include "platform/store_client.h"
+
+#include <catch2/catch.hpp>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "LibCore/event_loop.h"
+#include "LibCore/result_code.h"
+#include "LibCore/text.h"
+#include "Tests/Support/RawServer/raw_server.h"
+#include "Tests/Support/free_address.h"
+#include "platform/discovery_codec.h"
+
+namespace wasabi::adapter {
+namespace {
+
+using core::ResultCode;
+using platform::KeyedPage;
+using platform::KeyedRecord;
+
+std::string Answer(int status, const std::string& body) {
+  return fmt::format("HTTP/1.1 {} X\r\nContent-Length: {}\r\n\r\n{}", status,
+                     body.size(), body);
+}
+
+// `value` in `n` bytes, the most significant one first.
+std::string Bytes(uint64_t value, size_t n) {
+  std::string bytes;
+  for (size_t i = n; i > 0; --i) {
+    bytes.push_back(static_cast<char>(value >> (8 * (i - 1))));
+  }
+  return bytes;
+}
+
+std::string Record(const std::string& key, const std::string& value) {
+  const std::string body = Bytes(key.size(), 1) + key + value;
+  return Bytes(body.size(), 4) + body;
+}
+
+struct Fixture {
+  Fixture()
+      : server(&loop, support::FreeAddress(support::LoopbackIp(3))),
+        http_client(&loop),
+        store(&http_client, server.address()) {
+    server.SetResponder([this](const std::string& request) {
+      requests.push_back(request.substr(0, request.find(" HTTP/")));
+      return answers.at(requests.size() - 1);
+    });
+  }
+
+  // Runs `call` with a callback that stops the loop.
+  absl::StatusOr<KeyedPage> Await(
+      const std::function<void(platform::KeyedTopicClient::ReadCallback)>&
+          call) {
+    absl::StatusOr<KeyedPage> result = absl::UnknownError("no answer");
+    call([&](absl::StatusOr<KeyedPage> page) {
+      result = std::move(page);
+      loop.Stop();
+    });
+    loop.Run();
+    return result;
+  }
+  absl::StatusOr<KeyedPage> ReadNewest() {
+    return Await([this](auto callback) { store.ReadNewest("t", callback); });
+  }
+  absl::StatusOr<KeyedPage> ReadFrom(platform::Offset from) {
+    return Await([this, from](auto callback) {
+      store.ReadFrom("t", from, core::milliseconds(500), callback);
+    });
+  }
+
+  core::EventLoop loop;
+  support::RawServer server;
+  http::Client http_client;
+  StoreClient store;
+  std::vector<std::string> answers;
+  std::vector<std::string> requests;
+};
+
+TEST_CASE("the newest records are read in pages, up to the first page's end") {
+  Fixture it;
+  it.answers = {
+      Answer(200, R"({"items":[{"key":"a","value":"MQ==","offset":3}],
+                      "has_more":true,"end":5})"),
+      Answer(200, R"({"items":[{"key":"b","value":"Mg==","offset":6}],
+                      "has_more":false,"end":9})")};
+  const auto page = it.ReadNewest();
+  REQUIRE(page.ok());
+  CHECK(page->next == 5);
+  CHECK(page->records ==
+        std::vector<KeyedRecord>{{.key = "a", .value = "1", .offset = 3},
+                                 {.key = "b", .value = "2", .offset = 6}});
+  CHECK(it.requests ==
+        std::vector<std::string>{"GET /log-newest?topic=t&part=0",
+                                 "GET /log-newest?topic=t&part=0&after=a"});
+}
+
+TEST_CASE("records from an offset on are read with their offsets") {
+  Fixture it;
+  it.answers = {Answer(200, Bytes(9, 8) + Bytes(2, 8) + Record("a", "xyz") +
+                                Record("b", "") + Bytes(2, 4) + "\x09z")};
+  const auto page = it.ReadFrom(6);
+  REQUIRE(page.ok());
+  // The third record can't be read, but has its offset.
+  CHECK(page->next == 9);
+  CHECK(page->records ==
+        std::vector<KeyedRecord>{
+            {.key = "a", .value = "xyz", .offset = 6},
+            {.key = "b", .value = std::nullopt, .offset = 7}});
+  CHECK(it.requests.front() == "GET /log-read?topic=t&part=0&from=6&wait_ms=500");
+}
+
+struct ErrorCase {
+  const char* what;
+  std::string answer;
+  ResultCode code;
+};
+
+TEST_CASE("answers of a store in trouble are errors, never empty pages") {
+  const ErrorCase cases[] = {
+      {"busy", Answer(503, ""), ResultCode::kPlatformUnavailable},
+      {"many", Answer(429, "{}"), ResultCode::kPlatformUnavailable},
+      {"deleted", Answer(410, R"({"first":9})"), ResultCode::kRecordsForgotten},
+      {"short", Answer(200, "abc"), ResultCode::kPlatformUnavailable},
+  };
+  for (const ErrorCase& row : cases) {
+    INFO(row.what);
+    Fixture it;
+    it.answers = {row.answer, row.answer};
+    CHECK(core::CodeOf(it.ReadFrom(0).status()) == row.code);
+    CHECK_FALSE(it.ReadNewest().ok());
+  }
+}
+
+TEST_CASE("a store that does not listen is unavailable") {
+  Fixture it;
+  it.server.StopListening();
+  CHECK(core::CodeOf(it.ReadFrom(0).status()) ==
+        ResultCode::kPlatformUnavailable);
+}
+
+TEST_CASE("a store that has gone backwards says so by its end") {
+  Fixture it;
+  it.answers = {Answer(200, Bytes(4, 8) + Bytes(0, 8))};
+  const auto page = it.ReadFrom(6);
+  REQUIRE(page.ok());
+  CHECK(page->next == 4);
+}
+
+TEST_CASE("a record is written with its key") {
+  Fixture it;
+  std::string body;
+  it.server.SetResponder([&body](const std::string& request) {
+    body = request.substr(request.find("\r\n\r\n") + 4);
+    return Answer(200, R"({"offset":0,"end":1})");
+  });
+  absl::Status result = absl::UnknownError("no answer");
+  it.store.Put("t", "key", "value", [&](const absl::Status& status) {
+    result = status;
+    it.loop.Stop();
+  });
+  it.loop.Run();
+  CHECK(result.ok());
+  CHECK(body == Record("key", "value"));
+}
+
+TEST_CASE("callers ask for addresses by their place") {
+  http::InboundRequest request;
+  request.method = "GET";
+  request.target = "/resolve?name=a.test&region=r&zone=z1";
+  const auto question = DiscoveryCodec().DecodeQuestion(request);
+  REQUIRE(question.ok());
+  CHECK(question->data_centre.value() == "z1");
+  request.target = "/other";
+  CHECK_FALSE(DiscoveryCodec().DecodeQuestion(request).ok());
+  const http::Answer answer = DiscoveryCodec().EncodeAddresses(
+      {*core::SocketAddress::Parse("10.0.0.1:80")}, core::seconds(2));
+  CHECK(answer.body == R"({"addresses":["10.0.0.1:80"],"ttl_s":2.0})");
+}
+
+}  // namespace
+}  // namespace wasabi::adapter
