--- /dev/null
+++ b/Tests/Forwarder/forwarder_daemon_test.cc
@@ -0,0 +1,395 @@
+// The whole daemon between a caller and scripted endpoints, on loopback.
+
+#include "Services/Forwarder/forwarder_daemon.h"
+
+#include <catch2/catch.hpp>
+#include <deque>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "LibCore/text.h"
+#include "Tests/Support/RawServer/raw_server.h"
+#include "Tests/Support/TopicStore/fake_topic_client.h"
+#include "Tests/Support/free_address.h"
+#include "platform/adapters.h"
+
+namespace wasabi::forwarder {
+namespace {
+
+using support::RawServer;
+
+constexpr core::Duration kTestTimeout = core::seconds(10);
+
+constexpr const char* kConfiguration = R"({"version":1,"routes":[
+  {"name":"safe","hostname":"a.test","path_prefix":"/safe/","kind":"safe",
+   "timeout_ms":2000,"target_latency_ms":100,"attempts":2,"service":"p"},
+  {"name":"unsafe","hostname":"a.test","path_prefix":"/unsafe/",
+   "kind":"unsafe","timeout_ms":2000,"target_latency_ms":100,"attempts":1,
+   "service":"p"},
+  {"name":"resumable","hostname":"a.test","path_prefix":"/resumable/",
+   "kind":"streaming","resumable":true,"timeout_ms":2000,
+   "target_latency_ms":100,"attempts":2,"service":"p","gap_aim_ms":300},
+  {"name":"once","hostname":"a.test","path_prefix":"/once/",
+   "kind":"streaming","resumable":false,"timeout_ms":2000,
+   "target_latency_ms":100,"attempts":1,"service":"p","gap_aim_ms":300},
+  {"name":"short","hostname":"a.test","path_prefix":"/short/","kind":"unsafe",
+   "timeout_ms":200,"target_latency_ms":100,"attempts":1,"service":"p"},
+  {"name":"empty","hostname":"a.test","path_prefix":"/empty/","kind":"unsafe",
+   "timeout_ms":400,"target_latency_ms":100,"attempts":1,"service":"q"}],
+ "services":[{"name":"p"},{"name":"q"}],
+ "tenants":[{"name":"t1","api_keys":["k1"]}]})";
+
+// An answer of an endpoint, with the fields that make it one.
+std::string Answer(int status, const std::string& fields,
+                   const std::string& body) {
+  return fmt::format(
+      "HTTP/1.1 {} X\r\nRequest-Id: id1\r\n{}Content-Length: {}\r\n\r\n{}",
+      status, fields, body.size(), body);
+}
+
+std::string Success(const std::string& body) {
+  return Answer(200, "Response-Signature: s\r\n", body);
+}
+
+// The head of a chunked stream and a chunk with `events`.
+std::string StreamStart(const std::string& events) {
+  return fmt::format(
+      "HTTP/1.1 200 X\r\nRequest-Id: id1\r\nResponse-Signature: s\r\n"
+      "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "{:x}\r\n{}\r\n",
+      events.size(), events);
+}
+
+constexpr const char* kStreamEnd = "0\r\n\r\n";
+// Closes the connection in order after what stands before it.
+constexpr char kClose = '\x01';
+
+// A daemon with two endpoints that answer from one script.
+struct Fixture {
+  Fixture()
+      : scheduler(&loop),
+        first(&loop, support::FreeAddress(support::LoopbackIp(10))),
+        second(&loop, support::FreeAddress(support::LoopbackIp(11))),
+        client(&loop) {
+    for (RawServer* server : {&first, &second}) {
+      server->SetResponder([this, server](const std::string& text) {
+        return Respond(server, text);
+      });
+    }
+    Start();
+  }
+
+  ForwarderSettings Settings() {
+    const std::string ip = support::LoopbackIp(12);
+    const auto free = [&ip]() { return support::FreeAddress(ip); };
+    ForwarderSettings settings;
+    settings.host = core::HostId("h1");
+    settings.data_centre = core::DataCentreId("z1");
+    settings.callers_address = free();
+    settings.ready_address = free();
+    settings.discovery_address = free();
+    settings.gossip_address = free();
+    settings.internal_address = free();
+    settings.platform_address = free();
+    settings.leaving_bound = core::seconds(2);
+    settings.configuration_bound = core::seconds(2);
+    settings.shutdown_grace = core::seconds(2);
+    settings.max_address_lifetime = core::milliseconds(100);
+    settings.retries = {.ratio = 1, .slack = 100, .window = core::seconds(10)};
+    settings.load_bound = 2;
+    settings.event_capacity = 1000;
+    return settings;
+  }
+
+  void Start() {
+    settings = Settings();
+    auto daemon_or = ForwarderDaemon::Create(
+        &loop, settings, "/nonexistent",
+        [this](http::Client* http_client, const core::SocketAddress& address) {
+          forwarding::AdapterSet adapters =
+              adapter::MakeAdapters(http_client, address);
+          auto topics = std::make_unique<support::FakeTopicClient>(&scheduler);
+          store = topics.get();
+          adapters.topics = std::move(topics);
+          names = adapters.names;
+          return adapters;
+        });
+    REQUIRE(daemon_or.ok());
+    daemon = *std::move(daemon_or);
+    Register("e1", first, "ready");
+    Register("e2", second, "ready");
+  }
+
+  void Configure() {
+    store->Write(names.configuration, names.configuration_key, kConfiguration);
+    REQUIRE(RunUntil([this]() { return Get("/ready", true).status == 200; }));
+  }
+
+  void Register(const char* id, const RawServer& server, const char* state) {
+    store->Write(
+        names.registrations, id,
+        fmt::format(R"({{"service":"p","address":"{}","zone":"z1","slots":8,)"
+                    R"("state":"{}","seq":{},"born":1}})",
+                    server.address().ToString(), state, ++sequence));
+  }
+
+  std::string Respond(RawServer* server, const std::string& text) {
+    received.push_back(text);
+    if (script.empty()) {
+      return "";
+    }
+    std::string answer = script.front();
+    script.pop_front();
+    if (!answer.empty() && answer.back() == kClose) {
+      answer.pop_back();
+      loop.Post([server]() { server->CloseAll(); });
+    }
+    return answer;
+  }
+
+  bool RunUntil(const std::function<bool()>& is_done) {
+    const core::TimePoint end = loop.Now() + kTestTimeout;
+    while (!is_done() && loop.Now() < end) {
+      const auto timer = loop.NewTimer([this]() { loop.Stop(); });
+      timer->StartOnce(core::milliseconds(5));
+      loop.Run();
+    }
+    return loop.Now() < end;
+  }
+
+  struct Result {
+    int status = 0;
+    http::Headers headers;
+    std::string body;
+    std::optional<http::OriginEnd> end;
+  };
+
+  std::shared_ptr<http::OriginCall> Send(const std::string& target,
+                                         const http::Headers& more,
+                                         bool is_ready_check,
+                                         Result* result) {
+    http::OriginRequest request;
+    request.address =
+        is_ready_check ? settings.ready_address : settings.callers_address;
+    request.method = "GET";
+    request.target = target;
+    request.headers = {{"Host", "a.test"}, {"Request-Id", "id1"}};
+    for (const auto& [name, value] : more.fields()) {
+      request.headers.Add(name, value);
+    }
+    http::OriginCallbacks callbacks;
+    callbacks.on_head = [result](const http::MessageHead& head) {
+      result->status = head.status;
+      result->headers = head.headers;
+    };
+    callbacks.on_body = [result](std::string_view piece) {
+      result->body.append(piece);
+    };
+    callbacks.on_end = [result](http::OriginEnd end) { result->end = end; };
+    return client.Send(request, std::move(callbacks));
+  }
+
+  Result Get(const std::string& target, bool is_ready_check = false) {
+    Result result;
+    Send(target, {{"Authorization", "Bearer k1"}, {"Deadline-Ms", "1500"}},
+         is_ready_check, &result);
+    const core::TimePoint end = loop.Now() + kTestTimeout;
+    while (!result.end && loop.Now() < end) {
+      const auto timer = loop.NewTimer([this]() { loop.Stop(); });
+      timer->StartOnce(core::milliseconds(2));
+      loop.Run();
+    }
+    return result;
+  }
+
+  core::EventLoop loop;
+  platform::LoopScheduler scheduler;
+  RawServer first;
+  RawServer second;
+  std::deque<std::string> script;
+  std::vector<std::string> received;
+  int sequence = 0;
+  support::FakeTopicClient* store = nullptr;
+  forwarding::TopicNames names;
+  ForwarderSettings settings;
+  std::unique_ptr<ForwarderDaemon> daemon;
+  http::OriginClient client;
+};
+
+struct ScriptCase {
+  const char* what;
+  const char* target;
+  std::vector<std::string> script;
+  int status;
+  std::string body;
+  bool is_whole;
+  // Requests that reached endpoints.
+  size_t sends;
+};
+
+TEST_CASE("each request gets exactly the answer that its endpoint gave") {
+  const std::string error = Answer(500, "Response-Signature: s\r\n", "bad");
+  const std::string shed = Answer(503, "Not-Executed: 1\r\n", "");
+  const std::string cut = fmt::format(
+      "HTTP/1.1 200 X\r\nRequest-Id: id1\r\nResponse-Signature: s\r\n"
+      "Content-Length: 9\r\n\r\npart{}",
+      kClose);
+  const std::string closed(1, kClose);
+  const std::string event1 = "id: 1\ndata: a\n\n";
+  const std::string event2 = "id: 2\ndata: b\n\n";
+  const std::string half = "id: 2\nda";
+  const std::string whole_stream =
+      StreamStart(event1 + event2) + kStreamEnd;
+  const std::string cut_stream = StreamStart(event1 + half) + kClose;
+  const std::string rest_of_stream = StreamStart(event2) + kStreamEnd;
+  const ScriptCase cases[] = {
+      {"success", "/unsafe/1", {Success("ok")}, 200, "ok", true, 1},
+      {"a failure that may not be repeated",
+       "/unsafe/1", {error}, 500, "bad", true, 1},
+      {"a failure, repeated", "/safe/1", {error, Success("ok")}, 200, "ok",
+       true, 2},
+      {"failures to the last attempt", "/safe/1", {error, error}, 500, "bad",
+       true, 2},
+      {"not run, so sent elsewhere",
+       "/unsafe/1", {shed, Success("ok")}, 200, "ok", true, 2},
+      {"not run anywhere", "/unsafe/1", {shed, shed}, 503, "", true, 2},
+      {"503 that promises nothing",
+       "/unsafe/1", {Answer(503, "", "")}, 502, "", true, 1},
+      {"503 that promises nothing, repeated",
+       "/safe/1", {Answer(503, "", ""), Success("ok")}, 200, "ok", true, 2},
+      {"cut, may have run", "/unsafe/1", {cut}, 502, "", true, 1},
+      {"cut, repeated", "/safe/1", {cut, Success("ok")}, 200, "ok", true, 2},
+      {"no answer, may have run", "/unsafe/1", {closed}, 502, "", true, 1},
+      {"no answer, repeated",
+       "/safe/1", {closed, Success("ok")}, 200, "ok", true, 2},
+      {"no signature", "/unsafe/1", {Answer(200, "", "forged")}, 502, "", true,
+       1},
+      {"an answer to another request before it",
+       "/unsafe/1",
+       {"HTTP/1.1 200 X\r\nRequest-Id: other\r\nResponse-Signature: s\r\n"
+        "Content-Length: 5\r\n\r\nwrong" + Success("ok")},
+       200, "ok", true, 1},
+      {"bytes after the answer",
+       "/unsafe/1", {Success("ok") + "HTTP/1.1 200 X\r\n"}, 200, "ok", true, 1},
+      {"no HTTP", "/unsafe/1", {"nonsense\r\n\r\n"}, 502, "", true, 1},
+      {"a whole stream", "/once/1", {whole_stream}, 200, event1 + event2, true,
+       1},
+      {"a stream that may not be repeated is cut",
+       "/once/1", {cut_stream}, 200, event1, false, 1},
+      {"a stream is continued elsewhere without the half event",
+       "/resumable/1", {cut_stream, rest_of_stream}, 200, event1 + event2, true,
+       2},
+      {"a stream that is cut for good",
+       "/resumable/1", {cut_stream, closed}, 200, event1, false, 2},
+      {"a stream is cut before its first event",
+       "/resumable/1", {closed, whole_stream}, 200, event1 + event2, true, 2},
+      {"a stream without chunks that ends with its connection",
+       "/once/1",
+       {fmt::format("HTTP/1.1 200 X\r\nRequest-Id: id1\r\n"
+                    "Response-Signature: s\r\n\r\n{}{}",
+                    event1, kClose)},
+       200, event1, true, 1},
+      {"the route's time is over", "/short/1", {""}, 504, "", true, 1},
+      {"no such route", "/none/1", {}, 404, "", true, 0},
+      {"no endpoint", "/empty/1", {}, 503, "", true, 0},
+  };
+  for (const ScriptCase& row : cases) {
+    INFO(row.what);
+    Fixture it;
+    it.Configure();
+    it.script.assign(row.script.begin(), row.script.end());
+    const Fixture::Result result = it.Get(row.target);
+    REQUIRE(result.end.has_value());
+    CHECK(result.status == row.status);
+    CHECK((result.end == http::OriginEnd::kComplete) == row.is_whole);
+    CHECK(it.received.size() == row.sends);
+    if (result.headers.Find("X-Result-Code")) {
+      // This host's own error: it bears no endpoint's signature.
+      CHECK_FALSE(result.headers.Find("Response-Signature").has_value());
+    } else {
+      CHECK(result.body == row.body);
+      CHECK(result.headers.Get("Response-Signature") == "s");
+    }
+    const bool promises_not_run = result.status == 503;
+    CHECK(result.headers.Find("Retry-After").has_value() == promises_not_run);
+  }
+}
+
+TEST_CASE("a stream is continued after the last event that the caller got") {
+  Fixture it;
+  it.Configure();
+  it.script = {StreamStart("id: 7\ndata: a\n\n") + kClose,
+               StreamStart("id: 8\ndata: b\n\n") + kStreamEnd};
+  it.Get("/resumable/1");
+  REQUIRE(it.received.size() == 2);
+  CHECK(it.received[0].find("Last-Event-Id") == std::string::npos);
+  CHECK(it.received[1].find("Last-Event-Id: 7\r\n") != std::string::npos);
+}
+
+TEST_CASE("a daemon without a configuration refuses, it does not say 404") {
+  Fixture it;
+  const Fixture::Result result = it.Get("/unsafe/1");
+  CHECK(result.status == 503);
+  CHECK(result.headers.Find("Retry-After").has_value());
+  CHECK(it.Get("/ready", true).status == 503);
+}
+
+TEST_CASE("a caller that leaves frees its endpoint") {
+  Fixture it;
+  it.Configure();
+  it.script = {""};
+  Fixture::Result result;
+  const auto call =
+      it.Send("/unsafe/1", {{"Authorization", "Bearer k1"}}, false, &result);
+  REQUIRE(it.RunUntil([&]() { return it.received.size() == 1; }));
+  REQUIRE(it.first.open() + it.second.open() == 1);
+  call->Cancel();
+  CHECK(it.RunUntil([&]() { return it.first.open() + it.second.open() == 0; }));
+}
+
+TEST_CASE("an endpoint that leaves gets nothing new") {
+  Fixture it;
+  it.Configure();
+  it.Register("e1", it.first, "draining");
+  const auto serves = [&it](const RawServer& server) {
+    it.script = {Success("ok")};
+    const int before = server.requests();
+    it.Get("/unsafe/1");
+    return server.requests() > before;
+  };
+  REQUIRE(it.RunUntil([&]() { return serves(it.second); }));
+  // Well within the bound, all requests go to the other one.
+  core::TimePoint settled = it.loop.Now() + it.settings.leaving_bound / 2;
+  it.RunUntil([&]() { return it.loop.Now() >= settled; });
+  for (int i = 0; i < 20; ++i) {
+    CHECK_FALSE(serves(it.first));
+  }
+}
+
+TEST_CASE("a daemon that stops finishes what is in flight") {
+  Fixture it;
+  it.Configure();
+  it.script = {StreamStart("id: 1\n\n")};
+  Fixture::Result result;
+  it.Send("/once/1", {{"Authorization", "Bearer k1"}}, false, &result);
+  REQUIRE(it.RunUntil([&]() { return result.body == "id: 1\n\n"; }));
+  it.daemon->BeginShutdown();
+  CHECK(it.Get("/ready", true).status == 503);
+  // The endpoint ends its stream while the daemon is stopping.
+  it.first.WriteToAll(kStreamEnd);
+  it.second.WriteToAll(kStreamEnd);
+  CHECK(it.RunUntil([&]() { return result.end.has_value(); }));
+  CHECK(result.end == http::OriginEnd::kComplete);
+}
+
+TEST_CASE("settings that can't be read change nothing") {
+  Fixture it;
+  it.Configure();
+  it.daemon->Reload();
+  it.script = {Success("ok")};
+  CHECK(it.Get("/unsafe/1").status == 200);
+}
+
+}  // namespace
+}  // namespace wasabi::forwarder
--- a/Tests/Support/RawServer/raw_server.cc
+++ b/Tests/Support/RawServer/raw_server.cc
@@ -69,6 +69,12 @@
   respond_ = std::move(respond);
 }
 
+void RawServer::WriteToAll(std::string_view bytes) {
+  for (const ConnectionPointer& it : connections_) {
+    it->stream->Write(bytes);
+  }
+}
+
 void RawServer::StopListening() {
   watcher_.reset();
   if (descriptor_ >= 0) {
--- a/Tests/Support/RawServer/raw_server.h
+++ b/Tests/Support/RawServer/raw_server.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <string_view>
 
 #include "LibCore/event_loop.h"
 #include "LibCore/socket_address.h"
@@ -28,6 +29,8 @@
   // Called for each request with its text; returns the answer. Goes before
   // SetAnswer.
   void SetResponder(std::function<std::string(const std::string& text)> respond);
+  // Sends bytes on every open connection.
+  void WriteToAll(std::string_view bytes);
   void StopListening();
   void CloseAll();
 
