--- a/Libraries/LibForwarding/load_board.cc
+++ b/Libraries/LibForwarding/load_board.cc
@@ -2,13 +2,34 @@
 
 #include <algorithm>
 
+#include "LibCore/result_code.h"
+
 namespace wasabi::forwarding {
 
 namespace {
 
-using Counts = absl::flat_hash_map<uint64_t, uint32_t>;
+using Counts = absl::flat_hash_map<uint32_t, uint32_t>;
+
+constexpr size_t kSequenceBytes = 6;
+constexpr size_t kKeyBytes = 3;
+constexpr size_t kEntryBytes = kKeyBytes + 1;
+constexpr uint32_t kMaxCount = 255;
+
+void AppendNumber(uint64_t value, size_t n, std::string* bytes) {
+  for (size_t i = 0; i < n; ++i) {
+    bytes->push_back(static_cast<char>(value >> (8 * i)));
+  }
+}
+
+uint64_t ReadNumber(std::string_view bytes) {
+  uint64_t value = 0;
+  for (size_t i = bytes.size(); i > 0; --i) {
+    value = (value << 8U) | static_cast<unsigned char>(bytes[i - 1]);
+  }
+  return value;
+}
 
-void SubtractFrom(Counts& counts, uint64_t key, uint32_t n) {
+void SubtractFrom(Counts& counts, uint32_t key, uint32_t n) {
   const auto it = counts.find(key);
   if (it == counts.end()) {
     return;
@@ -19,19 +40,53 @@
   }
 }
 
-uint32_t CountOf(const Counts& counts, uint64_t key) {
+uint32_t CountOf(const Counts& counts, uint32_t key) {
   const auto it = counts.find(key);
   return it == counts.end() ? 0 : it->second;
 }
 
 }  // namespace
 
+std::string EncodeLoadReport(const LoadReport& report) {
+  std::string bytes;
+  bytes.reserve(kSequenceBytes + kEntryBytes * report.requests.size());
+  AppendNumber(report.sequence, kSequenceBytes, &bytes);
+  for (const auto& [key, n] : report.requests) {
+    AppendNumber(key, kKeyBytes, &bytes);
+    AppendNumber(std::min(n, kMaxCount), 1, &bytes);
+  }
+  return bytes;
+}
+
+absl::StatusOr<LoadReport> DecodeLoadReport(std::string_view bytes) {
+  if (bytes.size() < kSequenceBytes ||
+      (bytes.size() - kSequenceBytes) % kEntryBytes != 0) {
+    return core::MakeStatus(core::ResultCode::kMalformedMessage,
+                            "a load report of odd length");
+  }
+  LoadReport report;
+  report.sequence = ReadNumber(bytes.substr(0, kSequenceBytes));
+  bytes.remove_prefix(kSequenceBytes);
+  while (!bytes.empty()) {
+    report.requests.emplace_back(
+        static_cast<uint32_t>(ReadNumber(bytes.substr(0, kKeyBytes))),
+        static_cast<uint32_t>(ReadNumber(bytes.substr(kKeyBytes, 1))));
+    bytes.remove_prefix(kEntryBytes);
+  }
+  return report;
+}
+
+uint32_t LoadBoard::KeyOf(const core::RunnerId& endpoint) {
+  constexpr uint64_t kKeyMask = (1U << (8 * kKeyBytes)) - 1;
+  return static_cast<uint32_t>(endpoint.Hash() & kKeyMask);
+}
+
 void LoadBoard::Start(const core::RunnerId& endpoint) {
-  ++own_[endpoint.Hash()];
+  ++own_[KeyOf(endpoint)];
 }
 
 void LoadBoard::Finish(const core::RunnerId& endpoint) {
-  SubtractFrom(own_, endpoint.Hash(), 1);
+  SubtractFrom(own_, KeyOf(endpoint), 1);
 }
 
 void LoadBoard::ApplyReport(const core::HostId& host,
@@ -75,7 +130,7 @@
 }
 
 uint32_t LoadBoard::Load(const core::RunnerId& endpoint) const {
-  const uint64_t key = endpoint.Hash();
+  const uint32_t key = KeyOf(endpoint);
   return CountOf(own_, key) + CountOf(others_, key);
 }
 
--- a/Libraries/LibForwarding/load_board.h
+++ b/Libraries/LibForwarding/load_board.h
@@ -4,14 +4,17 @@
 #ifndef LIBFORWARDING_LOAD_BOARD_H_
 #define LIBFORWARDING_LOAD_BOARD_H_
 
+#include <compare>
 #include <cstdint>
+#include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
 #include "LibCore/identifier.h"
-#include "LibCore/message.h"
 #include "LibCore/time.h"
 #include "absl/container/flat_hash_map.h"
+#include "absl/status/statusor.h"
 
 namespace wasabi::forwarding {
 
@@ -20,14 +23,23 @@
   // Grows with every report of a host; an older one that arrives late is
   // dropped.
   uint64_t sequence = 0;
-  // Stable hash of the endpoint's id, and its requests.
-  std::vector<std::pair<uint64_t, uint32_t>> requests;
+  // Key of an endpoint (LoadBoard::KeyOf), and its requests.
+  std::vector<std::pair<uint32_t, uint32_t>> requests;
 
-  MSGPACK_DEFINE(sequence, requests);
+  auto operator<=>(const LoadReport&) const = default;
 };
 
+// Four bytes an endpoint: every host sends its report to every other one.
+std::string EncodeLoadReport(const LoadReport& report);
+// Error: kMalformedMessage.
+absl::StatusOr<LoadReport> DecodeLoadReport(std::string_view bytes);
+
 class LoadBoard {
  public:
+  // A short hash of an endpoint's id. Two endpoints that share one are taken to
+  // have the sum of their loads.
+  static uint32_t KeyOf(const core::RunnerId& endpoint);
+
   // A request of this host starts or ends at an endpoint.
   void Start(const core::RunnerId& endpoint);
   void Finish(const core::RunnerId& endpoint);
@@ -53,8 +65,8 @@
 
   void Subtract(const LoadReport& report);
 
-  absl::flat_hash_map<uint64_t, uint32_t> own_;
-  absl::flat_hash_map<uint64_t, uint32_t> others_;
+  absl::flat_hash_map<uint32_t, uint32_t> own_;
+  absl::flat_hash_map<uint32_t, uint32_t> others_;
   absl::flat_hash_map<core::HostId, HostEntry> hosts_;
   uint64_t sequence_ = 0;
 };
--- a/Services/Forwarder/fleet_controller.cc
+++ b/Services/Forwarder/fleet_controller.cc
@@ -23,13 +23,14 @@
 // other hosts read by themselves.
 constexpr core::Duration kReadWait = core::milliseconds(500);
 // Reports go out this often in a small fleet, and less often in a large one, so
-// that their bytes a second stay below kReportRate. News goes out at once.
+// that their bytes a second stay below these rates. News goes out at once.
 constexpr core::Duration kMinTopicInterval = core::milliseconds(200);
 constexpr core::Duration kMinLoadInterval = core::milliseconds(100);
-constexpr double kReportRate = 5000;
+constexpr double kTopicReportRate = 5000;
+constexpr double kLoadReportRate = 9000;
 // A report of an idle topic, and of the loads, with their headers.
 constexpr double kTopicReportBytes = 60;
-constexpr double kLoadReportBytes = 160;
+constexpr double kLoadReportBytes = 85;
 // A host reads the platform by itself when its view is older than this share of
 // the bounds on leaving endpoints and configurations: the hosts that are next
 // in the order of readers first, and all with time for a second try.
@@ -56,8 +57,9 @@
 
 core::Duration IntervalFor(core::Duration minimum,
                            double bytes,
-                           size_t receivers) {
-  const double seconds = static_cast<double>(receivers) * bytes / kReportRate;
+                           size_t receivers,
+                           double rate) {
+  const double seconds = static_cast<double>(receivers) * bytes / rate;
   return std::max(minimum, core::FromSeconds(seconds));
 }
 
@@ -306,21 +308,22 @@
         now + IntervalFor(kMinTopicInterval,
                           kTopicReportBytes *
                               static_cast<double>(topics_.size()),
-                          receivers);
+                          receivers, kTopicReportRate);
   }
 }
 
 void FleetController::SendLoadReport() {
   const core::TimePoint now = context_.loop->Now();
   const core::Duration interval =
-      IntervalFor(kMinLoadInterval, kLoadReportBytes, duties_.others.size());
+      IntervalFor(kMinLoadInterval, kLoadReportBytes, duties_.others.size(),
+                  kLoadReportRate);
   context_.loads->Expire(interval * kLoadReportLifetimes, now);
   if (now < next_load_report_at_) {
     return;
   }
   next_load_report_at_ = now + interval;
   SendTo(duties_.others, static_cast<uint8_t>(ApplicationKind::kEndpointLoads),
-         core::Encode(context_.loads->MakeReport()));
+         forwarding::EncodeLoadReport(context_.loads->MakeReport()));
 }
 
 void FleetController::SendCrashes() {
@@ -407,7 +410,7 @@
 absl::Status FleetController::OnLoadReport(const Member& from,
                                            std::string_view body) {
   TRY_ASSIGN(const forwarding::LoadReport report,
-             core::Decode<forwarding::LoadReport>(body));
+             forwarding::DecodeLoadReport(body));
   context_.loads->ApplyReport(from.id, report, context_.loop->Now());
   return absl::OkStatus();
 }
--- a/Tests/LibForwarding/load_board_test.cc
+++ b/Tests/LibForwarding/load_board_test.cc
@@ -14,7 +14,7 @@
 LoadReport Report(uint64_t sequence, uint32_t requests) {
   LoadReport report;
   report.sequence = sequence;
-  report.requests = {{kEndpoint.Hash(), requests}};
+  report.requests = {{LoadBoard::KeyOf(kEndpoint), requests}};
   return report;
 }
 
@@ -30,7 +30,7 @@
   board.Finish(kEndpoint);
   CHECK(board.Load(kEndpoint) == 8);
   CHECK(board.MakeReport().requests ==
-        std::vector<std::pair<uint64_t, uint32_t>>{{kEndpoint.Hash(), 1}});
+        std::vector<std::pair<uint32_t, uint32_t>>{{LoadBoard::KeyOf(kEndpoint), 1}});
 }
 
 TEST_CASE("a report that arrives late is dropped, one of a new start isn't") {
@@ -51,5 +51,17 @@
   CHECK(board.Load(kEndpoint) == 1);
 }
 
+TEST_CASE("a report comes back as it was sent") {
+  LoadReport report;
+  report.sequence = 1234567;
+  report.requests = {{0x00ffee, 3}, {0x123456, 255}};
+  const std::string bytes = EncodeLoadReport(report);
+  const auto back = DecodeLoadReport(bytes);
+  REQUIRE(back.ok());
+  CHECK(*back == report);
+  CHECK_FALSE(DecodeLoadReport(bytes.substr(1)).ok());
+  CHECK_FALSE(DecodeLoadReport("").ok());
+}
+
 }  // namespace
 }  // namespace wasabi::forwarding
