--- a/Libraries/LibCore/compression.cc
+++ b/Libraries/LibCore/compression.cc
@@ -53,10 +53,9 @@
   }
   std::string bytes(length, '\0');
   uLongf size = length;
-  const int result =
-      uncompress(reinterpret_cast<Bytef*>(bytes.data()), &size,
-                 reinterpret_cast<const Bytef*>(compressed.data()),
-                 compressed.size());
+  const int result = uncompress(
+      reinterpret_cast<Bytef*>(bytes.data()), &size,
+      reinterpret_cast<const Bytef*>(compressed.data()), compressed.size());
   if (result != Z_OK || size != length) {
     return MakeStatus(ResultCode::kMalformedMessage, "not compressed bytes");
   }
--- a/Libraries/LibCore/log.cc
+++ b/Libraries/LibCore/log.cc
@@ -50,10 +50,10 @@
 bool TakeRequestLine(LogState& state) {
   const TimePoint now = Clock::now();
   if (state.refilled_at != TimePoint()) {
-    state.request_lines = std::min(
-        kRequestLineBurst,
-        state.request_lines +
-            ToSeconds(now - state.refilled_at) * kRequestLinesPerSecond);
+    state.request_lines =
+        std::min(kRequestLineBurst,
+                 state.request_lines + ToSeconds(now - state.refilled_at) *
+                                           kRequestLinesPerSecond);
   }
   state.refilled_at = now;
   if (state.request_lines < 1) {
@@ -109,12 +109,11 @@
     return;
   }
   ReportLeftOut(process_name, state);
-  BOOST_LOG_SEV(Logger(), 0) << "time_ns=" << event.wall_nanoseconds
-                             << " process=" << process_name
-                             << " event=" << static_cast<int>(event.code)
-                             << " name=" << Describe(event.code).name
-                             << " request=" << event.request_id << " "
-                             << event.detail;
+  BOOST_LOG_SEV(Logger(), 0)
+      << "time_ns=" << event.wall_nanoseconds << " process=" << process_name
+      << " event=" << static_cast<int>(event.code)
+      << " name=" << Describe(event.code).name
+      << " request=" << event.request_id << " " << event.detail;
 }
 
 uint64_t LogLinesLeftOut() {
--- a/Libraries/LibForwarding/endpoint_monitor.cc
+++ b/Libraries/LibForwarding/endpoint_monitor.cc
@@ -16,8 +16,8 @@
 constexpr core::Duration kMaxHoldDown = core::seconds(2);
 
 double Decayed(double share, core::Duration age) {
-  return share * std::exp2(-core::ToSeconds(age) /
-                           core::ToSeconds(kFailureHalfLife));
+  return share *
+         std::exp2(-core::ToSeconds(age) / core::ToSeconds(kFailureHalfLife));
 }
 
 }  // namespace
--- a/Libraries/LibForwarding/event_splitter.cc
+++ b/Libraries/LibForwarding/event_splitter.cc
@@ -14,8 +14,8 @@
 // npos. Lines end in "\n" or "\r\n".
 size_t EndOfLastEvent(std::string_view text) {
   size_t best = std::string_view::npos;
-  for (const std::string_view mark : {std::string_view("\n\n"),
-                                      std::string_view("\n\r\n")}) {
+  for (const std::string_view mark :
+       {std::string_view("\n\n"), std::string_view("\n\r\n")}) {
     const size_t position = text.rfind(mark);
     if (position == std::string_view::npos) {
       continue;
@@ -59,8 +59,8 @@
     end = end == std::string_view::npos ? events.size() : end;
     const std::string_view line = events.substr(start, end - start);
     if (line.substr(0, kIdField.size()) == kIdField) {
-      const auto id = core::ParseNumber<uint64_t>(
-          core::Trim(line.substr(kIdField.size())));
+      const auto id =
+          core::ParseNumber<uint64_t>(core::Trim(line.substr(kIdField.size())));
       if (id) {
         last_event_id_ = id;
       }
--- a/Libraries/LibForwarding/forward_attempt.cc
+++ b/Libraries/LibForwarding/forward_attempt.cc
@@ -30,8 +30,8 @@
   http::OriginCallbacks origin;
   origin.is_expected = [weak](const http::MessageHead& head) {
     const auto self = weak.lock();
-    return self == nullptr || self->context_->endpoint_protocol->IsAnswerTo(
-                                  self->request_, head);
+    return self == nullptr ||
+           self->context_->endpoint_protocol->IsAnswerTo(self->request_, head);
   };
   origin.on_head = [weak](const http::MessageHead& head) {
     if (const auto self = weak.lock()) {
@@ -68,12 +68,11 @@
     return;
   }
   if (silence_timer_ == nullptr) {
-    silence_timer_ =
-        context_->loop->NewTimer([weak = weak_from_this()]() {
-          if (const auto self = weak.lock()) {
-            self->OnSilence();
-          }
-        });
+    silence_timer_ = context_->loop->NewTimer([weak = weak_from_this()]() {
+      if (const auto self = weak.lock()) {
+        self->OnSilence();
+      }
+    });
   }
   silence_timer_->StartOnce(limit);
 }
@@ -81,9 +80,9 @@
 void ForwardAttempt::OnHead(const http::MessageHead& head) {
   last_byte_at_ = context_->loop->Now();
   const auto self = shared_from_this();
-  callbacks_.on_head(context_->endpoint_protocol->Classify(
-                         request_, head, call_->is_reused()),
-                     head);
+  callbacks_.on_head(
+      context_->endpoint_protocol->Classify(request_, head, call_->is_reused()),
+      head);
 }
 
 void ForwardAttempt::OnBody(std::string_view piece) {
@@ -143,8 +142,7 @@
       self->OnProbeEnd(is_reachable);
     }
   };
-  probe_timer_ =
-      context_->loop->NewTimer([report]() { report(false); });
+  probe_timer_ = context_->loop->NewTimer([report]() { report(false); });
   probe_timer_->StartOnce(kProbeTimeout);
   http::TcpStream::Callbacks callbacks;
   callbacks.on_connected = [report]() { report(true); };
--- a/Libraries/LibForwarding/prompt_popularity.cc
+++ b/Libraries/LibForwarding/prompt_popularity.cc
@@ -50,8 +50,7 @@
 }
 
 size_t ReplicasFor(double share, size_t endpoint_count) {
-  const double wanted =
-      std::ceil(share * static_cast<double>(endpoint_count));
+  const double wanted = std::ceil(share * static_cast<double>(endpoint_count));
   return std::clamp<size_t>(static_cast<size_t>(wanted), 1,
                             std::max<size_t>(endpoint_count, 1));
 }
--- a/Libraries/LibForwarding/protocols.h
+++ b/Libraries/LibForwarding/protocols.h
@@ -29,7 +29,8 @@
 
   // The caller's name for a request, for logs, whether it can be decoded or
   // not; "" where it has none.
-  virtual std::string RequestIdOf(const http::InboundRequest& inbound) const = 0;
+  virtual std::string RequestIdOf(
+      const http::InboundRequest& inbound) const = 0;
 
   // The answer for a request that ends with an error of this host.
   virtual http::Answer EncodeError(const absl::Status& status) const = 0;
--- a/Libraries/LibForwarding/retry_allowance.cc
+++ b/Libraries/LibForwarding/retry_allowance.cc
@@ -20,9 +20,8 @@
   Forget(now);
   const double hosts = static_cast<double>(std::max<size_t>(host_count, 1));
   const double allowed =
-      kUsableShare *
-      (policy_.ratio * static_cast<double>(requests_.size()) +
-       policy_.slack / hosts);
+      kUsableShare * (policy_.ratio * static_cast<double>(requests_.size()) +
+                      policy_.slack / hosts);
   if (static_cast<double>(retries_.size()) + 1 > allowed) {
     return false;
   }
--- a/Libraries/LibHttp/origin_client.cc
+++ b/Libraries/LibHttp/origin_client.cc
@@ -74,7 +74,7 @@
   }
   // The most recently used connection is the least likely to be closed.
   while (!it->second.empty()) {
-    const std::shared_ptr<OriginConnection> connection = it->second.back();
+    std::shared_ptr<OriginConnection> connection = it->second.back();
     if (!connection->IsUsable(loop_->Now(), request.max_idle)) {
       return nullptr;
     }
--- a/Libraries/LibHttp/origin_connection.cc
+++ b/Libraries/LibHttp/origin_connection.cc
@@ -28,10 +28,8 @@
   }
   const size_t start = position + kTimeout.size();
   const size_t end = text.find_first_not_of("0123456789", start);
-  const auto seconds = core::ParseNumber<int>(
-      std::string_view(text).substr(start, end == std::string::npos
-                                               ? std::string::npos
-                                               : end - start));
+  const auto seconds = core::ParseNumber<int>(std::string_view(text).substr(
+      start, end == std::string::npos ? std::string::npos : end - start));
   return seconds ? core::FromSeconds(*seconds * kIdleShare) : kDefaultIdleLimit;
 }
 
@@ -76,9 +74,8 @@
 void OriginConnection::Connect(core::Duration timeout) {
   auto stream = TcpStream::Connect(loop_, address_);
   if (!stream.ok()) {
-    loop_->Post([self = shared_from_this()]() {
-      self->Finish(OriginEnd::kNotSent);
-    });
+    loop_->Post(
+        [self = shared_from_this()]() { self->Finish(OriginEnd::kNotSent); });
     return;
   }
   stream_ = *std::move(stream);
@@ -146,7 +143,7 @@
   is_skipping_ = false;
   is_interim_ = false;
   MessageParser::Callbacks callbacks;
-  callbacks.on_head = [this](MessageHead head) { OnHead(std::move(head)); };
+  callbacks.on_head = [this](const MessageHead& head) { OnHead(head); };
   callbacks.on_body = [this](std::string_view piece) {
     if (!is_skipping_ && callbacks_.on_body) {
       callbacks_.on_body(piece);
@@ -186,7 +183,7 @@
   }
 }
 
-void OriginConnection::OnHead(MessageHead head) {
+void OriginConnection::OnHead(const MessageHead& head) {
   is_interim_ =
       head.status < kFirstFinalStatus && head.status != kSwitchingProtocols;
   is_keep_alive_ = head.is_keep_alive;
--- a/Libraries/LibHttp/origin_connection.h
+++ b/Libraries/LibHttp/origin_connection.h
@@ -38,7 +38,7 @@
   void NewParser();
   void OnData(std::string_view bytes);
   void OnStreamEnd(TcpStream::End end);
-  void OnHead(MessageHead head);
+  void OnHead(const MessageHead& head);
   void OnMessageComplete();
   void Finish(OriginEnd end);
 
--- a/Libraries/LibHttp/request_connection.cc
+++ b/Libraries/LibHttp/request_connection.cc
@@ -183,10 +183,10 @@
   if (callbacks_.on_rejected) {
     callbacks_.on_rejected(status);
   }
-  stream_->Write(fmt::format(
-      "HTTP/1.1 {} Rejected\r\nContent-Length: 0\r\nConnection: "
-      "close\r\n\r\n",
-      status));
+  stream_->Write(
+      fmt::format("HTTP/1.1 {} Rejected\r\nContent-Length: 0\r\nConnection: "
+                  "close\r\n\r\n",
+                  status));
   CloseGracefully();
 }
 
--- a/Libraries/LibHttp/request_server.cc
+++ b/Libraries/LibHttp/request_server.cc
@@ -79,15 +79,15 @@
 }
 
 size_t RequestServer::open_transactions() const {
-  return static_cast<size_t>(std::count_if(
-      connections_.begin(), connections_.end(),
-      [](const auto& it) { return it.second->is_answering(); }));
+  return static_cast<size_t>(
+      std::count_if(connections_.begin(), connections_.end(),
+                    [](const auto& it) { return it.second->is_answering(); }));
 }
 
 void RequestServer::AcceptAvailable() {
   while (descriptor_ >= 0) {
-    const int descriptor = accept4(descriptor_, nullptr, nullptr,
-                                   SOCK_NONBLOCK | SOCK_CLOEXEC);
+    const int descriptor =
+        accept4(descriptor_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
     if (descriptor < 0) {
       return;
     }
--- a/Libraries/LibHttp/tcp_stream.cc
+++ b/Libraries/LibHttp/tcp_stream.cc
@@ -95,8 +95,8 @@
 
 void TcpStream::SetCallbacks(Callbacks callbacks) {
   // The old callbacks may be running now, so they are destroyed later.
-  loop_->Post([released = std::make_shared<Callbacks>(std::exchange(
-                   callbacks_, std::move(callbacks)))]() {});
+  loop_->Post([released = std::make_shared<Callbacks>(
+                   std::exchange(callbacks_, std::move(callbacks)))]() {});
 }
 
 void TcpStream::Write(std::string_view bytes) {
--- a/Libraries/LibHttp/transaction.cc
+++ b/Libraries/LibHttp/transaction.cc
@@ -23,7 +23,8 @@
 }
 
 std::string HeadOf(int status, const Headers& headers) {
-  std::string head = fmt::format("HTTP/1.1 {} {}\r\n", status, ReasonOf(status));
+  std::string head =
+      fmt::format("HTTP/1.1 {} {}\r\n", status, ReasonOf(status));
   for (const Headers::Field& field : headers.fields()) {
     head.append(field.first).append(": ").append(field.second).append("\r\n");
   }
--- a/Libraries/LibPlatform/topic_view.cc
+++ b/Libraries/LibPlatform/topic_view.cc
@@ -80,24 +80,23 @@
 
 void TopicView::ReadSnapshot() {
   const core::TimePoint started_at = scheduler_->Now();
-  client_->ReadNewest(
-      options_.topic, [weak = weak_from_this(),
-                       started_at](absl::StatusOr<KeyedPage> page) {
-        if (const auto self = weak.lock()) {
-          self->OnSnapshot(started_at, std::move(page));
-        }
-      });
+  client_->ReadNewest(options_.topic, [weak = weak_from_this(), started_at](
+                                          absl::StatusOr<KeyedPage> page) {
+    if (const auto self = weak.lock()) {
+      self->OnSnapshot(started_at, std::move(page));
+    }
+  });
 }
 
 void TopicView::ReadTail(core::Duration wait) {
   const core::TimePoint started_at = scheduler_->Now();
-  client_->ReadFrom(options_.topic, *next_, wait,
-                    [weak = weak_from_this(),
-                     started_at](absl::StatusOr<KeyedPage> page) {
-                      if (const auto self = weak.lock()) {
-                        self->OnTail(started_at, std::move(page));
-                      }
-                    });
+  client_->ReadFrom(
+      options_.topic, *next_, wait,
+      [weak = weak_from_this(), started_at](absl::StatusOr<KeyedPage> page) {
+        if (const auto self = weak.lock()) {
+          self->OnTail(started_at, std::move(page));
+        }
+      });
 }
 
 void TopicView::OnSnapshot(core::TimePoint started_at,
--- a/Services/Forwarder/configuration_controller.cc
+++ b/Services/Forwarder/configuration_controller.cc
@@ -14,9 +14,7 @@
     uint64_t random_seed)
     // Configurations don't fit a datagram, so none is relayed: the others hear
     // that there is one and read it.
-    : adapters_(adapters),
-      events_(events),
-      relay_(kConfigurationReport, 0) {
+    : adapters_(adapters), events_(events), relay_(kConfigurationReport, 0) {
   platform::TopicViewHandlers handlers;
   handlers.on_snapshot =
       [this](const std::vector<platform::KeyedRecord>& records) {
@@ -47,20 +45,20 @@
   }
   const auto table = adapters_->records->DecodeConfiguration(*record.value);
   if (!table.ok()) {
-    events_->Record(core::EventCode::kRecordSkipped, "",
-                    fmt::format("topic=configuration offset={} error={}",
-                                record.offset,
-                                core::MessageOf(table.status())));
+    events_->Record(
+        core::EventCode::kRecordSkipped, "",
+        fmt::format("topic=configuration offset={} error={}", record.offset,
+                    core::MessageOf(table.status())));
     return;
   }
   if (current_ != nullptr && (*table)->version() <= current_->version()) {
     return;
   }
   current_ = *table;
-  events_->Record(core::EventCode::kConfigurationApplied, "",
-                  fmt::format("version={} offset={} routes={}",
-                              current_->version(), record.offset,
-                              current_->routes().size()));
+  events_->Record(
+      core::EventCode::kConfigurationApplied, "",
+      fmt::format("version={} offset={} routes={}", current_->version(),
+                  record.offset, current_->routes().size()));
   if (observer_) {
     observer_(current_);
   }
--- a/Services/Forwarder/fleet_controller.cc
+++ b/Services/Forwarder/fleet_controller.cc
@@ -64,8 +64,8 @@
 }
 
 uint64_t RandomSeed(const core::HostId& host) {
-  return host.Hash() ^ static_cast<uint64_t>(
-                           core::Clock::now().time_since_epoch().count());
+  return host.Hash() ^
+         static_cast<uint64_t>(core::Clock::now().time_since_epoch().count());
 }
 
 absl::StatusOr<forwarding::TopicCopy> DecodeCopy(
@@ -108,9 +108,9 @@
   options.self.gossip_address = settings_.gossip_address;
   options.self.link_address = settings_.internal_address;
   options.self.http_address = settings_.callers_address;
-  TRY_ASSIGN(gossip_, membership::GossipNode::Create(
-                          context_.loop, options, RandomSeed(settings_.host),
-                          context_.events));
+  TRY_ASSIGN(gossip_, membership::GossipNode::Create(context_.loop, options,
+                                                     RandomSeed(settings_.host),
+                                                     context_.events));
   gossip_->OnChange([this](const membership::MemberTableView& table) {
     duties_ = DeriveDuties(*table, settings_.host, settings_.data_centre);
   });
@@ -310,10 +310,10 @@
     const size_t receivers =
         duties_.other_relays.size() + duties_.neighbours.size();
     next_topic_report_at_ =
-        now + IntervalFor(kMinTopicInterval,
-                          kTopicReportBytes *
-                              static_cast<double>(topics_.size()),
-                          receivers, kTopicReportRate);
+        now +
+        IntervalFor(kMinTopicInterval,
+                    kTopicReportBytes * static_cast<double>(topics_.size()),
+                    receivers, kTopicReportRate);
   }
 }
 
@@ -402,10 +402,9 @@
           forwarding::ApplyTopicCopy(*copy, view);
           return;
         }
-        context_.events->Record(
-            core::EventCode::kPlatformDown, "",
-            fmt::format("topic={} no copy: {}", number,
-                        core::MessageOf(copy.status())));
+        context_.events->Record(core::EventCode::kPlatformDown, "",
+                                fmt::format("topic={} no copy: {}", number,
+                                            core::MessageOf(copy.status())));
         view->RefreshIfOlder(core::Duration::zero(), core::Duration::zero());
       });
 }
--- a/Services/Forwarder/forwarder_daemon.cc
+++ b/Services/Forwarder/forwarder_daemon.cc
@@ -29,8 +29,8 @@
 constexpr int kOkStatus = 200;
 
 uint64_t SeedOf(const core::HostId& host) {
-  return host.Hash() ^ static_cast<uint64_t>(
-                           core::Clock::now().time_since_epoch().count());
+  return host.Hash() ^
+         static_cast<uint64_t>(core::Clock::now().time_since_epoch().count());
 }
 
 }  // namespace
@@ -65,20 +65,19 @@
 ForwarderDaemon::~ForwarderDaemon() = default;
 
 absl::Status ForwarderDaemon::Start() {
-  events_.Record(core::EventCode::kProcessStarted, "",
-                 fmt::format("data_centre={} callers={}",
-                             settings_.data_centre.value(),
-                             settings_.callers_address.ToString()));
+  events_.Record(
+      core::EventCode::kProcessStarted, "",
+      fmt::format("data_centre={} callers={}", settings_.data_centre.value(),
+                  settings_.callers_address.ToString()));
   endpoints_.SetGoneObserver([this](const forwarding::Endpoint& before) {
     monitor_.Forget(before.id);
     origin_client_.Forget(before.address);
   });
   configuration_ = std::make_unique<ConfigurationController>(
       &adapters_, &scheduler_, &events_, random_.Next());
-  configuration_->SetObserver(
-      [this](const forwarding::RouteTableView& table) {
-        OnConfiguration(table);
-      });
+  configuration_->SetObserver([this](const forwarding::RouteTableView& table) {
+    OnConfiguration(table);
+  });
   registrations_ = std::make_unique<RegistrationController>(
       &adapters_, &scheduler_, &events_, &endpoints_, settings_.leaving_bound,
       random_.Next());
@@ -90,10 +89,9 @@
                                               .loads = &loads_,
                                               .quarantine = &quarantine_},
                                              settings_));
-  fleet_->SetTopics({{.view = configuration_->view(),
-                      .relay = configuration_->relay()},
-                     {.view = registrations_->view(),
-                      .relay = registrations_->relay()}});
+  fleet_->SetTopics(
+      {{.view = configuration_->view(), .relay = configuration_->relay()},
+       {.view = registrations_->view(), .relay = registrations_->relay()}});
   FillContext();
   TRY(StartServers());
   ticker_ = loop_->NewTimer([this]() { Tick(); });
@@ -103,14 +101,14 @@
 
 absl::Status ForwarderDaemon::StartServers() {
   const auto handler = [this](void (ForwarderDaemon::*handle)(
-                                  const TransactionPointer& transaction)) {
+                           const TransactionPointer& transaction)) {
     return [this, handle](const TransactionPointer& transaction) {
       (this->*handle)(transaction);
     };
   };
-  TRY_ASSIGN(callers_, http::RequestServer::Create(
-                           loop_, settings_.callers_address,
-                           handler(&ForwarderDaemon::OnRequest)));
+  TRY_ASSIGN(callers_,
+             http::RequestServer::Create(loop_, settings_.callers_address,
+                                         handler(&ForwarderDaemon::OnRequest)));
   callers_->SetRejectObserver([this](int status) {
     events_.Record(core::EventCode::kBadInput, "",
                    fmt::format("status={}", status));
@@ -237,10 +235,9 @@
   const std::vector<core::SocketAddress> addresses =
       fleet_->CallerAddresses(question->data_centre);
   if (addresses.empty()) {
-    transaction->Respond(adapters_.callers->EncodeError(
-        core::MakeRefusal(core::ResultCode::kNoConfiguration,
-                          "no host takes requests yet",
-                          kRetryWithoutConfiguration)));
+    transaction->Respond(adapters_.callers->EncodeError(core::MakeRefusal(
+        core::ResultCode::kNoConfiguration, "no host takes requests yet",
+        kRetryWithoutConfiguration)));
     return;
   }
   transaction->Respond(
@@ -261,8 +258,7 @@
     transaction->Respond(
         {.status = kOkStatus,
          .headers = {{"Content-Type", "application/json"}},
-         .body = core::EventsToJson(events_.process_name(),
-                                    events_.Since(0))});
+         .body = core::EventsToJson(events_.process_name(), events_.Since(0))});
     return;
   }
   const auto topic =
--- a/Services/Forwarder/registration_controller.cc
+++ b/Services/Forwarder/registration_controller.cc
@@ -49,8 +49,8 @@
       adapters->topics.get(), scheduler,
       platform::TopicViewOptions{
           .topic = adapters->names.registrations,
-          .outage_age = core::FromSeconds(core::ToSeconds(leaving_bound) *
-                                          kOutageShare),
+          .outage_age =
+              core::FromSeconds(core::ToSeconds(leaving_bound) * kOutageShare),
           .seed = random_seed},
       std::move(handlers));
 }
--- a/Services/Router/main.cc
+++ b/Services/Router/main.cc
@@ -86,7 +86,6 @@
       "SIGTERM begins a graceful shutdown. Exit status: 0 after a shutdown, "
       "2 wrong settings, 3 can't start.");
   gflags::ParseCommandLineFlags(&argc, &argv, true);
-  return wasabi::router::UsesPlatformAdapter()
-             ? wasabi::router::RunForwarder()
-             : wasabi::router::RunRouter();
+  return wasabi::router::UsesPlatformAdapter() ? wasabi::router::RunForwarder()
+                                               : wasabi::router::RunRouter();
 }
--- a/Tests/Forwarder/registration_controller_test.cc
+++ b/Tests/Forwarder/registration_controller_test.cc
@@ -94,7 +94,8 @@
   CHECK(it.Available() == 1);
 }
 
-TEST_CASE("living endpoints that lapsed in an outage are kept until it is over") {
+TEST_CASE(
+    "living endpoints that lapsed in an outage are kept until it is over") {
   Fixture it;
   it.store->SetDown(true);
   it.RunFor(seconds(4));
@@ -142,7 +143,8 @@
 
 // Mwangaza grown, scale-2 --seed 773553552331: in a large fleet views grow
 // older between reports, which was taken for an outage.
-TEST_CASE("a host that hears from others at long intervals is not in an outage") {
+TEST_CASE(
+    "a host that hears from others at long intervals is not in an outage") {
   Fixture it;
   it.is_reading = false;
   const core::Duration interval = kLeavingBound * 9 / 10;
--- a/Tests/LibCore/compression_test.cc
+++ b/Tests/LibCore/compression_test.cc
@@ -22,8 +22,8 @@
 TEST_CASE("bytes that were not compressed are refused") {
   std::string cut = Compress(std::string(5000, 'x'));
   cut.resize(cut.size() - 3);
-  const std::string bad[] = {"", "abc", "abcdefgh",
-                             std::string(8, '\xff'), cut};
+  const std::string bad[] = {"", "abc", "abcdefgh", std::string(8, '\xff'),
+                             cut};
   for (const std::string& text : bad) {
     CHECK_FALSE(Decompress(text, kRoom).ok());
   }
--- a/Tests/LibForwarding/crash_watch_test.cc
+++ b/Tests/LibForwarding/crash_watch_test.cc
@@ -53,8 +53,8 @@
 
 TEST_CASE("a connection that breaks at a living endpoint is no crash") {
   Fixture it;
-  const support::RawServer server(
-      &it.loop, support::FreeAddress(support::LoopbackIp(5)));
+  const support::RawServer server(&it.loop,
+                                  support::FreeAddress(support::LoopbackIp(5)));
   for (const char* id : {"e1", "e2", "e3"}) {
     it.watch.NoteCut(it.MakeEndpoint(id, server.address()), kDigest);
   }
--- a/Tests/LibForwarding/endpoint_selector_test.cc
+++ b/Tests/LibForwarding/endpoint_selector_test.cc
@@ -21,8 +21,8 @@
 Candidates MakePool(size_t n) {
   Candidates pool;
   for (size_t i = 0; i < n; ++i) {
-    pool.push_back({.hash = core::StableHash(std::to_string(i)),
-                    .slots = kSlots});
+    pool.push_back(
+        {.hash = core::StableHash(std::to_string(i)), .slots = kSlots});
   }
   return pool;
 }
@@ -117,8 +117,7 @@
         core::TimePoint(core::seconds(1)) + kInterval * i / kPerInterval;
     const Affinity affinity{
         .key = key,
-        .replicas =
-            ReplicasFor(popularity[host].Record(key, now), kEndpoints)};
+        .replicas = ReplicasFor(popularity[host].Record(key, now), kEndpoints)};
     const Selection selection =
         SelectEndpoint(view, affinity, random.Next(), policy);
     REQUIRE(selection.outcome == SelectionOutcome::kChosen);
@@ -173,13 +172,16 @@
 
 TEST_CASE("a pool says whether waiting can help") {
   Candidates pool = MakePool(2);
-  CHECK(SelectEndpoint({}, AffinityTo(1), 1, {}).outcome == SelectionOutcome::kNone);
+  CHECK(SelectEndpoint({}, AffinityTo(1), 1, {}).outcome ==
+        SelectionOutcome::kNone);
   pool[0].load = kSlots;
   pool[1].load = kSlots;
-  CHECK(SelectEndpoint(pool, AffinityTo(1), 1, {}).outcome == SelectionOutcome::kAllFull);
+  CHECK(SelectEndpoint(pool, AffinityTo(1), 1, {}).outcome ==
+        SelectionOutcome::kAllFull);
   pool[0].is_excluded = true;
   pool[1].is_excluded = true;
-  CHECK(SelectEndpoint(pool, AffinityTo(1), 1, {}).outcome == SelectionOutcome::kNone);
+  CHECK(SelectEndpoint(pool, AffinityTo(1), 1, {}).outcome ==
+        SelectionOutcome::kNone);
 }
 
 TEST_CASE("without affinity the least loaded and nearest is chosen") {
--- a/Tests/LibForwarding/load_board_test.cc
+++ b/Tests/LibForwarding/load_board_test.cc
@@ -30,7 +30,8 @@
   board.Finish(kEndpoint);
   CHECK(board.Load(kEndpoint) == 8);
   CHECK(board.MakeReport().requests ==
-        std::vector<std::pair<uint32_t, uint32_t>>{{LoadBoard::KeyOf(kEndpoint), 1}});
+        std::vector<std::pair<uint32_t, uint32_t>>{
+            {LoadBoard::KeyOf(kEndpoint), 1}});
 }
 
 TEST_CASE("a report that arrives late is dropped, one of a new start isn't") {
--- a/Tests/LibForwarding/retry_allowance_test.cc
+++ b/Tests/LibForwarding/retry_allowance_test.cc
@@ -20,7 +20,8 @@
   std::vector<core::TimePoint> retries;
   const core::TimePoint start{seconds(100)};
   for (int i = 0; i < kRequestsPerSecond * 30; ++i) {
-    const core::TimePoint now = start + i * milliseconds(1000) / kRequestsPerSecond;
+    const core::TimePoint now =
+        start + i * milliseconds(1000) / kRequestsPerSecond;
     for (RetryAllowance& host : hosts) {
       host.RecordRequest(now);
       if (host.TryRetry(kHosts, now)) {
@@ -42,8 +43,7 @@
 }
 
 TEST_CASE("a quiet host still has its part of the slack") {
-  RetryAllowance host(
-      {.ratio = 0.2, .slack = 50, .window = seconds(10)});
+  RetryAllowance host({.ratio = 0.2, .slack = 50, .window = seconds(10)});
   const core::TimePoint now{seconds(100)};
   int taken = 0;
   while (host.TryRetry(10, now)) {
--- a/Tests/LibForwarding/route_table_test.cc
+++ b/Tests/LibForwarding/route_table_test.cc
@@ -31,11 +31,16 @@
                                    .AddRoute(MakeRoute("b", "B.test", "/x/"))
                                    .Build();
   const FindCase cases[] = {
-      {"a.test", "/x/y/z", "xy"},   {"a.test", "/x/y", "x"},
-      {"a.test", "/x/", "x"},       {"a.test", "/xy/z", "root"},
-      {"a.test", "/q?p=/x/y/", "root"}, {"A.TEST:80", "/x/1", "x"},
-      {"b.test", "/x/1", "b"},      {"b.test", "/y/", ""},
-      {"c.test", "/x/", ""},        {"a.test", "", ""},
+      {"a.test", "/x/y/z", "xy"},
+      {"a.test", "/x/y", "x"},
+      {"a.test", "/x/", "x"},
+      {"a.test", "/xy/z", "root"},
+      {"a.test", "/q?p=/x/y/", "root"},
+      {"A.TEST:80", "/x/1", "x"},
+      {"b.test", "/x/1", "b"},
+      {"b.test", "/y/", ""},
+      {"c.test", "/x/", ""},
+      {"a.test", "", ""},
       {"", "/", ""},
   };
   for (const FindCase& row : cases) {
--- a/Tests/LibForwarding/topic_relay_test.cc
+++ b/Tests/LibForwarding/topic_relay_test.cc
@@ -62,9 +62,9 @@
   TopicRelay relay(kTopic, kRoom);
   relay.NoteSnapshot(10);
   for (int64_t offset = 10; offset < 20; ++offset) {
-    relay.NoteChange({.key = "e", .value = std::string(40, 'x'),
-                      .offset = offset},
-                     reader.scheduler.Now());
+    relay.NoteChange(
+        {.key = "e", .value = std::string(40, 'x'), .offset = offset},
+        reader.scheduler.Now());
   }
   reader.view->ApplyReport(10, 20, {}, core::Duration::zero());
   const TopicReport report =
--- a/Tests/LibHttp/message_parser_test.cc
+++ b/Tests/LibHttp/message_parser_test.cc
@@ -67,14 +67,17 @@
       {"a body with a length", Kind::kRequest,
        post + "Content-Length: 3\r\n\r\nabc", Result::kComplete, "abc", ""},
       {"a body in chunks", Kind::kRequest,
-       post + "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n",
+       post +
+           "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n",
        Result::kComplete, "abc", ""},
       {"two requests", Kind::kRequest, get + get, Result::kComplete, "", get},
       {"a length and chunks", Kind::kRequest,
-       post + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+       post +
+           "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
        Result::kMalformed, "", ""},
       {"chunks and a length", Kind::kRequest,
-       post + "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n0\r\n\r\n",
+       post +
+           "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n0\r\n\r\n",
        Result::kMalformed, "", ""},
       {"two lengths", Kind::kRequest,
        post + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
--- a/Tests/PlatformAdapter/caller_codec_test.cc
+++ b/Tests/PlatformAdapter/caller_codec_test.cc
@@ -62,8 +62,7 @@
   const ErrorCase cases[] = {
       {"no such route", Request("/x/", {kId, kKey}), ResultCode::kUnknownRoute},
       {"no key", Request("/s/1", {kId}), ResultCode::kUnknownKey},
-      {"an unknown key",
-       Request("/s/1", {kId, {"Authorization", "Bearer k9"}}),
+      {"an unknown key", Request("/s/1", {kId, {"Authorization", "Bearer k9"}}),
        ResultCode::kUnknownKey},
       {"another scheme", Request("/s/1", {kId, {"Authorization", "Basic k2"}}),
        ResultCode::kUnknownKey},
@@ -185,12 +184,11 @@
   };
   for (const StatusCase& row : cases) {
     INFO(static_cast<int>(row.code));
-    CHECK(CallerCodec()
-              .EncodeError(core::MakeStatus(row.code, "x"))
-              .status == row.status);
+    CHECK(CallerCodec().EncodeError(core::MakeStatus(row.code, "x")).status ==
+          row.status);
   }
-  const http::Answer refusal = CallerCodec().EncodeError(core::MakeRefusal(
-      ResultCode::kOverloaded, "x", core::milliseconds(250)));
+  const http::Answer refusal = CallerCodec().EncodeError(
+      core::MakeRefusal(ResultCode::kOverloaded, "x", core::milliseconds(250)));
   CHECK(refusal.headers.Get("Retry-After") == "0.250");
 }
 
--- a/Tests/PlatformAdapter/store_client_test.cc
+++ b/Tests/PlatformAdapter/store_client_test.cc
@@ -80,10 +80,9 @@
 
 TEST_CASE("the newest records are read in pages, up to the first page's end") {
   Fixture it;
-  it.answers = {
-      Answer(200, R"({"items":[{"key":"a","value":"MQ==","offset":3}],
+  it.answers = {Answer(200, R"({"items":[{"key":"a","value":"MQ==","offset":3}],
                       "has_more":true,"end":5})"),
-      Answer(200, R"({"items":[{"key":"b","value":"Mg==","offset":6}],
+                Answer(200, R"({"items":[{"key":"b","value":"Mg==","offset":6}],
                       "has_more":false,"end":9})")};
   const auto page = it.ReadNewest();
   REQUIRE(page.ok());
@@ -104,11 +103,11 @@
   REQUIRE(page.ok());
   // The third record can't be read, but has its offset.
   CHECK(page->next == 9);
-  CHECK(page->records ==
-        std::vector<KeyedRecord>{
-            {.key = "a", .value = "xyz", .offset = 6},
-            {.key = "b", .value = std::nullopt, .offset = 7}});
-  CHECK(it.requests.front() == "GET /log-read?topic=t&part=0&from=6&wait_ms=500");
+  CHECK(page->records == std::vector<KeyedRecord>{
+                             {.key = "a", .value = "xyz", .offset = 6},
+                             {.key = "b", .value = std::nullopt, .offset = 7}});
+  CHECK(it.requests.front() ==
+        "GET /log-read?topic=t&part=0&from=6&wait_ms=500");
 }
 
 struct ErrorCase {
--- a/Tests/Support/RawServer/raw_server.cc
+++ b/Tests/Support/RawServer/raw_server.cc
@@ -93,8 +93,8 @@
 
 void RawServer::AcceptAvailable() {
   while (descriptor_ >= 0) {
-    const int descriptor = accept4(descriptor_, nullptr, nullptr,
-                                   SOCK_NONBLOCK | SOCK_CLOEXEC);
+    const int descriptor =
+        accept4(descriptor_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
     if (descriptor < 0) {
       return;
     }
--- a/Tests/Support/RawServer/raw_server.h
+++ b/Tests/Support/RawServer/raw_server.h
@@ -28,7 +28,8 @@
   void SetAnswer(std::string answer, bool closes);
   // Called for each request with its text; returns the answer. Goes before
   // SetAnswer.
-  void SetResponder(std::function<std::string(const std::string& text)> respond);
+  void SetResponder(
+      std::function<std::string(const std::string& text)> respond);
   // Sends bytes on every open connection.
   void WriteToAll(std::string_view bytes);
   void StopListening();
--- a/Tests/Support/TopicStore/fake_topic_client.cc
+++ b/Tests/Support/TopicStore/fake_topic_client.cc
@@ -88,9 +88,10 @@
   if (is_down_) {
     page = core::MakeStatus(core::ResultCode::kPlatformUnavailable, "down");
   }
-  scheduler_->CallAfter(kAnswerTime,
-                        [callback = std::move(callback),
-                         page = std::move(page)]() { callback(page); });
+  scheduler_->CallAfter(
+      kAnswerTime, [callback = std::move(callback), page = std::move(page)]() {
+        callback(page);
+      });
 }
 
 }  // namespace wasabi::support
