--- a/Libraries/LibForwarding/forward_session.cc
+++ b/Libraries/LibForwarding/forward_session.cc
@@ -144,7 +144,8 @@
   std::optional<Affinity> affinity;
   if (const auto key = AffinityKey()) {
     affinity = Affinity{
-        .key = *key, .replicas = ReplicasFor(prompt_share_, candidates.size())};
+        .key = *key,
+        .replicas = ReplicasFor(prompt_share_, candidates.size(), interval)};
   }
   const Selection selection =
       SelectEndpoint(candidates, affinity, context_->random->Next(),
--- a/Libraries/LibForwarding/prompt_popularity.h
+++ b/Libraries/LibForwarding/prompt_popularity.h
@@ -34,8 +34,12 @@
 };
 
 // Over how many endpoints a prompt with this share of the requests spreads, so
-// that it alone fills none of them to more than the mean of the pool.
-size_t ReplicasFor(double share, size_t endpoint_count);
+// that it alone fills none of them to more than the mean of the pool. Where
+// hosts hear of each other's load often, the bound on the load spreads a hot
+// prompt as far as need be, and fewer endpoints have to read it.
+size_t ReplicasFor(double share,
+                   size_t endpoint_count,
+                   core::Duration report_interval);
 
 }  // namespace wasabi::forwarding
 
--- a/Tests/LibForwarding/endpoint_selector_test.cc
+++ b/Tests/LibForwarding/endpoint_selector_test.cc
@@ -117,7 +117,8 @@
         core::TimePoint(core::seconds(1)) + kInterval * i / kPerInterval;
     const Affinity affinity{
         .key = key,
-        .replicas = ReplicasFor(popularity[host].Record(key, now), kEndpoints)};
+        .replicas = ReplicasFor(popularity[host].Record(key, now), kEndpoints,
+                                kInterval)};
     const Selection selection =
         SelectEndpoint(view, affinity, random.Next(), policy);
     REQUIRE(selection.outcome == SelectionOutcome::kChosen);
@@ -136,6 +137,27 @@
   CHECK(places.size() < 2 * kPrompts);
 }
 
+TEST_CASE("a prompt spreads by its share and by the age of reports") {
+  struct Row {
+    double share;
+    size_t endpoints;
+    core::Duration interval;
+    size_t replicas;
+  };
+  const Row rows[] = {
+      {0, 60, core::seconds(1), 1},
+      {0.01, 60, core::seconds(1), 1},
+      {0.15, 60, core::seconds(1), 9},
+      {0.15, 60, core::milliseconds(100), 2},
+      {0.2, 9, core::milliseconds(100), 1},
+      {1, 9, core::seconds(1), 9},
+      {0.5, 0, core::seconds(1), 1},
+  };
+  for (const Row& row : rows) {
+    CHECK(ReplicasFor(row.share, row.endpoints, row.interval) == row.replicas);
+  }
+}
+
 struct EligibleCase {
   const char* what;
   void (*change)(EndpointCandidate& it);
