--- a/Libraries/LibForwarding/endpoint_registry.cc
+++ b/Libraries/LibForwarding/endpoint_registry.cc
@@ -11,21 +11,27 @@
 
 }  // namespace
 
-bool EndpointRegistry::Put(const Registration& registration,
-                           core::TimePoint now) {
+RegistryOutcome EndpointRegistry::Put(const Registration& registration,
+                                      core::TimePoint now) {
   const core::RunnerId& id = registration.endpoint.id;
   const auto it = entries_.find(id);
+  bool has_returned = false;
   if (it != entries_.end()) {
     const Entry& entry = it->second;
     const bool is_late = !IsNewer(registration, entry.registration) ||
                          (!entry.is_present && now >= entry.usable_until &&
                           registration == entry.registration);
     if (is_late) {
-      return false;
+      return RegistryOutcome::kLate;
     }
+    has_returned = !entry.is_present;
   }
   entries_[id] = {.registration = registration};
-  return table_->Put(registration.endpoint);
+  const bool has_changed = table_->Put(registration.endpoint);
+  // Hosts that heard of the drop have to hear of the return, also where the
+  // table kept the endpoint meanwhile.
+  return has_changed || has_returned ? RegistryOutcome::kChanged
+                                     : RegistryOutcome::kUnchanged;
 }
 
 bool EndpointRegistry::Drop(const core::RunnerId& id,
--- a/Libraries/LibForwarding/endpoint_registry.h
+++ b/Libraries/LibForwarding/endpoint_registry.h
@@ -4,6 +4,7 @@
 #ifndef LIBFORWARDING_ENDPOINT_REGISTRY_H_
 #define LIBFORWARDING_ENDPOINT_REGISTRY_H_
 
+#include <cstdint>
 #include <map>
 #include <vector>
 
@@ -12,14 +13,22 @@
 
 namespace wasabi::forwarding {
 
+// What a registration did.
+enum class RegistryOutcome : uint8_t {
+  kUnchanged,
+  kChanged,
+  // It was written before the present one and took effect late.
+  kLate,
+};
+
 class EndpointRegistry {
  public:
   // `table` must outlive the registry.
   explicit EndpointRegistry(EndpointTable* table) : table_(table) {}
 
   // A registration was written. One that was written before the present one,
-  // and took effect late, is ignored. True when the table changed.
-  bool Put(const Registration& registration, core::TimePoint now);
+  // and took effect late, is ignored.
+  RegistryOutcome Put(const Registration& registration, core::TimePoint now);
 
   // A registration has gone, or can't be read any more. With a `grace`, which
   // answers an outage of the platform in which living endpoints lapsed, it is
--- a/Services/Forwarder/registration_controller.cc
+++ b/Services/Forwarder/registration_controller.cc
@@ -107,7 +107,16 @@
     RecordSkip(record, registration.status());
     return registry_.Drop(id, core::Duration::zero(), now);
   }
-  return registry_.Put(*registration, now);
+  const forwarding::RegistryOutcome outcome = registry_.Put(*registration, now);
+  if (outcome == forwarding::RegistryOutcome::kLate) {
+    events_->Record(
+        core::EventCode::kRecordSkipped, "",
+        fmt::format("topic=registrations endpoint={} offset={} "
+                    "late sequence={} started_at_ms={}",
+                    record.key, record.offset, registration->sequence,
+                    registration->endpoint.started_at_ms));
+  }
+  return outcome == forwarding::RegistryOutcome::kChanged;
 }
 
 core::Duration RegistrationController::Grace() const {
--- a/Tests/Forwarder/registration_controller_test.cc
+++ b/Tests/Forwarder/registration_controller_test.cc
@@ -141,6 +141,34 @@
   CHECK(it.Available() == 1);
 }
 
+// deploy/days/outage-then-leave.toml: the reader kept the endpoints that lapsed
+// and came back, but never told the other hosts of the return.
+TEST_CASE("hosts that heard of a lapse hear of the return") {
+  Fixture reader;
+  Fixture other;
+  other.is_reading = false;
+  const auto relay = [&]() {
+    const forwarding::TopicReport report =
+        reader.controller->relay()->MakeReport(*reader.controller->view(),
+                                               reader.scheduler.Now());
+    forwarding::ApplyTopicReport(report, other.controller->view());
+  };
+  reader.store->SetDown(true);
+  reader.RunFor(seconds(4));
+  other.RunFor(seconds(4));
+  reader.store->Write(kTopic, "e1", std::nullopt);
+  reader.store->SetDown(false);
+  reader.RunFor(milliseconds(600));
+  relay();
+  reader.store->Write(kTopic, "e1", kPool.value());
+  reader.RunFor(milliseconds(600));
+  relay();
+  reader.RunFor(seconds(3));
+  other.RunFor(seconds(3));
+  CHECK(reader.Available() == 2);
+  CHECK(other.Available() == 2);
+}
+
 // Mwangaza grown, scale-2 --seed 773553552331: in a large fleet views grow
 // older between reports, which was taken for an outage.
 TEST_CASE(
--- a/Tests/LibForwarding/endpoint_registry_test.cc
+++ b/Tests/LibForwarding/endpoint_registry_test.cc
@@ -72,7 +72,9 @@
   it.registry.Expire(it.now + milliseconds(1900));
   CHECK(it.IsAvailable());
   SECTION("it comes back") {
-    it.registry.Put(Make(10, 6, false), it.now + milliseconds(1950));
+    // Hosts that only heard of the drop need to hear of the return.
+    CHECK(it.registry.Put(Make(10, 6, false), it.now + milliseconds(1950)) ==
+          RegistryOutcome::kChanged);
     it.registry.Expire(it.now + seconds(5));
     CHECK(it.IsAvailable());
   }
