Read as a newcomer: names, one copy, no swallowed error; a known-red replay

- WaitQueue, AreReportsUseful, StatusForCaller in place of names to explain.
- Records that can't be read and topics that go backwards are logged.
- SIGHUP before the loop runs no longer ends the process.

--- a/Libraries/LibCore/log.cc
+++ b/Libraries/LibCore/log.cc
@@ -12,6 +12,8 @@
 #include <boost/smart_ptr/shared_ptr.hpp>
 
 #include "LibCore/log_sink.h"
+#include "LibCore/result_code.h"
+#include "LibCore/text.h"
 #include "LibCore/time.h"
 
 namespace wasabi::core {
@@ -91,6 +93,24 @@
 
 }  // namespace
 
+absl::StatusOr<LogLevel> ParseLogLevel(const std::string& path,
+                                       const std::string& text) {
+  if (text == "off") {
+    return LogLevel::kOff;
+  }
+  if (text == "notice") {
+    return LogLevel::kNotice;
+  }
+  if (text == "request") {
+    return LogLevel::kRequest;
+  }
+  return MakeStatus(
+      ResultCode::kSettingsOutOfRange,
+      fmt::format("{}: [log] level = {} is out of range; allowed: off, notice "
+                  "or request",
+                  path, text));
+}
+
 void SetLogLevel(LogLevel level) {
   LogState& state = State();
   state.level = level;
--- a/Libraries/LibCore/log.h
+++ b/Libraries/LibCore/log.h
@@ -8,9 +8,11 @@
 #define LIBCORE_LOG_H_
 
 #include <cstdint>
+#include <string>
 #include <string_view>
 
 #include "LibCore/event.h"
+#include "absl/status/statusor.h"
 
 namespace wasabi::core {
 
@@ -20,6 +22,11 @@
 // (kNotice), or those of single requests too (kRequest).
 void SetLogLevel(LogLevel level);
 
+// The level that the setting [log] level = `text` of the file at `path` names.
+// Error: kSettingsOutOfRange.
+absl::StatusOr<LogLevel> ParseLogLevel(const std::string& path,
+                                       const std::string& text);
+
 // Writes one event where the level admits it.
 void WriteLog(std::string_view process_name, const Event& event);
 
--- /dev/null
+++ b/Libraries/LibForwarding/endpoint_chooser.cc
@@ -0,0 +1,91 @@
+#include "LibForwarding/endpoint_chooser.h"
+
+#include "LibCore/hash.h"
+
+namespace wasabi::forwarding {
+
+namespace {
+
+std::optional<uint64_t> AffinityKeyOf(const ForwardRequest& request) {
+  if (!request.route->has_prompt_affinity || request.prompt.empty()) {
+    return std::nullopt;
+  }
+  // The last part belongs to this request alone; the one before it is the
+  // longest that others share.
+  const size_t n = request.prompt.size();
+  return request.prompt[n >= 2 ? n - 2 : 0].id;
+}
+
+// Requests for one prompt stay in one pool; others divide by their ids.
+const core::PoolId& ChoosePool(const ForwardRequest& request,
+                               std::optional<uint64_t> affinity_key) {
+  const std::vector<PoolShare>& pools = request.route->pools;
+  uint64_t total = 0;
+  for (const PoolShare& it : pools) {
+    total += it.weight;
+  }
+  const uint64_t key = affinity_key.value_or(request.id.Hash());
+  uint64_t point = total == 0 ? 0 : core::CombineHashes(key, total) % total;
+  for (const PoolShare& it : pools) {
+    if (point < it.weight) {
+      return it.pool;
+    }
+    point -= it.weight;
+  }
+  return pools.front().pool;
+}
+
+}  // namespace
+
+EndpointChooser::EndpointChooser(ForwardContext* context,
+                                 const ForwardRequest& request)
+    : context_(context),
+      affinity_key_(AffinityKeyOf(request)),
+      pool_(ChoosePool(request, affinity_key_)),
+      prompt_share_(affinity_key_ ? context->popularity[pool_].Record(
+                                        *affinity_key_,
+                                        context->loop->Now())
+                                  : 0) {}
+
+const Endpoint* EndpointChooser::Choose(const std::set<core::RunnerId>& tried,
+                                        core::TimePoint now) const {
+  const std::vector<const Endpoint*> endpoints =
+      context_->endpoints->Available(pool_);
+  const core::Duration interval = context_->load_report_interval();
+  std::optional<Affinity> affinity;
+  if (affinity_key_) {
+    affinity = Affinity{
+        .key = *affinity_key_,
+        .replicas = ReplicasFor(prompt_share_, endpoints.size(), interval)};
+  }
+  const Selection selection = SelectEndpoint(
+      Candidates(endpoints, tried, now), affinity, context_->random->Next(),
+      ForReportInterval(context_->selection, interval));
+  return selection.outcome == SelectionOutcome::kChosen
+             ? endpoints[selection.index]
+             : nullptr;
+}
+
+std::vector<EndpointCandidate> EndpointChooser::Candidates(
+    const std::vector<const Endpoint*>& endpoints,
+    const std::set<core::RunnerId>& tried,
+    core::TimePoint now) const {
+  const bool uses_reports = context_->service_times.AreReportsUseful(
+      pool_, context_->load_report_interval());
+  std::vector<EndpointCandidate> candidates;
+  candidates.reserve(endpoints.size());
+  for (const Endpoint* it : endpoints) {
+    candidates.push_back(
+        {.hash = it->id.Hash(),
+         .load = uses_reports ? context_->loads->Load(it->id)
+                              : context_->loads->OwnLoad(it->id),
+         .slots = it->slots,
+         .failure_share = context_->monitor->FailureShare(it->id, now),
+         .is_down = context_->monitor->IsDown(it->id, now),
+         .is_excluded = tried.contains(it->id),
+         .is_near = it->data_centre == context_->data_centre});
+  }
+  return candidates;
+}
+
+}  // namespace wasabi::forwarding
--- a/Libraries/LibForwarding/forward_context.h
+++ b/Libraries/LibForwarding/forward_context.h
@@ -20,7 +20,7 @@
 #include "LibForwarding/protocols.h"
 #include "LibForwarding/retry_allowance.h"
 #include "LibForwarding/service_times.h"
-#include "LibForwarding/waiting_line.h"
+#include "LibForwarding/wait_queue.h"
 #include "LibHttp/origin_client.h"
 #include "LibRouting/quarantine_table.h"
 
@@ -36,7 +36,7 @@
   EndpointTable* endpoints = nullptr;
   EndpointMonitor* monitor = nullptr;
   LoadBoard* loads = nullptr;
-  WaitingLine* waiting = nullptr;
+  WaitQueue* waiting = nullptr;
   routing::QuarantineTable* quarantine = nullptr;
   CrashWatch* crashes = nullptr;
   core::RandomSource* random = nullptr;
--- a/Libraries/LibForwarding/forward_session.cc
+++ b/Libraries/LibForwarding/forward_session.cc
@@ -4,7 +4,6 @@
 #include <utility>
 #include <vector>
 
-#include "LibCore/hash.h"
 #include "LibCore/result_code.h"
 #include "LibCore/text.h"
 
@@ -62,6 +61,7 @@
     : context_(context),
       transaction_(std::move(transaction)),
       request_(std::move(request)),
+      chooser_(context, request_),
       final_deadline_(std::min(request_.deadline - kAnswerLead,
                                request_.received_at + request_.route->timeout)),
       last_event_id_(request_.resume_after) {}
@@ -80,11 +80,7 @@
   });
   deadline_timer_->StartOnce(
       std::max(final_deadline_ - Now(), core::Duration::zero()));
-  pool_ = ChoosePool().pool;
-  context_->RetriesOf(pool_).RecordRequest(Now());
-  if (const auto key = AffinityKey()) {
-    prompt_share_ = context_->popularity[pool_].Record(*key, Now());
-  }
+  context_->RetriesOf(chooser_.pool()).RecordRequest(Now());
   if (context_->quarantine->VerdictFor(request_.content_digest, Now()) ==
       routing::QuarantineVerdict::kRefuse) {
     Fail(core::ResultCode::kQuarantined, "this content crashes endpoints");
@@ -95,74 +91,22 @@
   }
 }
 
-const PoolShare& ForwardSession::ChoosePool() {
-  const std::vector<PoolShare>& pools = request_.route->pools;
-  uint64_t total = 0;
-  for (const PoolShare& it : pools) {
-    total += it.weight;
-  }
-  const uint64_t key = AffinityKey().value_or(request_.id.Hash());
-  uint64_t point = total == 0 ? 0 : core::CombineHashes(key, total) % total;
-  for (const PoolShare& it : pools) {
-    if (point < it.weight) {
-      return it;
-    }
-    point -= it.weight;
-  }
-  return pools.front();
-}
-
-std::optional<uint64_t> ForwardSession::AffinityKey() const {
-  if (!request_.route->has_prompt_affinity || request_.prompt.empty()) {
-    return std::nullopt;
-  }
-  // The last part belongs to this request alone; the one before it is the
-  // longest that others share.
-  const size_t n = request_.prompt.size();
-  return request_.prompt[n >= 2 ? n - 2 : 0].id;
-}
-
 bool ForwardSession::Dispatch() {
-  const core::TimePoint now = Now();
-  const std::vector<const Endpoint*> endpoints =
-      context_->endpoints->Available(pool_);
-  const core::Duration interval = context_->load_report_interval();
-  const bool sees_fleet = context_->service_times.IsTelling(pool_, interval);
-  std::vector<EndpointCandidate> candidates;
-  candidates.reserve(endpoints.size());
-  for (const Endpoint* it : endpoints) {
-    candidates.push_back(
-        {.hash = it->id.Hash(),
-         .load = sees_fleet ? context_->loads->Load(it->id)
-                            : context_->loads->OwnLoad(it->id),
-         .slots = it->slots,
-         .failure_share = context_->monitor->FailureShare(it->id, now),
-         .is_down = context_->monitor->IsDown(it->id, now),
-         .is_excluded = tried_.contains(it->id),
-         .is_near = it->data_centre == context_->data_centre});
-  }
-  std::optional<Affinity> affinity;
-  if (const auto key = AffinityKey()) {
-    affinity = Affinity{
-        .key = *key,
-        .replicas = ReplicasFor(prompt_share_, candidates.size(), interval)};
-  }
-  const Selection selection =
-      SelectEndpoint(candidates, affinity, context_->random->Next(),
-                     ForReportInterval(context_->selection, interval));
-  if (selection.outcome != SelectionOutcome::kChosen) {
+  const Endpoint* endpoint = chooser_.Choose(tried_, Now());
+  if (endpoint == nullptr) {
     return false;
   }
-  StartAttempt(*endpoints[selection.index]);
+  StartAttempt(*endpoint);
   return true;
 }
 
 void ForwardSession::Wait() {
   const auto weak = weak_from_this();
-  ticket_ = context_->waiting->Join(pool_, request_.priority, [weak]() {
-    const auto self = weak.lock();
-    return self == nullptr || self->Dispatch();
-  });
+  ticket_ =
+      context_->waiting->Join(chooser_.pool(), request_.priority, [weak]() {
+        const auto self = weak.lock();
+        return self == nullptr || self->Dispatch();
+      });
   const core::Duration left = final_deadline_ - Now();
   patience_timer_ = context_->loop->NewTimer([weak]() {
     if (const auto self = weak.lock()) {
@@ -174,12 +118,13 @@
   ++context_->metrics->Counter("forward_waits");
   context_->events->Record(
       core::EventCode::kRequestQueued, request_.id.value(),
-      fmt::format("pool={} priority={} waiting={} left_ms={}", pool_.value(),
-                  request_.priority, context_->waiting->SizeOf(pool_),
+      fmt::format("pool={} priority={} waiting={} left_ms={}",
+                  chooser_.pool().value(), request_.priority,
+                  context_->waiting->SizeOf(chooser_.pool()),
                   core::ToMilliseconds(left)));
 }
 
-void ForwardSession::LeaveLine() {
+void ForwardSession::LeaveQueue() {
   patience_timer_.reset();
   if (ticket_) {
     context_->waiting->Leave(*ticket_);
@@ -188,7 +133,7 @@
 }
 
 void ForwardSession::StartAttempt(const Endpoint& endpoint) {
-  LeaveLine();
+  LeaveQueue();
   verdict_ = AttemptVerdict::kInvalid;
   head_ = http::MessageHead();
   body_.clear();
@@ -341,7 +286,8 @@
     case AttemptVerdict::kSuccess:
       ++runs_;
       context_->monitor->RecordSuccess(endpoint, Now());
-      context_->service_times.Record(pool_, Now() - attempt_->started_at());
+      context_->service_times.Record(chooser_.pool(),
+                                     Now() - attempt_->started_at());
       context_->quarantine->RecordCompletion(request_.content_digest);
       if (IsStream() || transaction_->is_started()) {
         DeliverStreamEnd();
@@ -376,7 +322,7 @@
     Fail(core::ResultCode::kAnswerCut, reason);
     return;
   }
-  if (may_try && context_->endpoints->Available(pool_).size() > 1) {
+  if (may_try && context_->endpoints->Available(chooser_.pool()).size() > 1) {
     // Every other endpoint is full now.
     Wait();
     return;
@@ -436,7 +382,8 @@
 }
 
 bool ForwardSession::TakeRetry() {
-  return context_->RetriesOf(pool_).TryRetry(context_->host_count(), Now());
+  return context_->RetriesOf(chooser_.pool())
+      .TryRetry(context_->host_count(), Now());
 }
 
 core::Duration ForwardSession::RetryAfter() {
@@ -486,7 +433,7 @@
     return;
   }
   has_ended_ = true;
-  LeaveLine();
+  LeaveQueue();
   deadline_timer_.reset();
   std::string endpoint = "none";
   if (attempt_ != nullptr) {
--- a/Libraries/LibForwarding/forward_session.h
+++ b/Libraries/LibForwarding/forward_session.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <string_view>
 
+#include "LibForwarding/endpoint_chooser.h"
 #include "LibForwarding/event_splitter.h"
 #include "LibForwarding/forward_attempt.h"
 #include "LibForwarding/forward_context.h"
@@ -32,10 +33,10 @@
 
  private:
   void Start();
-  // Starts an attempt or joins the line; false where the pool is full.
+  // Starts an attempt; false where no endpoint can take it now.
   bool Dispatch();
   void Wait();
-  void LeaveLine();
+  void LeaveQueue();
   void StartAttempt(const Endpoint& endpoint);
 
   void OnHead(AttemptVerdict verdict, const http::MessageHead& head);
@@ -67,21 +68,19 @@
   bool IsStream() const { return request_.route->is_stream; }
   core::TimePoint Now() const { return context_->loop->Now(); }
   core::Duration FirstByteLimit() const;
-  std::optional<uint64_t> AffinityKey() const;
-  const PoolShare& ChoosePool();
   core::Duration RetryAfter();
 
   ForwardContext* const context_;
   const std::shared_ptr<http::Transaction> transaction_;
   const ForwardRequest request_;
-  core::PoolId pool_;
+  EndpointChooser chooser_;
   std::shared_ptr<ForwardSession> self_;
   std::unique_ptr<core::Timer> deadline_timer_;
   std::unique_ptr<core::Timer> patience_timer_;
   core::TimePoint final_deadline_;
 
   std::shared_ptr<ForwardAttempt> attempt_;
-  std::optional<WaitingTicket> ticket_;
+  std::optional<WaitTicket> ticket_;
   std::set<core::RunnerId> tried_;
   uint32_t sends_ = 0;
   // Attempts that may have run.
@@ -93,8 +92,6 @@
   http::MessageHead head_;
   std::string body_;
   EventSplitter splitter_;
-  // Share of the pool's requests that are about this one's prompt.
-  double prompt_share_ = 0;
   // The last event that was relayed, or that the caller had.
   std::optional<uint64_t> last_event_id_;
   bool is_paused_ = false;
--- a/Libraries/LibForwarding/service_times.h
+++ b/Libraries/LibForwarding/service_times.h
@@ -23,7 +23,7 @@
   // Whether what other hosts reported up to `age` ago still says something of
   // the load: requests that take less time have ended since, and hosts that
   // followed the same old report would all choose the same endpoint.
-  bool IsTelling(const core::PoolId& pool, core::Duration age) const {
+  bool AreReportsUseful(const core::PoolId& pool, core::Duration age) const {
     const auto it = means_.find(pool);
     return it == means_.end() || it->second >= core::ToSeconds(age);
   }
--- a/Libraries/LibForwarding/waiting_line.cc
+++ b/Libraries/LibForwarding/wait_queue.cc
@@ -1,4 +1,4 @@
-#include "LibForwarding/waiting_line.h"
+#include "LibForwarding/wait_queue.h"
 
 #include <algorithm>
 #include <set>
@@ -7,26 +7,26 @@
 
 namespace wasabi::forwarding {
 
-WaitingTicket WaitingLine::Join(const core::PoolId& pool,
-                                int priority,
-                                TryStart start) {
-  WaitingTicket ticket{pool, priority, next_sequence_++};
+WaitTicket WaitQueue::Join(const core::PoolId& pool,
+                           int priority,
+                           TryStart start) {
+  WaitTicket ticket{pool, priority, next_sequence_++};
   waiting_.emplace(ticket, std::move(start));
   return ticket;
 }
 
-void WaitingLine::Leave(const WaitingTicket& ticket) {
+void WaitQueue::Leave(const WaitTicket& ticket) {
   waiting_.erase(ticket);
 }
 
-void WaitingLine::Serve() {
-  std::vector<WaitingTicket> tickets;
+void WaitQueue::Serve() {
+  std::vector<WaitTicket> tickets;
   tickets.reserve(waiting_.size());
   for (const auto& [ticket, start] : waiting_) {
     tickets.push_back(ticket);
   }
   std::set<core::PoolId> full_pools;
-  for (const WaitingTicket& ticket : tickets) {
+  for (const WaitTicket& ticket : tickets) {
     const auto it = waiting_.find(ticket);
     if (it == waiting_.end() || full_pools.contains(ticket.pool)) {
       continue;
@@ -38,7 +38,7 @@
   }
 }
 
-size_t WaitingLine::SizeOf(const core::PoolId& pool) const {
+size_t WaitQueue::SizeOf(const core::PoolId& pool) const {
   return static_cast<size_t>(
       std::count_if(waiting_.begin(), waiting_.end(),
                     [&pool](const auto& it) { return it.first.pool == pool; }));
--- a/Libraries/LibForwarding/waiting_line.h
+++ b/Libraries/LibForwarding/wait_queue.h
@@ -1,8 +1,8 @@
 // The requests that wait on this host because every endpoint of their pool is
 // full, by priority and then by arrival.
 
-#ifndef LIBFORWARDING_WAITING_LINE_H_
-#define LIBFORWARDING_WAITING_LINE_H_
+#ifndef LIBFORWARDING_WAIT_QUEUE_H_
+#define LIBFORWARDING_WAIT_QUEUE_H_
 
 #include <compare>
 #include <cstdint>
@@ -13,23 +13,23 @@
 
 namespace wasabi::forwarding {
 
-// A position in the line of one pool.
-struct WaitingTicket {
+// A position among the requests of one pool.
+struct WaitTicket {
   core::PoolId pool;
   int priority = 0;
   uint64_t sequence = 0;
 
-  auto operator<=>(const WaitingTicket&) const = default;
+  auto operator<=>(const WaitTicket&) const = default;
 };
 
-class WaitingLine {
+class WaitQueue {
  public:
   // Tries to start the request; false where its pool is still full. It may
-  // leave the line or join it.
+  // leave the queue or join it.
   using TryStart = std::function<bool()>;
 
-  WaitingTicket Join(const core::PoolId& pool, int priority, TryStart start);
-  void Leave(const WaitingTicket& ticket);
+  WaitTicket Join(const core::PoolId& pool, int priority, TryStart start);
+  void Leave(const WaitTicket& ticket);
 
   // Starts what can start, in order.
   void Serve();
@@ -38,10 +38,10 @@
   size_t SizeOf(const core::PoolId& pool) const;
 
  private:
-  std::map<WaitingTicket, TryStart> waiting_;
+  std::map<WaitTicket, TryStart> waiting_;
   uint64_t next_sequence_ = 0;
 };
 
 }  // namespace wasabi::forwarding
 
-#endif  // LIBFORWARDING_WAITING_LINE_H_
+#endif  // LIBFORWARDING_WAIT_QUEUE_H_
--- a/Libraries/LibPlatform/keyed_topic_client.h
+++ b/Libraries/LibPlatform/keyed_topic_client.h
@@ -25,7 +25,9 @@
 };
 
 struct KeyedPage {
-  std::vector<KeyedRecord> records;
+  std::vector<KeyedRecord> records = {};
+  // Offsets of records that can't be read, and so name no key.
+  std::vector<Offset> unreadable = {};
   // Where the next read continues.
   Offset next = 0;
 };
--- a/Libraries/LibPlatform/topic_view.cc
+++ b/Libraries/LibPlatform/topic_view.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "LibCore/result_code.h"
+#include "LibCore/text.h"
 
 namespace wasabi::platform {
 
@@ -90,8 +91,9 @@
 
 void TopicView::ReadTail(core::Duration wait) {
   const core::TimePoint started_at = scheduler_->Now();
+  read_from_ = *next_;
   client_->ReadFrom(
-      options_.topic, *next_, wait,
+      options_.topic, read_from_, wait,
       [weak = weak_from_this(), started_at](absl::StatusOr<KeyedPage> page) {
         if (const auto self = weak.lock()) {
           self->OnTail(started_at, std::move(page));
@@ -110,6 +112,7 @@
   // A topic that answers with less than was read before changes nothing until
   // it has caught up.
   if (next_ && page->next < *next_) {
+    ReportEvent(core::EventCode::kLogWentBackwards, page->next);
     next_try_at_ = scheduler_->Now() + backoff_.Next();
     return;
   }
@@ -127,10 +130,17 @@
     return;
   }
   SetReachable(true);
+  if (page->next < read_from_) {
+    ReportEvent(core::EventCode::kLogWentBackwards, page->next);
+    return;
+  }
   if (page->next < *next_) {
     // Another host's report was newer than this answer.
     return;
   }
+  for (const Offset offset : page->unreadable) {
+    ReportEvent(core::EventCode::kRecordSkipped, offset);
+  }
   NoteRecovery();
   ApplyTail(*page);
   Confirm(std::max(started_at, scheduler_->Now() - kAnswerDelay));
@@ -186,6 +196,13 @@
   next_try_at_ = scheduler_->Now() + backoff_.Next();
 }
 
+void TopicView::ReportEvent(core::EventCode code, Offset offset) {
+  if (handlers_.on_event) {
+    handlers_.on_event(code, fmt::format("topic={} offset={} next={}",
+                                         options_.topic, offset, *next_));
+  }
+}
+
 void TopicView::SetReachable(bool is_reachable) {
   if (is_reachable) {
     read_at_ = scheduler_->Now();
--- a/Libraries/LibPlatform/topic_view.h
+++ b/Libraries/LibPlatform/topic_view.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "LibCore/event.h"
 #include "LibPlatform/backoff.h"
 #include "LibPlatform/keyed_topic_client.h"
 #include "LibPlatform/scheduler.h"
@@ -35,6 +36,9 @@
   std::function<void(const std::vector<KeyedRecord>& records)> on_snapshot;
   // A record that is newer than all before it.
   std::function<void(const KeyedRecord& record)> on_record;
+  // kRecordSkipped for a record that can't be read, kLogWentBackwards for a
+  // topic that ends before what was read earlier, with details for the log.
+  std::function<void(core::EventCode code, const std::string& detail)> on_event;
   // After each successful read and each accepted report, changes or not.
   std::function<void()> on_confirmed;
   // The platform has stopped, or begun again, to answer this host.
@@ -92,6 +96,7 @@
   void Confirm(core::TimePoint at);
   void OnFailure(const absl::Status& status);
   void SetReachable(bool is_reachable);
+  void ReportEvent(core::EventCode code, Offset offset);
 
   KeyedTopicClient* const client_;
   Scheduler* const scheduler_;
@@ -100,6 +105,8 @@
   Backoff backoff_;
   // Offset of the next record that the view lacks.
   std::optional<Offset> next_;
+  // Where the read in flight began.
+  Offset read_from_ = 0;
   // The newest record of each key.
   std::map<std::string, KeyedRecord> newest_;
   core::TimePoint confirmed_at_{};
--- a/Services/Control/control_settings.cc
+++ b/Services/Control/control_settings.cc
@@ -30,24 +30,6 @@
   return absl::OkStatus();
 }
 
-absl::StatusOr<core::LogLevel> ParseLogLevel(const std::string& path,
-                                             const std::string& text) {
-  if (text == "off") {
-    return core::LogLevel::kOff;
-  }
-  if (text == "notice") {
-    return core::LogLevel::kNotice;
-  }
-  if (text == "request") {
-    return core::LogLevel::kRequest;
-  }
-  return core::MakeStatus(
-      core::ResultCode::kSettingsOutOfRange,
-      fmt::format("{}: [log] level = {} is out of range; allowed: off, notice "
-                  "or request",
-                  path, text));
-}
-
 void ReadOrderOptions(const core::Settings& file,
                       intent::OrderOptions* options) {
   options->loading_share = file.Real("orders", "loading_share");
@@ -150,7 +132,8 @@
   }
   ReadControlSection(file, &it);
   ReadOrderOptions(file, &it.orders);
-  TRY_ASSIGN(it.log_level, ParseLogLevel(path, file.Text("log", "level")));
+  TRY_ASSIGN(it.log_level,
+             core::ParseLogLevel(path, file.Text("log", "level")));
   it.event_capacity =
       static_cast<size_t>(file.Integer("log", "event_capacity"));
   TRY(CheckContradictions(it, path));
--- a/Services/Forwarder/configuration_controller.cc
+++ b/Services/Forwarder/configuration_controller.cc
@@ -32,6 +32,9 @@
                                  : core::EventCode::kPlatformDown,
                     "", "topic=configuration");
   };
+  handlers.on_event = [this](core::EventCode code, const std::string& detail) {
+    events_->Record(code, "", detail);
+  };
   view_ = std::make_shared<platform::TopicView>(
       adapters->topics.get(), scheduler,
       platform::TopicViewOptions{.topic = adapters->names.configuration,
--- a/Services/Forwarder/fleet_controller.cc
+++ b/Services/Forwarder/fleet_controller.cc
@@ -5,6 +5,7 @@
 
 #include "LibCore/compression.h"
 #include "LibCore/message.h"
+#include "LibCore/process_seed.h"
 #include "LibCore/text.h"
 #include "LibCore/try.h"
 #include "LibMembership/application_kind.h"
@@ -63,11 +64,6 @@
   return std::max(minimum, core::FromSeconds(seconds));
 }
 
-uint64_t RandomSeed(const core::HostId& host) {
-  return host.Hash() ^
-         static_cast<uint64_t>(core::Clock::now().time_since_epoch().count());
-}
-
 absl::StatusOr<forwarding::TopicCopy> DecodeCopy(
     const absl::StatusOr<http::ClientResponse>& response) {
   if (!response.ok()) {
@@ -108,9 +104,10 @@
   options.self.gossip_address = settings_.gossip_address;
   options.self.link_address = settings_.internal_address;
   options.self.http_address = settings_.callers_address;
-  TRY_ASSIGN(gossip_, membership::GossipNode::Create(context_.loop, options,
-                                                     RandomSeed(settings_.host),
-                                                     context_.events));
+  TRY_ASSIGN(gossip_,
+             membership::GossipNode::Create(
+                 context_.loop, options,
+                 core::ProcessSeed(settings_.host.Hash()), context_.events));
   gossip_->OnChange([this](const membership::MemberTableView& table) {
     duties_ = DeriveDuties(*table, settings_.host, settings_.data_centre);
   });
@@ -156,10 +153,14 @@
     AddSeed(record);
     gossip_->SetSeeds(seeds_);
   };
+  handlers.on_event = [this](core::EventCode code, const std::string& detail) {
+    context_.events->Record(code, "", detail);
+  };
   fleet_topic_ = std::make_shared<platform::TopicView>(
       context_.adapters->topics.get(), context_.scheduler,
-      platform::TopicViewOptions{.topic = context_.adapters->names.fleet,
-                                 .seed = RandomSeed(settings_.host)},
+      platform::TopicViewOptions{
+          .topic = context_.adapters->names.fleet,
+          .seed = core::ProcessSeed(settings_.host.Hash())},
       std::move(handlers));
 }
 
--- a/Services/Forwarder/forwarder_daemon.cc
+++ b/Services/Forwarder/forwarder_daemon.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "LibCore/process_seed.h"
 #include "LibCore/result_code.h"
 #include "LibCore/text.h"
 #include "LibCore/try.h"
@@ -28,11 +29,6 @@
 
 constexpr int kOkStatus = 200;
 
-uint64_t SeedOf(const core::HostId& host) {
-  return host.Hash() ^
-         static_cast<uint64_t>(core::Clock::now().time_since_epoch().count());
-}
-
 }  // namespace
 
 absl::StatusOr<std::unique_ptr<ForwarderDaemon>> ForwarderDaemon::Create(
@@ -54,7 +50,7 @@
       settings_(settings),
       settings_path_(std::move(settings_path)),
       events_(settings.host.value(), settings.event_capacity),
-      random_(SeedOf(settings.host)),
+      random_(core::ProcessSeed(settings.host.Hash())),
       platform_client_(loop),
       origin_client_(loop),
       adapters_(make_adapters(&platform_client_, settings.platform_address)),
@@ -166,7 +162,7 @@
   }
   auto request = adapters_.callers->Decode(transaction->request(), table);
   if (!request.ok()) {
-    RespondError(transaction, Explain(request.status()));
+    RespondError(transaction, StatusForCaller(request.status()));
     return;
   }
   forwarding::ForwardSession::Run(&context_, transaction, *std::move(request));
@@ -174,7 +170,8 @@
 
 // A route or key that this host doesn't know may exist in a configuration that
 // it has not read yet.
-absl::Status ForwarderDaemon::Explain(const absl::Status& status) const {
+absl::Status ForwarderDaemon::StatusForCaller(
+    const absl::Status& status) const {
   const core::ResultCode code = core::CodeOf(status);
   const core::Duration age =
       loop_->Now() - configuration_->view()->confirmed_at();
--- a/Services/Forwarder/forwarder_daemon.h
+++ b/Services/Forwarder/forwarder_daemon.h
@@ -69,7 +69,7 @@
   void OnInternalCall(const TransactionPointer& transaction);
   void RespondError(const TransactionPointer& transaction,
                     const absl::Status& status);
-  absl::Status Explain(const absl::Status& status) const;
+  absl::Status StatusForCaller(const absl::Status& status) const;
 
   bool IsReady() const;
   core::Duration AddressLifetime() const;
@@ -90,7 +90,7 @@
   forwarding::EndpointTable endpoints_;
   forwarding::EndpointMonitor monitor_;
   forwarding::LoadBoard loads_;
-  forwarding::WaitingLine waiting_;
+  forwarding::WaitQueue waiting_;
   routing::QuarantineTable quarantine_;
   forwarding::CrashWatch crashes_;
   forwarding::ForwardContext context_;
--- a/Services/Forwarder/forwarder_settings.cc
+++ b/Services/Forwarder/forwarder_settings.cc
@@ -10,13 +10,6 @@
 using core::SettingKind;
 using core::SettingSpec;
 
-core::LogLevel ParseLogLevel(const std::string& text) {
-  if (text == "request") {
-    return core::LogLevel::kRequest;
-  }
-  return text == "off" ? core::LogLevel::kOff : core::LogLevel::kNotice;
-}
-
 // The gossip addresses of the hosts in `texts`, whose own port serves another
 // purpose.
 absl::StatusOr<std::vector<core::SocketAddress>> ParseSeeds(
@@ -115,7 +108,8 @@
                 .slack = file.Real("retries", "slack"),
                 .window = seconds("retries", "window_s")};
   it.load_bound = file.Real("placement", "load_bound");
-  it.log_level = ParseLogLevel(file.Text("log", "level"));
+  TRY_ASSIGN(it.log_level,
+             core::ParseLogLevel(path, file.Text("log", "level")));
   it.event_capacity =
       static_cast<size_t>(file.Integer("log", "event_capacity"));
   return it;
--- a/Services/Forwarder/registration_controller.cc
+++ b/Services/Forwarder/registration_controller.cc
@@ -45,6 +45,9 @@
                                  : core::EventCode::kPlatformDown,
                     "", "topic=registrations");
   };
+  handlers.on_event = [this](core::EventCode code, const std::string& detail) {
+    events_->Record(code, "", detail);
+  };
   view_ = std::make_shared<platform::TopicView>(
       adapters->topics.get(), scheduler,
       platform::TopicViewOptions{
--- a/Services/Router/main.cc
+++ b/Services/Router/main.cc
@@ -80,6 +80,8 @@
 int main(int argc, char** argv) {
   // A peer that closes its connection must not end the process.
   std::signal(SIGPIPE, SIG_IGN);
+  // Nor may a request to read the settings again that comes during the start.
+  std::signal(SIGHUP, SIG_IGN);
   gflags::SetUsageMessage(
       "routes callers' requests to model engines and plain services\n"
       "  wasabi_router --settings=FILE\n"
--- a/Services/Router/router_settings.cc
+++ b/Services/Router/router_settings.cc
@@ -51,13 +51,6 @@
   return core::SocketAddress::Parse(text);
 }
 
-core::LogLevel ParseLogLevel(const std::string& text) {
-  if (text == "request") {
-    return core::LogLevel::kRequest;
-  }
-  return text == "off" ? core::LogLevel::kOff : core::LogLevel::kNotice;
-}
-
 }  // namespace
 
 std::vector<SettingSpec> RouterSettingsSchema() {
@@ -150,7 +143,8 @@
   it.host_list_period = file.Milliseconds("endpoints", "host_list_ms");
   it.host_answer_lifetime =
       file.Milliseconds("callers", "host_answer_lifetime_ms");
-  it.log_level = ParseLogLevel(file.Text("log", "level"));
+  TRY_ASSIGN(it.log_level,
+             core::ParseLogLevel(path, file.Text("log", "level")));
   it.event_capacity =
       static_cast<size_t>(file.Integer("log", "event_capacity"));
   for (const std::string& name : file.List("testing", "disabled_mechanisms")) {
--- a/Tests/LibForwarding/endpoint_selector_test.cc
+++ b/Tests/LibForwarding/endpoint_selector_test.cc
@@ -3,13 +3,11 @@
 #include <catch2/catch.hpp>
 #include <cmath>
 #include <map>
-#include <set>
-#include <utility>
 #include <vector>
 
 #include "LibCore/hash.h"
-#include "LibCore/random_source.h"
 #include "LibForwarding/prompt_popularity.h"
+#include "Tests/LibForwarding/late_reports_replay.h"
 
 namespace wasabi::forwarding {
 namespace {
@@ -78,63 +76,28 @@
   }
 }
 
-// Mwangaza grown, hunt-199e-3: LIMIT in the first seconds of a day.
+// The load of mwangaza-edu-grown hunt-199e-3 (LIMIT): 79 hosts send 280
+// requests a second for 600 prompts, one of them hot, to 60 endpoints, where
+// they last for a second and a half, and hear of each other every 750 ms.
 TEST_CASE("hosts that hear of each other late keep to the bound together") {
-  // The load of that site: 79 hosts send 280 requests a second for 600 prompts
-  // to 60 endpoints, where they last for a second and a half, and hear of each
-  // other every 750 ms.
-  constexpr core::Duration kInterval = core::milliseconds(750);
-  constexpr size_t kHosts = 79;
-  constexpr size_t kEndpoints = 60;
-  constexpr int kPerInterval = 210;
-  constexpr int kIntervals = 40;
-  constexpr int kLifetime = 420;
-  constexpr uint64_t kPrompts = 600;
-  // Of the requests that are about one prompt.
-  constexpr double kHotShare = 0.15;
-  core::RandomSource random(3);
-  const SelectionPolicy policy =
-      ForReportInterval({.load_bound = 2.0}, kInterval);
-  Candidates truth = MakePool(kEndpoints);
-  std::vector<Candidates> views(kHosts, truth);
-  std::vector<PromptPopularity> popularity(kHosts);
-  std::vector<size_t> started;
-  std::vector<std::pair<uint64_t, size_t>> placed;
-  int above = 0;
-  for (int i = 0; i < kPerInterval * kIntervals; ++i) {
-    if (i % kPerInterval == 0) {
-      views.assign(kHosts, truth);
-    }
-    if (started.size() >= kLifetime) {
-      --truth[started[started.size() - kLifetime]].load;
-    }
-    const size_t host = random.Below(kHosts);
-    Candidates& view = views[host];
-    const bool is_hot = random.Unit() < kHotShare;
-    const uint64_t prompt = is_hot ? 0 : random.Below(kPrompts);
-    const uint64_t key = core::CombineHashes(prompt, 9);
-    const core::TimePoint now =
-        core::TimePoint(core::seconds(1)) + kInterval * i / kPerInterval;
-    const Affinity affinity{
-        .key = key,
-        .replicas = ReplicasFor(popularity[host].Record(key, now), kEndpoints,
-                                kInterval)};
-    const Selection selection =
-        SelectEndpoint(view, affinity, random.Next(), policy);
-    REQUIRE(selection.outcome == SelectionOutcome::kChosen);
-    ++view[selection.index].load;
-    ++truth[selection.index].load;
-    started.push_back(selection.index);
-    placed.emplace_back(key, selection.index);
-    const double mean =
-        std::min(i + 1.0, static_cast<double>(kLifetime)) / kEndpoints;
-    above += truth[selection.index].load > 2 * mean + 3 ? 1 : 0;
+  constexpr uint64_t kSeeds = 5;
+  for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    INFO("seed " << seed);
+    const LateReportsLoad load{.hosts = 79,
+                               .endpoints = 60,
+                               .interval = core::milliseconds(750),
+                               .requests_per_interval = 210,
+                               .intervals = 40,
+                               .running = 420,
+                               .prompts = 600,
+                               .hot_share = 0.15,
+                               .seed = seed};
+    const LateReportsResult result = ReplayLateReports(load);
+    // The stated target: at most 3 in 100 reach an endpoint above the bound.
+    CHECK(result.above_bound <= 0.03 * result.requests);
+    // A prompt is still read by few endpoints.
+    CHECK(result.places < 2 * load.prompts);
   }
-  // The stated target: at most 3 in 100 reach an endpoint above the bound.
-  CHECK(above <= 0.03 * kPerInterval * kIntervals);
-  // A prompt is still read by few endpoints.
-  std::set<std::pair<uint64_t, size_t>> places(placed.begin(), placed.end());
-  CHECK(places.size() < 2 * kPrompts);
 }
 
 TEST_CASE("a prompt spreads by its share and by the age of reports") {
--- /dev/null
+++ b/Tests/LibForwarding/few_prompts_test.cc
@@ -0,0 +1,28 @@
+// In a program of its own: KNOWN-RED.txt names it.
+
+#include <catch2/catch.hpp>
+
+#include "Tests/LibForwarding/late_reports_replay.h"
+
+namespace wasabi::forwarding {
+namespace {
+
+// Forty hosts send requests for as many prompts as there are endpoints, all
+// asked for alike, and hear of each other once a second.
+TEST_CASE("a few prompts, all of them popular, keep to the bound") {
+  const LateReportsResult result =
+      ReplayLateReports({.hosts = 40,
+                         .endpoints = 60,
+                         .interval = core::seconds(1),
+                         .requests_per_interval = 200,
+                         .intervals = 30,
+                         .running = 300,
+                         .prompts = 60,
+                         .hot_share = 0,
+                         .seed = 3});
+  // The stated target: at most 3 in 100 reach an endpoint above the bound.
+  CHECK(result.above_bound <= 0.03 * result.requests);
+}
+
+}  // namespace
+}  // namespace wasabi::forwarding
--- a/Tests/LibForwarding/plain_pool_replay_test.cc
+++ b/Tests/LibForwarding/plain_pool_replay_test.cc
@@ -50,7 +50,7 @@
 
   size_t Choose(LoadBoard& board) {
     const bool sees_fleet =
-        follows_old_reports || times.IsTelling(pool, kReportInterval);
+        follows_old_reports || times.AreReportsUseful(pool, kReportInterval);
     std::vector<EndpointCandidate> candidates;
     for (const core::RunnerId& it : endpoints) {
       candidates.push_back(
@@ -76,7 +76,7 @@
 
   // Whether an endpoint holds more than the stated bound: a multiple of the
   // mean, and three more.
-  bool IsBuried(size_t endpoint) const {
+  bool IsOverloaded(size_t endpoint) const {
     double total = 0;
     for (const uint32_t it : held) {
       total += it;
@@ -87,7 +87,7 @@
   // The share of requests that reach an endpoint above the bound, or that
   // their host turns away although the pool has room.
   double Run() {
-    int buried = 0;
+    int failed = 0;
     core::TimePoint next_report = now;
     for (int i = 0; i < kRequests; ++i) {
       now += core::FromSeconds(2 * random.Unit() / kRequestsPerSecond);
@@ -99,15 +99,15 @@
       const size_t host = random.Below(kHosts);
       const size_t endpoint = Choose(boards[host]);
       if (endpoint == kEndpoints) {
-        ++buried;
+        ++failed;
         continue;
       }
       boards[host].Start(endpoints[endpoint]);
       ++held[endpoint];
-      buried += IsBuried(endpoint) ? 1 : 0;
+      failed += IsOverloaded(endpoint) ? 1 : 0;
       running.emplace(now + kServiceTime, std::make_pair(host, endpoint));
     }
-    return static_cast<double>(buried) / kRequests;
+    return static_cast<double>(failed) / kRequests;
   }
 
   const bool follows_old_reports;
@@ -121,7 +121,7 @@
   std::multimap<core::TimePoint, std::pair<size_t, size_t>> running;
 };
 
-TEST_CASE("hosts with old reports don't bury one endpoint of a small pool") {
+TEST_CASE("hosts with old reports keep a small pool balanced") {
   // The stated target: at most 3 in 100.
   constexpr double kMaxShare = 0.03;
   CHECK(Replay(false).Run() <= kMaxShare);
--- a/Tests/LibPlatform/topic_view_test.cc
+++ b/Tests/LibPlatform/topic_view_test.cc
@@ -29,6 +29,9 @@
     handlers.on_reachable = [this](bool is_reachable) {
       reachable.push_back(is_reachable);
     };
+    handlers.on_event = [this](core::EventCode code, const std::string&) {
+      events.push_back(code);
+    };
     view = std::make_shared<TopicView>(&client, &scheduler,
                                        TopicViewOptions{.topic = "t"},
                                        std::move(handlers));
@@ -51,6 +54,7 @@
   support::FakeTopicClient client;
   std::vector<std::string> heard;
   std::vector<bool> reachable;
+  std::vector<core::EventCode> events;
   int snapshots = 0;
   std::shared_ptr<TopicView> view;
 };
@@ -95,6 +99,8 @@
   it.RunFor(seconds(1));
   CHECK(it.view->next() == 2);
   CHECK(it.heard == Texts{"a=2@1"});
+  REQUIRE_FALSE(it.events.empty());
+  CHECK(it.events.front() == core::EventCode::kLogWentBackwards);
 }
 
 TEST_CASE("a view tells its age while the platform is silent") {
--- a/Tests/PlatformAdapter/endpoint_codec_test.cc
+++ b/Tests/PlatformAdapter/endpoint_codec_test.cc
@@ -181,7 +181,10 @@
 TEST_CASE("a configuration that can't be read is an error") {
   for (const char* text :
        {"", "{", "[]", R"({"version":"7"})",
-        R"({"version":7,"routes":[{"name":"x"}],"services":[]})"}) {
+        R"({"version":7,"routes":[{"name":"x"}],"services":[]})",
+        // A route without a service has nowhere to send its requests.
+        R"({"version":7,"services":[],"routes":[{"name":"x","hostname":"h",
+            "path_prefix":"/","kind":"safe"}]})"}) {
     INFO(text);
     CHECK_FALSE(DecodeConfiguration(text).ok());
   }
--- a/Tests/PlatformAdapter/store_client_test.cc
+++ b/Tests/PlatformAdapter/store_client_test.cc
@@ -103,6 +103,7 @@
   REQUIRE(page.ok());
   // The third record can't be read, but has its offset.
   CHECK(page->next == 9);
+  CHECK(page->unreadable == std::vector<platform::Offset>{8});
   CHECK(page->records == std::vector<KeyedRecord>{
                              {.key = "a", .value = "xyz", .offset = 6},
                              {.key = "b", .value = std::nullopt, .offset = 7}});
