Callers of keyed calls wait until an owner's death is settled

The owner died between intent and end of a keyed call; its death is known after 6 s and the call is declared unknown 25 s later, but the test's callers gave up after 15 s. Conclusion: callers' patience for keyed calls is a setting of its own, 40 s.

--- a/Tests/Integration/whole_answer_test.cc
+++ b/Tests/Integration/whole_answer_test.cc
@@ -8,6 +8,7 @@
 #include <functional>
 #include <sstream>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "LibCore/text.h"
@@ -21,8 +22,11 @@
 using nlohmann::json;
 
 constexpr uint64_t kSeed = 17;
-constexpr core::Duration kLoadTimeout = std::chrono::seconds(40);
+constexpr core::Duration kLoadTimeout = std::chrono::seconds(60);
 constexpr core::Duration kEventTimeout = std::chrono::seconds(15);
+// Calls that each service answers late, and how late.
+constexpr int kSlowCalls = 100;
+constexpr core::Duration kSlowCallTime = std::chrono::milliseconds(1200);
 
 // Answers of about half a second, so that faults meet many of them half-way,
 // and callers that notice a silent connection while the scenario lasts.
@@ -87,6 +91,20 @@
   REQUIRE(fleet->Signal("router-" + std::to_string(busiest + 1), SIGKILL).ok());
 }
 
+// Kills an owner while it waits for the answers of keyed calls.
+void KillOwnerOfSlowCalls(Fleet* fleet) {
+  const json slow = {{"kind", "slow"},
+                     {"count", kSlowCalls},
+                     {"duration_ms", core::ToMilliseconds(kSlowCallTime)}};
+  for (const core::SocketAddress& service : fleet->services()) {
+    const auto response = PostNow(service, "/faults", slow);
+    REQUIRE(response.ok());
+    REQUIRE(response->status == kHttpOk);
+  }
+  std::this_thread::sleep_for(kSlowCallTime / 2);
+  KillBusiestOwner(fleet);
+}
+
 std::vector<FaultCase> FaultCases() {
   return {
       {"crossed answers", false, EngineFault({{"kind", "cross"}, {"count", 4}}),
@@ -107,6 +125,8 @@
        "caller_reattached"},
       {"an owner killed in mid-stream", false, KillBusiestOwner,
        "caller_reattached"},
+      {"an owner killed while keyed calls run", false, KillOwnerOfSlowCalls,
+       "outcome_unknown"},
   };
 }
 
--- a/Tests/Support/Scenario/scenario.cc
+++ b/Tests/Support/Scenario/scenario.cc
@@ -53,11 +53,12 @@
       "pause_ms_max = 1500\n"
       "[organisations]\nnames = {}\n"
       "[service]\nname = {}\npath = place\ncalls_per_second = {}\n"
-      "resend_share = 0.3\n{}\n",
+      "resend_share = 0.3\npatience_ms = {}\n{}\n",
       load.seed, core::ToMilliseconds(load.duration),
       core::ToMilliseconds(kWarmUp), deployment.model, load.turns_per_second,
       deployment.organisation, deployment.service,
-      load.service_calls_per_second, load.more_settings);
+      load.service_calls_per_second,
+      core::ToMilliseconds(load.service_patience), load.more_settings);
 }
 
 }  // namespace
--- a/Tests/Support/Scenario/scenario.h
+++ b/Tests/Support/Scenario/scenario.h
@@ -28,6 +28,8 @@
   double turns_per_second = 30;
   double service_calls_per_second = 10;
   uint64_t seed = 1;
+  // A call whose owner died is declared unknown after about 31 s.
+  core::Duration service_patience = std::chrono::seconds(40);
   // More lines of the experiment file, see wasabi_load --schema.
   std::string more_settings;
 };
--- a/Utilities/Load/experiment.cc
+++ b/Utilities/Load/experiment.cc
@@ -85,7 +85,8 @@
   it.service = {settings.Text("service", "name"),
                 settings.Text("service", "path"),
                 settings.Real("service", "calls_per_second"),
-                settings.Real("service", "resend_share")};
+                settings.Real("service", "resend_share"),
+                settings.Milliseconds("service", "patience_ms")};
   it.caller = {settings.Milliseconds("caller", "silence_ms"),
                settings.Milliseconds("caller", "patience_ms"),
                settings.Integer("caller", "attempts"),
@@ -197,6 +198,9 @@
            "Calls that arrive per second."),
       Real("service", "resend_share", "0", 1,
            "Share of the calls that go through two hosts at once."),
+      Integer("service", "patience_ms", "40000", kMaxMilliseconds,
+              "Milliseconds for which a caller sends one call again. A call "
+              "whose owner died is declared unknown after about 31 s."),
       Integer("caller", "silence_ms", "3000", kMaxMilliseconds,
               "Milliseconds without a byte after which a caller reattaches."),
       Integer("caller", "patience_ms", "30000", kMaxMilliseconds,
--- a/Utilities/Load/experiment.h
+++ b/Utilities/Load/experiment.h
@@ -70,6 +70,8 @@
   double calls_per_second = 0;
   // Share of the calls that are sent twice at once, through two hosts.
   double resend_share = 0;
+  // A caller sends one call again for this long.
+  core::Duration patience = core::Duration::zero();
 
   auto operator<=>(const ServicePattern&) const = default;
 };
--- a/Utilities/Load/service_call.cc
+++ b/Utilities/Load/service_call.cc
@@ -10,9 +10,9 @@
 
 namespace {
 
-// Wait before a call whose answer was lost is sent again.
-// Sends of one call that fit into a caller's patience when none is answered.
+// Sends that fit into a caller's patience when none is answered.
 constexpr int kSendsWithinPatience = 4;
+// Wait before a call whose answer was lost is sent again.
 constexpr core::Duration kResendWait = std::chrono::milliseconds(200);
 
 }  // namespace
@@ -52,7 +52,7 @@
 
 void ServiceCall::Send() {
   const bool is_out_of_patience =
-      context_->loop->Now() - started_ > context_->caller.patience;
+      context_->loop->Now() - started_ > service_.patience;
   if (sends_ >= context_->caller.attempts || is_out_of_patience) {
     Finish(Ending::kNone, 0);
     return;
