--- a/Tests/Integration/at_most_once_test.cc
+++ b/Tests/Integration/at_most_once_test.cc
@@ -56,6 +56,13 @@
   return response.ok() && response->status == kHttpOk;
 }
 
+// Whether `service` has answers left to lose.
+bool HasFaultsLeft(Fleet& fleet, const std::string& service) {
+  const auto response = PostNow(fleet.AddressOf(service), "/faults",
+                                {{"kind", "lose_answer"}, {"count", 0}});
+  return !response.ok() || ParseObject(response->body).value("left", 1U) > 0;
+}
+
 std::vector<std::string> RouterNames() {
   std::vector<std::string> names;
   for (size_t i = 1; i <= kRouters; ++i) {
@@ -103,7 +110,10 @@
   const bool is_planted = PlantServiceFault(
       fleet, "service-2", {{"kind", "lose_answer"}, {"count", 5}});
   std::this_thread::sleep_for(kFaultTime);
-  return is_planted;
+  // The fault ends with the last answer, however few calls come.
+  return is_planted &&
+         WaitUntil([&] { return !HasFaultsLeft(fleet, "service-2"); },
+                   kEventTimeout);
 }
 
 bool FreezeRouter(Fleet& fleet) {
@@ -267,13 +277,16 @@
   for (const KeyedSend& it : calls.sends()) {
     keys.insert(it.key);
   }
+  const core::TimePoint settling_began = core::Clock::now();
   const auto settled = SettleAll(&calls, keys);
+  const core::Duration settling_time = core::Clock::now() - settling_began;
   const auto problems = FindProblems(calls, keys, settled);
   const auto unexplained =
       FindUnexplained(calls, settled, fault_began, fault_ended);
   const size_t unknown = CountUnknown(settled);
-  WARN(fmt::format("{}: {} keys, {} sends, {} unknown", fault.name, keys.size(),
-                   calls.sends().size(), unknown));
+  WARN(fmt::format("{}: {} keys, {} sends, {} unknown, settled in {} ms",
+                   fault.name, keys.size(), calls.sends().size(), unknown,
+                   core::ToMilliseconds(settling_time)));
   const bool is_kept = problems.empty() && unexplained.empty() &&
                        (unknown == 0 || fault.may_hide_outcomes);
   INFO("problems: " << fmt::format("{}", fmt::join(problems, "; ")));
--- a/Tests/Support/Service/service_server.cc
+++ b/Tests/Support/Service/service_server.cc
@@ -177,7 +177,8 @@
     this->*row.counter += body.value("count", 1U);
     const int64_t slow_ms = body.value("duration_ms", int64_t{0});
     slow_time_ = core::milliseconds(std::min(slow_ms, kMaxSlowMs));
-    RespondJson(exchange, kHttpOk, {{"planted", true}});
+    RespondJson(exchange, kHttpOk,
+                {{"planted", true}, {"left", this->*row.counter}});
     return;
   }
   RespondError(exchange, kHttpBadRequest, ResultCode::kMalformedRequest,
