--- a/Tests/Integration/test_fleet.h
+++ b/Tests/Integration/test_fleet.h
@@ -13,7 +13,7 @@
 // Options of a small fleet of Salazar's deployment: three entry hosts, three
 // engines, one service. The binaries are those of the folder that the
 // environment variable WASABI_BINARIES names.
-FleetOptions SmallFleet();
+FleetOptions ThinFleet();
 
 // Starts a fleet; fails the test where that fails.
 std::unique_ptr<Fleet> StartFleet(const FleetOptions& options);
--- a/Tests/Integration/thin_path_test.cc
+++ b/Tests/Integration/thin_path_test.cc
@@ -36,7 +36,7 @@
 )";
 
 TEST_CASE("every request through the fleet gets its own whole answer") {
-  const std::unique_ptr<Fleet> fleet = StartFleet(SmallFleet());
+  const std::unique_ptr<Fleet> fleet = StartFleet(ThinFleet());
   TimeLineOnFailure time_line(fleet.get());
   const auto load = LoadCommand::Start(*fleet, "load", std::string(kExperiment),
                                        /*is_direct=*/false);
@@ -54,7 +54,7 @@
 }
 
 TEST_CASE("no request is lost, wrong or doubled when an entry host is killed") {
-  const std::unique_ptr<Fleet> fleet = StartFleet(SmallFleet());
+  const std::unique_ptr<Fleet> fleet = StartFleet(ThinFleet());
   TimeLineOnFailure time_line(fleet.get());
   const auto load = LoadCommand::Start(*fleet, "load", std::string(kExperiment),
                                        /*is_direct=*/false);
