--- a/Libraries/LibForwarding/endpoint_chooser.cc
+++ b/Libraries/LibForwarding/endpoint_chooser.cc
@@ -70,8 +70,9 @@
     const std::vector<const Endpoint*>& endpoints,
     const std::set<core::RunnerId>& tried,
     core::TimePoint now) const {
-  const bool uses_reports = context_->service_times.AreReportsUseful(
-      pool_, context_->load_report_interval());
+  const core::Duration interval = context_->load_report_interval();
+  const bool uses_reports =
+      context_->service_times.AreReportsUseful(pool_, interval);
   std::vector<EndpointCandidate> candidates;
   candidates.reserve(endpoints.size());
   for (const Endpoint* it : endpoints) {
@@ -85,6 +86,13 @@
          .is_excluded = tried.contains(it->id),
          .is_near = it->data_centre == context_->data_centre});
   }
+  if (uses_reports) {
+    EndpointShares& shares = context_->shares[pool_];
+    shares.Update(candidates, context_->selection, interval, now);
+    for (EndpointCandidate& it : candidates) {
+      it.share = shares.Of(it.hash);
+    }
+  }
   return candidates;
 }
 
--- a/Libraries/LibForwarding/endpoint_selector.cc
+++ b/Libraries/LibForwarding/endpoint_selector.cc
@@ -77,6 +77,15 @@
   return best;
 }
 
+// Whether a request that prefers `candidate` is among those it is given.
+bool IsGiven(const EndpointCandidate& candidate, uint64_t tie_break) {
+  if (candidate.share >= 1) {
+    return true;
+  }
+  const uint64_t draw = core::CombineHashes(candidate.hash, tie_break);
+  return core::RandomSource(draw).Unit() < candidate.share;
+}
+
 std::optional<size_t> FirstWithinBound(
     std::span<const EndpointCandidate> candidates,
     const Indices& eligible,
@@ -97,7 +106,7 @@
   }
   for (const size_t position : order) {
     const EndpointCandidate& it = candidates[eligible[position]];
-    if (it.load < it.slots && it.load < limit) {
+    if (it.load < it.slots && it.load < limit && IsGiven(it, tie_break)) {
       return eligible[position];
     }
   }
--- a/Libraries/LibForwarding/endpoint_selector.h
+++ b/Libraries/LibForwarding/endpoint_selector.h
@@ -24,6 +24,8 @@
   // Requests of the whole fleet there, and how many it processes at once.
   uint32_t load = 0;
   uint32_t slots = 1;
+  // Share of the requests that prefer it which it is given (EndpointShares).
+  double share = 1.0;
   // Recent share of failures.
   double failure_share = 0;
   // It could not be reached lately.
--- a/Libraries/LibForwarding/forward_context.h
+++ b/Libraries/LibForwarding/forward_context.h
@@ -14,6 +14,7 @@
 #include "LibForwarding/crash_watch.h"
 #include "LibForwarding/endpoint_monitor.h"
 #include "LibForwarding/endpoint_selector.h"
+#include "LibForwarding/endpoint_shares.h"
 #include "LibForwarding/endpoint_table.h"
 #include "LibForwarding/load_board.h"
 #include "LibForwarding/prompt_popularity.h"
@@ -52,6 +53,7 @@
   std::map<core::PoolId, RetryAllowance> retries;
   ServiceTimes service_times;
   std::map<core::PoolId, PromptPopularity> popularity;
+  std::map<core::PoolId, EndpointShares> shares;
 
   RetryAllowance& RetriesOf(const core::PoolId& pool) {
     return retries.try_emplace(pool, retry_policy).first->second;
--- a/Libraries/LibForwarding/prompt_popularity.cc
+++ b/Libraries/LibForwarding/prompt_popularity.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "LibForwarding/stale_reports.h"
+
 namespace wasabi::forwarding {
 
 namespace {
@@ -13,8 +15,6 @@
 // Counts below this say nothing any more.
 constexpr double kForgottenCount = 0.1;
 constexpr size_t kMaxPrompts = 4096;
-// Reports at this interval or a longer one don't spread a hot prompt in time.
-constexpr core::Duration kStaleInterval = core::milliseconds(500);
 
 }  // namespace
 
@@ -54,8 +54,9 @@
 size_t ReplicasFor(double share,
                    size_t endpoint_count,
                    core::Duration report_interval) {
-  const double staleness = std::min(
-      1.0, core::ToSeconds(report_interval) / core::ToSeconds(kStaleInterval));
+  const double staleness =
+      std::min(1.0, core::ToSeconds(report_interval) /
+                        core::ToSeconds(kStaleReportInterval));
   const double wanted =
       std::ceil(share * staleness * static_cast<double>(endpoint_count));
   return std::clamp<size_t>(static_cast<size_t>(wanted), 1,
--- a/Tests/LibForwarding/few_prompts_test.cc
+++ b/Tests/LibForwarding/few_prompts_test.cc
@@ -1,5 +1,3 @@
-// In a program of its own: KNOWN-RED.txt names it.
-
 #include <catch2/catch.hpp>
 
 #include "Tests/LibForwarding/late_reports_replay.h"
@@ -10,6 +8,8 @@
 // Forty hosts send requests for as many prompts as there are endpoints, all
 // asked for alike, and hear of each other once a second.
 TEST_CASE("a few prompts, all of them popular, keep to the bound") {
+  const auto seed = GENERATE(range<uint64_t>(1, 6));
+  INFO("seed " << seed);
   const LateReportsResult result =
       ReplayLateReports({.hosts = 40,
                          .endpoints = 60,
@@ -19,7 +19,7 @@
                          .running = 300,
                          .prompts = 60,
                          .hot_share = 0,
-                         .seed = 3});
+                         .seed = seed});
   // The stated target: at most 3 in 100 reach an endpoint above the bound.
   CHECK(result.above_bound <= 0.03 * result.requests);
 }
--- a/Tests/LibForwarding/late_reports_replay.cc
+++ b/Tests/LibForwarding/late_reports_replay.cc
@@ -9,6 +9,7 @@
 #include "LibCore/random_source.h"
 #include "LibCore/text.h"
 #include "LibForwarding/endpoint_selector.h"
+#include "LibForwarding/endpoint_shares.h"
 #include "LibForwarding/prompt_popularity.h"
 
 namespace wasabi::forwarding {
@@ -38,12 +39,20 @@
   Candidates truth = MakePool(load.endpoints);
   std::vector<Candidates> views(load.hosts, truth);
   std::vector<PromptPopularity> popularity(load.hosts);
+  // All hosts have the same reports, so one copy stands for theirs.
+  EndpointShares shares;
   std::vector<size_t> started;
   std::set<std::pair<uint64_t, size_t>> places;
   LateReportsResult result;
   result.requests = load.requests_per_interval * load.intervals;
   for (int i = 0; i < result.requests; ++i) {
     if (i % load.requests_per_interval == 0) {
+      shares.Update(truth, policy, load.interval,
+                    core::TimePoint(load.interval) +
+                        load.interval * i / load.requests_per_interval);
+      for (EndpointCandidate& it : truth) {
+        it.share = shares.Of(it.hash);
+      }
       views.assign(load.hosts, truth);
     }
     if (i >= load.running) {
