Requests that have not ended count in the service times

Hosts follow the reported loads of others only while requests last longer than the reports' interval. The mean began with the first request that ended, and in the first seconds only short ones have: hosts took requests of 1.1 s for shorter than 0.74 s and looked at their own loads alone. By the logs, all 88 requests above the bound and 77 in 100 of all were sent so.

--- a/Libraries/LibForwarding/endpoint_chooser.cc
+++ b/Libraries/LibForwarding/endpoint_chooser.cc
@@ -72,7 +72,7 @@
     core::TimePoint now) const {
   const core::Duration interval = context_->load_report_interval();
   const bool uses_reports =
-      context_->service_times.AreReportsUseful(pool_, interval);
+      context_->service_times.AreReportsUseful(pool_, interval, now);
   std::vector<EndpointCandidate> candidates;
   candidates.reserve(endpoints.size());
   for (const Endpoint* it : endpoints) {
--- a/Libraries/LibForwarding/forward_attempt.cc
+++ b/Libraries/LibForwarding/forward_attempt.cc
@@ -26,6 +26,7 @@
   started_at_ = context_->loop->Now();
   last_byte_at_ = started_at_;
   context_->loads->Start(endpoint_.id);
+  context_->service_times.Start(endpoint_.pool, started_at_);
   const auto weak = weak_from_this();
   http::OriginCallbacks origin;
   origin.is_expected = [weak](const http::MessageHead& head) {
@@ -194,6 +195,7 @@
     probe_.reset();
   }
   context_->loads->Finish(endpoint_.id);
+  context_->service_times.Finish(endpoint_.pool, context_->loop->Now());
 }
 
 }  // namespace wasabi::forwarding
--- a/Libraries/LibForwarding/forward_session.cc
+++ b/Libraries/LibForwarding/forward_session.cc
@@ -286,8 +286,7 @@
     case AttemptVerdict::kSuccess:
       ++runs_;
       context_->monitor->RecordSuccess(endpoint, Now());
-      context_->service_times.Record(chooser_.pool(),
-                                     Now() - attempt_->started_at());
+      context_->service_times.RecordServed(chooser_.pool(), Now());
       context_->quarantine->RecordCompletion(request_.content_digest);
       if (IsStream() || transaction_->is_started()) {
         DeliverStreamEnd();
--- a/Tests/LibForwarding/plain_pool_replay_test.cc
+++ b/Tests/LibForwarding/plain_pool_replay_test.cc
@@ -33,7 +33,6 @@
     for (size_t i = 0; i < kEndpoints; ++i) {
       endpoints.emplace_back(fmt::format("e{}", i));
     }
-    times.Record(pool, kServiceTime);
   }
 
   void ExchangeReports() {
@@ -48,9 +47,11 @@
     }
   }
 
-  size_t Choose(LoadBoard& board) {
+  size_t Choose(size_t host) {
+    const LoadBoard& board = boards[host];
     const bool sees_fleet =
-        follows_old_reports || times.AreReportsUseful(pool, kReportInterval);
+        follows_old_reports ||
+        times[host].AreReportsUseful(pool, kReportInterval, now);
     std::vector<EndpointCandidate> candidates;
     for (const core::RunnerId& it : endpoints) {
       candidates.push_back(
@@ -67,8 +68,11 @@
 
   void EndRequests() {
     while (!running.empty() && running.begin()->first <= now) {
+      const core::TimePoint ended_at = running.begin()->first;
       const auto [host, endpoint] = running.begin()->second;
       boards[host].Finish(endpoints[endpoint]);
+      times[host].Finish(pool, ended_at);
+      times[host].RecordServed(pool, ended_at);
       --held[endpoint];
       running.erase(running.begin());
     }
@@ -97,12 +101,13 @@
         next_report = now + kReportInterval;
       }
       const size_t host = random.Below(kHosts);
-      const size_t endpoint = Choose(boards[host]);
+      const size_t endpoint = Choose(host);
       if (endpoint == kEndpoints) {
         ++failed;
         continue;
       }
       boards[host].Start(endpoints[endpoint]);
+      times[host].Start(pool, now);
       ++held[endpoint];
       failed += IsOverloaded(endpoint) ? 1 : 0;
       running.emplace(now + kServiceTime, std::make_pair(host, endpoint));
@@ -116,7 +121,7 @@
   core::TimePoint now{core::seconds(1)};
   std::vector<core::RunnerId> endpoints;
   std::vector<LoadBoard> boards{kHosts};
-  ServiceTimes times;
+  std::vector<ServiceTimes> times{kHosts};
   std::vector<uint32_t> held = std::vector<uint32_t>(kEndpoints);
   std::multimap<core::TimePoint, std::pair<size_t, size_t>> running;
 };
