Shares fall only within a tenth of the load bound

Cause: with the service times mended, shares from seven tenths of the bound read prompts at second endpoints that the bound itself keeps apart.

--- a/Libraries/LibForwarding/endpoint_shares.cc
+++ b/Libraries/LibForwarding/endpoint_shares.cc
@@ -9,10 +9,11 @@
 
 namespace {
 
-// Shares of the load bound above which an endpoint's share falls, and below
-// which it rises. The room above takes what starts before the next report.
-constexpr double kHighFill = 0.7;
-constexpr double kLowFill = 0.5;
+// Fills of the load bound above which an endpoint's share falls, and below
+// which it rises. Lower ones would read prompts at a second endpoint that the
+// bound itself keeps apart.
+constexpr double kHighFill = 0.9;
+constexpr double kLowFill = 0.7;
 // Requests beside these fills, so that a pool with little work keeps its order.
 constexpr double kFreeRequests = 1;
 // A share falls by the excess, within these factors, in one interval.
