An unused field of RequestConnection

Linted file by file it was not seen. Ruled out: a use by a friend (the name stands nowhere else). Conclusion: removed; no behaviour changes.

--- a/Libraries/LibHttp/request_connection.h
+++ b/Libraries/LibHttp/request_connection.h
@@ -93,7 +93,6 @@
   bool is_keep_alive_ = true;
   bool closes_after_answer_ = false;
   bool is_closing_ = false;
-  bool is_parsing_ = false;
   core::TimePoint last_byte_at_;
   core::TimePoint request_started_at_;
 };
--- a/Meta/lint_groups.py
+++ b/Meta/lint_groups.py
@@ -14,7 +14,7 @@
 import shlex
 import sys
 
-# A group's syntax tree stays under a gigabyte of memory.
+# Larger groups save little more time and take more memory.
 GROUP_FILES = 8
 # Options whose value is the next word.
 PAIRED = {"-isystem", "-I", "-include"}
