--- a/Meta/lint_groups.py
+++ b/Meta/lint_groups.py
@@ -14,7 +14,7 @@
 import shlex
 import sys
 
-# Larger groups save little more time and take more memory.
+# Bounds the memory that one run of the linter takes.
 GROUP_FILES = 8
 # Options whose value is the next word.
 PAIRED = {"-isystem", "-I", "-include"}
