Lint groups hold the text of their files

Cause: a group included its files, and the compiler does not look for unused constants in included files.

--- a/Libraries/LibForwarding/stale_reports.h
+++ b/Libraries/LibForwarding/stale_reports.h
@@ -7,8 +7,7 @@
 
 namespace wasabi::forwarding {
 
-// About half of the time that a short answer takes: in a longer interval an
-// endpoint's load can double before any host hears of it.
+// Reports at this interval or a longer one don't spread hot prompts in time.
 inline constexpr core::Duration kStaleReportInterval = core::milliseconds(500);
 
 }  // namespace wasabi::forwarding
--- a/Meta/lint.sh
+++ b/Meta/lint.sh
@@ -12,25 +12,23 @@
 fi
 clang-format --dry-run --Werror "${files[@]}"
 
-# Sources of a group are included files, so the filter names them too.
-export HEADER_FILTER='(Libraries|Services|Utilities|Tests|platform)/.*\.(h|cc)$'
 export BUILD_FOLDER="${build_dir}" ROOT_FOLDER="${root_dir}"
 
 # Lints one group; where its files don't go together, each by itself.
 lint_group() {
   local stem="$1" flags
   mapfile -t flags < "${stem}.flags"
-  if clang-tidy --config-file="${ROOT_FOLDER}/.clang-tidy" --quiet \
-      --header-filter="${HEADER_FILTER}" "${stem}.cc" -- "${flags[@]}" \
-      > "${stem}.out" 2> "${stem}.err"; then
+  if clang-tidy --config-file="${ROOT_FOLDER}/.clang-tidy" --quiet "${stem}.cc" \
+      -- "${flags[@]}" > "${stem}.out" 2> "${stem}.err"; then
     return 0
   fi
   if ! grep -q 'clang-diagnostic-error' "${stem}.out"; then
-    cat "${stem}.out" "${stem}.err"
+    cat "${stem}.out" "${stem}.err" \
+      | python3 "${ROOT_FOLDER}/Meta/lint_groups.py" --locate "${stem}"
     return 1
   fi
   echo "lint: $(wc -l < "${stem}.files") files one by one: $(grep -m1 'clang-diagnostic-error' "${stem}.out")"
-  xargs -n 1 clang-tidy -p "${BUILD_FOLDER}" --quiet --header-filter="${HEADER_FILTER}" \
+  xargs -n 1 clang-tidy -p "${BUILD_FOLDER}" --quiet \
     < "${stem}.files" 2> "${stem}.err" || { cat "${stem}.err"; return 1; }
 }
 export -f lint_group
--- a/Meta/lint_groups.py
+++ b/Meta/lint_groups.py
@@ -1,11 +1,16 @@
 #!/usr/bin/env python3
-"""Writes source files that include several files each, for the linter.
+"""Writes source files that hold the text of several files, for the linter.
 
 Most of the linter's time goes into the headers of libraries, which are read
-once a file. Files share a group if none uses a private name of another.
+once a file. Files share a group if none uses a private name of another. The
+texts are copied: in an included file the compiler does not look for unused
+constants.
 
 Usage: lint_groups.py BUILD_DIR OUTPUT_DIR < list of files
 Writes OUTPUT_DIR/N.cc, N.flags and N.files, and prints the stems.
+
+Usage: lint_groups.py --locate STEM < output of the linter
+Prints the output with the places in STEM.cc named by their own files.
 """
 
 import json
@@ -19,8 +24,6 @@
 # Options whose value is the next word.
 PAIRED = {"-isystem", "-I", "-include"}
 
-INCLUDE = '#include "{}"  // NOLINT(bugprone-suspicious-include)\n'
-
 PRIVATE_BLOCK = re.compile(r"^namespace \{$(.*?)^\}  // namespace$", re.M | re.S)
 NAME = re.compile(r"^(?=\S)(?!//|\}|#|namespace)[^=({;]*?([A-Za-z_]\w*)\s*"
                   r"(?:\[[^\]]*\]\s*)?(?:\(|=|\{|;|:\s|final\b)", re.M)
@@ -63,6 +66,27 @@
     return {name for name in names if not TEST_MACRO.match(name)}
 
 
+def text_of(file):
+    text = file.read_text()
+    return text if text.endswith("\n") else text + "\n"
+
+
+def locate(stem, output):
+    place = re.compile(re.escape(f"{stem}.cc:") + r"(\d+)")
+    files = pathlib.Path(f"{stem}.files").read_text().split("\n")[:-1]
+
+    def own_place(match):
+        line = int(match.group(1))
+        for file in files:
+            count = text_of(pathlib.Path(file)).count("\n")
+            if line <= count:
+                return f"{file}:{line}"
+            line -= count
+        return match.group(0)
+
+    return place.sub(own_place, output)
+
+
 class Group:
     def __init__(self):
         self.files, self.flags, self.macros = [], [], {}
@@ -97,13 +121,16 @@
 
 
 def main():
+    if sys.argv[1] == "--locate":
+        sys.stdout.write(locate(sys.argv[2], sys.stdin.read()))
+        return
     build_dir, output_dir = (pathlib.Path(it).resolve() for it in sys.argv[1:3])
     output_dir.mkdir(parents=True, exist_ok=True)
     commands = read_commands(build_dir)
     files = [pathlib.Path(line.strip()).resolve() for line in sys.stdin if line.strip()]
     for number, group in enumerate(make_groups(files, commands)):
         stem = output_dir / str(number)
-        stem.with_suffix(".cc").write_text("".join(INCLUDE.format(it) for it in group.files))
+        stem.with_suffix(".cc").write_text("".join(text_of(it) for it in group.files))
         words = [word for flag in group.flags for word in flag]
         stem.with_suffix(".flags").write_text("\n".join(words) + "\n")
         stem.with_suffix(".files").write_text("".join(f"{it}\n" for it in group.files))
--- a/Tests/LibForwarding/service_times_test.cc
+++ b/Tests/LibForwarding/service_times_test.cc
@@ -2,7 +2,7 @@
 
 #include <catch2/catch.hpp>
 #include <cmath>
-#include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -35,16 +35,16 @@
   int requests = 0;
   for (size_t host = 0; host < kHosts; ++host) {
     ServiceTimes times;
-    std::multimap<double, int> ends;
+    std::multiset<double> ends;
     double now = 0;
     const auto at = [](double time) {
       return core::TimePoint(seconds(1)) + core::FromSeconds(time);
     };
     while (now < duration) {
       now += -std::log(1 - random.Unit()) / row.requests_per_second;
-      while (!ends.empty() && ends.begin()->first <= now) {
-        times.Finish(kPool, at(ends.begin()->first));
-        times.RecordServed(kPool, at(ends.begin()->first));
+      while (!ends.empty() && *ends.begin() <= now) {
+        times.Finish(kPool, at(*ends.begin()));
+        times.RecordServed(kPool, at(*ends.begin()));
         ends.erase(ends.begin());
       }
       ++requests;
@@ -52,7 +52,7 @@
           times.AreReportsUseful(kPool, kReportAge, at(now)) == is_useful ? 1
                                                                           : 0;
       times.Start(kPool, at(now));
-      ends.emplace(now - std::log(1 - random.Unit()) * row.mean_seconds, 0);
+      ends.insert(now - std::log(1 - random.Unit()) * row.mean_seconds);
     }
   }
   return static_cast<double>(agreeing) / requests;
