--- /dev/null
+++ b/Tests/Soak/caller.cc
@@ -0,0 +1,223 @@
+#include "Tests/Soak/caller.h"
+
+#include <algorithm>
+#include <array>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "LibCore/text.h"
+#include "Tests/Soak/operator.h"
+#include "platform/wire_names.h"
+
+namespace wasabi::soak {
+
+namespace {
+
+constexpr size_t kDataCentres = 2;
+constexpr core::Duration kAskTimeout = core::seconds(1);
+constexpr core::Duration kAskAgain = core::milliseconds(200);
+constexpr size_t kPatientCallers = 3;
+constexpr double kMaxLifetimeSeconds = 5;
+constexpr double kLeaveShare = 0.06;
+constexpr double kLeaveSeconds = 0.3;
+constexpr core::Duration kMaxIdle = core::seconds(10);
+constexpr int kMaxPrompts = 12;
+
+struct KindTraits {
+  const char* path;
+  const char* method;
+  core::Duration deadline;
+  bool is_stream;
+};
+
+const KindTraits& TraitsOf(CallKind kind) {
+  static const std::array<KindTraits, static_cast<size_t>(CallKind::kCount)>
+      kTraits = {{
+          {"/safe/", "GET", core::milliseconds(1500), false},
+          {"/unsafe/", "POST", core::milliseconds(1500), false},
+          {"/stream/", "POST", core::milliseconds(6000), true},
+          {"/once/", "POST", core::milliseconds(6000), true},
+          {"/moving/", "POST", core::milliseconds(1500), false},
+          {"/safe/", "GET", core::milliseconds(1500), false},
+          {"/safe/", "GET", core::milliseconds(1500), false},
+      }};
+  return kTraits.at(static_cast<size_t>(kind));
+}
+
+std::string KeyOf(const Call& call) {
+  switch (call.kind) {
+    case CallKind::kReplacedKey:
+      return ReplacedKeyOf(call.key_version);
+    case CallKind::kUnknownKey:
+      return "never-given";
+    default:
+      return "key-1";
+  }
+}
+
+}  // namespace
+
+struct Caller::Exchange {
+  std::shared_ptr<Call> call;
+  std::shared_ptr<http::OriginCall> origin;
+  std::unique_ptr<core::Timer> leave_timer;
+};
+
+Caller::Caller(core::EventLoop* loop,
+               const std::vector<HostAddresses>* hosts,
+               History* history,
+               size_t number,
+               uint64_t seed)
+    : loop_(loop),
+      hosts_(hosts),
+      history_(history),
+      number_(number),
+      random_(seed),
+      client_(loop) {}
+
+void Caller::Poll() {
+  const core::TimePoint now = loop_->Now();
+  client_.Expire(now);
+  if (now >= ask_at_) {
+    AskForAddresses();
+  }
+}
+
+void Caller::AskForAddresses() {
+  ask_at_ = loop_->Now() + kAskTimeout;
+  if (question_ != nullptr) {
+    question_->Cancel();
+  }
+  http::OriginRequest request;
+  request.address = (*hosts_)[random_.Below(hosts_->size())].discovery;
+  request.method = "GET";
+  request.target = fmt::format("/resolve?name=soak.test&region=r&zone=z{}",
+                               number_ % kDataCentres);
+  request.headers = {{"Host", "soak.test"}};
+  const auto body = std::make_shared<std::string>();
+  http::OriginCallbacks callbacks;
+  callbacks.on_body = [body](std::string_view piece) { body->append(piece); };
+  callbacks.on_head = [](const http::MessageHead& /*head*/) {};
+  callbacks.on_end = [this, body](http::OriginEnd end) {
+    question_.reset();
+    if (end == http::OriginEnd::kComplete) {
+      OnAddresses(*body);
+    } else {
+      ask_at_ = loop_->Now() + kAskAgain;
+    }
+  };
+  question_ = client_.Send(request, std::move(callbacks));
+}
+
+void Caller::OnAddresses(const std::string& body) {
+  const nlohmann::json answer = nlohmann::json::parse(body, nullptr, false);
+  if (!answer.is_object() || !answer.contains("addresses")) {
+    ask_at_ = loop_->Now() + kAskAgain;
+    return;
+  }
+  known_hosts_.clear();
+  for (size_t i = 0; i < hosts_->size(); ++i) {
+    const auto& addresses = answer["addresses"];
+    if (std::find(addresses.begin(), addresses.end(),
+                  (*hosts_)[i].callers.ToString()) != addresses.end()) {
+      known_hosts_.push_back(i);
+    }
+  }
+  double lifetime = std::min(answer.value("ttl_s", 1.0), kMaxLifetimeSeconds);
+  lifetime *= number_ % kPatientCallers == 0 ? kPatientCallers : 1;
+  ask_at_ = loop_->Now() + core::FromSeconds(lifetime);
+}
+
+std::shared_ptr<Call> Caller::NewCall(int64_t newest_version) {
+  auto call = std::make_shared<Call>();
+  call->id = core::RequestId(fmt::format("{:x}", random_.Next()));
+  call->kind = static_cast<CallKind>(
+      random_.Below(static_cast<size_t>(CallKind::kCount)));
+  call->host = known_hosts_[random_.Below(known_hosts_.size())];
+  const KindTraits& traits = TraitsOf(call->kind);
+  call->method = traits.method;
+  call->target = fmt::format("{}x%2Fy/{}?b=2&a=%41&a=", traits.path, number_);
+  call->body = call->method == "POST" ? "body of " + call->id.value() : "";
+  call->key_version = newest_version;
+  call->deadline = traits.deadline;
+  call->sent_at = loop_->Now();
+  return call;
+}
+
+http::OriginRequest Caller::RequestOf(const Call& call) const {
+  http::OriginRequest request;
+  request.address = (*hosts_)[call.host].callers;
+  request.method = call.method;
+  request.target = call.target;
+  request.body = call.body;
+  request.max_idle = kMaxIdle;
+  request.connect_timeout = kAskTimeout;
+  request.headers = {
+      {"Host", "soak.test"},
+      {std::string(adapter::kRequestIdHeader), call.id.value()},
+      {std::string(adapter::kDeadlineHeader),
+       std::to_string(core::ToMilliseconds(call.deadline))},
+      {std::string(adapter::kAuthorizationHeader), "Bearer " + KeyOf(call)},
+      // Forged; hosts must not pass these on.
+      {std::string(adapter::kOrganisationHeader), "forged"},
+      {"Kv-From", "127.0.0.1:9/1"},
+      {"Cache-Hold", "1"}};
+  if (TraitsOf(call.kind).is_stream) {
+    const uint64_t prompt = call.id.Hash() % kMaxPrompts;
+    request.headers.Add(
+        std::string(adapter::kPromptPartsHeader),
+        fmt::format("1:500,{:x}:2000,{}:100", 16 + prompt, call.id.value()));
+    request.headers.Add(std::string(adapter::kTokenBoundsHeader), "2600,120");
+    request.headers.Add("Model", "m");
+  }
+  return request;
+}
+
+void Caller::SendRequest(int64_t newest_version) {
+  if (!known_hosts_.empty()) {
+    Send(NewCall(newest_version));
+  }
+}
+
+void Caller::Send(const std::shared_ptr<Call>& call) {
+  history_->calls.push_back(call);
+  const auto exchange = std::make_shared<Exchange>();
+  exchange->call = call;
+  http::OriginCallbacks callbacks;
+  callbacks.on_head = [call](const http::MessageHead& head) {
+    call->status = head.status;
+    call->signature = head.headers.Get(adapter::kSignatureHeader);
+  };
+  callbacks.on_body = [call](std::string_view piece) {
+    call->answer.append(piece);
+  };
+  callbacks.on_end = [this, exchange](http::OriginEnd end) {
+    OnEnd(exchange, end);
+  };
+  exchange->origin = client_.Send(RequestOf(*call), std::move(callbacks));
+  const bool leaves_early = random_.Unit() < kLeaveShare;
+  const std::weak_ptr<Exchange> weak = exchange;
+  exchange->leave_timer = loop_->NewTimer([this, weak]() {
+    if (const auto it = weak.lock()) {
+      Leave(it);
+    }
+  });
+  exchange->leave_timer->StartOnce(
+      leaves_early ? core::FromSeconds(kLeaveSeconds * random_.Unit())
+                   : call->deadline);
+}
+
+void Caller::OnEnd(const ExchangePointer& exchange, http::OriginEnd end) {
+  exchange->call->end = end;
+  exchange->call->ended_at = loop_->Now();
+  exchange->leave_timer.reset();
+  exchange->origin.reset();
+}
+
+void Caller::Leave(const ExchangePointer& exchange) {
+  exchange->call->left_at = loop_->Now();
+  exchange->origin->Cancel();
+  exchange->leave_timer.reset();
+}
+
+}  // namespace wasabi::soak
--- /dev/null
+++ b/Tests/Soak/endpoint_fleet.cc
@@ -0,0 +1,232 @@
+#include "Tests/Soak/endpoint_fleet.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "LibCore/text.h"
+#include "LibCore/try.h"
+#include "Tests/Support/free_address.h"
+#include "platform/adapters.h"
+#include "platform/configuration_codec.h"
+
+namespace wasabi::soak {
+
+namespace {
+
+constexpr core::Duration kBeat = core::milliseconds(1200);
+// A registration lapses after this time without a heartbeat.
+constexpr core::Duration kLapse = kBeat * 3;
+// An endpoint serves on for this long after the bound on its leaving.
+constexpr core::Duration kLinger = core::milliseconds(1500);
+constexpr uint32_t kEndpointIps = 80;
+constexpr uint32_t kProxyIps = 130;
+constexpr uint32_t kIps = 50;
+constexpr size_t kDataCentres = 2;
+
+int64_t UnixMilliseconds() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+}  // namespace
+
+EndpointFleet::EndpointFleet(core::EventLoop* loop,
+                             const SoakOptions& options,
+                             support::WatchedLog* log,
+                             History* history)
+    : loop_(loop), options_(options), log_(log), history_(history) {}
+
+absl::Status EndpointFleet::Add(const core::PoolId& pool) {
+  const auto n = static_cast<uint32_t>(members_.size());
+  auto member = std::make_unique<Member>();
+  member->options.id =
+      core::RunnerId(fmt::format("{}-{}", pool.value(), members_.size()));
+  member->options.pool = pool;
+  member->options.address =
+      support::FreeAddress(support::LoopbackIp(kEndpointIps + n % kIps));
+  member->options.seed = options_.seed * 1000 + n;
+  member->registered_address =
+      support::FreeAddress(support::LoopbackIp(kProxyIps + n % kIps));
+  member->link_faults =
+      std::make_unique<support::LinkFaults>(options_.seed + n);
+  TRY_ASSIGN(member->relay,
+             support::TcpRelay::Create(loop_, member->registered_address,
+                                       member->options.address,
+                                       member->link_faults.get()));
+  TRY(Start(member.get()));
+  members_.push_back(std::move(member));
+  return absl::OkStatus();
+}
+
+absl::Status EndpointFleet::Start(Member* member) {
+  TRY_ASSIGN(member->endpoint,
+             support::PlatformEndpoint::Create(
+                 loop_, member->options,
+                 [this](const support::PlatformEndpoint::RunPointer& run) {
+                   history_->runs.push_back(run);
+                 }));
+  member->state = State::kServing;
+  member->started_at_ms = UnixMilliseconds();
+  member->sequence = 0;
+  Register(member);
+  return absl::OkStatus();
+}
+
+void EndpointFleet::Register(Member* member) {
+  member->is_registered = true;
+  member->next_beat_at = loop_->Now() + kBeat;
+  const size_t n = member->options.id.Hash();
+  log_->Append(
+      adapter::kRegistrationTopic, member->options.id.value(),
+      fmt::format(
+          R"({{"service":"{}","address":"{}","zone":"z{}","version":"v1",)"
+          R"("slots":{},"state":"{}","cold_left_ms":0,"seq":{},"born":{}}})",
+          member->options.pool.value(), member->registered_address.ToString(),
+          n % kDataCentres, member->options.slots,
+          member->state == State::kLeaving ? "draining" : "ready",
+          ++member->sequence, member->started_at_ms));
+}
+
+void EndpointFleet::Unregister(Member* member) {
+  member->is_registered = false;
+  log_->Append(adapter::kRegistrationTopic, member->options.id.value(),
+               std::nullopt);
+}
+
+EndpointFleet::Member* EndpointFleet::Choose(uint64_t target) {
+  std::vector<Member*> serving;
+  for (const auto& it : members_) {
+    if (it->state == State::kServing) {
+      serving.push_back(it.get());
+    }
+  }
+  return serving.empty() ? nullptr : serving[target % serving.size()];
+}
+
+void EndpointFleet::AddDisturbance(const Member& member,
+                                   core::Duration duration) {
+  const core::TimePoint now = loop_->Now();
+  history_->disturbances.push_back(std::make_shared<Disturbance>(
+      Disturbance{.scope = Disturbance::Scope::kEndpoint,
+                  .endpoint = member.options.id,
+                  .from = now,
+                  .to = now + duration}));
+}
+
+void EndpointFleet::Crash(uint64_t target, core::Duration duration) {
+  Member* member = Choose(target);
+  if (member == nullptr) {
+    return;
+  }
+  AddDisturbance(*member, duration);
+  member->endpoint.reset();
+  member->relay->CutAll();
+  member->state = State::kCrashed;
+  member->crashed_at = loop_->Now();
+  member->due_at = loop_->Now() + duration;
+}
+
+void EndpointFleet::Replace(uint64_t target, bool announces) {
+  Member* member = Choose(target);
+  if (member == nullptr || !Add(member->options.pool).ok()) {
+    return;
+  }
+  const core::TimePoint now = loop_->Now();
+  member->state = State::kLeaving;
+  member->due_at = now + options_.bounds.leaving + kLinger;
+  if (announces) {
+    Register(member);
+    member->endpoint->CloseAfterAnswers();
+  } else {
+    Unregister(member);
+  }
+  history_->departures.push_back(
+      {.endpoint = member->options.id, .acknowledged_at = now});
+}
+
+void EndpointFleet::SetFaults(uint64_t target,
+                              const support::EndpointFaults& faults,
+                              core::Duration duration) {
+  Member* member = Choose(target);
+  if (member == nullptr) {
+    return;
+  }
+  AddDisturbance(*member, duration);
+  member->endpoint->SetFaults(faults);
+  member->faults_end_at = loop_->Now() + duration;
+}
+
+void EndpointFleet::PlantOnLink(uint64_t target,
+                                const support::LinkFault& fault,
+                                core::Duration duration) {
+  Member* member = Choose(target);
+  if (member == nullptr) {
+    return;
+  }
+  AddDisturbance(*member, duration);
+  member->link_faults->Plant(fault, loop_->Now());
+}
+
+void EndpointFleet::ResetConnections(uint64_t target) {
+  Member* member = Choose(target);
+  if (member != nullptr) {
+    AddDisturbance(*member, core::Duration::zero());
+    member->relay->CutAll();
+  }
+}
+
+void EndpointFleet::SilenceConnections(uint64_t target) {
+  Member* member = Choose(target);
+  if (member != nullptr) {
+    // Requests that were on those connections may go on for a while.
+    constexpr core::Duration kLongestRequest = core::seconds(5);
+    AddDisturbance(*member, kLongestRequest);
+    member->relay->SilenceAll();
+  }
+}
+
+void EndpointFleet::Poll() {
+  for (size_t i = 0; i < members_.size(); ++i) {
+    PollMember(members_[i].get());
+  }
+}
+
+void EndpointFleet::PollMember(Member* member) {
+  const core::TimePoint now = loop_->Now();
+  switch (member->state) {
+    case State::kServing:
+      if (now >= member->next_beat_at) {
+        Register(member);
+      }
+      if (member->faults_end_at != core::TimePoint() &&
+          now >= member->faults_end_at) {
+        member->endpoint->SetFaults({});
+        member->faults_end_at = {};
+      }
+      return;
+    case State::kCrashed:
+      if (member->is_registered && now >= member->crashed_at + kLapse) {
+        Unregister(member);
+      }
+      if (now >= member->due_at) {
+        Start(member).IgnoreError();
+      }
+      return;
+    case State::kLeaving:
+      if (now >= member->due_at && member->endpoint->running() == 0) {
+        if (member->is_registered) {
+          Unregister(member);
+        }
+        member->state = State::kGone;
+        member->endpoint.reset();
+        member->relay.reset();
+      }
+      return;
+    case State::kGone:
+      return;
+  }
+}
+
+}  // namespace wasabi::soak
--- /dev/null
+++ b/Tests/Soak/fault_plan.cc
@@ -0,0 +1,104 @@
+#include "Tests/Soak/fault_plan.h"
+
+#include <algorithm>
+#include <array>
+
+#include "LibCore/random_source.h"
+
+namespace wasabi::soak {
+
+namespace {
+
+using enum FaultKind;
+
+using Family = std::vector<FaultKind>;
+
+const std::vector<Family>& Families() {
+  static const std::vector<Family> kFamilies = {
+      {kStopHost, kStopHost, kReloadHost, kChangeConfiguration,
+       kReplaceEndpoint, kUnregisterEndpoint},
+      {kStopHost, kKillHost, kPauseHost, kKillAllHosts, kChangeConfiguration,
+       kReplaceEndpoint},
+      {kCutHostFromStore, kCutHostOneWay, kResetStoreConnections,
+       kSilenceStoreConnections, kTurnHostAway, kStoreOutage, kStoreSlow,
+       kStoreLosesAnswers, kStoreCompacts, kChangeConfiguration,
+       kUnregisterEndpoint, kReplaceEndpoint},
+      {kCrashEndpoint, kEndpointFails, kEndpointLosesAnswers,
+       kEndpointCutsStreams, kEndpointSlow, kResetEndpointConnections,
+       kSilenceEndpointConnections, kDelayEndpointLink, kCutEndpointOneWay,
+       kReplaceEndpoint},
+      {kStopHost, kKillHost, kPauseHost, kCutHostFromStore, kTurnHostAway,
+       kStoreOutage, kStoreCompacts, kCrashEndpoint, kEndpointLosesAnswers,
+       kEndpointFails, kReplaceEndpoint, kChangeConfiguration, kReloadHost,
+       kUnregisterEndpoint, kSilenceEndpointConnections},
+  };
+  return kFamilies;
+}
+
+constexpr size_t kMinFaults = 4;
+constexpr size_t kMoreFaults = 6;
+constexpr double kMinSeconds = 0.5;
+constexpr double kMoreSeconds = 4;
+// A planned event may come in a series, as a rolling restart does.
+constexpr double kSeriesShare = 0.3;
+constexpr size_t kSeriesLength = 3;
+constexpr double kSeriesGapSeconds = 0.7;
+
+}  // namespace
+
+std::string_view NameOf(FaultKind kind) {
+  static constexpr std::array<std::string_view, static_cast<size_t>(kCount)>
+      kNames = {"stop_host",
+                "reload_host",
+                "change_configuration",
+                "replace_endpoint",
+                "unregister_endpoint",
+                "kill_host",
+                "pause_host",
+                "kill_all_hosts",
+                "cut_host_from_store",
+                "cut_host_one_way",
+                "reset_store_connections",
+                "silence_store_connections",
+                "turn_host_away",
+                "store_outage",
+                "store_slow",
+                "store_loses_answers",
+                "store_compacts",
+                "crash_endpoint",
+                "endpoint_fails",
+                "endpoint_loses_answers",
+                "endpoint_cuts_streams",
+                "endpoint_slow",
+                "reset_endpoint_connections",
+                "silence_endpoint_connections",
+                "delay_endpoint_link",
+                "cut_endpoint_one_way"};
+  return kNames.at(static_cast<size_t>(kind));
+}
+
+std::vector<FaultAction> MakeFaultPlan(const SoakOptions& options) {
+  core::RandomSource random(options.seed);
+  const Family& family = Families()[options.seed % Families().size()];
+  const double span = core::ToSeconds(options.faults_end - options.warm_up);
+  std::vector<FaultAction> plan;
+  const size_t n = kMinFaults + random.Below(kMoreFaults);
+  for (size_t i = 0; i < n; ++i) {
+    FaultAction action;
+    action.at = options.warm_up + core::FromSeconds(span * random.Unit());
+    action.kind = family[random.Below(family.size())];
+    action.duration =
+        core::FromSeconds(kMinSeconds + kMoreSeconds * random.Unit());
+    action.target = random.Next();
+    const size_t repeats = random.Unit() < kSeriesShare ? kSeriesLength : 1;
+    for (size_t k = 0; k < repeats; ++k) {
+      plan.push_back(action);
+      action.at += core::FromSeconds(kSeriesGapSeconds);
+      ++action.target;
+    }
+  }
+  std::sort(plan.begin(), plan.end());
+  return plan;
+}
+
+}  // namespace wasabi::soak
--- /dev/null
+++ b/Tests/Soak/fault_plan_test.cc
@@ -0,0 +1,30 @@
+#include "Tests/Soak/fault_plan.h"
+
+#include <catch2/catch.hpp>
+#include <set>
+
+namespace wasabi::soak {
+namespace {
+
+TEST_CASE("a seed gives the same faults each time") {
+  SoakOptions options;
+  options.seed = 7;
+  CHECK(MakeFaultPlan(options) == MakeFaultPlan(options));
+}
+
+TEST_CASE("seeds bring every kind of fault, within their time") {
+  std::set<FaultKind> kinds;
+  for (uint64_t seed = 0; seed < 100; ++seed) {
+    SoakOptions options;
+    options.seed = seed;
+    for (const FaultAction& it : MakeFaultPlan(options)) {
+      kinds.insert(it.kind);
+      CHECK(it.at >= options.warm_up);
+      CHECK(it.at + it.duration < options.length - options.bounds.recovery);
+    }
+  }
+  CHECK(kinds.size() == static_cast<size_t>(FaultKind::kCount));
+}
+
+}  // namespace
+}  // namespace wasabi::soak
--- /dev/null
+++ b/Tests/Soak/main.cc
@@ -0,0 +1,71 @@
+// platform_soak: real hosts under seeded faults, checked from outside.
+
+#include <gflags/gflags.h>
+
+#include <filesystem>
+#include <iostream>
+
+#include "LibCore/text.h"
+#include "Tests/Soak/soak_run.h"
+
+DEFINE_uint64(seed, 1, "seed of the faults and of the load");
+DEFINE_string(router, "build/bin/wasabi_router", "the program under test");
+DEFINE_string(
+    work,
+    "/tmp/wasabi-soak",
+    "folder for settings and logs of the hosts; emptied at the start");
+DEFINE_uint64(hosts, 4, "hosts of the fleet");
+DEFINE_uint64(model_endpoints, 4, "model endpoints");
+DEFINE_uint64(plain_endpoints, 3, "endpoints of each of two plain services");
+DEFINE_double(rate, 60, "requests a second");
+
+namespace wasabi::soak {
+namespace {
+
+SoakOptions OptionsFromFlags() {
+  SoakOptions options;
+  options.seed = FLAGS_seed;
+  options.hosts = FLAGS_hosts;
+  options.model_endpoints = FLAGS_model_endpoints;
+  options.plain_endpoints = FLAGS_plain_endpoints;
+  options.requests_per_second = FLAGS_rate;
+  options.router_binary = FLAGS_router;
+  options.work_folder = fmt::format("{}/{}", FLAGS_work, FLAGS_seed);
+  return options;
+}
+
+int RunSoak() {
+  const SoakOptions options = OptionsFromFlags();
+  std::filesystem::remove_all(options.work_folder);
+  std::filesystem::create_directories(options.work_folder);
+  core::EventLoop loop;
+  const auto run = SoakRun::Create(&loop, options);
+  if (!run.ok()) {
+    std::cerr << "platform_soak: " << core::MessageOf(run.status()) << "\n";
+    return 2;
+  }
+  const SoakResult result = (*run)->Run();
+  for (const Violation& it : result.violations) {
+    std::cout << fmt::format("violated: {}: {}\n", it.promise, it.detail);
+  }
+  std::cout << fmt::format(
+      "seed={} calls={} served={} refused={} violations={}\n", options.seed,
+      result.calls, result.served, result.refused, result.violations.size());
+  if (!result.violations.empty()) {
+    std::cout << "logs of the hosts: " << options.work_folder << "\n";
+    return 1;
+  }
+  std::filesystem::remove_all(options.work_folder);
+  return 0;
+}
+
+}  // namespace
+}  // namespace wasabi::soak
+
+int main(int argc, char** argv) {
+  gflags::SetUsageMessage(
+      "Runs real hosts against stand-ins of the platform, strikes them with "
+      "seeded faults, and checks what callers and endpoints see.");
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  return wasabi::soak::RunSoak();
+}
--- /dev/null
+++ b/Tests/Soak/operator.cc
@@ -0,0 +1,77 @@
+#include "Tests/Soak/operator.h"
+
+#include <nlohmann/json.hpp>
+
+#include "LibCore/text.h"
+#include "platform/configuration_codec.h"
+
+namespace wasabi::soak {
+
+namespace {
+
+using nlohmann::json;
+
+json PlainRoute(const std::string& name,
+                const std::string& kind,
+                int attempts,
+                const std::string& pool) {
+  return {{"name", name},
+          {"hostname", "soak.test"},
+          {"path_prefix", "/" + name + "/"},
+          {"kind", kind},
+          {"timeout_ms", 1500},
+          {"target_latency_ms", 150},
+          {"attempts", attempts},
+          {"priority", 1},
+          {"service", pool}};
+}
+
+json StreamRoute(const std::string& name, bool is_resumable) {
+  json route = PlainRoute(name, "streaming", is_resumable ? 2 : 1, kModelPool);
+  route["timeout_ms"] = 6000;
+  route["target_latency_ms"] = 400;
+  route["sticky"] = true;
+  route["resumable"] = is_resumable;
+  route["gap_aim_ms"] = 300;
+  return route;
+}
+
+}  // namespace
+
+std::string ReplacedKeyOf(int64_t version) {
+  return fmt::format("replaced-{}", version);
+}
+
+void Operator::Configure() {
+  // Versions increase in uneven steps.
+  version_ += 1 + version_ % 3;
+  const std::string moving_pool =
+      history_->configurations.size() % 2 == 0 ? kPlainPool : kOtherPlainPool;
+  const json configuration = {
+      {"version", version_},
+      {"routes",
+       {PlainRoute("safe", "safe", 2, kPlainPool),
+        PlainRoute("unsafe", "unsafe", 1, kPlainPool),
+        PlainRoute("moving", "unsafe", 1, moving_pool),
+        PlainRoute(fmt::format("added-{}", version_), "safe", 1, kPlainPool),
+        StreamRoute("stream", true), StreamRoute("once", false)}},
+      {"services",
+       {{{"name", kModelPool}, {"max_conns", 200}},
+        {{"name", kPlainPool}, {"max_conns", 200}},
+        {{"name", kOtherPlainPool}, {"max_conns", 200}}}},
+      {"limits",
+       {{"max_header_bytes", 16384},
+        {"max_body_bytes", 1 << 20},
+        {"header_timeout_ms", 3000},
+        {"idle_timeout_ms", 15000}}},
+      {"tenants",
+       {{{"name", "t1"}, {"api_keys", {"key-1"}}},
+        {{"name", "t2"}, {"api_keys", {ReplacedKeyOf(version_)}}}}}};
+  log_->Append(adapter::kConfigurationTopic, adapter::kConfigurationKey,
+               configuration.dump());
+  history_->configurations.push_back({.version = version_,
+                                      .moving_pool = core::PoolId(moving_pool),
+                                      .acknowledged_at = loop_->Now()});
+}
+
+}  // namespace wasabi::soak
--- /dev/null
+++ b/Tests/Soak/router_process.cc
@@ -0,0 +1,211 @@
+#include "Tests/Soak/router_process.h"
+
+#include <csignal>
+#include <fstream>
+
+#include "LibCore/result_code.h"
+#include "LibCore/text.h"
+#include "LibCore/try.h"
+#include "Tests/Support/free_address.h"
+
+namespace wasabi::soak {
+
+namespace {
+
+constexpr core::Duration kRestartDelay = core::milliseconds(300);
+constexpr core::Duration kForEver = core::seconds(3600);
+constexpr size_t kDataCentres = 2;
+constexpr uint32_t kStoreIps = 40;
+constexpr uint32_t kRelayIps = 60;
+
+std::string IpOf(size_t host) {
+  return support::LoopbackIp(static_cast<uint32_t>(host));
+}
+
+}  // namespace
+
+HostPorts FreeHostPorts() {
+  const std::string ip = IpOf(0);
+  const auto port = [&ip]() { return support::FreeAddress(ip).port(); };
+  return {.callers = port(),
+          .ready = port(),
+          .discovery = port(),
+          .gossip = port(),
+          .internal = port()};
+}
+
+absl::StatusOr<std::unique_ptr<RouterProcess>> RouterProcess::Create(
+    core::EventLoop* loop,
+    const SoakOptions& options,
+    size_t index,
+    const HostPorts& ports,
+    support::WatchedLog* log,
+    History* history) {
+  std::unique_ptr<RouterProcess> host(
+      new RouterProcess(loop, options, index, ports, history));
+  TRY(host->OpenStore(log));
+  TRY(host->Start());
+  return host;
+}
+
+RouterProcess::RouterProcess(core::EventLoop* loop,
+                             const SoakOptions& options,
+                             size_t index,
+                             const HostPorts& ports,
+                             History* history)
+    : loop_(loop),
+      options_(options),
+      index_(index),
+      ports_(ports),
+      history_(history),
+      store_faults_(options.seed + index) {}
+
+absl::Status RouterProcess::OpenStore(support::WatchedLog* log) {
+  const auto n = static_cast<uint32_t>(index_);
+  const core::SocketAddress store =
+      support::FreeAddress(support::LoopbackIp(kStoreIps + n));
+  const core::SocketAddress relay =
+      support::FreeAddress(support::LoopbackIp(kRelayIps + n));
+  TRY_ASSIGN(store_, support::StoreServer::Create(loop_, store, log,
+                                                  options_.seed + n));
+  TRY_ASSIGN(store_relay_,
+             support::TcpRelay::Create(loop_, relay, store, &store_faults_));
+  return WriteSettings(relay);
+}
+
+core::SocketAddress RouterProcess::At(uint16_t port) const {
+  const auto address =
+      core::SocketAddress::Parse(fmt::format("{}:{}", IpOf(index_), port));
+  return address.value_or(core::SocketAddress());
+}
+
+core::SocketAddress RouterProcess::callers_address() const {
+  return At(ports_.callers);
+}
+
+core::SocketAddress RouterProcess::discovery_address() const {
+  return At(ports_.discovery);
+}
+
+std::string RouterProcess::SettingsPath() const {
+  return fmt::format("{}/host-{}.ini", options_.work_folder, index_);
+}
+
+absl::Status RouterProcess::WriteSettings(
+    const core::SocketAddress& store) const {
+  const Bounds& bounds = options_.bounds;
+  std::ofstream file(SettingsPath());
+  file << fmt::format(
+      "[interface]\nadapter = platform\n[host]\nid = h{}\ndata_centre = z{}\n"
+      "[listen]\ncallers = {}\nready = {}\ndiscovery = {}\ngossip = {}\n"
+      "internal = {}\n[platform]\naddress = {}\n",
+      index_, index_ % kDataCentres, At(ports_.callers).ToString(),
+      At(ports_.ready).ToString(), At(ports_.discovery).ToString(),
+      At(ports_.gossip).ToString(), At(ports_.internal).ToString(),
+      store.ToString());
+  file << fmt::format(
+      "[bounds]\nleaving_ms = {}\nconfiguration_ms = {}\n"
+      "shutdown_grace_s = {}\naddress_lifetime_s = 5\n[retries]\nratio = {}\n"
+      "window_s = {}\nslack = {}\n[placement]\nload_bound = 2\n",
+      core::ToMilliseconds(bounds.leaving),
+      core::ToMilliseconds(bounds.configuration),
+      core::ToSeconds(bounds.shutdown_grace), bounds.retry_ratio,
+      core::ToSeconds(bounds.retry_window), bounds.retry_slack);
+  if (!file.good()) {
+    return core::MakeStatus(core::ResultCode::kSettingsUnreadable,
+                            "can't write " + SettingsPath());
+  }
+  return absl::OkStatus();
+}
+
+absl::Status RouterProcess::Start() {
+  TRY_ASSIGN(process_,
+             support::ChildProcess::Start(
+                 {options_.router_binary, "--settings=" + SettingsPath()},
+                 fmt::format("{}/host-{}.log", options_.work_folder, index_)));
+  is_ending_ = false;
+  return absl::OkStatus();
+}
+
+void RouterProcess::BeginDisturbance(bool is_planned) {
+  const core::TimePoint now = loop_->Now();
+  disturbance_ = std::make_shared<Disturbance>(
+      Disturbance{.scope = Disturbance::Scope::kHost,
+                  .host = index_,
+                  .is_planned = is_planned,
+                  .from = now,
+                  .to = now + kForEver});
+  history_->disturbances.push_back(disturbance_);
+}
+
+void RouterProcess::Stop() {
+  if (process_ == nullptr || is_ending_ || disturbance_ != nullptr) {
+    return;
+  }
+  BeginDisturbance(true);
+  is_ending_ = true;
+  kill_at_ = loop_->Now() + options_.bounds.shutdown_grace;
+  process_->Signal(SIGTERM);
+}
+
+void RouterProcess::Kill() {
+  if (process_ == nullptr) {
+    return;
+  }
+  if (disturbance_ == nullptr || disturbance_->is_planned) {
+    if (disturbance_ != nullptr) {
+      disturbance_->to = loop_->Now();
+    }
+    BeginDisturbance(false);
+  }
+  is_ending_ = true;
+  resume_at_ = {};
+  process_->Signal(SIGKILL);
+}
+
+void RouterProcess::Pause(core::Duration duration) {
+  if (process_ == nullptr || disturbance_ != nullptr) {
+    return;
+  }
+  BeginDisturbance(false);
+  process_->Signal(SIGSTOP);
+  resume_at_ = loop_->Now() + duration;
+}
+
+void RouterProcess::Reload() {
+  if (process_ != nullptr && !is_ending_) {
+    process_->Signal(SIGHUP);
+  }
+}
+
+void RouterProcess::Poll() {
+  const core::TimePoint now = loop_->Now();
+  if (process_ == nullptr) {
+    if (now >= start_at_ && Start().ok() && disturbance_ != nullptr) {
+      disturbance_->to = now;
+      disturbance_ = nullptr;
+    }
+    return;
+  }
+  if (resume_at_ != core::TimePoint() && now >= resume_at_) {
+    process_->Signal(SIGCONT);
+    resume_at_ = {};
+    disturbance_->to = now;
+    disturbance_ = nullptr;
+  }
+  const auto exit = process_->Poll();
+  if (exit) {
+    if (!is_ending_) {
+      history_->crashes.push_back(
+          fmt::format("host={} {}", index_, exit->ToString()));
+    }
+    process_.reset();
+    start_at_ = now + kRestartDelay;
+    return;
+  }
+  if (is_ending_ && disturbance_->is_planned && now >= kill_at_) {
+    Kill();
+  }
+}
+
+}  // namespace wasabi::soak
--- /dev/null
+++ b/Tests/Soak/soak_run.cc
@@ -0,0 +1,344 @@
+#include "Tests/Soak/soak_run.h"
+
+#include <algorithm>
+#include <array>
+#include <iostream>
+#include <utility>
+
+#include "LibCore/text.h"
+#include "LibCore/try.h"
+
+namespace wasabi::soak {
+
+namespace {
+
+using support::LinkFault;
+using support::LinkFaultKind;
+using support::StoreFaults;
+using support::StoreOutage;
+
+constexpr core::Duration kPollPeriod = core::milliseconds(10);
+constexpr core::Duration kCheckPeriod = core::seconds(2);
+constexpr size_t kCallers = 16;
+constexpr core::Duration kStoreDelay = core::milliseconds(300);
+constexpr core::Duration kSlowAnswer = core::milliseconds(150);
+constexpr core::Duration kLinkDelay = core::milliseconds(120);
+constexpr double kLostAnswers = 0.4;
+constexpr double kFaultShare = 0.3;
+
+}  // namespace
+
+absl::StatusOr<std::unique_ptr<SoakRun>> SoakRun::Create(
+    core::EventLoop* loop,
+    const SoakOptions& options) {
+  std::unique_ptr<SoakRun> run(new SoakRun(loop, options));
+  TRY(run->Start());
+  return run;
+}
+
+SoakRun::SoakRun(core::EventLoop* loop, const SoakOptions& options)
+    : loop_(loop),
+      options_(options),
+      random_(options.seed),
+      operator_(loop, &log_, &history_),
+      endpoints_(loop, options_, &log_, &history_),
+      plan_(MakeFaultPlan(options)) {
+  history_.started_at = loop->Now();
+  polled_at_ = history_.started_at;
+  check_at_ = history_.started_at + kCheckPeriod;
+}
+
+absl::Status SoakRun::Start() {
+  operator_.Configure();
+  for (size_t i = 0; i < options_.model_endpoints; ++i) {
+    TRY(endpoints_.Add(core::PoolId(kModelPool)));
+  }
+  for (size_t i = 0; i < options_.plain_endpoints; ++i) {
+    TRY(endpoints_.Add(core::PoolId(kPlainPool)));
+    TRY(endpoints_.Add(core::PoolId(kOtherPlainPool)));
+  }
+  const HostPorts ports = FreeHostPorts();
+  for (size_t i = 0; i < options_.hosts; ++i) {
+    TRY_ASSIGN(auto host, RouterProcess::Create(loop_, options_, i, ports,
+                                                &log_, &history_));
+    addresses_.push_back({.callers = host->callers_address(),
+                          .discovery = host->discovery_address()});
+    hosts_.push_back(std::move(host));
+  }
+  for (size_t i = 0; i < kCallers; ++i) {
+    callers_.push_back(std::make_unique<Caller>(loop_, &addresses_, &history_,
+                                                i, random_.Next()));
+  }
+  return absl::OkStatus();
+}
+
+SoakResult SoakRun::Run() {
+  poll_timer_ = loop_->NewTimer([this]() { Poll(); });
+  poll_timer_->StartRepeating(kPollPeriod);
+  loop_->Run();
+  SoakResult result;
+  result.calls = history_.calls.size();
+  for (const auto& it : history_.calls) {
+    constexpr int kUnavailable = 503;
+    result.served += IsServed(*it) ? 1 : 0;
+    result.refused += it->status == kUnavailable ? 1 : 0;
+  }
+  result.violations = violations_;
+  return result;
+}
+
+void SoakRun::Poll() {
+  for (const auto& it : hosts_) {
+    it->Poll();
+  }
+  endpoints_.Poll();
+  for (const auto& it : callers_) {
+    it->Poll();
+  }
+  SendRequests();
+  StrikeFaults();
+  if (loop_->Now() >= check_at_ || Elapsed() >= options_.length) {
+    CheckNow();
+  }
+  if (Elapsed() >= options_.length || !violations_.empty()) {
+    loop_->Stop();
+  }
+}
+
+void SoakRun::SendRequests() {
+  const core::TimePoint now = loop_->Now();
+  requests_due_ +=
+      core::ToSeconds(now - polled_at_) * options_.requests_per_second;
+  polled_at_ = now;
+  while (requests_due_ >= 1) {
+    requests_due_ -= 1;
+    callers_[random_.Below(callers_.size())]->SendRequest(operator_.version());
+  }
+}
+
+void SoakRun::StrikeFaults() {
+  while (next_fault_ < plan_.size() && Elapsed() >= plan_[next_fault_].at) {
+    const FaultAction& action = plan_[next_fault_++];
+    std::cout << fmt::format(
+                     "fault at_ms={} kind={} for_ms={} target={}\n",
+                     core::ToMilliseconds(Elapsed()), NameOf(action.kind),
+                     core::ToMilliseconds(action.duration), action.target)
+              << std::flush;
+    Strike(action);
+  }
+}
+
+void SoakRun::CheckNow() {
+  check_at_ = loop_->Now() + kCheckPeriod;
+  violations_ = CheckHistory(history_, options_.bounds, loop_->Now());
+}
+
+void SoakRun::Strike(const FaultAction& action) {
+  using Handler = void (SoakRun::*)(const FaultAction& action);
+  static constexpr std::array<Handler, static_cast<size_t>(FaultKind::kCount)>
+      kHandlers = {&SoakRun::StopHost,
+                   &SoakRun::ReloadHost,
+                   &SoakRun::ChangeConfiguration,
+                   &SoakRun::ReplaceEndpoint,
+                   &SoakRun::UnregisterEndpoint,
+                   &SoakRun::KillHost,
+                   &SoakRun::PauseHost,
+                   &SoakRun::KillAllHosts,
+                   &SoakRun::CutHostFromStore,
+                   &SoakRun::CutHostOneWay,
+                   &SoakRun::ResetStoreConnections,
+                   &SoakRun::SilenceStoreConnections,
+                   &SoakRun::TurnHostAway,
+                   &SoakRun::StopStore,
+                   &SoakRun::SlowStore,
+                   &SoakRun::LoseStoreAnswers,
+                   &SoakRun::CompactStore,
+                   &SoakRun::CrashEndpoint,
+                   &SoakRun::FailAtEndpoint,
+                   &SoakRun::LoseEndpointAnswers,
+                   &SoakRun::CutEndpointStreams,
+                   &SoakRun::SlowEndpoint,
+                   &SoakRun::ResetEndpointConnections,
+                   &SoakRun::SilenceEndpointConnections,
+                   &SoakRun::DelayEndpointLink,
+                   &SoakRun::CutEndpointOneWay};
+  (this->*kHandlers.at(static_cast<size_t>(action.kind)))(action);
+}
+
+RouterProcess* SoakRun::HostOf(const FaultAction& action) {
+  return hosts_[action.target % hosts_.size()].get();
+}
+
+void SoakRun::AddDisturbance(Disturbance::Scope scope,
+                             size_t host,
+                             core::Duration duration) {
+  const core::TimePoint now = loop_->Now();
+  history_.disturbances.push_back(std::make_shared<Disturbance>(Disturbance{
+      .scope = scope, .host = host, .from = now, .to = now + duration}));
+}
+
+void SoakRun::SetStoreFaults(const StoreFaults& faults,
+                             core::Duration duration) {
+  AddDisturbance(Disturbance::Scope::kStore, 0, duration);
+  for (const auto& it : hosts_) {
+    it->store()->SetFaults(faults);
+  }
+  CallAfter(duration, [this]() {
+    for (const auto& it : hosts_) {
+      it->store()->SetFaults({});
+    }
+  });
+}
+
+void SoakRun::CallAfter(core::Duration delay, std::function<void()> task) {
+  timers_.push_back(loop_->NewTimer(std::move(task)));
+  timers_.back()->StartOnce(delay);
+}
+
+void SoakRun::StopHost(const FaultAction& action) {
+  HostOf(action)->Stop();
+}
+
+void SoakRun::ReloadHost(const FaultAction& action) {
+  HostOf(action)->Reload();
+}
+
+void SoakRun::ChangeConfiguration(const FaultAction& /*action*/) {
+  operator_.Configure();
+}
+
+void SoakRun::ReplaceEndpoint(const FaultAction& action) {
+  endpoints_.Replace(action.target, true);
+}
+
+void SoakRun::UnregisterEndpoint(const FaultAction& action) {
+  endpoints_.Replace(action.target, false);
+}
+
+void SoakRun::KillHost(const FaultAction& action) {
+  HostOf(action)->Kill();
+}
+
+void SoakRun::PauseHost(const FaultAction& action) {
+  HostOf(action)->Pause(action.duration);
+}
+
+void SoakRun::KillAllHosts(const FaultAction& /*action*/) {
+  for (const auto& it : hosts_) {
+    it->Kill();
+  }
+}
+
+void SoakRun::CutHostFromStore(const FaultAction& action) {
+  RouterProcess* host = HostOf(action);
+  AddDisturbance(Disturbance::Scope::kHost, host->index(), action.duration);
+  host->store_faults()->Plant(
+      {.kind = LinkFaultKind::kFreeze, .duration = action.duration},
+      loop_->Now());
+}
+
+void SoakRun::CutHostOneWay(const FaultAction& action) {
+  RouterProcess* host = HostOf(action);
+  AddDisturbance(Disturbance::Scope::kHost, host->index(), action.duration);
+  const bool hits_to_target = random_.Below(2) == 0;
+  host->store_faults()->Plant({.kind = LinkFaultKind::kFreeze,
+                               .hits_to_target = hits_to_target,
+                               .hits_to_client = !hits_to_target,
+                               .duration = action.duration},
+                              loop_->Now());
+}
+
+void SoakRun::ResetStoreConnections(const FaultAction& action) {
+  RouterProcess* host = HostOf(action);
+  AddDisturbance(Disturbance::Scope::kHost, host->index(),
+                 core::Duration::zero());
+  host->store_relay()->CutAll();
+}
+
+void SoakRun::SilenceStoreConnections(const FaultAction& action) {
+  RouterProcess* host = HostOf(action);
+  AddDisturbance(Disturbance::Scope::kHost, host->index(),
+                 core::Duration::zero());
+  host->store_relay()->SilenceAll();
+}
+
+void SoakRun::TurnHostAway(const FaultAction& action) {
+  constexpr std::array<StoreOutage, 4> kOutages = {
+      StoreOutage::kBusy, StoreOutage::kTooMany, StoreOutage::kReset,
+      StoreOutage::kSilent};
+  RouterProcess* host = HostOf(action);
+  AddDisturbance(Disturbance::Scope::kHost, host->index(), action.duration);
+  host->store()->SetFaults(
+      {.outage = kOutages.at(random_.Below(kOutages.size()))});
+  CallAfter(action.duration, [host]() { host->store()->SetFaults({}); });
+}
+
+void SoakRun::StopStore(const FaultAction& action) {
+  SetStoreFaults({.outage = action.target % 2 == 0 ? StoreOutage::kBusy
+                                                   : StoreOutage::kSilent},
+                 action.duration);
+}
+
+void SoakRun::SlowStore(const FaultAction& action) {
+  SetStoreFaults({.delay = kStoreDelay}, action.duration);
+}
+
+void SoakRun::LoseStoreAnswers(const FaultAction& action) {
+  SetStoreFaults({.lost_answers = kLostAnswers}, action.duration);
+}
+
+void SoakRun::CompactStore(const FaultAction& /*action*/) {
+  AddDisturbance(Disturbance::Scope::kStore, 0, core::Duration::zero());
+  log_.CompactAll();
+}
+
+void SoakRun::CrashEndpoint(const FaultAction& action) {
+  endpoints_.Crash(action.target, action.duration);
+}
+
+void SoakRun::FailAtEndpoint(const FaultAction& action) {
+  endpoints_.SetFaults(action.target, {.failures = kFaultShare},
+                       action.duration);
+}
+
+void SoakRun::LoseEndpointAnswers(const FaultAction& action) {
+  endpoints_.SetFaults(action.target, {.lost_answers = kFaultShare},
+                       action.duration);
+}
+
+void SoakRun::CutEndpointStreams(const FaultAction& action) {
+  endpoints_.SetFaults(action.target, {.cut_answers = kFaultShare},
+                       action.duration);
+}
+
+void SoakRun::SlowEndpoint(const FaultAction& action) {
+  endpoints_.SetFaults(action.target, {.delay = kSlowAnswer}, action.duration);
+}
+
+void SoakRun::ResetEndpointConnections(const FaultAction& action) {
+  endpoints_.ResetConnections(action.target);
+}
+
+void SoakRun::SilenceEndpointConnections(const FaultAction& action) {
+  endpoints_.SilenceConnections(action.target);
+}
+
+void SoakRun::DelayEndpointLink(const FaultAction& action) {
+  endpoints_.PlantOnLink(action.target,
+                         {.kind = LinkFaultKind::kDelay,
+                          .duration = action.duration,
+                          .delay = kLinkDelay},
+                         action.duration);
+}
+
+void SoakRun::CutEndpointOneWay(const FaultAction& action) {
+  const bool hits_to_target = action.target % 2 == 0;
+  endpoints_.PlantOnLink(action.target,
+                         {.kind = LinkFaultKind::kFreeze,
+                          .hits_to_target = hits_to_target,
+                          .hits_to_client = !hits_to_target,
+                          .duration = action.duration},
+                         action.duration);
+}
+
+}  // namespace wasabi::soak
--- /dev/null
+++ b/Tests/Support/PlatformEndpoint/endpoint_run.cc
@@ -0,0 +1,34 @@
+#include "Tests/Support/PlatformEndpoint/endpoint_run.h"
+
+#include "LibCore/hash.h"
+#include "LibCore/text.h"
+
+namespace wasabi::support {
+
+namespace {
+
+constexpr uint64_t kMinEvents = 2;
+constexpr uint64_t kMoreEvents = 25;
+constexpr uint64_t kMaxLines = 40;
+
+}  // namespace
+
+std::string PlainAnswerOf(const core::RequestId& request) {
+  std::string body;
+  for (uint64_t i = 0; i <= request.Hash() % kMaxLines; ++i) {
+    body += fmt::format("{} {:x}\n", request.value(),
+                        core::CombineHashes(request.Hash(), i));
+  }
+  return body;
+}
+
+uint64_t EventCountOf(const core::RequestId& request) {
+  return kMinEvents + request.Hash() % kMoreEvents;
+}
+
+std::string EventOf(const core::RequestId& request, uint64_t id) {
+  return fmt::format("id: {}\ndata: {} {:x}\n\n", id, request.value(),
+                     core::CombineHashes(request.Hash(), id));
+}
+
+}  // namespace wasabi::support
--- /dev/null
+++ b/Tests/Support/PlatformEndpoint/platform_endpoint.cc
@@ -0,0 +1,214 @@
+#include "Tests/Support/PlatformEndpoint/platform_endpoint.h"
+
+#include <utility>
+
+#include "LibCore/hash.h"
+#include "LibCore/text.h"
+#include "LibCore/try.h"
+#include "platform/wire_names.h"
+
+namespace wasabi::support {
+
+namespace {
+
+constexpr core::Duration kServiceTime = core::milliseconds(20);
+constexpr core::Duration kFirstEventTime = core::milliseconds(40);
+constexpr core::Duration kEventTime = core::milliseconds(20);
+constexpr int kOk = 200;
+constexpr int kMisdirected = 421;
+constexpr int kInternalError = 500;
+constexpr int kUnavailable = 503;
+
+bool IsStream(const EndpointRun& run) {
+  return run.headers.Find(adapter::kPromptPartsHeader).has_value();
+}
+
+// A number in the field `name`.
+template <typename Number>
+std::optional<Number> NumberIn(const http::Headers& headers,
+                               std::string_view name) {
+  const auto text = headers.Find(name);
+  return text ? core::ParseNumber<Number>(*text) : std::nullopt;
+}
+
+}  // namespace
+
+struct PlatformEndpoint::Session {
+  TransactionPointer transaction;
+  RunPointer run;
+  std::unique_ptr<core::Timer> timer;
+  uint64_t next_event = 1;
+  // The event after which the stream is cut; 0 for none.
+  uint64_t cut_after = 0;
+};
+
+absl::StatusOr<std::unique_ptr<PlatformEndpoint>> PlatformEndpoint::Create(
+    core::EventLoop* loop,
+    const EndpointOptions& options,
+    RunObserver observer) {
+  std::unique_ptr<PlatformEndpoint> endpoint(
+      new PlatformEndpoint(loop, options, std::move(observer)));
+  PlatformEndpoint* it = endpoint.get();
+  TRY_ASSIGN(it->server_, http::RequestServer::Create(
+                              loop, options.address,
+                              [it](const TransactionPointer& transaction) {
+                                it->OnRequest(transaction);
+                              }));
+  return endpoint;
+}
+
+PlatformEndpoint::PlatformEndpoint(core::EventLoop* loop,
+                                   EndpointOptions options,
+                                   RunObserver observer)
+    : loop_(loop),
+      options_(std::move(options)),
+      observer_(std::move(observer)),
+      random_(options_.seed) {}
+
+PlatformEndpoint::~PlatformEndpoint() {
+  const std::set<SessionPointer> sessions = sessions_;
+  for (const SessionPointer& it : sessions) {
+    it->transaction->Abort();
+    End(it, RunEnd::kCut);
+  }
+}
+
+void PlatformEndpoint::OnRequest(const TransactionPointer& transaction) {
+  const http::InboundRequest& request = transaction->request();
+  const auto run = std::make_shared<EndpointRun>();
+  run->endpoint = options_.id;
+  run->pool = options_.pool;
+  run->request =
+      core::RequestId(request.headers.Get(adapter::kRequestIdHeader));
+  run->method = request.method;
+  run->target = request.target;
+  run->body = request.body;
+  run->headers = request.headers;
+  const auto remaining =
+      NumberIn<int64_t>(request.headers, adapter::kDeadlineHeader);
+  if (remaining) {
+    run->remaining = core::milliseconds(*remaining);
+  }
+  run->resume_after =
+      NumberIn<uint64_t>(request.headers, adapter::kLastEventIdHeader);
+  run->started_at = loop_->Now();
+  const bool is_refused = Refuse(transaction, run.get());
+  observer_(run);
+  if (!is_refused) {
+    StartSession(transaction, run);
+  }
+}
+
+bool PlatformEndpoint::Refuse(const TransactionPointer& transaction,
+                              EndpointRun* run) {
+  const auto expected = run->headers.Find(adapter::kExpectedEndpointHeader);
+  const bool is_other = expected && *expected != options_.id.value();
+  if (!is_other && sessions_.size() < 2 * options_.slots) {
+    return false;
+  }
+  run->end = RunEnd::kRefused;
+  run->ended_at = loop_->Now();
+  transaction->Respond(
+      {.status = is_other ? kMisdirected : kUnavailable,
+       .headers = {{std::string(adapter::kNotRunHeader), "1"}}});
+  return true;
+}
+
+void PlatformEndpoint::StartSession(const TransactionPointer& transaction,
+                                    const RunPointer& run) {
+  const auto session = std::make_shared<Session>();
+  session->transaction = transaction;
+  session->run = run;
+  session->next_event = run->resume_after.value_or(0) + 1;
+  run->signature = fmt::format(
+      "{:x}.{}", core::CombineHashes(run->request.Hash(), options_.id.Hash()),
+      random_.Below(UINT32_MAX));
+  sessions_.insert(session);
+  const std::weak_ptr<Session> weak = session;
+  transaction->OnCallerGone([this, weak]() {
+    if (const auto it = weak.lock()) {
+      End(it, RunEnd::kCancelled);
+    }
+  });
+  session->timer = loop_->NewTimer([this, weak]() {
+    const auto it = weak.lock();
+    if (it == nullptr) {
+      return;
+    }
+    if (!IsStream(*it->run)) {
+      AnswerPlain(it);
+    } else if (!it->transaction->is_started()) {
+      StartEvents(it);
+    } else {
+      SendEvent(it);
+    }
+  });
+  session->timer->StartOnce(faults_.delay +
+                            (IsStream(*run) ? kFirstEventTime : kServiceTime));
+}
+
+void PlatformEndpoint::AnswerPlain(const SessionPointer& session) {
+  if (random_.Unit() < faults_.lost_answers) {
+    session->transaction->Abort();
+    End(session, RunEnd::kCut);
+    return;
+  }
+  const bool fails = random_.Unit() < faults_.failures;
+  const EndpointRun& run = *session->run;
+  session->transaction->Respond(
+      {.status = fails ? kInternalError : kOk,
+       .headers = {{std::string(adapter::kRequestIdHeader),
+                    run.request.value()},
+                   {std::string(adapter::kSignatureHeader), run.signature}},
+       .body = fails ? "failed" : PlainAnswerOf(run.request)});
+  End(session, fails ? RunEnd::kFailed : RunEnd::kAnswered);
+}
+
+void PlatformEndpoint::StartEvents(const SessionPointer& session) {
+  const EndpointRun& run = *session->run;
+  if (random_.Unit() < faults_.failures + faults_.lost_answers) {
+    session->transaction->Abort();
+    End(session, RunEnd::kCut);
+    return;
+  }
+  if (random_.Unit() < faults_.cut_answers) {
+    session->cut_after = session->next_event + random_.Below(4);
+  }
+  session->transaction->StartStream(
+      kOk,
+      {{std::string(adapter::kRequestIdHeader), run.request.value()},
+       {std::string(adapter::kSignatureHeader), run.signature},
+       {"Content-Type", "text/event-stream"}},
+      std::nullopt);
+  SendEvent(session);
+}
+
+void PlatformEndpoint::SendEvent(const SessionPointer& session) {
+  const EndpointRun& run = *session->run;
+  if (session->next_event > EventCountOf(run.request)) {
+    session->transaction->Finish();
+    End(session, RunEnd::kAnswered);
+    return;
+  }
+  const std::string event = EventOf(run.request, session->next_event);
+  if (session->cut_after != 0 && session->next_event >= session->cut_after) {
+    session->transaction->Write(event.substr(0, event.size() / 2));
+    session->transaction->Abort();
+    End(session, RunEnd::kCut);
+    return;
+  }
+  session->transaction->Write(event);
+  ++session->next_event;
+  session->timer->StartOnce(kEventTime + faults_.delay);
+}
+
+void PlatformEndpoint::End(const SessionPointer& session, RunEnd end) {
+  if (sessions_.erase(session) == 0) {
+    return;
+  }
+  session->run->end = end;
+  session->run->ended_at = loop_->Now();
+  session->timer.reset();
+}
+
+}  // namespace wasabi::support
--- a/Tests/Support/TopicStore/fake_topic_client.cc
+++ b/Tests/Support/TopicStore/fake_topic_client.cc
@@ -1,6 +1,5 @@
 #include "Tests/Support/TopicStore/fake_topic_client.h"
 
-#include <algorithm>
 #include <utility>
 
 #include "LibCore/result_code.h"
@@ -15,38 +14,14 @@
 
 void FakeTopicClient::ReadNewest(const std::string& topic,
                                  ReadCallback callback) {
-  std::map<std::string, platform::KeyedRecord> newest;
-  const Topic& it = topics_[topic];
-  for (const platform::KeyedRecord& record : it.records) {
-    newest[record.key] = record;
-  }
-  platform::KeyedPage page;
-  page.next = static_cast<platform::Offset>(it.records.size());
-  for (const auto& [key, record] : newest) {
-    if (record.value) {
-      page.records.push_back(record);
-    }
-  }
-  Answer(std::move(callback), std::move(page));
+  Answer(std::move(callback), log_.ReadNewest(topic));
 }
 
 void FakeTopicClient::ReadFrom(const std::string& topic,
                                platform::Offset from,
                                core::Duration /*wait*/,
                                ReadCallback callback) {
-  const Topic& it = topics_[topic];
-  const auto end = static_cast<platform::Offset>(it.records.size());
-  if (from < it.first_kept) {
-    Answer(std::move(callback),
-           core::MakeStatus(core::ResultCode::kRecordsForgotten, "deleted"));
-    return;
-  }
-  platform::KeyedPage page;
-  page.next = end;
-  for (platform::Offset i = from; i < end; ++i) {
-    page.records.push_back(it.records[static_cast<size_t>(i)]);
-  }
-  Answer(std::move(callback), std::move(page));
+  Answer(std::move(callback), log_.ReadFrom(topic, from));
 }
 
 void FakeTopicClient::Put(const std::string& topic,
@@ -63,20 +38,7 @@
 void FakeTopicClient::Write(const std::string& topic,
                             const std::string& key,
                             std::optional<std::string> value) {
-  Topic& it = topics_[topic];
-  it.records.push_back(
-      {.key = key,
-       .value = std::move(value),
-       .offset = static_cast<platform::Offset>(it.records.size())});
-}
-
-void FakeTopicClient::Compact(const std::string& topic) {
-  Topic& it = topics_[topic];
-  it.first_kept = static_cast<platform::Offset>(it.records.size());
-}
-
-void FakeTopicClient::RewindTo(const std::string& topic, platform::Offset end) {
-  topics_[topic].records.resize(static_cast<size_t>(end));
+  log_.Append(topic, key, std::move(value));
 }
 
 void FakeTopicClient::Answer(ReadCallback callback,
--- a/Tests/Support/TopicStore/fake_topic_client.h
+++ b/Tests/Support/TopicStore/fake_topic_client.h
@@ -3,12 +3,12 @@
 #ifndef TESTS_SUPPORT_TOPICSTORE_FAKE_TOPIC_CLIENT_H_
 #define TESTS_SUPPORT_TOPICSTORE_FAKE_TOPIC_CLIENT_H_
 
-#include <map>
+#include <optional>
 #include <string>
-#include <vector>
 
 #include "LibPlatform/keyed_topic_client.h"
 #include "LibPlatform/scheduler.h"
+#include "Tests/Support/TopicStore/keyed_log.h"
 
 namespace wasabi::support {
 
@@ -32,10 +32,10 @@
   void Write(const std::string& topic,
              const std::string& key,
              std::optional<std::string> value);
-  // Deletes all records but the newest of each key.
-  void Compact(const std::string& topic);
-  // Makes the topic look as it did when it ended at `end`.
-  void RewindTo(const std::string& topic, platform::Offset end);
+  void Compact(const std::string& topic) { log_.Compact(topic); }
+  void RewindTo(const std::string& topic, platform::Offset end) {
+    log_.RewindTo(topic, end);
+  }
 
   void SetDown(bool is_down) { is_down_ = is_down; }
   // Reads are swallowed: their callbacks never run.
@@ -43,16 +43,11 @@
   int calls() const { return calls_; }
 
  private:
-  struct Topic {
-    std::vector<platform::KeyedRecord> records;
-    platform::Offset first_kept = 0;
-  };
-
   // Answers in a later turn, or not at all.
   void Answer(ReadCallback callback, absl::StatusOr<platform::KeyedPage> page);
 
   platform::Scheduler* const scheduler_;
-  std::map<std::string, Topic> topics_;
+  KeyedLog log_;
   bool is_down_ = false;
   bool is_silent_ = false;
   int calls_ = 0;
--- /dev/null
+++ b/Tests/Support/TopicStore/keyed_log.cc
@@ -0,0 +1,80 @@
+#include "Tests/Support/TopicStore/keyed_log.h"
+
+#include <utility>
+
+#include "LibCore/result_code.h"
+
+namespace wasabi::support {
+
+using platform::KeyedPage;
+using platform::KeyedRecord;
+using platform::Offset;
+
+Offset KeyedLog::Append(const std::string& topic,
+                        const std::string& key,
+                        std::optional<std::string> value) {
+  Topic& it = topics_[topic];
+  const auto offset = static_cast<Offset>(it.records.size());
+  it.records.push_back(
+      {.key = key, .value = std::move(value), .offset = offset});
+  return offset;
+}
+
+KeyedPage KeyedLog::ReadNewest(const std::string& topic) const {
+  std::map<std::string, KeyedRecord> newest;
+  for (const KeyedRecord& record : Find(topic).records) {
+    newest[record.key] = record;
+  }
+  KeyedPage page;
+  page.next = End(topic);
+  for (const auto& [key, record] : newest) {
+    if (record.value) {
+      page.records.push_back(record);
+    }
+  }
+  return page;
+}
+
+absl::StatusOr<KeyedPage> KeyedLog::ReadFrom(const std::string& topic,
+                                             Offset from) const {
+  const Topic& it = Find(topic);
+  if (from < it.first_kept) {
+    return core::MakeStatus(core::ResultCode::kRecordsForgotten, "deleted");
+  }
+  KeyedPage page;
+  page.next = End(topic);
+  for (Offset i = from; i < page.next; ++i) {
+    page.records.push_back(it.records[static_cast<size_t>(i)]);
+  }
+  return page;
+}
+
+Offset KeyedLog::End(const std::string& topic) const {
+  return static_cast<Offset>(Find(topic).records.size());
+}
+
+Offset KeyedLog::FirstKept(const std::string& topic) const {
+  return Find(topic).first_kept;
+}
+
+void KeyedLog::Compact(const std::string& topic) {
+  topics_[topic].first_kept = End(topic);
+}
+
+void KeyedLog::CompactAll() {
+  for (const auto& [topic, records] : topics_) {
+    Compact(topic);
+  }
+}
+
+void KeyedLog::RewindTo(const std::string& topic, Offset end) {
+  topics_[topic].records.resize(static_cast<size_t>(end));
+}
+
+const KeyedLog::Topic& KeyedLog::Find(const std::string& topic) const {
+  static const Topic kNone;
+  const auto it = topics_.find(topic);
+  return it == topics_.end() ? kNone : it->second;
+}
+
+}  // namespace wasabi::support
