Endpoints copy cached prompts from each other instead of reading them again

They are read again where the load bound, a hot prompt or a change of the endpoints moves a request away from the endpoint that has them. Change: an attempt names an endpoint to copy from: one that this host saw serve the prompt, else the one that the fleet prefers for it, leaving ones included. None is named where the chosen endpoint has served the prompt itself.

--- a/Libraries/LibForwarding/endpoint_chooser.cc
+++ b/Libraries/LibForwarding/endpoint_chooser.cc
@@ -1,6 +1,9 @@
 #include "LibForwarding/endpoint_chooser.h"
 
+#include <algorithm>
+
 #include "LibCore/hash.h"
+#include "LibCore/rendezvous.h"
 
 namespace wasabi::forwarding {
 
@@ -35,6 +38,11 @@
   return pools.front().pool;
 }
 
+bool CopiesPrompts(const ForwardRequest& request, const core::PoolId& pool) {
+  const Pool* found = request.table->FindPool(pool);
+  return found != nullptr && found->copies_prompts;
+}
+
 }  // namespace
 
 EndpointChooser::EndpointChooser(ForwardContext* context,
@@ -42,6 +50,7 @@
     : context_(context),
       affinity_key_(AffinityKeyOf(request)),
       pool_(ChoosePool(request, affinity_key_)),
+      copies_prompts_(affinity_key_ && CopiesPrompts(request, pool_)),
       prompt_share_(affinity_key_ ? context->popularity[pool_].Record(
                                         *affinity_key_,
                                         context->loop->Now())
@@ -66,6 +75,54 @@
              : nullptr;
 }
 
+void EndpointChooser::RecordServed(const core::RunnerId& endpoint,
+                                   core::TimePoint now) const {
+  if (copies_prompts_) {
+    context_->prompt_holders.RecordServed(*affinity_key_, endpoint, now);
+  }
+}
+
+const Endpoint* EndpointChooser::PromptSourceFor(const Endpoint& chosen,
+                                                 core::TimePoint now) const {
+  if (!copies_prompts_) {
+    return nullptr;
+  }
+  const std::vector<core::RunnerId> holders =
+      context_->prompt_holders.Of(*affinity_key_, now);
+  if (std::find(holders.begin(), holders.end(), chosen.id) != holders.end()) {
+    return nullptr;
+  }
+  for (const core::RunnerId& it : holders) {
+    const Endpoint* source = context_->endpoints->Find(it);
+    if (source != nullptr && CanCopyFrom(*source, chosen, now)) {
+      return source;
+    }
+  }
+  return PreferredBeside(chosen, now);
+}
+
+bool EndpointChooser::CanCopyFrom(const Endpoint& source,
+                                  const Endpoint& chosen,
+                                  core::TimePoint now) const {
+  return source.pool == pool_ && source.id != chosen.id &&
+         !context_->monitor->IsDown(source.id, now);
+}
+
+const Endpoint* EndpointChooser::PreferredBeside(const Endpoint& chosen,
+                                                 core::TimePoint now) const {
+  // An endpoint that is leaving still has what it cached.
+  std::vector<const Endpoint*> sources;
+  std::vector<core::RendezvousCandidate> hashes;
+  for (const auto& [id, endpoint] : context_->endpoints->all()) {
+    if (CanCopyFrom(endpoint, chosen, now)) {
+      sources.push_back(&endpoint);
+      hashes.push_back({.hash = id.Hash(), .weight = 1.0});
+    }
+  }
+  const size_t winner = core::RendezvousWinner(*affinity_key_, hashes);
+  return winner < sources.size() ? sources[winner] : nullptr;
+}
+
 std::vector<EndpointCandidate> EndpointChooser::Candidates(
     const std::vector<const Endpoint*>& endpoints,
     const std::set<core::RunnerId>& tried,
--- a/Libraries/LibForwarding/endpoint_chooser.h
+++ b/Libraries/LibForwarding/endpoint_chooser.h
@@ -24,12 +24,26 @@
 
   const core::PoolId& pool() const { return pool_; }
 
+  // `endpoint` served the request.
+  void RecordServed(const core::RunnerId& endpoint, core::TimePoint now) const;
+
   // An endpoint that is not among `tried`, or nullptr where none can take the
   // request now. The pointer holds until the registrations change.
   const Endpoint* Choose(const std::set<core::RunnerId>& tried,
                          core::TimePoint now) const;
 
+  // An endpoint that is likely to have cached the prompt, where `chosen` is not
+  // known to have; nullptr where there is none. Valid as for Choose.
+  const Endpoint* PromptSourceFor(const Endpoint& chosen,
+                                  core::TimePoint now) const;
+
  private:
+  bool CanCopyFrom(const Endpoint& source,
+                   const Endpoint& chosen,
+                   core::TimePoint now) const;
+  // The endpoint that the fleet prefers for the prompt, `chosen` left out.
+  const Endpoint* PreferredBeside(const Endpoint& chosen,
+                                  core::TimePoint now) const;
   std::vector<EndpointCandidate> Candidates(
       const std::vector<const Endpoint*>& endpoints,
       const std::set<core::RunnerId>& tried,
@@ -39,6 +53,8 @@
   // The shared part of the prompt, where the route has one.
   const std::optional<uint64_t> affinity_key_;
   const core::PoolId pool_;
+  // Whether the pool's endpoints copy prompts from each other.
+  const bool copies_prompts_;
   // Share of the pool's requests that are about this prompt.
   const double prompt_share_;
 };
--- a/Libraries/LibForwarding/forward_context.h
+++ b/Libraries/LibForwarding/forward_context.h
@@ -17,6 +17,7 @@
 #include "LibForwarding/endpoint_shares.h"
 #include "LibForwarding/endpoint_table.h"
 #include "LibForwarding/load_board.h"
+#include "LibForwarding/prompt_holders.h"
 #include "LibForwarding/prompt_popularity.h"
 #include "LibForwarding/protocols.h"
 #include "LibForwarding/retry_allowance.h"
@@ -54,6 +55,7 @@
   ServiceTimes service_times;
   std::map<core::PoolId, PromptPopularity> popularity;
   std::map<core::PoolId, EndpointShares> shares;
+  PromptHolders prompt_holders;
 
   RetryAllowance& RetriesOf(const core::PoolId& pool) {
     return retries.try_emplace(pool, retry_policy).first->second;
--- a/Libraries/LibForwarding/forward_session.cc
+++ b/Libraries/LibForwarding/forward_session.cc
@@ -162,6 +162,9 @@
   AttemptOptions options;
   options.remaining = final_deadline_ - Now();
   options.resume_after = last_event_id_;
+  if (const Endpoint* source = chooser_.PromptSourceFor(endpoint, Now())) {
+    options.prompt_source = source->address;
+  }
   attempt_->Start(options, std::move(callbacks));
   if (CouldRetryAfterRun()) {
     attempt_->WatchSilence(FirstByteLimit());
@@ -287,6 +290,7 @@
       ++runs_;
       context_->monitor->RecordSuccess(endpoint, Now());
       context_->service_times.RecordServed(chooser_.pool(), Now());
+      chooser_.RecordServed(endpoint, Now());
       context_->quarantine->RecordCompletion(request_.content_digest);
       if (IsStream() || transaction_->is_started()) {
         DeliverStreamEnd();
--- a/Libraries/LibForwarding/protocols.h
+++ b/Libraries/LibForwarding/protocols.h
@@ -58,7 +58,9 @@
   // Time that the caller still waits.
   core::Duration remaining{};
   // Continue after this event.
-  std::optional<uint64_t> resume_after;
+  std::optional<uint64_t> resume_after = {};
+  // An endpoint from which to copy what it has cached of the prompt.
+  std::optional<core::SocketAddress> prompt_source = {};
 };
 
 class EndpointProtocol {
--- a/Libraries/LibForwarding/route.h
+++ b/Libraries/LibForwarding/route.h
@@ -63,6 +63,8 @@
   core::PoolId id;
   // Most connections that one endpoint accepts from all callers.
   uint32_t max_connections = 0;
+  // Whether an endpoint can copy cached prompts from another one.
+  bool copies_prompts = false;
 
   auto operator<=>(const Pool&) const = default;
 };
--- a/Services/Forwarder/forwarder_daemon.cc
+++ b/Services/Forwarder/forwarder_daemon.cc
@@ -67,6 +67,7 @@
                   settings_.callers_address.ToString()));
   endpoints_.SetGoneObserver([this](const forwarding::Endpoint& before) {
     monitor_.Forget(before.id);
+    context_.prompt_holders.ForgetEndpoint(before.id);
     origin_client_.Forget(before.address);
   });
   configuration_ = std::make_unique<ConfigurationController>(
--- a/Tests/Forwarder/forwarder_daemon_test.cc
+++ b/Tests/Forwarder/forwarder_daemon_test.cc
@@ -36,8 +36,11 @@
   {"name":"short","hostname":"a.test","path_prefix":"/short/","kind":"unsafe",
    "timeout_ms":200,"target_latency_ms":100,"attempts":1,"service":"p"},
   {"name":"empty","hostname":"a.test","path_prefix":"/empty/","kind":"unsafe",
-   "timeout_ms":400,"target_latency_ms":100,"attempts":1,"service":"q"}],
- "services":[{"name":"p"},{"name":"q"}],
+   "timeout_ms":400,"target_latency_ms":100,"attempts":1,"service":"q"},
+  {"name":"chats","hostname":"a.test","path_prefix":"/chats/","kind":"unsafe",
+   "timeout_ms":2000,"target_latency_ms":100,"attempts":1,"sticky":true,
+   "service":"m"}],
+ "services":[{"name":"p"},{"name":"q"},{"name":"m","engine":{"slots":8}}],
  "tenants":[{"name":"t1","api_keys":["k1"]}]})";
 
 // An answer of an endpoint, with the fields that make it one.
@@ -127,12 +130,15 @@
     REQUIRE(RunUntil([this]() { return Get("/ready", true).status == 200; }));
   }
 
-  void Register(const char* id, const RawServer& server, const char* state) {
+  void Register(const char* id,
+                const RawServer& server,
+                const char* state,
+                const char* pool = "p") {
     store->Write(
         names.registrations, id,
-        fmt::format(R"({{"service":"p","address":"{}","zone":"z1","slots":8,)"
+        fmt::format(R"({{"service":"{}","address":"{}","zone":"z1","slots":8,)"
                     R"("state":"{}","seq":{},"born":1}})",
-                    server.address().ToString(), state, ++sequence));
+                    pool, server.address().ToString(), state, ++sequence));
   }
 
   std::string Respond(RawServer* server, const std::string& text) {
@@ -191,10 +197,16 @@
     return client.Send(request, std::move(callbacks));
   }
 
-  Result Get(const std::string& target, bool is_ready_check = false) {
+  Result Get(const std::string& target,
+             bool is_ready_check = false,
+             const std::vector<http::Headers::Field>& more = {}) {
     Result result;
-    Send(target, {{"Authorization", "Bearer k1"}, {"Deadline-Ms", "1500"}},
-         is_ready_check, &result);
+    http::Headers headers = {{"Authorization", "Bearer k1"},
+                             {"Deadline-Ms", "1500"}};
+    for (const auto& [name, value] : more) {
+      headers.Add(name, value);
+    }
+    Send(target, headers, is_ready_check, &result);
     const core::TimePoint end = loop.Now() + kTestTimeout;
     while (!result.end && loop.Now() < end) {
       const auto timer = loop.NewTimer([this]() { loop.Stop(); });
@@ -443,6 +455,62 @@
   }
 }
 
+// Sends a request about one prompt; returns the address that the endpoint is
+// told to copy the prompt from, "" for none.
+std::string PromptSourceSent(Fixture& it) {
+  it.script = {Success("ok")};
+  it.received.clear();
+  it.Get("/chats/1", false,
+         {{"Prompt-Prefix", "aa:100,b1:10"}, {"Kv-Fetch", "9.9.9.9:9"}});
+  REQUIRE(it.received.size() == 1);
+  CHECK(it.received[0].find("9.9.9.9") == std::string::npos);
+  constexpr std::string_view kField = "Kv-Fetch: ";
+  const size_t field = it.received[0].find(kField);
+  if (field == std::string::npos) {
+    return "";
+  }
+  const size_t start = field + kField.size();
+  return it.received[0].substr(start, it.received[0].find('\r', start) - start);
+}
+
+TEST_CASE("an endpoint that lacks a prompt is told where to copy it from") {
+  Fixture it;
+  it.Register("m1", it.first, "ready", "m");
+  it.Register("m2", it.second, "ready", "m");
+  it.Configure();
+  // Nothing is known yet: another endpoint may have it.
+  const std::string guess = PromptSourceSent(it);
+  const bool is_first = it.first.requests() == 1;
+  const RawServer& holder = is_first ? it.first : it.second;
+  const RawServer& other = is_first ? it.second : it.first;
+  CHECK(guess == other.address().ToString());
+  // The endpoint that served it has it.
+  CHECK(PromptSourceSent(it).empty());
+  // The other one copies it from there, as long as that lives.
+  it.Register(is_first ? "m1" : "m2", holder, "draining", "m");
+  REQUIRE(it.RunUntil([&]() {
+    PromptSourceSent(it);
+    return other.requests() > 0;
+  }));
+  it.Register(is_first ? "m1" : "m2", holder, "ready", "m");
+  CHECK(PromptSourceSent(it).empty());
+}
+
+TEST_CASE("a prompt is copied from the endpoint that leaves") {
+  Fixture it;
+  it.Register("m1", it.first, "ready", "m");
+  it.Configure();
+  PromptSourceSent(it);
+  it.Register("m1", it.first, "draining", "m");
+  it.Register("m2", it.second, "ready", "m");
+  std::string source;
+  REQUIRE(it.RunUntil([&]() {
+    source = PromptSourceSent(it);
+    return it.second.requests() > 0;
+  }));
+  CHECK(source == it.first.address().ToString());
+}
+
 TEST_CASE("a daemon that stops finishes what is in flight") {
   Fixture it;
   it.Configure();
--- a/Tests/PlatformAdapter/endpoint_codec_test.cc
+++ b/Tests/PlatformAdapter/endpoint_codec_test.cc
@@ -45,6 +45,14 @@
                                           {"Request-Priority", "9"}});
 }
 
+TEST_CASE("an attempt names the endpoint to copy the prompt from") {
+  Fixture it;
+  const http::OriginRequest origin = it.codec.Encode(
+      it.request, it.endpoint,
+      {.prompt_source = *core::SocketAddress::Parse("10.0.0.1:80")});
+  CHECK(origin.headers.Get("Kv-Fetch") == "10.0.0.1:80");
+}
+
 TEST_CASE("a request without an organisation names none") {
   Fixture it;
   it.request.organisation = core::OrganisationId();
