Old reports of others don't make hosts try an unreachable store more often

Change: only a view that gets newer resets the backoff; hosts that are not next in the order of readers wait up to 2 s, since those next to read tell them of the store's return.

--- a/Libraries/LibPlatform/backoff.h
+++ b/Libraries/LibPlatform/backoff.h
@@ -21,18 +21,21 @@
   // The delay before the next try: between one half and the whole of the
   // current step, so that hosts that failed together don't return together.
   core::Duration Next() {
-    const core::Duration step = next_;
-    next_ = std::min(maximum_, next_ * 2);
+    const core::Duration step = std::min(maximum_, next_);
+    next_ = std::min(maximum_, step * 2);
     const double share = 0.5 + random_.Unit() / 2;
     return core::FromSeconds(core::ToSeconds(step) * share);
   }
 
+  // Takes effect with the next delay.
+  void SetMaximum(core::Duration maximum) { maximum_ = maximum; }
+
   // Starts over after a success.
   void Reset() { next_ = minimum_; }
 
  private:
   const core::Duration minimum_;
-  const core::Duration maximum_;
+  core::Duration maximum_;
   core::Duration next_;
   core::RandomSource random_;
 };
--- a/Libraries/LibPlatform/topic_view.cc
+++ b/Libraries/LibPlatform/topic_view.cc
@@ -12,6 +12,8 @@
 
 // An answer says what the platform knew when it sent it, at most this long ago.
 constexpr core::Duration kAnswerDelay = core::milliseconds(250);
+// Ages in reports are rounded; a view that gets newer by less is as it was.
+constexpr core::Duration kNewsTime = core::milliseconds(50);
 
 }  // namespace
 
@@ -180,8 +182,11 @@
 }
 
 void TopicView::Confirm(core::TimePoint at) {
+  // Reports that repeat what this host knows are no sign of the platform.
+  if (at > confirmed_at_ + kNewsTime) {
+    backoff_.Reset();
+  }
   confirmed_at_ = std::max(confirmed_at_, at);
-  backoff_.Reset();
   if (handlers_.on_confirmed) {
     handlers_.on_confirmed();
   }
--- a/Libraries/LibPlatform/topic_view.h
+++ b/Libraries/LibPlatform/topic_view.h
@@ -58,6 +58,12 @@
   // flight.
   void RefreshIfOlder(core::Duration age, core::Duration wait);
 
+  // The longest time between two tries while the platform does not answer. A
+  // host that others tell of its return needs few of its own.
+  void SetMaximumBackoff(core::Duration maximum) {
+    backoff_.SetMaximum(maximum);
+  }
+
   // Another host has read up to `next` and confirmed that `age` ago. `records`
   // has all that changed anything at or after `complete_from`. A report that
   // leaves a gap changes nothing. Returns true when the view is at `next`.
--- a/Services/Forwarder/fleet_controller.cc
+++ b/Services/Forwarder/fleet_controller.cc
@@ -40,6 +40,11 @@
 constexpr size_t kFallbackSteps = 3;
 // Hosts of the first ranks pass on what they read.
 constexpr size_t kActingRanks = 3;
+// While the platform does not answer, the hosts next in the order of readers
+// try often and tell the others of its return. The others try as well, since
+// the platform may turn away just those, but must not add up to a flood.
+constexpr core::Duration kReaderBackoff = core::milliseconds(400);
+constexpr core::Duration kOtherBackoff = core::seconds(2);
 // The fleet's own topic is needed only by hosts that know no others.
 constexpr core::Duration kFleetTopicAge = core::seconds(120);
 constexpr core::Duration kFleetTopicRetry = core::milliseconds(500);
@@ -277,6 +282,8 @@
 
 void FleetController::RefreshTopics() {
   for (const RelayedTopic& it : topics_) {
+    it.view->SetMaximumBackoff(
+        duties_.reader_rank < kActingRanks ? kReaderBackoff : kOtherBackoff);
     if (duties_.reader_rank == 0) {
       it.view->RefreshIfOlder(core::Duration::zero(), kReadWait);
     } else {
--- a/Tests/LibPlatform/topic_view_test.cc
+++ b/Tests/LibPlatform/topic_view_test.cc
@@ -103,6 +103,41 @@
   CHECK(it.events.front() == core::EventCode::kLogWentBackwards);
 }
 
+struct BackoffCase {
+  const char* what;
+  core::Duration maximum;
+  // Most calls in an outage of eight seconds: the doubling steps, then one in
+  // half of the maximum.
+  int calls;
+  // Longest time until the view is current again.
+  core::Duration recovery;
+};
+
+TEST_CASE("how often a view tries an unreachable platform") {
+  const auto row = GENERATE(values<BackoffCase>({
+      {"one that tells others", milliseconds(400), 43, milliseconds(500)},
+      {"one that is told by others", seconds(2), 12, milliseconds(2100)},
+  }));
+  INFO(row.what);
+  Fixture it;
+  it.RunFor(seconds(1));
+  it.view->SetMaximumBackoff(row.maximum);
+  it.client.SetDown(true);
+  const int before = it.client.calls();
+  const core::TimePoint heard_at = it.scheduler.Now();
+  while (it.scheduler.Now() < heard_at + seconds(8)) {
+    // Others report as well, but know nothing newer.
+    it.view->ApplyReport(it.view->next(), it.view->next(), {},
+                         it.scheduler.Now() - heard_at);
+    it.RunFor(milliseconds(200));
+  }
+  CHECK(it.client.calls() - before <= row.calls);
+  it.client.SetDown(false);
+  const core::TimePoint returned_at = it.scheduler.Now();
+  it.RunFor(row.recovery);
+  CHECK(it.view->confirmed_at() >= returned_at);
+}
+
 TEST_CASE("a view tells its age while the platform is silent") {
   Fixture it;
   it.RunFor(seconds(1));
