--- a/Libraries/LibForwarding/forward_session.cc
+++ b/Libraries/LibForwarding/forward_session.cc
@@ -138,6 +138,7 @@
   head_ = http::MessageHead();
   body_.clear();
   splitter_ = EventSplitter();
+  prompt_source_ = core::RunnerId();
   tried_.insert(endpoint.id);
   ++sends_;
   attempt_ = std::make_shared<ForwardAttempt>(context_, request_, endpoint);
@@ -164,6 +165,7 @@
   options.resume_after = last_event_id_;
   if (const Endpoint* source = chooser_.PromptSourceFor(endpoint, Now())) {
     options.prompt_source = source->address;
+    prompt_source_ = source->id;
   }
   attempt_->Start(options, std::move(callbacks));
   if (CouldRetryAfterRun()) {
@@ -445,9 +447,11 @@
   }
   context_->events->Record(
       core::EventCode::kRequestEnded, request_.id.value(),
-      fmt::format("outcome={} endpoint={} sends={} runs={} ms={} version={} "
-                  "endpoints_age_ms={}",
-                  outcome, endpoint, sends_, runs_,
+      fmt::format("outcome={} endpoint={} prompt_source={} sends={} runs={} "
+                  "ms={} version={} endpoints_age_ms={}",
+                  outcome, endpoint,
+                  prompt_source_.empty() ? "none" : prompt_source_.value(),
+                  sends_, runs_,
                   core::ToMilliseconds(Now() - request_.received_at),
                   request_.table->version(),
                   core::ToMilliseconds(context_->endpoint_view_age())));
--- a/Libraries/LibForwarding/forward_session.h
+++ b/Libraries/LibForwarding/forward_session.h
@@ -87,6 +87,9 @@
   uint32_t runs_ = 0;
   bool has_ended_ = false;
 
+  // Where the present attempt's endpoint copies the prompt from; empty for
+  // nowhere.
+  core::RunnerId prompt_source_;
   // The present attempt's answer.
   AttemptVerdict verdict_ = AttemptVerdict::kInvalid;
   http::MessageHead head_;
