Views follow a platform that is restored from a backup

Cause: after a drill the store may come back from a copy some seconds old, say so by the header Store-Era, and give out its offsets again. A view whose topic ended before what it had read took that for a log that went backwards and waited for it to catch up; one whose topic had grown again would have read on in the middle of other records.

Change: pages, writes, reports between hosts and copies carry the number of the log's history (LogEpoch). A higher one makes a view read its topic again from the start; what is missing there stays in use for the grace of a recovery; hosts register again within 3 s. What belongs to an earlier history changes nothing. Configurations still count by version and registrations by start and sequence.

Tests: topic_view_test (restored platform, three lengths; another history's reports and copies), registration_controller_test, store_client_test.

--- a/Libraries/LibCore/event.cc
+++ b/Libraries/LibCore/event.cc
@@ -71,6 +71,8 @@
      "The previous owner transferred its state."},
     {EventCode::kEndpointChanged, "endpoint_changed",
      "The registration of an endpoint was added, changed or removed."},
+    {EventCode::kEndpointPaused, "endpoint_paused",
+     "An endpoint asked this host to send it nothing for a time."},
     {EventCode::kIntentAppended, "intent_appended",
      "An intent to run a call was appended to its partition."},
     {EventCode::kIntentWon, "intent_won",
@@ -109,6 +111,9 @@
      "The log reported an end before an offset that was already read."},
     {EventCode::kRecordsTruncated, "records_forgotten",
      "The log no longer retains an offset that is still needed."},
+    {EventCode::kLogRestored, "log_restored",
+     "The platform was restored from a backup; the topic is read again from "
+     "the start of its new history."},
     {EventCode::kConfigurationApplied, "configuration_applied",
      "A configuration record took effect on this host."},
     {EventCode::kPlanMade, "plan_made", "A plan was made for an intent."},
--- a/Libraries/LibCore/event.h
+++ b/Libraries/LibCore/event.h
@@ -47,6 +47,7 @@
   kDigestQuarantined = 315,
   kOwnershipTransferReceived = 316,
   kEndpointChanged = 317,
+  kEndpointPaused = 318,
   // 4xx: the ledger of non-repeatable calls.
   kIntentAppended = 400,
   kIntentWon = 401,
@@ -70,6 +71,7 @@
   kRecordSkipped = 602,
   kLogWentBackwards = 603,
   kRecordsTruncated = 604,
+  kLogRestored = 605,
   // 7xx: configuration, intents and orders.
   kConfigurationApplied = 700,
   kPlanMade = 701,
--- a/Libraries/LibForwarding/topic_relay.cc
+++ b/Libraries/LibForwarding/topic_relay.cc
@@ -69,6 +69,7 @@
   report.topic = topic_;
   report.complete_from = complete_from_;
   report.next = view.next();
+  report.epoch = view.epoch();
   report.age_ms = core::ToMilliseconds(now - view.confirmed_at());
   for (const Change& it : changes_) {
     report.records.push_back(it.record);
@@ -91,8 +92,11 @@
 }
 
 bool ApplyTopicReport(const TopicReport& report, platform::TopicView* view) {
-  return view->ApplyReport(report.complete_from, report.next,
-                           FromRelayed(report.records), AgeOf(report.age_ms));
+  return view->ApplyReport(report.complete_from,
+                           {.records = FromRelayed(report.records),
+                            .next = report.next,
+                            .epoch = report.epoch},
+                           AgeOf(report.age_ms));
 }
 
 TopicSnapshot MakeTopicSnapshot(const platform::TopicView& view,
@@ -100,6 +104,7 @@
   const platform::KeyedPage page = view.Copy();
   TopicSnapshot copy;
   copy.next = page.next;
+  copy.epoch = page.epoch;
   copy.age_ms = core::ToMilliseconds(now - view.confirmed_at());
   for (const platform::KeyedRecord& it : page.records) {
     copy.records.push_back(ToRelayed(it));
@@ -108,7 +113,9 @@
 }
 
 void ApplyTopicSnapshot(const TopicSnapshot& copy, platform::TopicView* view) {
-  view->ApplyCopy({.records = FromRelayed(copy.records), .next = copy.next},
+  view->ApplyCopy({.records = FromRelayed(copy.records),
+                   .next = copy.next,
+                   .epoch = copy.epoch},
                   AgeOf(copy.age_ms));
 }
 
--- a/Libraries/LibForwarding/topic_relay.h
+++ b/Libraries/LibForwarding/topic_relay.h
@@ -38,8 +38,10 @@
   // Time in milliseconds since the sender's view was last known to be current.
   int64_t age_ms = 0;
   std::vector<RelayedRecord> records;
+  // History that the offsets belong to (platform::LogEpoch).
+  int64_t epoch = 0;
 
-  MSGPACK_DEFINE(topic, complete_from, next, age_ms, records);
+  MSGPACK_DEFINE(topic, complete_from, next, age_ms, records, epoch);
 };
 
 // A host's complete view of a topic, for a host that has missed changes.
@@ -47,8 +49,10 @@
   int64_t next = 0;
   int64_t age_ms = 0;
   std::vector<RelayedRecord> records;
+  // History that the offsets belong to (platform::LogEpoch).
+  int64_t epoch = 0;
 
-  MSGPACK_DEFINE(next, age_ms, records);
+  MSGPACK_DEFINE(next, age_ms, records, epoch);
 };
 
 class TopicRelay {
--- a/Libraries/LibPlatform/keyed_topic_client.h
+++ b/Libraries/LibPlatform/keyed_topic_client.h
@@ -4,6 +4,7 @@
 #ifndef LIBPLATFORM_KEYED_TOPIC_CLIENT_H_
 #define LIBPLATFORM_KEYED_TOPIC_CLIENT_H_
 
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
@@ -15,6 +16,11 @@
 
 namespace wasabi::platform {
 
+// Number of a history of the platform's log. It rises whenever the platform is
+// restored from a backup: records that were written after the backup are gone,
+// and their offsets are assigned again. 0 if the platform does not state it.
+using LogEpoch = int64_t;
+
 struct KeyedRecord {
   std::string key;
   // nullopt if the key was deleted.
@@ -30,12 +36,15 @@
   std::vector<Offset> unreadable = {};
   // The offset at which the next read continues.
   Offset next = 0;
+  // The history that the records belong to.
+  LogEpoch epoch = 0;
 };
 
 class KeyedTopicClient {
  public:
   using ReadCallback = std::function<void(absl::StatusOr<KeyedPage>)>;
-  using WriteCallback = std::function<void(const absl::Status& status)>;
+  // Receives the history in which the record was written.
+  using WriteCallback = std::function<void(absl::StatusOr<LogEpoch>)>;
 
   virtual ~KeyedTopicClient() = default;
 
@@ -45,7 +54,7 @@
 
   // Reads the records from `from` on, waiting up to `wait` for the first one.
   // Errors: kPlatformUnavailable; kRecordsTruncated when `from` is no longer
-  // retained.
+  // retained, or does not exist since the platform was restored.
   virtual void ReadFrom(const std::string& topic,
                         Offset from,
                         core::Duration wait,
--- a/Libraries/LibPlatform/topic_view.cc
+++ b/Libraries/LibPlatform/topic_view.cc
@@ -46,28 +46,32 @@
 }
 
 bool TopicView::ApplyReport(Offset complete_from,
-                            Offset next,
-                            const std::vector<KeyedRecord>& records,
+                            const KeyedPage& changes,
                             core::Duration age) {
-  if (needs_snapshot_ || complete_from > *next_) {
+  if (IsEarlier(changes.epoch)) {
+    return true;
+  }
+  if (needs_snapshot_ || IsLater(changes.epoch) || complete_from > *next_) {
     return false;
   }
   RecordRecovery();
-  if (next > *next_) {
-    ApplyTail({.records = records, .next = next});
+  if (changes.next > *next_) {
+    ApplyTail(changes);
   }
-  if (next == *next_) {
+  if (changes.next == *next_) {
     Confirm(scheduler_->Now() - age);
   }
   return true;
 }
 
 void TopicView::ApplyCopy(const KeyedPage& copy, core::Duration age) {
-  if (next_ && copy.next <= *next_) {
+  const bool is_newer = !next_ || IsLater(copy.epoch) || copy.next > *next_;
+  if (IsEarlier(copy.epoch) || !is_newer) {
     return;
   }
   needs_snapshot_ = false;
   RecordRecovery();
+  EnterHistory(copy.epoch, copy.next);
   ApplySnapshot(copy);
   Confirm(scheduler_->Now() - age);
 }
@@ -75,6 +79,7 @@
 KeyedPage TopicView::Copy() const {
   KeyedPage page;
   page.next = next();
+  page.epoch = epoch_;
   page.records.reserve(newest_.size());
   for (const auto& [key, record] : newest_) {
     page.records.push_back(record);
@@ -113,14 +118,16 @@
   }
   SetReachable(true);
   // A snapshot that ends before an offset already read is ignored until the
-  // topic has caught up.
-  if (next_ && page->next < *next_) {
+  // topic has caught up, unless the platform was restored in between.
+  const bool is_behind = next_ && page->next < *next_ && !IsLater(page->epoch);
+  if (is_behind || IsEarlier(page->epoch)) {
     ReportEvent(core::EventCode::kLogWentBackwards, page->next);
     next_attempt_at_ = scheduler_->Now() + backoff_.Next();
     return;
   }
   needs_snapshot_ = false;
   RecordRecovery();
+  EnterHistory(page->epoch, page->next);
   ApplySnapshot(*page);
   Confirm(started_at);
 }
@@ -133,6 +140,15 @@
     return;
   }
   SetReachable(true);
+  if (IsEarlier(page->epoch)) {
+    return;
+  }
+  if (IsLater(page->epoch)) {
+    // Offsets of the new history name other records than those read so far.
+    needs_snapshot_ = true;
+    next_attempt_at_ = scheduler_->Now();
+    return;
+  }
   if (page->next < read_from_) {
     ReportEvent(core::EventCode::kLogWentBackwards, page->next);
     return;
@@ -145,6 +161,7 @@
     ReportEvent(core::EventCode::kRecordSkipped, offset);
   }
   RecordRecovery();
+  EnterHistory(page->epoch, page->next);
   ApplyTail(*page);
   Confirm(std::max(started_at, scheduler_->Now() - kMaxResponseDelay));
 }
@@ -174,6 +191,28 @@
   }
 }
 
+bool TopicView::IsEarlier(LogEpoch epoch) const {
+  return epoch != 0 && epoch < epoch_;
+}
+
+bool TopicView::IsLater(LogEpoch epoch) const {
+  return epoch_ != 0 && epoch > epoch_;
+}
+
+void TopicView::EnterHistory(LogEpoch epoch, Offset next) {
+  if (IsLater(epoch)) {
+    recovered_at_ = scheduler_->Now();
+    if (handlers_.on_event) {
+      handlers_.on_event(
+          core::EventCode::kLogRestored,
+          fmt::format(
+              "topic={} epoch={} next={} epoch_before={} next_before={}",
+              options_.topic, epoch, next, epoch_, *next_));
+    }
+  }
+  epoch_ = std::max(epoch_, epoch);
+}
+
 void TopicView::RecordRecovery() {
   const core::TimePoint now = scheduler_->Now();
   const bool was_loaded = confirmed_at_ != core::TimePoint();
--- a/Libraries/LibPlatform/topic_view.h
+++ b/Libraries/LibPlatform/topic_view.h
@@ -1,6 +1,7 @@
 // Keeps this host's view of a keyed topic current, from reads of the platform
 // or from reports of another host that reads it. The view never moves
-// backwards.
+// backwards, except into the history that begins when the platform is restored
+// from a backup.
 
 #ifndef LIBPLATFORM_TOPIC_VIEW_H_
 #define LIBPLATFORM_TOPIC_VIEW_H_
@@ -39,9 +40,9 @@
   std::function<void(const std::vector<KeyedRecord>& records)> on_snapshot;
   // Receives a record that is newer than all previous ones.
   std::function<void(const KeyedRecord& record)> on_record;
-  // Receives kRecordSkipped for a record that can't be decoded and
+  // Receives kRecordSkipped for a record that can't be decoded,
   // kLogWentBackwards for a topic whose end is before an offset that was
-  // already read, with details for the log.
+  // already read, and kLogRestored for a new history, with details for the log.
   std::function<void(core::EventCode code, const std::string& detail)> on_event;
   // Called after each successful read and each accepted report, with or without
   // changes.
@@ -71,13 +72,13 @@
     backoff_.SetMaximum(maximum);
   }
 
-  // Applies the report of another host that has read up to `next` and confirmed
-  // that `age` ago. `records` contains all changes at or after `complete_from`.
-  // A report that would leave a gap changes nothing. Returns true if the view
-  // is then at `next` or after it.
+  // Applies the report of another host that has read up to `changes.next` and
+  // confirmed that `age` ago. `changes` contains all changes at or after
+  // `complete_from`. A report that would leave a gap, or that belongs to
+  // another history, changes nothing. Returns true if the view is then as new
+  // as the report.
   bool ApplyReport(Offset complete_from,
-                   Offset next,
-                   const std::vector<KeyedRecord>& records,
+                   const KeyedPage& changes,
                    core::Duration age);
 
   // Replaces the view with another host's whole view, confirmed `age` ago, if
@@ -90,6 +91,8 @@
   // host.
   bool is_loaded() const { return next_.has_value(); }
   Offset next() const { return next_.value_or(0); }
+  // Returns the history that the view belongs to.
+  LogEpoch epoch() const { return epoch_; }
   // Returns the time before which everything that the platform acknowledged is
   // in the view.
   core::TimePoint confirmed_at() const { return confirmed_at_; }
@@ -97,8 +100,8 @@
   // Returns the time at which the platform last responded to this host.
   core::TimePoint read_at() const { return read_at_; }
   // Returns the time at which the view last recovered from an outage (see
-  // outage_age), through the platform or another host; a default TimePoint if
-  // it never did.
+  // outage_age) or entered a new history, through the platform or another host;
+  // a default TimePoint if it never did.
   core::TimePoint recovered_at() const { return recovered_at_; }
 
  private:
@@ -107,6 +110,13 @@
   void OnSnapshot(core::TimePoint started_at, absl::StatusOr<KeyedPage> page);
   void OnTail(core::TimePoint started_at, absl::StatusOr<KeyedPage> page);
   void ApplySnapshot(const KeyedPage& page);
+  // Returns whether `epoch` is an earlier or later history than that of the
+  // view. False if either is unknown.
+  bool IsEarlier(LogEpoch epoch) const;
+  bool IsLater(LogEpoch epoch) const;
+  // Must be called before the first update of the history `epoch` is applied;
+  // `next` is its end offset.
+  void EnterHistory(LogEpoch epoch, Offset next);
   void ApplyTail(const KeyedPage& page);
   // Must be called before an update is applied.
   void RecordRecovery();
@@ -124,6 +134,7 @@
   std::optional<Offset> next_;
   // The offset at which the read in flight starts.
   Offset read_from_ = 0;
+  LogEpoch epoch_ = 0;
   // The newest record of each key.
   std::map<std::string, KeyedRecord> newest_;
   core::TimePoint confirmed_at_{};
--- a/Services/Forwarder/fleet_controller.cc
+++ b/Services/Forwarder/fleet_controller.cc
@@ -54,6 +54,9 @@
 constexpr core::Duration kFleetTopicMaxAge = core::seconds(120);
 constexpr core::Duration kFleetTopicRetryInterval = core::milliseconds(500);
 constexpr core::Duration kRegistrationRetryInterval = core::milliseconds(500);
+// The hosts register again within this time after the platform was restored. It
+// spreads the appends of a large fleet, which the platform makes one by one.
+constexpr core::Duration kReregistrationSpread = core::seconds(3);
 constexpr core::Duration kCopyTimeout = core::milliseconds(400);
 // Minimum time between two fetches of a topic's copy. Configurations that
 // change in quick succession are fetched together.
@@ -107,7 +110,9 @@
 
 FleetController::FleetController(const FleetContext& context,
                                  const ForwarderSettings& settings)
-    : context_(context), settings_(settings) {}
+    : context_(context),
+      settings_(settings),
+      random_(core::ProcessSeed(settings.host.Hash())) {}
 
 FleetController::~FleetController() = default;
 
@@ -254,18 +259,41 @@
   next_registration_at_ = now + kRegistrationRetryInterval;
   context_.adapters->topics->Put(
       context_.adapters->names.fleet, settings_.host.value(),
-      settings_.gossip_address.ToString(), [this](const absl::Status& status) {
-        is_registering_ = false;
-        is_registered_ = status.ok();
-        if (!status.ok()) {
-          context_.events->Record(
-              core::EventCode::kPlatformDown, "",
-              "topic=fleet error=" + core::MessageOf(status));
-        }
+      settings_.gossip_address.ToString(),
+      [this](const absl::StatusOr<platform::LogEpoch>& written) {
+        OnRegistered(written);
       });
 }
 
+void FleetController::OnRegistered(
+    const absl::StatusOr<platform::LogEpoch>& written) {
+  is_registering_ = false;
+  is_registered_ = written.ok();
+  if (!written.ok()) {
+    context_.events->Record(
+        core::EventCode::kPlatformDown, "",
+        "topic=fleet error=" + core::MessageOf(written.status()));
+    return;
+  }
+  registered_epoch_ = *written;
+}
+
+void FleetController::CheckRegistration() {
+  for (const RelayedTopic& it : topics_) {
+    if (!is_registered_ || it.view->epoch() <= registered_epoch_) {
+      continue;
+    }
+    is_registered_ = false;
+    registered_epoch_ = it.view->epoch();
+    next_registration_at_ =
+        context_.loop->Now() +
+        core::FromSeconds(core::ToSeconds(kReregistrationSpread) *
+                          random_.Unit());
+  }
+}
+
 void FleetController::Tick() {
+  CheckRegistration();
   Register();
   RefreshTopics();
   SendTopicReports();
@@ -397,8 +425,10 @@
       continue;
     }
     const bool is_current = forwarding::ApplyTopicReport(report, it.view);
-    if (!is_current &&
-        (report.next > it.view->next() || !it.view->is_loaded())) {
+    const bool has_newer = report.epoch > it.view->epoch() ||
+                           report.next > it.view->next() ||
+                           !it.view->is_loaded();
+    if (!is_current && has_newer) {
       FetchCopy(from, it);
     }
   }
--- a/Services/Forwarder/fleet_controller.h
+++ b/Services/Forwarder/fleet_controller.h
@@ -20,6 +20,7 @@
 
 #include "LibCore/event_loop.h"
 #include "LibCore/event_ring.h"
+#include "LibCore/random_source.h"
 #include "LibForwarding/adapter_set.h"
 #include "LibForwarding/load_table.h"
 #include "LibForwarding/topic_relay.h"
@@ -105,6 +106,10 @@
   void StartFleetTopic();
   void AddSeed(const platform::KeyedRecord& record);
   void Register();
+  void OnRegistered(const absl::StatusOr<platform::LogEpoch>& written);
+  // Schedules another registration if the platform was restored from a backup
+  // since the last one, which may have been lost.
+  void CheckRegistration();
   void Tick();
   void RefreshTopics();
   void SendTopicReports();
@@ -144,6 +149,9 @@
   core::TimePoint next_registration_at_{};
   bool is_registered_ = false;
   bool is_registering_ = false;
+  // History of the platform's log in which this host last registered.
+  platform::LogEpoch registered_epoch_ = 0;
+  core::RandomSource random_;
 };
 
 }  // namespace wasabi::forwarder
--- a/Services/Forwarder/forwarder_daemon.h
+++ b/Services/Forwarder/forwarder_daemon.h
@@ -28,10 +28,11 @@
 class ForwarderDaemon {
  public:
   // Creates the adapters of one platform, whose store is at `platform_address`.
-  // `client` outlives the adapters.
+  // `client` and `events` outlive the adapters.
   using AdapterFactory = std::function<forwarding::AdapterSet(
       http::Client* client,
-      const core::SocketAddress& platform_address)>;
+      const core::SocketAddress& platform_address,
+      core::EventRing* events)>;
 
   // Opens the listening sockets and joins the fleet. Reload() reads the file at
   // `settings_path` again. `loop` must outlive the daemon. Error:
--- a/Tests/Forwarder/registration_controller_test.cc
+++ b/Tests/Forwarder/registration_controller_test.cc
@@ -136,7 +136,8 @@
   it.is_reading = false;
   const auto report = [&it](platform::Offset next,
                             const std::vector<platform::KeyedRecord>& records) {
-    it.controller->view()->ApplyReport(0, next, records, milliseconds(50));
+    it.controller->view()->ApplyReport(0, {.records = records, .next = next},
+                                       milliseconds(50));
     it.RunFor(milliseconds(500));
   };
   for (int i = 0; i < 10; ++i) {
@@ -185,14 +186,33 @@
   const core::Duration interval = kLeavingBound * 9 / 10;
   for (int i = 0; i < 5; ++i) {
     it.RunFor(interval);
-    it.controller->view()->ApplyReport(0, 2, {}, milliseconds(0));
+    it.controller->view()->ApplyReport(0, {.next = 2}, milliseconds(0));
   }
   it.RunFor(interval);
   it.controller->view()->ApplyReport(
-      0, 3, {{.key = "e1", .value = std::nullopt, .offset = 2}},
+      0,
+      {.records = {{.key = "e1", .value = std::nullopt, .offset = 2}},
+       .next = 3},
       milliseconds(0));
   CHECK(it.Available() == 1);
 }
 
+TEST_CASE(
+    "registrations lost in a restore of the platform are kept for a time") {
+  Fixture it;
+  const support::KeyedLog backup = it.store->Backup();
+  it.store->Write(kTopic, "e3", kPool.value());
+  it.store->Write(kTopic, "e4", kPool.value());
+  it.RunFor(seconds(1));
+  REQUIRE(it.Available() == 4);
+  it.store->RestoreFrom(backup);
+  it.RunFor(seconds(1));
+  CHECK(it.Available() == 4);
+  // One of the two still runs and registers again.
+  it.store->Write(kTopic, "e3", kPool.value());
+  it.RunFor(seconds(2));
+  CHECK(it.Available() == 3);
+}
+
 }  // namespace
 }  // namespace wasabi::forwarder
--- a/Tests/LibForwarding/topic_relay_test.cc
+++ b/Tests/LibForwarding/topic_relay_test.cc
@@ -45,7 +45,8 @@
   TopicRelay relay(kTopic, kRoom);
   relay.RecordSnapshot(10);
   const KeyedRecord record{.key = "e1", .value = "x", .offset = 12};
-  reader.view->ApplyReport(10, 15, {record}, core::Duration::zero());
+  reader.view->ApplyReport(10, {.records = {record}, .next = 15},
+                           core::Duration::zero());
   relay.RecordChange(record, reader.scheduler.Now());
   CHECK(relay.has_updates());
   const TopicReport report =
@@ -66,7 +67,7 @@
         {.key = "e", .value = std::string(40, 'x'), .offset = offset},
         reader.scheduler.Now());
   }
-  reader.view->ApplyReport(10, 20, {}, core::Duration::zero());
+  reader.view->ApplyReport(10, {.next = 20}, core::Duration::zero());
   const TopicReport report =
       relay.MakeReport(*reader.view, reader.scheduler.Now());
   CHECK(report.complete_from > 10);
--- a/Tests/LibPlatform/topic_view_test.cc
+++ b/Tests/LibPlatform/topic_view_test.cc
@@ -1,5 +1,6 @@
 #include "LibPlatform/topic_view.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <string>
 #include <vector>
@@ -127,7 +128,7 @@
   const core::TimePoint outage_began_at = it.scheduler.Now();
   while (it.scheduler.Now() < outage_began_at + seconds(8)) {
     // Other hosts report as well, but have nothing newer.
-    it.view->ApplyReport(it.view->next(), it.view->next(), {},
+    it.view->ApplyReport(it.view->next(), {.next = it.view->next()},
                          it.scheduler.Now() - outage_began_at);
     it.RunFor(milliseconds(200));
   }
@@ -176,7 +177,8 @@
     it.RunFor(seconds(1));
     it.heard.clear();
     INFO(row.what);
-    CHECK(it.view->ApplyReport(row.complete_from, row.next, row.records,
+    CHECK(it.view->ApplyReport(row.complete_from,
+                               {.records = row.records, .next = row.next},
                                milliseconds(10)) == row.is_current);
     CHECK(it.view->next() == row.next_after);
     CHECK(it.heard == row.heard);
@@ -197,6 +199,82 @@
   CHECK(it.snapshots == 1);
 }
 
+struct RestoreCase {
+  const char* what;
+  // Records written after the restore.
+  int writes;
+};
+
+TEST_CASE("a view follows a platform that was restored from a backup") {
+  // The backup ends at offset 1 and the view is at offset 3.
+  const RestoreCase cases[] = {
+      {"the topic ends before the view", 0},
+      {"the topic has grown to the offset of the view", 2},
+      {"the topic has grown beyond the view", 5},
+  };
+  for (const RestoreCase& row : cases) {
+    INFO(row.what);
+    Fixture it;
+    it.client.Write("t", "a", "1");
+    const support::KeyedLog backup = it.client.Backup();
+    it.client.Write("t", "a", "2");
+    it.client.Write("t", "b", "1");
+    it.RunFor(seconds(1));
+    it.client.RestoreFrom(backup);
+    for (int i = 0; i < row.writes; ++i) {
+      it.client.Write("t", "c", std::to_string(i));
+    }
+    const core::TimePoint restored_at = it.scheduler.Now();
+    it.RunFor(seconds(1));
+    CHECK(it.view->next() == 1 + row.writes);
+    CHECK(it.view->Copy().records.front() ==
+          KeyedRecord{.key = "a", .value = "1", .offset = 0});
+    CHECK(it.view->Copy().records.size() == (row.writes == 0 ? 1 : 2));
+    CHECK(it.view->confirmed_at() > restored_at);
+    CHECK(it.view->recovered_at() >= restored_at);
+    CHECK(it.events ==
+          std::vector<core::EventCode>{core::EventCode::kLogRestored});
+    it.client.Write("t", "a", "3");
+    it.RunFor(seconds(1));
+    CHECK(it.heard.back() == "a=3@" + std::to_string(1 + row.writes));
+  }
+}
+
+struct HistoryCase {
+  const char* what;
+  LogEpoch epoch;
+  bool is_current;
+  // The view's offset after the report, and after a copy with the same end.
+  Offset after_report;
+  Offset after_copy;
+};
+
+TEST_CASE("what other hosts say about another history") {
+  // The view is at offset 1 of history 2; the report and the copy end at 4.
+  const HistoryCase cases[] = {
+      {"an earlier one", 1, true, 1, 1},
+      {"the same", 2, true, 4, 4},
+      {"a later one", 3, false, 1, 4},
+      {"a host that does not know it", 0, true, 4, 4},
+  };
+  for (const HistoryCase& row : cases) {
+    INFO(row.what);
+    Fixture it;
+    it.client.Write("t", "a", "1");
+    it.client.RestoreFrom(it.client.Backup());
+    it.RunFor(seconds(1));
+    const KeyedPage page = {
+        .records = {{.key = "a", .value = "9", .offset = 3}},
+        .next = 4,
+        .epoch = row.epoch};
+    CHECK(it.view->ApplyReport(0, page, milliseconds(10)) == row.is_current);
+    CHECK(it.view->next() == row.after_report);
+    it.view->ApplyCopy(page, milliseconds(10));
+    CHECK(it.view->next() == row.after_copy);
+    CHECK(it.view->epoch() == std::max<LogEpoch>(row.epoch, 2));
+  }
+}
+
 struct RecoveryCase {
   const char* what;
   core::Duration outage;
@@ -217,7 +295,7 @@
     it.client.SetDown(true);
     it.RunFor(row.outage);
     if (row.is_relayed) {
-      it.view->ApplyReport(0, 0, {}, milliseconds(10));
+      it.view->ApplyReport(0, {}, milliseconds(10));
     } else {
       it.client.SetDown(false);
       it.RunFor(seconds(1));
--- a/Tests/PlatformAdapter/store_client_test.cc
+++ b/Tests/PlatformAdapter/store_client_test.cc
@@ -19,9 +19,11 @@
 using platform::KeyedPage;
 using platform::KeyedRecord;
 
-std::string Answer(int status, const std::string& body) {
-  return fmt::format("HTTP/1.1 {} X\r\nContent-Length: {}\r\n\r\n{}", status,
-                     body.size(), body);
+std::string Answer(int status,
+                   const std::string& body,
+                   const std::string& fields = "") {
+  return fmt::format("HTTP/1.1 {} X\r\n{}Content-Length: {}\r\n\r\n{}", status,
+                     fields, body.size(), body);
 }
 
 // Returns `value` as `n` bytes in big-endian order.
@@ -43,7 +45,10 @@
   Fixture()
       : server(&loop, support::FreeAddress(support::LoopbackIp(3))),
         http_client(&loop),
-        store(&http_client, server.address()) {
+        events("test", 100),
+        store(&http_client,
+              server.address(),
+              std::make_shared<InvalidHeaderLog>(&events)) {
     server.SetResponder([this](const std::string& request) {
       requests.push_back(request.substr(0, request.find(" HTTP/")));
       return answers.at(requests.size() - 1);
@@ -74,6 +79,7 @@
   core::EventLoop loop;
   support::RawServer server;
   http::Client http_client;
+  core::EventRing events;
   StoreClient store;
   std::vector<std::string> answers;
   std::vector<std::string> requests;
@@ -114,6 +120,47 @@
         "GET /log-read?topic=t&part=0&from=6&wait_ms=500");
 }
 
+struct EpochCase {
+  const char* what;
+  std::string fields;
+  platform::LogEpoch epoch;
+  bool is_logged;
+};
+
+TEST_CASE("a response states the history of the store") {
+  const EpochCase cases[] = {
+      {"a number", "Store-Era: 7\r\n", 7, false},
+      {"absent", "", 0, false},
+      {"a negative number", "Store-Era: -1\r\n", 0, true},
+      {"a fraction", "Store-Era: 1.5\r\n", 0, true},
+      {"no number", "Store-Era: x\r\n", 0, true},
+      {"too large", "Store-Era: 99999999999999999999\r\n", 0, true},
+  };
+  for (const EpochCase& row : cases) {
+    INFO(row.what);
+    Fixture it;
+    const std::string tail = Answer(200, Bytes(4, 8) + Bytes(0, 8), row.fields);
+    it.answers = {tail, tail,
+                  Answer(200, R"({"items":[],"end":4})", row.fields)};
+    CHECK(it.ReadFrom(4)->epoch == row.epoch);
+    CHECK(it.ReadFrom(4)->epoch == row.epoch);
+    CHECK(it.ReadNewest()->epoch == row.epoch);
+    // An invalid value is logged once.
+    CHECK(it.events.Since(0).size() == (row.is_logged ? 1 : 0));
+  }
+}
+
+TEST_CASE("pages of two histories are not joined") {
+  Fixture it;
+  const std::string first =
+      R"({"items":[{"key":"a","value":"MQ==","offset":3}],
+          "has_more":true,"end":5})";
+  it.answers = {Answer(200, first, "Store-Era: 1\r\n"),
+                Answer(200, R"({"items":[],"end":2})", "Store-Era: 2\r\n")};
+  CHECK(core::CodeOf(it.ReadNewest().status()) ==
+        ResultCode::kPlatformUnavailable);
+}
+
 struct ErrorCase {
   const char* what;
   std::string answer;
@@ -158,15 +205,17 @@
   std::string body;
   it.server.SetResponder([&body](const std::string& request) {
     body = request.substr(request.find("\r\n\r\n") + 4);
-    return Answer(200, R"({"offset":0,"end":1})");
-  });
-  absl::Status result = absl::UnknownError("no answer");
-  it.store.Put("t", "key", "value", [&](const absl::Status& status) {
-    result = status;
-    it.loop.Stop();
+    return Answer(200, R"({"offset":0,"end":1})", "Store-Era: 4\r\n");
   });
+  absl::StatusOr<platform::LogEpoch> result = absl::UnknownError("no answer");
+  it.store.Put("t", "key", "value",
+               [&](const absl::StatusOr<platform::LogEpoch>& written) {
+                 result = written;
+                 it.loop.Stop();
+               });
   it.loop.Run();
-  CHECK(result.ok());
+  REQUIRE(result.ok());
+  CHECK(*result == 4);
   CHECK(body == Record("key", "value"));
 }
 
--- a/Tests/Support/PlatformStore/store_server.cc
+++ b/Tests/Support/PlatformStore/store_server.cc
@@ -10,6 +10,7 @@
 #include "LibCore/text.h"
 #include "LibCore/try.h"
 #include "absl/strings/escaping.h"
+#include "platform/wire_names.h"
 
 namespace wasabi::support {
 
@@ -160,16 +161,23 @@
   } else if (path == "/log-newest") {
     ReadNewest(transaction, query);
   } else {
-    transaction->Respond({.status = kNotFound});
+    Respond(transaction, {.status = kNotFound});
   }
 }
 
+void StoreServer::Respond(const TransactionPointer& transaction,
+                          http::Answer answer) {
+  answer.headers.Add(std::string(adapter::kLogEpochHeader),
+                     std::to_string(log_->log().epoch()));
+  transaction->Respond(answer);
+}
+
 void StoreServer::Append(const TransactionPointer& transaction,
                          const Query& query) {
   const auto record = DecodeRecord(transaction->request().body);
   const auto topic = query.find("topic");
   if (!record || topic == query.end()) {
-    transaction->Respond({.status = kBadRequest});
+    Respond(transaction, {.status = kBadRequest});
     return;
   }
   const Offset offset = log_->Append(topic->second, record->key, record->value);
@@ -177,7 +185,7 @@
     transaction->Abort();
     return;
   }
-  transaction->Respond(JsonAnswer({{"offset", offset}, {"end", offset + 1}}));
+  Respond(transaction, JsonAnswer({{"offset", offset}, {"end", offset + 1}}));
 }
 
 void StoreServer::ReadFrom(const TransactionPointer& transaction,
@@ -213,7 +221,7 @@
                              Offset from) {
   const auto page = log_->log().ReadFrom(topic, from);
   if (!page.ok()) {
-    transaction->Respond({.status = kGone,
+    Respond(transaction, {.status = kGone,
                           .body = fmt::format(R"({{"first":{}}})",
                                               log_->log().FirstKept(topic))});
     return;
@@ -225,7 +233,7 @@
   for (const KeyedRecord& it : page->records) {
     body += EncodeRecord(it);
   }
-  transaction->Respond({.status = kOk, .body = body});
+  Respond(transaction, {.status = kOk, .body = body});
 }
 
 void StoreServer::ReadNewest(const TransactionPointer& transaction,
@@ -247,8 +255,9 @@
                      {"value", absl::Base64Escape(it.value.value_or(""))},
                      {"offset", it.offset}});
   }
-  transaction->Respond(JsonAnswer(
-      {{"items", items}, {"has_more", has_more}, {"end", page.next}}));
+  Respond(transaction,
+          JsonAnswer(
+              {{"items", items}, {"has_more", has_more}, {"end", page.next}}));
 }
 
 }  // namespace wasabi::support
--- a/Tests/Support/PlatformStore/store_server.h
+++ b/Tests/Support/PlatformStore/store_server.h
@@ -64,6 +64,8 @@
   // is an outage.
   bool ApplyOutage(const TransactionPointer& transaction);
   void Serve(const TransactionPointer& transaction);
+  // Sends `answer` with the number of the log's history.
+  void Respond(const TransactionPointer& transaction, http::Answer answer);
   void Append(const TransactionPointer& transaction, const Query& query);
   void ReadFrom(const TransactionPointer& transaction, const Query& query);
   void ReadNewest(const TransactionPointer& transaction, const Query& query);
--- a/Tests/Support/PlatformStore/watched_log.h
+++ b/Tests/Support/PlatformStore/watched_log.h
@@ -36,6 +36,15 @@
 
   // Compacts all topics, so that reads from earlier offsets fail.
   void CompactAll() { log_.CompactAll(); }
+  // Replaces all records by those of `backup` and wakes up pending reads.
+  void RestoreFrom(const KeyedLog& backup) {
+    log_.RestoreFrom(backup);
+    for (const Watcher& it : watchers_) {
+      for (const std::string& topic : log_.Topics()) {
+        it(topic);
+      }
+    }
+  }
   const KeyedLog& log() const { return log_; }
 
  private:
--- a/Tests/Support/TopicStore/fake_topic_client.cc
+++ b/Tests/Support/TopicStore/fake_topic_client.cc
@@ -30,9 +30,10 @@
                           WriteCallback callback) {
   ++calls_;
   Write(topic, key, value);
-  scheduler_->CallAfter(kAnswerLatency, [callback = std::move(callback)]() {
-    callback(absl::OkStatus());
-  });
+  scheduler_->CallAfter(
+      kAnswerLatency, [callback = std::move(callback), epoch = log_.epoch()]() {
+        callback(epoch);
+      });
 }
 
 void FakeTopicClient::Write(const std::string& topic,
--- a/Tests/Support/TopicStore/fake_topic_client.h
+++ b/Tests/Support/TopicStore/fake_topic_client.h
@@ -34,6 +34,9 @@
              const std::string& key,
              std::optional<std::string> value);
   void Compact(const std::string& topic) { log_.Compact(topic); }
+  // Returns the current records, to be passed to RestoreFrom later.
+  KeyedLog Backup() const { return log_; }
+  void RestoreFrom(const KeyedLog& backup) { log_.RestoreFrom(backup); }
   void TruncateTo(const std::string& topic, platform::Offset end) {
     log_.TruncateTo(topic, end);
   }
--- a/Tests/Support/TopicStore/keyed_log.cc
+++ b/Tests/Support/TopicStore/keyed_log.cc
@@ -10,6 +10,12 @@
 using platform::KeyedRecord;
 using platform::Offset;
 
+namespace {
+
+constexpr platform::LogEpoch kFirstEpoch = 1;
+
+}  // namespace
+
 Offset KeyedLog::Append(const std::string& topic,
                         const std::string& key,
                         std::optional<std::string> value) {
@@ -27,6 +33,7 @@
   }
   KeyedPage page;
   page.next = End(topic);
+  page.epoch = epoch_;
   for (const auto& [key, record] : newest) {
     if (record.value) {
       page.records.push_back(record);
@@ -38,18 +45,29 @@
 absl::StatusOr<KeyedPage> KeyedLog::ReadFrom(const std::string& topic,
                                              Offset from) const {
   const Topic& it = Find(topic);
-  if (from < it.first_retained) {
+  const bool is_lost = from > End(topic) && epoch_ > kFirstEpoch;
+  if (from < it.first_retained || is_lost) {
     return core::MakeStatus(core::ResultCode::kRecordsTruncated,
-                            "the requested records were deleted by compaction");
+                            "the requested records do not exist");
   }
   KeyedPage page;
   page.next = End(topic);
+  page.epoch = epoch_;
   for (Offset i = from; i < page.next; ++i) {
     page.records.push_back(it.records[static_cast<size_t>(i)]);
   }
   return page;
 }
 
+std::vector<std::string> KeyedLog::Topics() const {
+  std::vector<std::string> names;
+  names.reserve(topics_.size());
+  for (const auto& [name, topic] : topics_) {
+    names.push_back(name);
+  }
+  return names;
+}
+
 Offset KeyedLog::End(const std::string& topic) const {
   return static_cast<Offset>(Find(topic).records.size());
 }
@@ -72,6 +90,11 @@
   topics_[topic].records.resize(static_cast<size_t>(end));
 }
 
+void KeyedLog::RestoreFrom(const KeyedLog& backup) {
+  topics_ = backup.topics_;
+  ++epoch_;
+}
+
 const KeyedLog::Topic& KeyedLog::Find(const std::string& topic) const {
   static const Topic kNone;
   const auto it = topics_.find(topic);
--- a/Tests/Support/TopicStore/keyed_log.h
+++ b/Tests/Support/TopicStore/keyed_log.h
@@ -25,10 +25,12 @@
   // Returns the newest record of each key that has a value.
   platform::KeyedPage ReadNewest(const std::string& topic) const;
   // Returns all records from offset `from` on. Error: kRecordsTruncated if
-  // `from` lies before the first offset that compaction kept.
+  // `from` lies before the first offset that compaction kept, or after the end
+  // of a restored topic.
   absl::StatusOr<platform::KeyedPage> ReadFrom(const std::string& topic,
                                                platform::Offset from) const;
 
+  std::vector<std::string> Topics() const;
   // Returns the offset of the next record to be appended.
   platform::Offset End(const std::string& topic) const;
   // Returns the first offset that can be read from.
@@ -41,6 +43,12 @@
   // Truncates the topic to `end`, as if later records had never been written.
   void TruncateTo(const std::string& topic, platform::Offset end);
 
+  // Simulates a restore from the backup `backup`: its records replace those of
+  // all topics, and a new history begins.
+  void RestoreFrom(const KeyedLog& backup);
+  // The number of the current history.
+  platform::LogEpoch epoch() const { return epoch_; }
+
  private:
   struct Topic {
     std::vector<platform::KeyedRecord> records;
@@ -51,6 +59,7 @@
   const Topic& Find(const std::string& topic) const;
 
   std::map<std::string, Topic> topics_;
+  platform::LogEpoch epoch_ = 1;
 };
 
 }  // namespace wasabi::support
