Endpoints that say that they leave, or ask for a pause, get nothing more

Cause: an endpoint that leaves now says so in its answers (Server-Leaving) and a host that has passed on such an answer is bound by it, whatever the registrations say; an endpoint that turns a request away may ask the host for a pause (Retry-After). Both were ignored.

Change: EndpointProtocol::NoticeIn decodes both. EndpointTable keeps departures by id and start; they end with a new start alone, also across a removal and a return of the registration. EndpointMonitor keeps pauses. A paused endpoint is no candidate; where all endpoints of a pool have asked for a pause, callers are told at once, with the shortest time. Values over a minute or no number are logged once and treated as absent; fractions of seconds are taken, as the protocol page allows them to callers.

--- a/Libraries/LibForwarding/endpoint_chooser.cc
+++ b/Libraries/LibForwarding/endpoint_chooser.cc
@@ -76,6 +76,21 @@
              : nullptr;
 }
 
+std::optional<core::TimePoint> EndpointChooser::PausedUntil(
+    const std::set<core::RunnerId>& tried,
+    core::TimePoint now) const {
+  std::optional<core::TimePoint> earliest;
+  for (const Endpoint* it : context_->endpoints->Available(pool_)) {
+    const core::TimePoint until = context_->monitor->PausedUntil(it->id);
+    if (now < until) {
+      earliest = std::min(earliest.value_or(until), until);
+    } else if (!tried.contains(it->id)) {
+      return std::nullopt;
+    }
+  }
+  return earliest;
+}
+
 void EndpointChooser::RecordServed(const core::RunnerId& endpoint,
                                    core::TimePoint now) const {
   if (copies_prompts_) {
@@ -142,7 +157,8 @@
          .slots = it->slots,
          .failure_share = context_->monitor->FailureShare(it->id, now),
          .is_down = context_->monitor->IsDown(it->id, now),
-         .is_excluded = tried.contains(it->id),
+         .is_excluded = tried.contains(it->id) ||
+                        now < context_->monitor->PausedUntil(it->id),
          .is_same_data_centre = it->data_centre == context_->data_centre});
   }
   if (uses_reports) {
--- a/Libraries/LibForwarding/endpoint_chooser.h
+++ b/Libraries/LibForwarding/endpoint_chooser.h
@@ -35,6 +35,13 @@
   const Endpoint* Choose(const std::set<core::RunnerId>& tried,
                          core::TimePoint now) const;
 
+  // Returns the earliest time at which an endpoint accepts the request again,
+  // if every endpoint that is not in `tried` has asked for a pause. Returns
+  // nullopt if one of them has not, or if none has asked for a pause.
+  std::optional<core::TimePoint> PausedUntil(
+      const std::set<core::RunnerId>& tried,
+      core::TimePoint now) const;
+
   // Returns an endpoint that is likely to have the prompt cached, for `chosen`
   // to copy from. Returns nullptr if there is none, or if `chosen` is known to
   // have the prompt cached. The pointer is valid as for Choose.
--- a/Libraries/LibForwarding/endpoint_monitor.cc
+++ b/Libraries/LibForwarding/endpoint_monitor.cc
@@ -46,6 +46,12 @@
   record.down_until = now + record.hold_down;
 }
 
+void EndpointMonitor::RecordPause(const core::RunnerId& endpoint,
+                                  core::TimePoint until) {
+  core::TimePoint& paused_until = records_[endpoint].paused_until;
+  paused_until = std::max(paused_until, until);
+}
+
 void EndpointMonitor::Forget(const core::RunnerId& endpoint) {
   records_.erase(endpoint);
 }
@@ -56,6 +62,12 @@
   return it != records_.end() && now < it->second.down_until;
 }
 
+core::TimePoint EndpointMonitor::PausedUntil(
+    const core::RunnerId& endpoint) const {
+  const auto it = records_.find(endpoint);
+  return it == records_.end() ? core::TimePoint() : it->second.paused_until;
+}
+
 double EndpointMonitor::FailureShare(const core::RunnerId& endpoint,
                                      core::TimePoint now) const {
   const auto it = records_.find(endpoint);
--- a/Libraries/LibForwarding/endpoint_monitor.h
+++ b/Libraries/LibForwarding/endpoint_monitor.h
@@ -1,6 +1,6 @@
-// Tracks, from this host's own attempts, whether each endpoint can be reached
-// and which share of its requests fails. Performs no I/O; the caller passes in
-// the time.
+// Tracks, from this host's own attempts, whether each endpoint can be reached,
+// whether it asked for a pause, and which share of its requests fails. Performs
+// no I/O; the caller passes in the time.
 
 #ifndef LIBFORWARDING_ENDPOINT_MONITOR_H_
 #define LIBFORWARDING_ENDPOINT_MONITOR_H_
@@ -24,12 +24,17 @@
   // open connection was lost together with the endpoint. Starts a hold-down,
   // which doubles with each repetition.
   void RecordUnreachable(const core::RunnerId& endpoint, core::TimePoint now);
+  // Records that the endpoint wants no requests from this host until `until`.
+  void RecordPause(const core::RunnerId& endpoint, core::TimePoint until);
   // Discards the state of an endpoint that was removed or has restarted.
   void Forget(const core::RunnerId& endpoint);
 
   // Returns whether the endpoint is in hold-down because it could not be
   // reached.
   bool IsDown(const core::RunnerId& endpoint, core::TimePoint now) const;
+  // Returns the end of the pause that the endpoint asked for, which may have
+  // passed; a default TimePoint if it never asked for one.
+  core::TimePoint PausedUntil(const core::RunnerId& endpoint) const;
   // Returns the recent share of failed requests, from 0 to 1.
   double FailureShare(const core::RunnerId& endpoint,
                       core::TimePoint now) const;
@@ -39,6 +44,7 @@
     double failure_share = 0;
     core::TimePoint updated_at{};
     core::TimePoint down_until{};
+    core::TimePoint paused_until{};
     core::Duration hold_down{};
   };
 
--- a/Libraries/LibForwarding/endpoint_selector.h
+++ b/Libraries/LibForwarding/endpoint_selector.h
@@ -35,7 +35,8 @@
   double failure_share = 0;
   // The endpoint is in hold-down because it could not be reached.
   bool is_down = false;
-  // This request was already sent to the endpoint.
+  // This request was already sent to the endpoint, or the endpoint asked for a
+  // pause.
   bool is_excluded = false;
   // The endpoint is in the same data centre as this host.
   bool is_same_data_centre = false;
--- a/Libraries/LibForwarding/endpoint_table.cc
+++ b/Libraries/LibForwarding/endpoint_table.cc
@@ -2,6 +2,14 @@
 
 namespace wasabi::forwarding {
 
+namespace {
+
+// Departures of endpoints that are no longer registered are kept up to this
+// number.
+constexpr size_t kMaxDepartures = 10'000;
+
+}  // namespace
+
 bool EndpointTable::Put(const Endpoint& endpoint) {
   const auto it = endpoints_.find(endpoint.id);
   if (it == endpoints_.end()) {
@@ -39,11 +47,32 @@
   return it == endpoints_.end() ? nullptr : &it->second;
 }
 
+bool EndpointTable::RecordDeparture(const core::RunnerId& id,
+                                    int64_t started_at_ms) {
+  if (departures_.size() >= kMaxDepartures) {
+    std::erase_if(departures_, [this](const auto& it) {
+      return !endpoints_.contains(it.first);
+    });
+  }
+  const auto [it, is_new] = departures_.try_emplace(id, started_at_ms);
+  if (is_new || it->second < started_at_ms) {
+    it->second = started_at_ms;
+    return true;
+  }
+  return false;
+}
+
+bool EndpointTable::IsLeaving(const Endpoint& endpoint) const {
+  const auto it = departures_.find(endpoint.id);
+  return endpoint.is_leaving ||
+         (it != departures_.end() && endpoint.started_at_ms <= it->second);
+}
+
 std::vector<const Endpoint*> EndpointTable::Available(
     const core::PoolId& pool) const {
   std::vector<const Endpoint*> available;
   for (const auto& [id, endpoint] : endpoints_) {
-    if (endpoint.pool == pool && !endpoint.is_leaving) {
+    if (endpoint.pool == pool && !IsLeaving(endpoint)) {
       available.push_back(&endpoint);
     }
   }
--- a/Libraries/LibForwarding/endpoint_table.h
+++ b/Libraries/LibForwarding/endpoint_table.h
@@ -1,4 +1,5 @@
-// Holds the currently registered endpoints and lists them by pool.
+// Holds the currently registered endpoints and lists them by pool. Endpoints
+// that announce in an answer that they are leaving are not listed any more.
 
 #ifndef LIBFORWARDING_ENDPOINT_TABLE_H_
 #define LIBFORWARDING_ENDPOINT_TABLE_H_
@@ -26,6 +27,11 @@
   // Returns nullptr if the endpoint is unknown. The pointer is valid until the
   // table changes.
   const Endpoint* Find(const core::RunnerId& id) const;
+  // Records that the endpoint, in its life that began at `started_at_ms`,
+  // announced that it is leaving. It does not become available again before it
+  // restarts, whatever its registration says. Returns whether this is news.
+  bool RecordDeparture(const core::RunnerId& id, int64_t started_at_ms);
+
   // Returns the endpoints of a pool that accept new requests, sorted by id. The
   // pointers are valid until the table changes.
   std::vector<const Endpoint*> Available(const core::PoolId& pool) const;
@@ -36,7 +42,13 @@
   }
 
  private:
+  bool IsLeaving(const Endpoint& endpoint) const;
+
   std::map<core::RunnerId, Endpoint> endpoints_;
+  // Start time of each endpoint that announced that it is leaving. Kept after
+  // its registration is removed, since a platform that recovers from an outage
+  // may list it once more.
+  std::map<core::RunnerId, int64_t> departures_;
   RemovalObserver observer_;
 };
 
--- a/Libraries/LibForwarding/forward_attempt.cc
+++ b/Libraries/LibForwarding/forward_attempt.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "LibCore/text.h"
+
 namespace wasabi::forwarding {
 
 namespace {
@@ -81,12 +83,31 @@
 
 void ForwardAttempt::OnHead(const http::MessageHead& head) {
   last_byte_at_ = context_->loop->Now();
+  RecordNotice(context_->endpoint_protocol->NoticeIn(head));
   const auto self = shared_from_this();
   callbacks_.on_head(
       context_->endpoint_protocol->Classify(request_, head, call_->is_reused()),
       head);
 }
 
+void ForwardAttempt::RecordNotice(const EndpointNotice& notice) {
+  if (notice.is_leaving && context_->endpoints->RecordDeparture(
+                               endpoint_.id, endpoint_.started_at_ms)) {
+    context_->events->Record(
+        core::EventCode::kRunnerLeaving, request_.id.value(),
+        fmt::format("endpoint={} started_at_ms={} announced in an answer",
+                    endpoint_.id.value(), endpoint_.started_at_ms));
+  }
+  if (notice.pause > core::Duration::zero()) {
+    context_->monitor->RecordPause(endpoint_.id,
+                                   context_->loop->Now() + notice.pause);
+    context_->events->Record(
+        core::EventCode::kEndpointPaused, request_.id.value(),
+        fmt::format("endpoint={} pause_ms={}", endpoint_.id.value(),
+                    core::ToMilliseconds(notice.pause)));
+  }
+}
+
 void ForwardAttempt::OnBody(std::string_view piece) {
   last_byte_at_ = context_->loop->Now();
   has_probed_ = false;
--- a/Libraries/LibForwarding/forward_attempt.h
+++ b/Libraries/LibForwarding/forward_attempt.h
@@ -68,6 +68,7 @@
 
  private:
   void OnHead(const http::MessageHead& head);
+  void RecordNotice(const EndpointNotice& notice);
   void OnBody(std::string_view piece);
   void OnCallEnd(http::OriginOutcome end);
   void OnSilenceTimeout();
--- a/Libraries/LibForwarding/forward_session.cc
+++ b/Libraries/LibForwarding/forward_session.cc
@@ -90,7 +90,7 @@
          "refused because this content has crashed endpoints");
     return;
   }
-  if (!Dispatch()) {
+  if (!DispatchOrRefuse()) {
     Wait();
   }
 }
@@ -104,12 +104,25 @@
   return true;
 }
 
+bool ForwardSession::DispatchOrRefuse() {
+  if (Dispatch()) {
+    return true;
+  }
+  const auto paused_until = chooser_.PausedUntil(tried_, Now());
+  if (!paused_until) {
+    return false;
+  }
+  Refuse(core::ResultCode::kOverloaded, "every endpoint has asked for a pause",
+         std::max(*paused_until - Now(), RetryAfter()));
+  return true;
+}
+
 void ForwardSession::Wait() {
   const auto weak = weak_from_this();
   ticket_ =
       context_->waiting->Join(chooser_.pool(), request_.priority, [weak]() {
         const auto self = weak.lock();
-        return self == nullptr || self->Dispatch();
+        return self == nullptr || self->DispatchOrRefuse();
       });
   const core::Duration left = answer_deadline_ - Now();
   queue_timer_ = context_->loop->NewTimer([weak]() {
@@ -325,10 +338,11 @@
 void ForwardSession::OnAttemptNotRun(std::string_view reason) {
   const bool has_sent = verdict_ == AttemptVerdict::kNotRun;
   const bool may_try = sends_ < kMaxSends && (!has_sent || TakeRetry());
-  if (may_try && Dispatch()) {
+  const bool may_have_run = runs_ > 0 || transaction_->is_started();
+  if (may_try && (may_have_run ? Dispatch() : DispatchOrRefuse())) {
     return;
   }
-  if (runs_ > 0 || transaction_->is_started()) {
+  if (may_have_run) {
     Fail(core::ResultCode::kAnswerTruncated, reason);
     return;
   }
@@ -405,8 +419,14 @@
 }
 
 void ForwardSession::Refuse(core::ResultCode code, std::string_view message) {
+  Refuse(code, message, RetryAfter());
+}
+
+void ForwardSession::Refuse(core::ResultCode code,
+                            std::string_view message,
+                            core::Duration retry_after) {
   transaction_->Respond(context_->caller_protocol->EncodeError(
-      core::MakeRefusal(code, message, RetryAfter())));
+      core::MakeRefusal(code, message, retry_after)));
   ++context_->metrics->Counter("forward_refusals");
   End(core::Describe(code).name);
 }
--- a/Libraries/LibForwarding/forward_session.h
+++ b/Libraries/LibForwarding/forward_session.h
@@ -37,6 +37,10 @@
   void Start();
   // Starts an attempt. Returns false if no endpoint can accept the request now.
   bool Dispatch();
+  // Starts an attempt, or refuses the request if every endpoint has asked for a
+  // pause. Returns false if neither applies, so that the request has to wait.
+  // Requires that no attempt may have run.
+  bool DispatchOrRefuse();
   void Wait();
   void LeaveQueue();
   void StartAttempt(const Endpoint& endpoint);
@@ -62,6 +66,10 @@
   bool CanRetryIfAttemptFails() const;
   bool TakeRetry();
   void Refuse(core::ResultCode code, std::string_view message);
+  // `retry_after` is the time after which the caller may retry.
+  void Refuse(core::ResultCode code,
+              std::string_view message,
+              core::Duration retry_after);
   void Fail(core::ResultCode code, std::string_view message);
   void OnDeadline();
   void OnQueueTimeout();
--- a/Libraries/LibForwarding/protocols.h
+++ b/Libraries/LibForwarding/protocols.h
@@ -4,6 +4,7 @@
 #ifndef LIBFORWARDING_PROTOCOLS_H_
 #define LIBFORWARDING_PROTOCOLS_H_
 
+#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -65,6 +66,17 @@
   std::optional<core::SocketAddress> prompt_source = {};
 };
 
+// What an endpoint says about itself in an answer.
+struct EndpointNotice {
+  // The endpoint is about to exit and accepts no new requests.
+  bool is_leaving = false;
+  // Time for which the endpoint wants no requests from this host; zero if it
+  // accepts requests.
+  core::Duration pause{};
+
+  auto operator<=>(const EndpointNotice&) const = default;
+};
+
 // Encodes the requests to endpoints and interprets their answers.
 class EndpointProtocol {
  public:
@@ -84,6 +96,8 @@
   virtual AttemptVerdict Classify(const ForwardRequest& request,
                                   const http::MessageHead& head,
                                   bool is_reused_connection) const = 0;
+
+  virtual EndpointNotice NoticeIn(const http::MessageHead& head) const = 0;
 };
 
 }  // namespace wasabi::forwarding
--- a/Tests/Forwarder/forwarder_daemon_test.cc
+++ b/Tests/Forwarder/forwarder_daemon_test.cc
@@ -115,9 +115,10 @@
     settings = Settings();
     auto daemon_or = ForwarderDaemon::Create(
         &loop, settings, "/nonexistent",
-        [this](http::Client* http_client, const core::SocketAddress& address) {
+        [this](http::Client* http_client, const core::SocketAddress& address,
+               core::EventRing* events) {
           forwarding::AdapterSet adapters =
-              adapter::MakeAdapters(http_client, address);
+              adapter::MakeAdapters(http_client, address, events);
           auto topics = std::make_unique<support::FakeTopicClient>(&scheduler);
           store = topics.get();
           adapters.topics = std::move(topics);
@@ -492,6 +493,77 @@
   }
 }
 
+TEST_CASE("an endpoint that says that it is leaving receives nothing more") {
+  Fixture it;
+  it.Configure();
+  const std::string leaving =
+      Answer(200, "Response-Signature: s\r\nServer-Leaving: 1\r\n", "ok");
+  it.script = {leaving};
+  CHECK(it.Get("/unsafe/1").status == 200);
+  const RawServer& gone = it.first.requests() == 1 ? it.first : it.second;
+  for (int i = 0; i < 20; ++i) {
+    it.script = {Success("ok")};
+    CHECK(it.Get("/unsafe/1").status == 200);
+  }
+  CHECK(gone.requests() == 1);
+}
+
+struct PauseCase {
+  const char* what;
+  // Pauses that the two endpoints ask for, in seconds.
+  const char* first;
+  const char* second;
+  int status;
+  // Smallest and greatest Retry-After in seconds; unused with status 200.
+  double min_retry_after;
+  double max_retry_after;
+};
+
+TEST_CASE("an endpoint that asks for a pause receives nothing until its end") {
+  const PauseCase cases[] = {
+      {"one of two", "1", nullptr, 200, 0, 0},
+      {"both: the shorter pause counts", "5", "1", 503, 0.8, 1},
+  };
+  for (const PauseCase& row : cases) {
+    INFO(row.what);
+    Fixture it;
+    it.Configure();
+    const auto shed = [](const char* seconds) {
+      return Answer(
+          503, fmt::format("Not-Executed: 1\r\nRetry-After: {}\r\n", seconds),
+          "");
+    };
+    it.script = {shed(row.first),
+                 row.second == nullptr ? Success("ok") : shed(row.second)};
+    CHECK(it.Get("/unsafe/1").status == row.status);
+    REQUIRE(it.received.size() == 2);
+    const int sends_to_first = it.first.requests();
+    const int sends_to_second = it.second.requests();
+    const core::TimePoint asked_at = it.loop.Now();
+    for (int i = 0; i < 10; ++i) {
+      it.script = {Success("ok")};
+      const Fixture::Result result = it.Get("/unsafe/1");
+      CHECK(result.status == row.status);
+      if (row.status != 200) {
+        const double retry_after = std::stod(result.headers.Get("Retry-After"));
+        CHECK(retry_after >= row.min_retry_after);
+        CHECK(retry_after <= row.max_retry_after);
+      }
+    }
+    const bool is_first_untouched = it.first.requests() == sends_to_first;
+    const bool is_second_untouched = it.second.requests() == sends_to_second;
+    CHECK((is_first_untouched || is_second_untouched));
+    CHECK((is_first_untouched && is_second_untouched) == (row.status != 200));
+    CHECK(it.loop.Now() - asked_at < core::milliseconds(200));
+    // After the shorter pause, requests are served again.
+    it.script.clear();
+    const core::TimePoint ends_at = asked_at + core::milliseconds(1050);
+    it.RunUntil([&]() { return it.loop.Now() >= ends_at; });
+    it.script = {Success("ok")};
+    CHECK(it.Get("/unsafe/1").status == 200);
+  }
+}
+
 // Sends a request with a fixed prompt. Returns the address from which the
 // endpoint is asked to copy the cached prompt, or "".
 std::string PromptSourceSent(Fixture& it) {
--- a/Tests/PlatformAdapter/endpoint_codec_test.cc
+++ b/Tests/PlatformAdapter/endpoint_codec_test.cc
@@ -27,7 +27,8 @@
   forwarding::Route route;
   forwarding::ForwardRequest request;
   forwarding::Endpoint endpoint;
-  EndpointCodec codec;
+  core::EventRing events{"test", 100};
+  EndpointCodec codec{std::make_shared<InvalidHeaderLog>(&events)};
 };
 
 TEST_CASE("an attempt carries its endpoint, organisation and remaining time") {
@@ -138,6 +139,59 @@
   CHECK_FALSE(it.codec.IsAnswerTo(it.request, other));
 }
 
+struct NoticeCase {
+  const char* what;
+  int status;
+  Fields fields;
+  forwarding::EndpointNotice notice;
+  bool is_logged;
+};
+
+TEST_CASE("an answer tells what its endpoint wants") {
+  const http::Headers::Field leaving{"Server-Leaving", "1"};
+  const auto pause = [](const char* text) {
+    return Fields{{"Retry-After", text}};
+  };
+  const NoticeCase cases[] = {
+      {"nothing", 200, {}, {}, false},
+      {"it is leaving", 200, {leaving}, {.is_leaving = true}, false},
+      {"leaving with a refusal",
+       503,
+       {leaving, {"Not-Executed", "1"}},
+       {.is_leaving = true},
+       false},
+      {"another endpoint at the same address is leaving",
+       421,
+       {leaving},
+       {},
+       false},
+      {"not leaving", 200, {{"Server-Leaving", "0"}}, {}, false},
+      {"a pause", 503, pause("2"), {.pause = core::seconds(2)}, false},
+      {"a pause with a fraction",
+       503,
+       pause("0.25"),
+       {.pause = core::milliseconds(250)},
+       false},
+      {"Retry-After of another status", 429, pause("2"), {}, false},
+      {"a date", 503, pause("Fri, 04 Dec 2026 08:00:00 GMT"), {}, true},
+      {"a negative pause", 503, pause("-1"), {}, true},
+      {"over a minute", 503, pause("61"), {}, true},
+      {"not a number", 503, pause("nan"), {}, true},
+  };
+  for (const NoticeCase& row : cases) {
+    INFO(row.what);
+    Fixture it;
+    http::MessageHead head;
+    head.status = row.status;
+    for (const auto& [name, value] : row.fields) {
+      head.headers.Add(name, value);
+    }
+    CHECK(it.codec.NoticeIn(head) == row.notice);
+    CHECK(it.codec.NoticeIn(head) == row.notice);
+    CHECK(it.events.Since(0).size() == (row.is_logged ? 1 : 0));
+  }
+}
+
 struct RegistrationCase {
   const char* what;
   const char* text;
