Soak: a restored store, departures told by answers alone, pauses

The store's stand-in keeps backups and comes back from one that is 3 s old, after half a second away; the operator and the endpoints write again a second later. Endpoints leave with word of it in their answers only, or refuse a share of the requests and ask for a pause of 1.5 s. The checker has a rule for each of the last two.

--- a/Tests/Soak/checker.cc
+++ b/Tests/Soak/checker.cc
@@ -22,6 +22,10 @@
 // cancelled.
 constexpr core::Duration kCancelBound = core::milliseconds(500);
 constexpr size_t kMaxLateStarts = 3;
+// A pause that an endpoint asks for is checked from this time after its answer
+// on. Requests that were on their way may still arrive.
+constexpr core::Duration kPauseSlack = core::milliseconds(500);
+constexpr size_t kMaxRunsInPause = 2;
 constexpr size_t kMinCancellableRuns = 8;
 constexpr double kMaxLateEndShare = 0.25;
 constexpr size_t kMinRecoveryCalls = 50;
@@ -86,6 +90,10 @@
       CheckRequest(*it);
     }
     CheckDepartures();
+    for (const RunPointer& it : history_.runs) {
+      CheckAnnouncedDeparture(*it);
+      CheckPause(*it);
+    }
     CheckCancellation();
     CheckRetryBudget();
     CheckRecovery();
@@ -333,6 +341,65 @@
     }
   }
 
+  // Calls `visit` for each later run at the endpoint of `run` that its host
+  // caused, unless the host was disturbed in between.
+  template <typename Visitor>
+  void VisitLaterRuns(const EndpointRun& run, Visitor visit) const {
+    const auto answered = calls_.find(run.request);
+    if (answered == calls_.end()) {
+      return;
+    }
+    const size_t host = answered->second->host;
+    for (const RunPointer& it : history_.runs) {
+      const auto call = calls_.find(it->request);
+      const bool is_later = it->endpoint == run.endpoint &&
+                            it->started_at > run.ended_at &&
+                            call != calls_.end() && call->second->host == host;
+      if (is_later && !IsHostDisturbed(host, run.ended_at, it->started_at)) {
+        visit(*call->second, *it);
+      }
+    }
+  }
+
+  bool IsHostDisturbed(size_t host,
+                       core::TimePoint from,
+                       core::TimePoint to) const {
+    return IsDisturbed(from, to, [host](const Disturbance& it) {
+      return it.scope == Disturbance::Scope::kHost && it.host == host;
+    });
+  }
+
+  void CheckAnnouncedDeparture(const EndpointRun& run) {
+    if (!run.announces_departure || run.end != RunEnd::kAnswered) {
+      return;
+    }
+    const core::TimePoint bound = run.ended_at + bounds_.leaving;
+    VisitLaterRuns(run, [&](const Call& call, const EndpointRun& late) {
+      if (call.sent_at > bound) {
+        Add("an endpoint that said that it is leaving gets no new requests",
+            fmt::format("said_ms={}; {}; {}", Milliseconds(run.ended_at),
+                        Describe(call), Describe(late)));
+      }
+    });
+  }
+
+  void CheckPause(const EndpointRun& run) {
+    if (!run.paused_until) {
+      return;
+    }
+    size_t n = 0;
+    VisitLaterRuns(run, [&](const Call& /*call*/, const EndpointRun& late) {
+      n += late.started_at > run.ended_at + kPauseSlack &&
+                   late.started_at < *run.paused_until
+               ? 1
+               : 0;
+    });
+    if (n > kMaxRunsInPause) {
+      Add("an endpoint that asked for a pause gets no requests",
+          fmt::format("{} requests; asked by {}", n, Describe(run)));
+    }
+  }
+
   void CheckCancellation() {
     size_t late_starts = 0;
     size_t cancellable_runs = 0;
--- a/Tests/Soak/checker_test.cc
+++ b/Tests/Soak/checker_test.cc
@@ -105,6 +105,33 @@
        .acknowledged_at = world.sent_at - milliseconds(2100)});
 }
 
+// Adds an earlier call, whose answer said that the endpoint is leaving.
+void SayLeaving(World& world) {
+  const auto earlier = std::make_shared<Call>(*world.call);
+  earlier->id = core::RequestId("r0");
+  earlier->sent_at = world.sent_at - seconds(3);
+  earlier->answer = support::PlainAnswerOf(earlier->id);
+  earlier->ended_at = earlier->sent_at + milliseconds(30);
+  world.history.calls.push_back(earlier);
+  const auto run = world.AddRun();
+  run->request = earlier->id;
+  run->announces_departure = true;
+  run->started_at = earlier->sent_at + milliseconds(2);
+  run->ended_at = earlier->sent_at + milliseconds(28);
+}
+
+// Adds a refusal that asked for a pause, and `n` runs within the pause.
+void AskForPause(World& world, int n) {
+  const auto refusal = world.AddRun();
+  refusal->end = RunEnd::kRefused;
+  refusal->started_at = world.sent_at - seconds(1);
+  refusal->ended_at = refusal->started_at;
+  refusal->paused_until = world.sent_at + seconds(1);
+  for (int i = 1; i < n; ++i) {
+    world.AddRun();
+  }
+}
+
 std::vector<CheckerCase> Cases() {
   using enum CallKind;
   return {
@@ -189,6 +216,21 @@
          Disturb(it, Disturbance::Scope::kStore, false);
        },
        ""},
+      {"a run at an endpoint that had said that it is leaving", kIdempotent,
+       SayLeaving,
+       "an endpoint that said that it is leaving gets no new requests"},
+      {"a run at an endpoint that had said so to a host that restarted since",
+       kIdempotent,
+       [](World& it) {
+         SayLeaving(it);
+         Disturb(it, Disturbance::Scope::kHost, false);
+       },
+       ""},
+      {"three runs in a pause", kIdempotent,
+       [](World& it) { AskForPause(it, 3); },
+       "an endpoint that asked for a pause gets no requests"},
+      {"two runs in a pause", kIdempotent,
+       [](World& it) { AskForPause(it, 2); }, ""},
       {"a host that crashes", kIdempotent,
        [](World& it) { it.history.crashes.emplace_back("host=0 signal 11"); },
        "hosts exit only on a signal"},
--- a/Tests/Soak/endpoint_fleet.cc
+++ b/Tests/Soak/endpoint_fleet.cc
@@ -87,8 +87,8 @@
           R"("slots":{},"state":"{}","cold_left_ms":0,"seq":{},"born":{}}})",
           member->options.pool.value(), member->registered_address.ToString(),
           n % kDataCentres, member->options.slots,
-          member->state == State::kLeaving ? "draining" : "ready",
-          ++member->sequence, member->started_at_ms));
+          member->is_draining ? "draining" : "ready", ++member->sequence,
+          member->started_at_ms));
 }
 
 void EndpointFleet::Unregister(Member* member) {
@@ -130,7 +130,7 @@
   member->transition_at = loop_->Now() + duration;
 }
 
-void EndpointFleet::Replace(uint64_t target, bool announces) {
+void EndpointFleet::Replace(uint64_t target, Announcement announcement) {
   Member* member = Choose(target);
   if (member == nullptr || !Add(member->options.pool).ok()) {
     return;
@@ -138,9 +138,14 @@
   const core::TimePoint now = loop_->Now();
   member->state = State::kLeaving;
   member->transition_at = now + options_.bounds.leaving + kExtraServingTime;
-  if (announces) {
+  if (announcement == Announcement::kAnswers) {
+    member->endpoint->AnnounceDeparture();
+    return;
+  }
+  if (announcement == Announcement::kRegistration) {
+    member->is_draining = true;
     Register(member);
-    member->endpoint->CloseAfterResponses();
+    member->endpoint->AnnounceDeparture();
   } else {
     Unregister(member);
   }
@@ -148,6 +153,16 @@
       {.endpoint = member->options.id, .acknowledged_at = now});
 }
 
+void EndpointFleet::RegisterAgain() {
+  for (const auto& it : members_) {
+    if (it->is_registered) {
+      Register(it.get());
+    } else {
+      Unregister(it.get());
+    }
+  }
+}
+
 void EndpointFleet::SetFaults(uint64_t target,
                               const support::EndpointFaults& faults,
                               core::Duration duration) {
--- a/Tests/Soak/endpoint_fleet.h
+++ b/Tests/Soak/endpoint_fleet.h
@@ -18,6 +18,16 @@
 
 namespace wasabi::soak {
 
+// How an endpoint that leaves announces it.
+enum class Announcement : uint8_t {
+  // It registers as draining, and says so in its answers.
+  kRegistration,
+  // Only its registration is removed.
+  kNone,
+  // It only says so in its answers; its registration stays as it was.
+  kAnswers,
+};
+
 class EndpointFleet {
  public:
   // All arguments must outlive the fleet.
@@ -34,10 +44,8 @@
 
   // Stops the endpoint; it restarts under the same id after `duration`.
   void Crash(uint64_t target, core::Duration duration);
-  // Adds another endpoint to the pool, then removes this one. If `announces` is
-  // true it registers as draining first, otherwise only its registration is
-  // removed.
-  void Replace(uint64_t target, bool announces);
+  // Adds another endpoint to the pool, then removes this one.
+  void Replace(uint64_t target, Announcement announcement);
   void SetFaults(uint64_t target,
                  const support::EndpointFaults& faults,
                  core::Duration duration);
@@ -47,6 +55,9 @@
   void ResetConnections(uint64_t target);
   void SilenceConnections(uint64_t target);
 
+  // Writes the state of every registration again.
+  void RegisterAgain();
+
   // Sends heartbeats and performs the state changes that are due. Must be
   // called frequently.
   void Poll();
@@ -61,6 +72,8 @@
     core::SocketAddress registered_address;
     State state = State::kServing;
     bool is_registered = true;
+    // Its registration says that it is leaving.
+    bool is_draining = false;
     int64_t sequence = 0;
     int64_t started_at_ms = 0;
     std::unique_ptr<support::PlatformEndpoint> endpoint;
--- a/Tests/Soak/fault_plan.h
+++ b/Tests/Soak/fault_plan.h
@@ -21,6 +21,8 @@
   kReplaceEndpoint,
   // An endpoint leaves unannounced: only its registration is removed.
   kUnregisterEndpoint,
+  // An endpoint leaves and says so in its answers only.
+  kLeaveByAnswers,
   // Host failures.
   kKillHost,
   kPauseHost,
@@ -36,12 +38,16 @@
   kStoreSlow,
   kStoreLosesAnswers,
   kStoreCompacts,
+  // The store comes back from a backup that is some seconds old.
+  kRestoreStore,
   // Faults of endpoints and of the links to them.
   kCrashEndpoint,
   kEndpointFails,
   kEndpointLosesAnswers,
   kEndpointCutsStreams,
   kEndpointSlow,
+  // The endpoint refuses requests and asks for a pause.
+  kEndpointPauses,
   kResetEndpointConnections,
   kSilenceEndpointConnections,
   kDelayEndpointLink,
--- a/Tests/Soak/operator.cc
+++ b/Tests/Soak/operator.cc
@@ -67,11 +67,16 @@
       {"tenants",
        {{{"name", "t1"}, {"api_keys", {"key-1"}}},
         {{"name", "t2"}, {"api_keys", {ReplacedKeyOf(version_)}}}}}};
-  log_->Append(adapter::kConfigurationTopic, adapter::kConfigurationKey,
-               configuration.dump());
+  newest_ = configuration.dump();
+  Rewrite();
   history_->configurations.push_back({.version = version_,
                                       .moving_pool = core::PoolId(moving_pool),
                                       .acknowledged_at = loop_->Now()});
 }
 
+void Operator::Rewrite() {
+  log_->Append(adapter::kConfigurationTopic, adapter::kConfigurationKey,
+               newest_);
+}
+
 }  // namespace wasabi::soak
--- a/Tests/Soak/operator.h
+++ b/Tests/Soak/operator.h
@@ -26,6 +26,8 @@
   // Writes the next configuration. The store has acknowledged it when this
   // returns.
   void Configure();
+  // Writes the newest configuration again.
+  void Rewrite();
 
   // Returns the version of the newest configuration, or 0 if there is none.
   int64_t version() const { return version_; }
@@ -35,6 +37,7 @@
   support::WatchedLog* const log_;
   History* const history_;
   int64_t version_ = 0;
+  std::string newest_;
 };
 
 // Returns the API key that only configuration `version` contains.
--- a/Tests/Soak/soak_run.cc
+++ b/Tests/Soak/soak_run.cc
@@ -25,6 +25,13 @@
 constexpr core::Duration kLinkDelay = core::milliseconds(120);
 constexpr double kLostAnswerShare = 0.4;
 constexpr double kFaultShare = 0.3;
+constexpr core::Duration kBackupPeriod = core::milliseconds(500);
+// The oldest backup, which a restore uses, is this many periods old.
+constexpr size_t kBackups = 6;
+// Time for which the store is away while it is restored, and time after that
+// until the operator and the endpoints write their records again.
+constexpr core::Duration kRestoreTime = core::milliseconds(500);
+constexpr core::Duration kRewriteDelay = core::seconds(1);
 
 }  // namespace
 
@@ -96,6 +103,7 @@
     it->Poll();
   }
   SendRequests();
+  BackUpStore();
   InjectDueFaults();
   if (loop_->Now() >= check_at_ || Elapsed() >= options_.length) {
     CheckNow();
@@ -128,6 +136,17 @@
   }
 }
 
+void SoakRun::BackUpStore() {
+  if (loop_->Now() < backup_at_) {
+    return;
+  }
+  backup_at_ = loop_->Now() + kBackupPeriod;
+  backups_.push_back(log_.log());
+  if (backups_.size() > kBackups) {
+    backups_.pop_front();
+  }
+}
+
 void SoakRun::CheckNow() {
   check_at_ = loop_->Now() + kCheckPeriod;
   violations_ = CheckHistory(history_, options_.bounds, loop_->Now());
@@ -141,6 +160,7 @@
                    &SoakRun::ChangeConfiguration,
                    &SoakRun::ReplaceEndpoint,
                    &SoakRun::UnregisterEndpoint,
+                   &SoakRun::LeaveByAnswers,
                    &SoakRun::KillHost,
                    &SoakRun::PauseHost,
                    &SoakRun::KillAllHosts,
@@ -153,11 +173,13 @@
                    &SoakRun::SlowStore,
                    &SoakRun::LoseStoreAnswers,
                    &SoakRun::CompactStore,
+                   &SoakRun::RestoreStore,
                    &SoakRun::CrashEndpoint,
                    &SoakRun::FailEndpointRequests,
                    &SoakRun::LoseEndpointAnswers,
                    &SoakRun::CutEndpointStreams,
                    &SoakRun::SlowEndpoint,
+                   &SoakRun::PauseEndpoint,
                    &SoakRun::ResetEndpointConnections,
                    &SoakRun::SilenceEndpointConnections,
                    &SoakRun::DelayEndpointLink,
@@ -208,11 +230,15 @@
 }
 
 void SoakRun::ReplaceEndpoint(const FaultAction& action) {
-  endpoints_.Replace(action.target, true);
+  endpoints_.Replace(action.target, Announcement::kRegistration);
 }
 
 void SoakRun::UnregisterEndpoint(const FaultAction& action) {
-  endpoints_.Replace(action.target, false);
+  endpoints_.Replace(action.target, Announcement::kNone);
+}
+
+void SoakRun::LeaveByAnswers(const FaultAction& action) {
+  endpoints_.Replace(action.target, Announcement::kAnswers);
 }
 
 void SoakRun::KillHost(const FaultAction& action) {
@@ -292,6 +318,20 @@
   log_.CompactAll();
 }
 
+void SoakRun::RestoreStore(const FaultAction& /*action*/) {
+  SetStoreFaults({.outage = StoreOutage::kReset}, kRestoreTime + kRewriteDelay);
+  CallAfter(kRestoreTime, [this]() {
+    log_.RestoreFrom(backups_.front());
+    for (const auto& it : hosts_) {
+      it->store()->SetFaults({});
+    }
+  });
+  CallAfter(kRestoreTime + kRewriteDelay, [this]() {
+    operator_.Rewrite();
+    endpoints_.RegisterAgain();
+  });
+}
+
 void SoakRun::CrashEndpoint(const FaultAction& action) {
   endpoints_.Crash(action.target, action.duration);
 }
@@ -316,6 +356,11 @@
                        action.duration);
 }
 
+void SoakRun::PauseEndpoint(const FaultAction& action) {
+  endpoints_.SetFaults(action.target, {.pause_share = kFaultShare},
+                       action.duration);
+}
+
 void SoakRun::ResetEndpointConnections(const FaultAction& action) {
   endpoints_.ResetConnections(action.target);
 }
--- a/Tests/Soak/soak_run.h
+++ b/Tests/Soak/soak_run.h
@@ -5,6 +5,7 @@
 #ifndef TESTS_SOAK_SOAK_RUN_H_
 #define TESTS_SOAK_SOAK_RUN_H_
 
+#include <deque>
 #include <memory>
 #include <string>
 #include <vector>
@@ -47,6 +48,8 @@
   void SendRequests();
   void InjectDueFaults();
   void CheckNow();
+  // Takes a backup of the store if one is due.
+  void BackUpStore();
   void InjectFault(const FaultAction& action);
 
   // Fault handlers, one for each FaultKind.
@@ -55,6 +58,7 @@
   void ChangeConfiguration(const FaultAction& action);
   void ReplaceEndpoint(const FaultAction& action);
   void UnregisterEndpoint(const FaultAction& action);
+  void LeaveByAnswers(const FaultAction& action);
   void KillHost(const FaultAction& action);
   void PauseHost(const FaultAction& action);
   void KillAllHosts(const FaultAction& action);
@@ -67,11 +71,13 @@
   void SlowStore(const FaultAction& action);
   void LoseStoreAnswers(const FaultAction& action);
   void CompactStore(const FaultAction& action);
+  void RestoreStore(const FaultAction& action);
   void CrashEndpoint(const FaultAction& action);
   void FailEndpointRequests(const FaultAction& action);
   void LoseEndpointAnswers(const FaultAction& action);
   void CutEndpointStreams(const FaultAction& action);
   void SlowEndpoint(const FaultAction& action);
+  void PauseEndpoint(const FaultAction& action);
   void ResetEndpointConnections(const FaultAction& action);
   void SilenceEndpointConnections(const FaultAction& action);
   void DelayEndpointLink(const FaultAction& action);
@@ -99,6 +105,9 @@
   std::vector<std::unique_ptr<RouterProcess>> hosts_;
   std::vector<HostAddresses> addresses_;
   std::vector<std::unique_ptr<Caller>> callers_;
+  // The latest backups of the store, oldest first.
+  std::deque<support::KeyedLog> backups_;
+  core::TimePoint backup_at_;
   std::vector<FaultAction> plan_;
   size_t next_fault_ = 0;
   double requests_due_ = 0;
--- a/Tests/Support/PlatformEndpoint/endpoint_run.h
+++ b/Tests/Support/PlatformEndpoint/endpoint_run.h
@@ -45,6 +45,10 @@
   core::TimePoint started_at;
   core::TimePoint ended_at;
   RunEnd end = RunEnd::kRunning;
+  // The answer stated that the endpoint is leaving.
+  bool announces_departure = false;
+  // The refusal asked for no requests until this time.
+  std::optional<core::TimePoint> paused_until;
 };
 
 // The answers that endpoints give. They depend only on the request id, so that
--- a/Tests/Support/PlatformEndpoint/platform_endpoint.cc
+++ b/Tests/Support/PlatformEndpoint/platform_endpoint.cc
@@ -14,6 +14,8 @@
 constexpr core::Duration kServiceTime = core::milliseconds(20);
 constexpr core::Duration kFirstEventTime = core::milliseconds(40);
 constexpr core::Duration kEventTime = core::milliseconds(40);
+// Time for which an endpoint wants no requests, if it asks for a pause.
+constexpr core::Duration kPause = core::milliseconds(1500);
 constexpr int kOk = 200;
 constexpr int kMisdirected = 421;
 constexpr int kInternalError = 500;
@@ -105,17 +107,41 @@
   const auto expected = run->headers.Find(adapter::kExpectedEndpointHeader);
   const bool is_for_other_endpoint =
       expected && *expected != options_.id.value();
-  if (!is_for_other_endpoint && sessions_.size() < 2 * options_.slots) {
+  const bool asks_for_pause = random_.Unit() < faults_.pause_share;
+  if (!is_for_other_endpoint && !asks_for_pause &&
+      sessions_.size() < 2 * options_.slots) {
     return false;
   }
   run->end = RunEnd::kRefused;
   run->ended_at = loop_->Now();
-  transaction->Respond(
-      {.status = is_for_other_endpoint ? kMisdirected : kUnavailable,
-       .headers = {{std::string(adapter::kNotExecutedHeader), "1"}}});
+  http::Answer answer = {
+      .status = is_for_other_endpoint ? kMisdirected : kUnavailable,
+      .headers = {{std::string(adapter::kNotExecutedHeader), "1"}}};
+  if (asks_for_pause && !is_for_other_endpoint) {
+    run->paused_until = run->ended_at + kPause;
+    answer.headers.Add(std::string(adapter::kPauseHeader),
+                       fmt::format("{}", core::ToSeconds(kPause)));
+  }
+  transaction->Respond(answer);
   return true;
 }
 
+void PlatformEndpoint::AnnounceDeparture() {
+  is_leaving_ = true;
+  server_->CloseAfterResponses();
+}
+
+http::Headers PlatformEndpoint::AnswerHeaders(EndpointRun* run) const {
+  http::Headers headers = {
+      {std::string(adapter::kRequestIdHeader), run->request.value()},
+      {std::string(adapter::kSignatureHeader), run->signature}};
+  if (is_leaving_) {
+    run->announces_departure = true;
+    headers.Add(std::string(adapter::kLeavingHeader), "1");
+  }
+  return headers;
+}
+
 void PlatformEndpoint::StartSession(const TransactionPointer& transaction,
                                     const RunPointer& run) {
   const auto session = std::make_shared<Session>();
@@ -156,18 +182,15 @@
     return;
   }
   const bool fails = random_.Unit() < faults_.failures;
-  const EndpointRun& run = *session->run;
+  EndpointRun* run = session->run.get();
   session->transaction->Respond(
       {.status = fails ? kInternalError : kOk,
-       .headers = {{std::string(adapter::kRequestIdHeader),
-                    run.request.value()},
-                   {std::string(adapter::kSignatureHeader), run.signature}},
-       .body = fails ? "failed" : PlainAnswerOf(run.request)});
+       .headers = AnswerHeaders(run),
+       .body = fails ? "failed" : PlainAnswerOf(run->request)});
   End(session, fails ? RunEnd::kFailed : RunEnd::kAnswered);
 }
 
 void PlatformEndpoint::StartEvents(const SessionPointer& session) {
-  const EndpointRun& run = *session->run;
   if (random_.Unit() < faults_.failures + faults_.lost_answer_share) {
     session->transaction->Abort();
     End(session, RunEnd::kCut);
@@ -176,12 +199,9 @@
   if (random_.Unit() < faults_.cut_answer_share) {
     session->cut_after = session->next_event + random_.Below(4);
   }
-  session->transaction->StartStream(
-      kOk,
-      {{std::string(adapter::kRequestIdHeader), run.request.value()},
-       {std::string(adapter::kSignatureHeader), run.signature},
-       {"Content-Type", "text/event-stream"}},
-      std::nullopt);
+  http::Headers headers = AnswerHeaders(session->run.get());
+  headers.Add("Content-Type", "text/event-stream");
+  session->transaction->StartStream(kOk, headers, std::nullopt);
   SendEvent(session);
 }
 
--- a/Tests/Support/PlatformEndpoint/platform_endpoint.h
+++ b/Tests/Support/PlatformEndpoint/platform_endpoint.h
@@ -24,6 +24,9 @@
   double failures = 0;
   double lost_answer_share = 0;
   double cut_answer_share = 0;
+  // Share of the requests that the endpoint refuses without running them, with
+  // the request for a pause.
+  double pause_share = 0;
   // Added to the duration of each request or event.
   core::Duration delay = core::Duration::zero();
 
@@ -56,8 +59,9 @@
   PlatformEndpoint& operator=(const PlatformEndpoint&) = delete;
 
   void SetFaults(const EndpointFaults& faults) { faults_ = faults; }
-  // Marks every answer from now on as the last on its connection.
-  void CloseAfterResponses() { server_->CloseAfterResponses(); }
+  // States in every answer from now on that the endpoint is leaving, and that
+  // the answer is the last on its connection.
+  void AnnounceDeparture();
   // Returns the number of active requests.
   size_t running() const { return sessions_.size(); }
   const EndpointOptions& options() const { return options_; }
@@ -73,9 +77,11 @@
                    RunObserver observer);
 
   void OnRequest(const TransactionPointer& transaction);
-  // Refuses a request that is addressed to another endpoint or exceeds the
-  // capacity. Returns true if it was refused.
+  // Refuses a request that is addressed to another endpoint, exceeds the
+  // capacity or falls into a pause. Returns true if it was refused.
   bool Refuse(const TransactionPointer& transaction, EndpointRun* run);
+  // Returns the headers that identify the answer of `run`.
+  http::Headers AnswerHeaders(EndpointRun* run) const;
   void StartSession(const TransactionPointer& transaction,
                     const RunPointer& run);
   void AnswerPlain(const SessionPointer& session);
@@ -88,6 +94,7 @@
   const RunObserver observer_;
   core::RandomSource random_;
   EndpointFaults faults_;
+  bool is_leaving_ = false;
   std::set<SessionPointer> sessions_;
   std::unique_ptr<http::RequestServer> server_;
 };
