Hundreds of hosts: loads by aggregators, reports that keep views fresh, copies before reads

Change: - LoadExchange: in fleets of more than 24 hosts a host reports to the three aggregators of its data centre (fast links first), one of which acts: it exchanges sums with those of the other data centres and sends the total to its neighbours every 0.1 to 0.5 s, within 8 % of its link. The next takes over after two missed totals. LibLoad's Aggregation is now one template for both interfaces. - Reports to relays and to neighbours have intervals of their own, within 20 KB/s of a relay; relays have fast links. - The fleet's topic is relayed like the others (it was read again after 120 s only, so that a new host stayed a stranger until then). A host that starts reads the fleet's addresses and then waits for copies, longer on the first start of all; copies are fetched spread over time and encoded once per 100 ms. Roles follow the member table once a tick. - Event platform_calls and a gauge count the calls by kind.

--- a/Libraries/LibCore/event.cc
+++ b/Libraries/LibCore/event.cc
@@ -114,6 +114,9 @@
     {EventCode::kLogRestored, "log_restored",
      "The platform was restored from a backup; the topic is read again from "
      "the start of its new history."},
+    {EventCode::kPlatformCalls, "platform_calls",
+     "The number of calls that this host has made to the platform since its "
+     "start, by kind."},
     {EventCode::kConfigurationApplied, "configuration_applied",
      "A configuration record took effect on this host."},
     {EventCode::kPlanMade, "plan_made", "A plan was made for an intent."},
--- a/Libraries/LibCore/event.h
+++ b/Libraries/LibCore/event.h
@@ -72,6 +72,7 @@
   kLogWentBackwards = 603,
   kRecordsTruncated = 604,
   kLogRestored = 605,
+  kPlatformCalls = 606,
   // 7xx: configuration, intents and orders.
   kConfigurationApplied = 700,
   kPlanMade = 701,
--- a/Libraries/LibForwarding/endpoint_chooser.cc
+++ b/Libraries/LibForwarding/endpoint_chooser.cc
@@ -61,7 +61,7 @@
                                         core::TimePoint now) const {
   const std::vector<const Endpoint*> endpoints =
       context_->endpoints->Available(pool_);
-  const core::Duration interval = context_->load_report_interval();
+  const core::Duration interval = context_->max_load_age();
   std::optional<Affinity> affinity;
   if (affinity_key_) {
     affinity = Affinity{
@@ -144,7 +144,7 @@
     const std::vector<const Endpoint*>& endpoints,
     const std::set<core::RunnerId>& tried,
     core::TimePoint now) const {
-  const core::Duration interval = context_->load_report_interval();
+  const core::Duration interval = context_->max_load_age();
   const bool uses_reports =
       context_->service_times.AreReportsUseful(pool_, interval, now);
   std::vector<EndpointCandidate> candidates;
--- a/Libraries/LibForwarding/forward_context.h
+++ b/Libraries/LibForwarding/forward_context.h
@@ -48,8 +48,8 @@
   core::DataCentreId data_centre;
   // Returns the number of hosts that share the fleet's retries.
   std::function<size_t()> host_count;
-  // Returns the time between two load reports of another host.
-  std::function<core::Duration()> load_report_interval;
+  // Returns the age that the known load of another host may reach.
+  std::function<core::Duration()> max_load_age;
   // Returns the age of this host's view of the endpoints, for log entries.
   std::function<core::Duration()> endpoint_view_age;
   std::map<core::PoolId, RetryAllowance> retries;
--- a/Libraries/LibLoad/pool_load_exchange.cc
+++ b/Libraries/LibLoad/pool_load_exchange.cc
@@ -148,7 +148,7 @@
                                   core::TimePoint now) {
   for (auto& [pool, it] : aggregated_) {
     it.sums.Expire(Lifetime(), now);
-    it.sums.RemoveOwnersIf([&table](const core::HostId& owner) {
+    it.sums.RemoveHostsIf([&table](const core::HostId& owner) {
       return table.Find(owner) == nullptr;
     });
   }
@@ -222,7 +222,7 @@
       continue;
     }
     AggregatedPool& pool = FindOrAddAggregatedPool(it.pool, now);
-    pool.sums.SetOwner(from.id, it.demand, now);
+    pool.sums.SetHost(from.id, it.demand, now);
     if (now >= pool.complete_at) {
       totals.push_back({it.pool, pool.sums.Total()});
     }
--- a/Libraries/LibLoad/pool_load_exchange.h
+++ b/Libraries/LibLoad/pool_load_exchange.h
@@ -20,7 +20,7 @@
 
 #include "LibCore/identifier.h"
 #include "LibCore/time.h"
-#include "LibLoad/pool_aggregation.h"
+#include "LibLoad/aggregation.h"
 #include "LibLoad/pool_load_message.h"
 #include "LibMembership/application_kind.h"
 #include "LibMembership/member_table.h"
@@ -92,7 +92,7 @@
   };
   // A pool for which this host is or was the aggregator.
   struct AggregatedPool {
-    PoolAggregation sums;
+    Aggregation<routing::PoolDemand> sums;
     // Time from which the sums include a report from every owner. No totals or
     // sums are sent before.
     core::TimePoint complete_at{};
--- a/Libraries/LibMembership/application_kind.h
+++ b/Libraries/LibMembership/application_kind.h
@@ -20,6 +20,8 @@
   kTopicReport = 80,
   kEndpointLoads = 81,
   kCrashes = 82,
+  kEndpointLoadSums = 83,
+  kEndpointLoadTotal = 84,
 };
 
 }  // namespace wasabi::membership
--- a/Libraries/LibMembership/member.h
+++ b/Libraries/LibMembership/member.h
@@ -42,6 +42,8 @@
   // Offset of the last configuration record that the daemon has applied, or -1
   // if it has applied none.
   int64_t applied_offset = -1;
+  // Capacity of the daemon's network link in Mbit/s; 0 if unknown.
+  uint32_t link_mbps = 0;
 
   auto operator<=>(const Member&) const = default;
   MSGPACK_DEFINE(id,
@@ -52,7 +54,8 @@
                  http_address,
                  incarnation,
                  state,
-                 applied_offset);
+                 applied_offset,
+                 link_mbps);
 };
 
 // Number of low bits of an incarnation that count refuted suspicions.
--- a/Libraries/LibPlatform/topic_view.cc
+++ b/Libraries/LibPlatform/topic_view.cc
@@ -89,6 +89,7 @@
 
 void TopicView::ReadSnapshot() {
   const core::TimePoint started_at = scheduler_->Now();
+  ++calls_.snapshot_reads;
   client_->ReadNewest(options_.topic, [weak = weak_from_this(), started_at](
                                           absl::StatusOr<KeyedPage> page) {
     if (const auto self = weak.lock()) {
@@ -100,6 +101,7 @@
 void TopicView::ReadTail(core::Duration wait) {
   const core::TimePoint started_at = scheduler_->Now();
   read_from_ = *next_;
+  ++calls_.tail_reads;
   client_->ReadFrom(
       options_.topic, read_from_, wait,
       [weak = weak_from_this(), started_at](absl::StatusOr<KeyedPage> page) {
--- a/Libraries/LibPlatform/topic_view.h
+++ b/Libraries/LibPlatform/topic_view.h
@@ -6,6 +6,8 @@
 #ifndef LIBPLATFORM_TOPIC_VIEW_H_
 #define LIBPLATFORM_TOPIC_VIEW_H_
 
+#include <compare>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -34,6 +36,14 @@
   uint64_t seed = 0;
 };
 
+// Calls that a view has made to the platform.
+struct TopicViewCalls {
+  uint64_t snapshot_reads = 0;
+  uint64_t tail_reads = 0;
+
+  auto operator<=>(const TopicViewCalls&) const = default;
+};
+
 struct TopicViewHandlers {
   // Receives the newest record of every key, which replace all previous
   // records; keys that are missing do not exist.
@@ -97,6 +107,8 @@
   // in the view.
   core::TimePoint confirmed_at() const { return confirmed_at_; }
   bool is_reachable() const { return is_reachable_; }
+  const TopicViewCalls& calls() const { return calls_; }
+  const std::string& topic() const { return options_.topic; }
   // Returns the time at which the platform last responded to this host.
   core::TimePoint read_at() const { return read_at_; }
   // Returns the time at which the view last recovered from an outage (see
@@ -130,6 +142,7 @@
   const TopicViewOptions options_;
   const TopicViewHandlers handlers_;
   Backoff backoff_;
+  TopicViewCalls calls_;
   // The offset of the first record that the view lacks.
   std::optional<Offset> next_;
   // The offset at which the read in flight starts.
--- a/Services/Forwarder/fleet_controller.cc
+++ b/Services/Forwarder/fleet_controller.cc
@@ -23,17 +23,14 @@
 // Long-poll time of a read from the platform. It is shorter than the view age
 // at which other hosts fall back to reading the platform themselves.
 constexpr core::Duration kLongPollWait = core::milliseconds(500);
-// Report intervals in a small fleet. In a large fleet the intervals grow, so
-// that a host sends no more than the maximum bytes per second below. A topic
-// report with changes is sent immediately.
+// Interval of topic reports in a small fleet. In a large fleet it grows, so
+// that a relay sends no more than the maximum bytes per second below. It stays
+// well under the view age at which the receivers read the platform themselves,
+// also when a report is lost. A report with changes is sent immediately.
 constexpr core::Duration kMinTopicReportInterval = core::milliseconds(200);
-constexpr core::Duration kMinLoadReportInterval = core::milliseconds(100);
-constexpr double kMaxTopicReportBytesPerSecond = 5000;
-constexpr double kMaxLoadReportBytesPerSecond = 9000;
-// Typical bytes of a report with its headers: for one topic without changes,
-// and for the endpoint loads.
+constexpr double kMaxTopicReportBytesPerSecond = 20'000;
+// Typical bytes of a report on one topic without changes, with its headers.
 constexpr double kTopicReportBytes = 60;
-constexpr double kLoadReportBytes = 85;
 // A host reads the platform itself when its view is older than a share of the
 // smaller of the bounds on leaving endpoints and configurations. The share
 // grows with the reader rank, so that the next readers take over first. It
@@ -49,18 +46,39 @@
 // only those readers, but rarely, so that a large fleet does not overload it.
 constexpr core::Duration kReaderMaxBackoff = core::milliseconds(400);
 constexpr core::Duration kNonReaderMaxBackoff = core::seconds(2);
-// The fleet topic lists the gossip addresses of the hosts. Only a host that
-// knows no other host needs it quickly.
-constexpr core::Duration kFleetTopicMaxAge = core::seconds(120);
-constexpr core::Duration kFleetTopicRetryInterval = core::milliseconds(500);
-constexpr core::Duration kRegistrationRetryInterval = core::milliseconds(500);
-// The hosts register again within this time after the platform was restored. It
-// spreads the appends of a large fleet, which the platform makes one by one.
-constexpr core::Duration kReregistrationSpread = core::seconds(3);
-constexpr core::Duration kCopyTimeout = core::milliseconds(400);
+// Long-poll time and view age for topics that are not urgent.
+constexpr core::Duration kLongPollWaitNotUrgent = core::seconds(2);
+constexpr core::Duration kFallbackAgeNotUrgent = core::seconds(6);
+// A host that starts gives the others time to send it copies of the topics
+// before it reads the platform itself. The time grows with the fleet, and each
+// host waits for a random share of it, so that hundreds of hosts that start
+// together don't all read the platform.
+struct StartPatience {
+  // Time until the host reads the addresses of the fleet.
+  core::Duration until_fleet_is_read{};
+  // Time after that for copies of the other topics.
+  core::Duration per_host{};
+  core::Duration maximum{};
+};
+constexpr StartPatience kRestart = {.per_host = core::milliseconds(5),
+                                    .maximum = core::milliseconds(1500)};
+// When the fleet starts for the first time, no caller waits. The host first
+// lets the others register.
+constexpr StartPatience kFirstStart = {.until_fleet_is_read = core::seconds(2),
+                                       .per_host = core::milliseconds(12),
+                                       .maximum = core::seconds(4)};
+constexpr double kMinPatienceShare = 0.5;
+constexpr core::Duration kCallsRecordPeriod = core::seconds(10);
+constexpr core::Duration kCopyTimeout = core::milliseconds(800);
 // Minimum time between two fetches of a topic's copy. Configurations that
 // change in quick succession are fetched together.
 constexpr core::Duration kMinFetchInterval = core::milliseconds(300);
+constexpr core::Duration kMinFetchIntervalNotUrgent = core::seconds(1);
+// A fetch starts after a random delay of up to this time for each host of the
+// data centre.
+constexpr core::Duration kFetchSpreadPerPeer = core::milliseconds(5);
+// Time for which an encoded copy is served again while its topic is unchanged.
+constexpr core::Duration kCopyCacheTime = core::milliseconds(100);
 // Maximum size of a decompressed copy.
 constexpr size_t kMaxCopyBytes = 16U << 20U;
 // Maximum number of suspect requests of one crash that fit in a datagram.
@@ -70,16 +88,9 @@
 // Callers in a data centre with fewer serving hosts than this receive the
 // addresses of the whole fleet.
 constexpr size_t kMinServingHosts = 2;
-// A host's load report expires after this many report intervals.
-constexpr int kLoadReportExpiryIntervals = 4;
-
-core::Duration ReportInterval(core::Duration minimum,
-                              double bytes,
-                              size_t receivers,
-                              double rate) {
-  const double seconds = static_cast<double>(receivers) * bytes / rate;
-  return std::max(minimum, core::FromSeconds(seconds));
-}
+// Share of a host's link that it uses for totals of the fleet's load.
+constexpr double kLoadTotalLinkShare = 0.08;
+constexpr double kBytesPerMegabit = 125'000;
 
 absl::StatusOr<forwarding::TopicSnapshot> DecodeCopy(
     const absl::StatusOr<http::ClientResponse>& response) {
@@ -112,7 +123,24 @@
                                  const ForwarderSettings& settings)
     : context_(context),
       settings_(settings),
-      random_(core::ProcessSeed(settings.host.Hash())) {}
+      load_exchange_({.self = settings.host,
+                      .aggregator_rate = settings.link_mbps * kBytesPerMegabit *
+                                         kLoadTotalLinkShare},
+                     context.loads,
+                     [this](const std::vector<core::HostId>& to,
+                            ApplicationKind kind,
+                            std::string_view body) {
+                       SendTo(to, static_cast<uint8_t>(kind), body);
+                     }),
+      random_(core::ProcessSeed(settings.host.Hash())),
+      fleet_topic_(context.adapters,
+                   context.scheduler,
+                   context.events,
+                   settings,
+                   random_.Next()),
+      started_at_(context.loop->Now()),
+      patience_share_(kMinPatienceShare +
+                      (1 - kMinPatienceShare) * random_.Unit()) {}
 
 FleetController::~FleetController() = default;
 
@@ -123,89 +151,88 @@
   options.self.gossip_address = settings_.gossip_address;
   options.self.link_address = settings_.internal_address;
   options.self.http_address = settings_.callers_address;
+  options.self.link_mbps = static_cast<uint32_t>(settings_.link_mbps);
   TRY_ASSIGN(gossip_,
              membership::GossipNode::Create(
                  context_.loop, options,
                  core::ProcessSeed(settings_.host.Hash()), context_.events));
-  gossip_->OnChange([this](const membership::MemberTableSnapshot& table) {
-    roles_ = DeriveRoles(*table, settings_.host, settings_.data_centre);
+  // A fleet that starts changes the table hundreds of times a second, so the
+  // roles follow at the next tick.
+  gossip_->OnChange([this](const membership::MemberTableSnapshot& /*table*/) {
+    are_roles_stale_ = true;
   });
-  gossip_->SetApplicationHandler(
-      static_cast<uint8_t>(ApplicationKind::kTopicReport),
-      [this](const Member& from, std::string_view body) {
-        return OnTopicReport(from, body);
-      });
-  gossip_->SetApplicationHandler(
-      static_cast<uint8_t>(ApplicationKind::kEndpointLoads),
-      [this](const Member& from, std::string_view body) {
-        return OnLoadReport(from, body);
-      });
-  gossip_->SetApplicationHandler(
-      static_cast<uint8_t>(ApplicationKind::kCrashes),
-      [this](const Member& /*from*/, std::string_view body) {
-        return OnCrashReport(body);
-      });
-  roles_ =
-      DeriveRoles(*gossip_->table(), settings_.host, settings_.data_centre);
-  for (const core::SocketAddress& it : settings_.seeds) {
-    if (it != settings_.gossip_address) {
-      seeds_.push_back(it);
-    }
-  }
-  gossip_->SetSeeds(seeds_);
-  StartFleetTopic();
+  SetApplicationHandlers();
+  gossip_->SetSeeds(fleet_topic_.addresses());
+  fleet_topic_.SetObserver(
+      [this]() { gossip_->SetSeeds(fleet_topic_.addresses()); });
   ticker_ = context_.loop->NewTimer([this]() { Tick(); });
   ticker_->StartRepeating(kTick);
   return absl::OkStatus();
 }
 
-void FleetController::StartFleetTopic() {
-  platform::TopicViewHandlers handlers;
-  handlers.on_snapshot =
-      [this](const std::vector<platform::KeyedRecord>& records) {
-        for (const platform::KeyedRecord& it : records) {
-          AddSeed(it);
-        }
-        gossip_->SetSeeds(seeds_);
-      };
-  handlers.on_record = [this](const platform::KeyedRecord& record) {
-    AddSeed(record);
-    gossip_->SetSeeds(seeds_);
+void FleetController::SetApplicationHandlers() {
+  const auto handle = [this](ApplicationKind kind, auto handler) {
+    gossip_->SetApplicationHandler(static_cast<uint8_t>(kind), handler);
   };
-  handlers.on_event = [this](core::EventCode code, const std::string& detail) {
-    context_.events->Record(code, "", detail);
-  };
-  fleet_topic_ = std::make_shared<platform::TopicView>(
-      context_.adapters->topics.get(), context_.scheduler,
-      platform::TopicViewOptions{
-          .topic = context_.adapters->names.fleet,
-          .seed = core::ProcessSeed(settings_.host.Hash())},
-      std::move(handlers));
+  handle(ApplicationKind::kTopicReport,
+         [this](const Member& from, std::string_view body) {
+           return OnTopicReport(from, body);
+         });
+  handle(ApplicationKind::kEndpointLoads,
+         [this](const Member& from, std::string_view body) {
+           return load_exchange_.OnReport(from, body, context_.loop->Now());
+         });
+  handle(ApplicationKind::kEndpointLoadSums,
+         [this](const Member& from, std::string_view body) {
+           return load_exchange_.OnSums(from, body, context_.loop->Now());
+         });
+  handle(ApplicationKind::kEndpointLoadTotal,
+         [this](const Member& from, std::string_view body) {
+           return load_exchange_.OnTotal(from, body, context_.loop->Now());
+         });
+  handle(ApplicationKind::kCrashes,
+         [this](const Member& /*from*/, std::string_view body) {
+           return OnCrashReport(body);
+         });
 }
 
-void FleetController::AddSeed(const platform::KeyedRecord& record) {
-  const auto address = core::SocketAddress::Parse(record.value.value_or(""));
-  if (!address.ok()) {
-    context_.events->Record(core::EventCode::kRecordSkipped, "",
-                            "topic=fleet host=" + record.key);
+void FleetController::UpdateRoles() {
+  if (!are_roles_stale_) {
     return;
   }
-  if (*address != settings_.gossip_address &&
-      std::find(seeds_.begin(), seeds_.end(), *address) == seeds_.end()) {
-    seeds_.push_back(*address);
-  }
+  are_roles_stale_ = false;
+  const membership::MemberTableSnapshot table = gossip_->table();
+  roles_ = DeriveRoles(*table, settings_.host, settings_.data_centre);
+  load_exchange_.SetPeers(
+      DeriveLoadPeers(*table, settings_.host, settings_.data_centre));
 }
 
 void FleetController::SetTopics(std::vector<RelayedTopic> topics) {
   topics_ = std::move(topics);
+  topics_.push_back({.view = fleet_topic_.view(),
+                     .relay = fleet_topic_.relay(),
+                     .is_urgent = false});
 }
 
-std::string FleetController::EncodedCopy(uint8_t topic) const {
+std::string FleetController::EncodedCopy(uint8_t topic) {
+  const core::TimePoint now = context_.loop->Now();
   for (const RelayedTopic& it : topics_) {
-    if (it.relay->topic() == topic && it.view->is_loaded()) {
-      return core::Compress(core::Encode(
-          forwarding::MakeTopicSnapshot(*it.view, context_.loop->Now())));
+    if (it.relay->topic() != topic || !it.view->is_loaded()) {
+      continue;
+    }
+    CachedCopy& cached = copies_[topic];
+    const bool is_current =
+        cached.next == it.view->next() && cached.epoch == it.view->epoch();
+    if (!is_current || now - cached.encoded_at > kCopyCacheTime) {
+      // The age is right at the end of the time in the cache.
+      const auto snapshot =
+          forwarding::MakeTopicSnapshot(*it.view, now + kCopyCacheTime);
+      cached = {.body = core::Compress(core::Encode(snapshot)),
+                .next = it.view->next(),
+                .epoch = it.view->epoch(),
+                .encoded_at = now};
     }
+    return cached.body;
   }
   return {};
 }
@@ -242,63 +269,56 @@
 }
 
 size_t FleetController::host_count() const {
-  return std::max(gossip_->table()->members().size(), seeds_.size() + 1);
+  return std::max(gossip_->table()->members().size(),
+                  fleet_topic_.addresses().size() + 1);
 }
 
-core::Duration FleetController::load_report_interval() const {
-  return ReportInterval(kMinLoadReportInterval, kLoadReportBytes,
-                        roles_.others.size(), kMaxLoadReportBytesPerSecond);
+void FleetController::Tick() {
+  UpdateRoles();
+  platform::LogEpoch epoch = 0;
+  for (const RelayedTopic& it : topics_) {
+    epoch = std::max(epoch, it.view->epoch());
+  }
+  fleet_topic_.Tick(epoch);
+  RefreshTopics();
+  StartDueFetches();
+  SendTopicReports();
+  load_exchange_.Tick(context_.loop->Now());
+  SendCrashReports();
+  RecordPlatformCalls();
 }
 
-void FleetController::Register() {
-  const core::TimePoint now = context_.loop->Now();
-  if (is_registered_ || is_registering_ || now < next_registration_at_) {
-    return;
+uint64_t FleetController::platform_calls() const {
+  const auto calls_of = [](const platform::TopicView& view) {
+    return view.calls().snapshot_reads + view.calls().tail_reads;
+  };
+  uint64_t calls = fleet_topic_.writes();
+  for (const RelayedTopic& it : topics_) {
+    calls += calls_of(*it.view);
   }
-  is_registering_ = true;
-  next_registration_at_ = now + kRegistrationRetryInterval;
-  context_.adapters->topics->Put(
-      context_.adapters->names.fleet, settings_.host.value(),
-      settings_.gossip_address.ToString(),
-      [this](const absl::StatusOr<platform::LogEpoch>& written) {
-        OnRegistered(written);
-      });
+  return calls;
 }
 
-void FleetController::OnRegistered(
-    const absl::StatusOr<platform::LogEpoch>& written) {
-  is_registering_ = false;
-  is_registered_ = written.ok();
-  if (!written.ok()) {
-    context_.events->Record(
-        core::EventCode::kPlatformDown, "",
-        "topic=fleet error=" + core::MessageOf(written.status()));
+void FleetController::RecordPlatformCalls() {
+  if (context_.loop->Now() < next_calls_record_at_) {
     return;
   }
-  registered_epoch_ = *written;
-}
-
-void FleetController::CheckRegistration() {
+  next_calls_record_at_ = context_.loop->Now() + kCallsRecordPeriod;
+  const auto describe = [](const platform::TopicView& view) {
+    return fmt::format(" {}={}+{}", view.topic(), view.calls().snapshot_reads,
+                       view.calls().tail_reads);
+  };
+  std::string calls = fmt::format("writes={}", fleet_topic_.writes());
   for (const RelayedTopic& it : topics_) {
-    if (!is_registered_ || it.view->epoch() <= registered_epoch_) {
-      continue;
-    }
-    is_registered_ = false;
-    registered_epoch_ = it.view->epoch();
-    next_registration_at_ =
-        context_.loop->Now() +
-        core::FromSeconds(core::ToSeconds(kReregistrationSpread) *
-                          random_.Unit());
+    calls += describe(*it.view);
+  }
+  if (calls != recorded_calls_) {
+    recorded_calls_ = calls;
+    context_.events->Record(
+        core::EventCode::kPlatformCalls, "",
+        fmt::format("{} reader_rank={} is_relay={} members={}", calls,
+                    roles_.reader_rank, roles_.is_relay, roles_.others.size()));
   }
-}
-
-void FleetController::Tick() {
-  CheckRegistration();
-  Register();
-  RefreshTopics();
-  SendTopicReports();
-  SendLoadReport();
-  SendCrashReports();
 }
 
 core::Duration FleetController::FallbackAge() const {
@@ -318,61 +338,100 @@
 }
 
 void FleetController::RefreshTopics() {
+  if (fleet_topic_loaded_at_ == core::TimePoint() &&
+      fleet_topic_.view()->is_loaded()) {
+    fleet_topic_loaded_at_ = context_.loop->Now();
+  }
   for (const RelayedTopic& it : topics_) {
     it.view->SetMaximumBackoff(roles_.reader_rank < kActingReaderRanks
                                    ? kReaderMaxBackoff
                                    : kNonReaderMaxBackoff);
-    if (roles_.reader_rank == 0) {
-      it.view->RefreshIfStale(core::Duration::zero(), kLongPollWait);
+    if (!MayRead(it)) {
+      continue;
+    }
+    if (IsReader()) {
+      it.view->RefreshIfStale(
+          core::Duration::zero(),
+          it.is_urgent ? kLongPollWait : kLongPollWaitNotUrgent);
     } else {
-      it.view->RefreshIfStale(FallbackAge(), core::Duration::zero());
+      it.view->RefreshIfStale(
+          it.is_urgent ? FallbackAge() : kFallbackAgeNotUrgent,
+          core::Duration::zero());
     }
   }
-  fleet_topic_->RefreshIfStale(
-      roles_.others.empty() ? kFleetTopicRetryInterval : kFleetTopicMaxAge,
-      core::Duration::zero());
+}
+
+bool FleetController::IsReader() const {
+  if (roles_.reader_rank != 0) {
+    return false;
+  }
+  // A host that has just started takes itself for the first of the few hosts
+  // that it knows.
+  const size_t registered_hosts = fleet_topic_.addresses().size();
+  return fleet_topic_.view()->is_loaded() &&
+         2 * roles_.others.size() >= registered_hosts;
+}
+
+bool FleetController::MayRead(const RelayedTopic& topic) const {
+  if (topic.view->is_loaded()) {
+    return true;
+  }
+  const core::TimePoint now = context_.loop->Now();
+  const StartPatience& patience =
+      settings_.is_first_start ? kFirstStart : kRestart;
+  if (!topic.is_urgent) {
+    return now - started_at_ >= ShareOf(patience.until_fleet_is_read);
+  }
+  if (!fleet_topic_.view()->is_loaded()) {
+    return now - started_at_ >=
+           ShareOf(patience.until_fleet_is_read + patience.maximum);
+  }
+  const auto hosts = static_cast<int64_t>(fleet_topic_.addresses().size());
+  const core::Duration wait =
+      std::min<core::Duration>(patience.maximum, patience.per_host * hosts);
+  return IsReader() || now - fleet_topic_loaded_at_ >= ShareOf(wait);
+}
+
+core::Duration FleetController::ShareOf(core::Duration patience) const {
+  return core::FromSeconds(core::ToSeconds(patience) * patience_share_);
 }
 
 void FleetController::SendTopicReports() {
   const core::TimePoint now = context_.loop->Now();
-  const bool is_due = now >= next_topic_report_at_;
+  const bool is_relay_due = now >= next_report_to_relays_at_;
+  const bool is_peer_due = now >= next_report_to_peers_at_;
   for (const RelayedTopic& it : topics_) {
-    const bool is_wanted = is_due || it.relay->has_updates();
-    const bool is_reader = IsActingReader(it);
-    if (!it.view->is_loaded() || !is_wanted ||
-        (!is_reader && !roles_.is_relay)) {
+    const bool has_updates = it.is_urgent && it.relay->has_updates();
+    const bool goes_to_relays =
+        IsActingReader(it) && (is_relay_due || has_updates);
+    const bool goes_to_peers = roles_.is_relay && (is_peer_due || has_updates);
+    if (!it.view->is_loaded() || (!goes_to_relays && !goes_to_peers)) {
       continue;
     }
     const std::string body = core::Encode(it.relay->MakeReport(*it.view, now));
     constexpr auto kKind = static_cast<uint8_t>(ApplicationKind::kTopicReport);
-    if (is_reader) {
+    if (goes_to_relays) {
       SendTo(roles_.report_relays, kKind, body);
     }
-    if (roles_.is_relay) {
+    if (goes_to_peers) {
       SendTo(roles_.data_centre_peers, kKind, body);
     }
   }
-  if (is_due) {
-    const size_t receivers =
-        roles_.report_relays.size() + roles_.data_centre_peers.size();
-    next_topic_report_at_ =
-        now +
-        ReportInterval(kMinTopicReportInterval,
-                       kTopicReportBytes * static_cast<double>(topics_.size()),
-                       receivers, kMaxTopicReportBytesPerSecond);
+  if (is_relay_due) {
+    next_report_to_relays_at_ =
+        now + TopicReportInterval(roles_.report_relays.size());
+  }
+  if (is_peer_due) {
+    next_report_to_peers_at_ =
+        now + TopicReportInterval(roles_.data_centre_peers.size());
   }
 }
 
-void FleetController::SendLoadReport() {
-  const core::TimePoint now = context_.loop->Now();
-  const core::Duration interval = load_report_interval();
-  context_.loads->Expire(interval * kLoadReportExpiryIntervals, now);
-  if (now < next_load_report_at_) {
-    return;
-  }
-  next_load_report_at_ = now + interval;
-  SendTo(roles_.others, static_cast<uint8_t>(ApplicationKind::kEndpointLoads),
-         forwarding::EncodeLoadReport(context_.loads->MakeReport()));
+core::Duration FleetController::TopicReportInterval(size_t receivers) const {
+  const double bytes = kTopicReportBytes * static_cast<double>(topics_.size()) *
+                       static_cast<double>(receivers);
+  return std::max(kMinTopicReportInterval,
+                  core::FromSeconds(bytes / kMaxTopicReportBytesPerSecond));
 }
 
 void FleetController::SendCrashReports() {
@@ -442,13 +501,42 @@
       !fetches_in_flight_.insert(number).second) {
     return;
   }
-  next_fetch_at_[number] = now + kMinFetchInterval;
+  next_fetch_at_[number] =
+      now + (topic.is_urgent ? kMinFetchInterval : kMinFetchIntervalNotUrgent);
+  // The neighbours of a relay hear of a change at the same moment.
+  const core::Duration spread =
+      kFetchSpreadPerPeer *
+      static_cast<int64_t>(roles_.data_centre_peers.size());
+  pending_fetches_.push_back(
+      {.topic = number,
+       .from = from.link_address,
+       .view = topic.view,
+       .due_at =
+           now + core::FromSeconds(core::ToSeconds(spread) * random_.Unit())});
+}
+
+void FleetController::StartDueFetches() {
+  const core::TimePoint now = context_.loop->Now();
+  std::vector<PendingFetch> due;
+  std::erase_if(pending_fetches_, [&](const PendingFetch& it) {
+    if (it.due_at > now) {
+      return false;
+    }
+    due.push_back(it);
+    return true;
+  });
+  for (const PendingFetch& it : due) {
+    SendFetch(it);
+  }
+}
+
+void FleetController::SendFetch(const PendingFetch& fetch) {
   http::ClientRequest request;
-  request.address = from.link_address;
-  request.target = fmt::format("/v1/topics/{}", number);
+  request.address = fetch.from;
+  request.target = fmt::format("/v1/topics/{}", fetch.topic);
   request.total_timeout = kCopyTimeout;
   context_.client->Fetch(
-      request, [this, number, view = topic.view](
+      request, [this, number = fetch.topic, view = fetch.view](
                    const absl::StatusOr<http::ClientResponse>& response) {
         fetches_in_flight_.erase(number);
         const auto copy = DecodeCopy(response);
@@ -459,18 +547,12 @@
         context_.events->Record(core::EventCode::kPlatformDown, "",
                                 fmt::format("topic={} no copy: {}", number,
                                             core::MessageOf(copy.status())));
-        view->RefreshIfStale(core::Duration::zero(), core::Duration::zero());
+        if (view->is_loaded()) {
+          view->RefreshIfStale(core::Duration::zero(), core::Duration::zero());
+        }
       });
 }
 
-absl::Status FleetController::OnLoadReport(const Member& from,
-                                           std::string_view body) {
-  TRY_ASSIGN(const forwarding::LoadReport report,
-             forwarding::DecodeLoadReport(body));
-  context_.loads->ApplyReport(from.id, report, context_.loop->Now());
-  return absl::OkStatus();
-}
-
 void FleetController::SendTo(const std::vector<core::HostId>& hosts,
                              uint8_t kind,
                              std::string_view body) {
--- a/Services/Forwarder/fleet_controller.h
+++ b/Services/Forwarder/fleet_controller.h
@@ -22,13 +22,14 @@
 #include "LibCore/event_ring.h"
 #include "LibCore/random_source.h"
 #include "LibForwarding/adapter_set.h"
-#include "LibForwarding/load_table.h"
+#include "LibForwarding/load_exchange.h"
 #include "LibForwarding/topic_relay.h"
 #include "LibHttp/client.h"
 #include "LibMembership/gossip_node.h"
 #include "LibPlatform/topic_view.h"
 #include "LibRouting/quarantine_table.h"
 #include "Services/Forwarder/fleet_roles.h"
+#include "Services/Forwarder/fleet_topic_controller.h"
 #include "Services/Forwarder/forwarder_settings.h"
 
 namespace wasabi::forwarder {
@@ -38,6 +39,9 @@
 struct RelayedTopic {
   platform::TopicView* view = nullptr;
   forwarding::TopicRelay* relay = nullptr;
+  // Whether changes must reach all hosts at once, within the bounds on leaving
+  // endpoints and configurations.
+  bool is_urgent = true;
 };
 
 // The dependencies of a FleetController. All of them must outlive it.
@@ -66,7 +70,7 @@
   void SetTopics(std::vector<RelayedTopic> topics);
   // Returns this host's copy of the topic with the number `topic`, encoded and
   // compressed, or "" if the topic is unknown or not loaded yet.
-  std::string EncodedCopy(uint8_t topic) const;
+  std::string EncodedCopy(uint8_t topic);
 
   // Applies the staleness bounds of reloaded settings. Other settings, such as
   // addresses, keep their values.
@@ -83,8 +87,11 @@
   std::vector<core::SocketAddress> ServingAddresses(
       const core::DataCentreId& data_centre) const;
 
-  // Returns the time between two load reports of a host.
-  core::Duration load_report_interval() const;
+  // Returns the age that the known load of another host may reach.
+  core::Duration max_load_age() const { return load_exchange_.MaxAge(); }
+
+  // Returns the number of calls that this host has made to the platform.
+  uint64_t platform_calls() const;
 
   // Returns an upper estimate of the number of running hosts. It includes hosts
   // that are unreachable at the moment.
@@ -99,28 +106,51 @@
     core::TimePoint next_send_at{};
   };
 
+  // A fetch of a topic's copy that waits for its turn.
+  struct PendingFetch {
+    uint8_t topic = 0;
+    core::SocketAddress from;
+    platform::TopicView* view = nullptr;
+    core::TimePoint due_at{};
+  };
+
+  struct CachedCopy {
+    std::string body;
+    platform::Offset next = 0;
+    platform::LogEpoch epoch = 0;
+    core::TimePoint encoded_at{};
+  };
+
   FleetController(const FleetContext& context,
                   const ForwarderSettings& settings);
 
   absl::Status Start();
-  void StartFleetTopic();
-  void AddSeed(const platform::KeyedRecord& record);
-  void Register();
-  void OnRegistered(const absl::StatusOr<platform::LogEpoch>& written);
-  // Schedules another registration if the platform was restored from a backup
-  // since the last one, which may have been lost.
-  void CheckRegistration();
+  void SetApplicationHandlers();
+  // Derives this host's roles and peers from the member table if it has
+  // changed.
+  void UpdateRoles();
   void Tick();
+  // Records the number of calls to the platform if it has changed.
+  void RecordPlatformCalls();
   void RefreshTopics();
+  // Returns whether this host is the reader of the fleet, as far as it knows
+  // the fleet.
+  bool IsReader() const;
+  // Returns whether this host may read the topic from the platform itself.
+  // While a copy from another host can be expected, it may not.
+  bool MayRead(const RelayedTopic& topic) const;
+  // Returns this host's random share of a time for which it waits for copies.
+  core::Duration ShareOf(core::Duration patience) const;
   void SendTopicReports();
-  void SendLoadReport();
+  core::Duration TopicReportInterval(size_t receivers) const;
   void SendCrashReports();
   absl::Status OnTopicReport(const membership::Member& from,
                              std::string_view body);
-  absl::Status OnLoadReport(const membership::Member& from,
-                            std::string_view body);
   absl::Status OnCrashReport(std::string_view body);
+  // Schedules a fetch of the topic's copy from a host that has newer records.
   void FetchCopy(const membership::Member& from, const RelayedTopic& topic);
+  void StartDueFetches();
+  void SendFetch(const PendingFetch& fetch);
   // Returns true if this host currently reads `topic` from the platform on
   // behalf of the fleet.
   bool IsActingReader(const RelayedTopic& topic) const;
@@ -134,24 +164,30 @@
   ForwarderSettings settings_;
   std::unique_ptr<membership::GossipNode> gossip_;
   FleetRoles roles_;
-  std::shared_ptr<platform::TopicView> fleet_topic_;
-  std::vector<core::SocketAddress> seeds_;
+  bool are_roles_stale_ = true;
+  forwarding::LoadExchange load_exchange_;
   std::vector<RelayedTopic> topics_;
   // Numbers of the topics whose copy is being fetched.
   std::set<uint8_t> fetches_in_flight_;
+  std::vector<PendingFetch> pending_fetches_;
   // The earliest time of the next fetch, by topic number.
   std::map<uint8_t, core::TimePoint> next_fetch_at_;
   std::unique_ptr<core::Timer> ticker_;
   // Crash reports with sends remaining, oldest first.
   std::deque<CrashReport> pending_crash_reports_;
-  core::TimePoint next_topic_report_at_{};
-  core::TimePoint next_load_report_at_{};
-  core::TimePoint next_registration_at_{};
-  bool is_registered_ = false;
-  bool is_registering_ = false;
-  // History of the platform's log in which this host last registered.
-  platform::LogEpoch registered_epoch_ = 0;
+  core::TimePoint next_report_to_relays_at_{};
+  core::TimePoint next_report_to_peers_at_{};
+  std::string recorded_calls_;
+  core::TimePoint next_calls_record_at_{};
   core::RandomSource random_;
+  FleetTopicController fleet_topic_;
+  const core::TimePoint started_at_;
+  // When the fleet topic was first loaded.
+  core::TimePoint fleet_topic_loaded_at_{};
+  // Share of the time for which a starting host waits for copies, from 0 to 1.
+  const double patience_share_;
+  // The latest encoded copy of each topic, by topic number.
+  std::map<uint8_t, CachedCopy> copies_;
 };
 
 }  // namespace wasabi::forwarder
--- a/Services/Forwarder/fleet_roles.cc
+++ b/Services/Forwarder/fleet_roles.cc
@@ -1,6 +1,9 @@
 #include "Services/Forwarder/fleet_roles.h"
 
+#include <algorithm>
+#include <map>
 #include <set>
+#include <utility>
 
 namespace wasabi::forwarder {
 
@@ -11,11 +14,26 @@
 
 constexpr std::string_view kReaderRoleKey = "platform-reader";
 constexpr std::string_view kRelayRoleKey = "topic-relay";
+constexpr std::string_view kAggregatorRoleKey = "load-aggregator";
+// Aggregators of a data centre, of which one acts.
+constexpr size_t kAggregators = 3;
 
-const Member* RelayOf(const membership::MemberTable& table,
-                      const core::DataCentreId& data_centre) {
-  return table.OwnerInDataCentre(kRelayRoleKey, MemberRole::kRouter,
-                                 data_centre);
+// Returns the members in the order in which they are preferred for a role that
+// sends much: those that are not suspected to be down first, of these the ones
+// with the fastest links, in rendezvous order.
+std::vector<const Member*> RankedSenders(const membership::MemberTable& table,
+                                         std::string_view role_key) {
+  std::vector<const Member*> ranked =
+      table.RankedOwners(role_key, MemberRole::kRouter);
+  const auto preference = [](const Member* it) {
+    return std::make_pair(it->state == membership::MemberState::kAlive,
+                          it->link_mbps);
+  };
+  std::stable_sort(ranked.begin(), ranked.end(),
+                   [&](const Member* a, const Member* b) {
+                     return preference(a) > preference(b);
+                   });
+  return ranked;
 }
 
 }  // namespace
@@ -31,9 +49,6 @@
     }
     ++roles.reader_rank;
   }
-  const Member* relay = RelayOf(table, data_centre);
-  roles.is_relay = relay == nullptr || relay->id == self;
-  std::set<core::DataCentreId> other_data_centres;
   for (const Member& it : table.members()) {
     if (it.id == self) {
       continue;
@@ -41,21 +56,47 @@
     roles.others.push_back(it.id);
     if (it.data_centre == data_centre) {
       roles.data_centre_peers.push_back(it.id);
-    } else {
-      other_data_centres.insert(it.data_centre);
     }
   }
-  for (const core::DataCentreId& it : other_data_centres) {
-    if (const Member* other = RelayOf(table, it)) {
-      roles.report_relays.push_back(other->id);
+  // The first member of each data centre is its relay. A reader that does not
+  // relay for its own data centre also reports to the host that does.
+  std::set<core::DataCentreId> covered;
+  roles.is_relay = true;
+  for (const Member* it : RankedSenders(table, kRelayRoleKey)) {
+    if (!covered.insert(it->data_centre).second || it->id == self) {
+      continue;
     }
-  }
-  // A reader that does not relay for its own data centre also reports to the
-  // host that does.
-  if (!roles.is_relay) {
-    roles.report_relays.push_back(relay->id);
+    roles.report_relays.push_back(it->id);
+    roles.is_relay = roles.is_relay && it->data_centre != data_centre;
   }
   return roles;
 }
 
+forwarding::LoadPeers DeriveLoadPeers(const membership::MemberTable& table,
+                                      const core::HostId& self,
+                                      const core::DataCentreId& data_centre) {
+  forwarding::LoadPeers peers;
+  for (const Member& it : table.members()) {
+    if (it.id == self) {
+      continue;
+    }
+    peers.fleet.push_back(it.id);
+    if (it.data_centre == data_centre) {
+      peers.data_centre.push_back(it.id);
+    }
+  }
+  std::map<core::DataCentreId, size_t> counts;
+  for (const Member* it : RankedSenders(table, kAggregatorRoleKey)) {
+    if (++counts[it->data_centre] > kAggregators) {
+      continue;
+    }
+    if (it->data_centre == data_centre) {
+      peers.aggregators.push_back(it->id);
+    } else {
+      peers.other_aggregators.push_back(it->id);
+    }
+  }
+  return peers;
+}
+
 }  // namespace wasabi::forwarder
--- a/Services/Forwarder/fleet_roles.h
+++ b/Services/Forwarder/fleet_roles.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "LibCore/identifier.h"
+#include "LibForwarding/load_exchange.h"
 #include "LibMembership/member_table.h"
 
 namespace wasabi::forwarder {
@@ -34,6 +35,13 @@
                        const core::HostId& self,
                        const core::DataCentreId& data_centre);
 
+// Returns the hosts with which the host `self` shares loads. The aggregators of
+// a data centre are its hosts with the fastest links, in rendezvous order;
+// hosts that are suspected to be down come last.
+forwarding::LoadPeers DeriveLoadPeers(const membership::MemberTable& table,
+                                      const core::HostId& self,
+                                      const core::DataCentreId& data_centre);
+
 }  // namespace wasabi::forwarder
 
 #endif  // SERVICES_FORWARDER_FLEET_ROLES_H_
--- a/Services/Forwarder/forwarder_daemon.cc
+++ b/Services/Forwarder/forwarder_daemon.cc
@@ -147,9 +147,10 @@
   context_.retry_policy = settings_.retries;
   context_.data_centre = settings_.data_centre;
   context_.host_count = [this]() { return fleet_->host_count(); };
-  context_.load_report_interval = [this]() {
-    return fleet_->load_report_interval();
-  };
+  context_.max_load_age = [this]() { return fleet_->max_load_age(); };
+  metrics_.Gauge("platform_calls", [this]() {
+    return static_cast<double>(fleet_->platform_calls());
+  });
   context_.endpoint_view_age = [this]() {
     return loop_->Now() - registrations_->view()->confirmed_at();
   };
--- a/Services/Forwarder/forwarder_settings.cc
+++ b/Services/Forwarder/forwarder_settings.cc
@@ -36,6 +36,11 @@
        "Name of the daemon, unique in the fleet."},
       {"host", "data_centre", SettingKind::kText, std::nullopt, 0, 0,
        "Data centre in which the host runs."},
+      {"host", "link_mbps", SettingKind::kReal, "20", 1, 1000000,
+       "Capacity of the host's network link, in Mbit/s. Hosts with fast links "
+       "are preferred for sharing the fleet's load."},
+      {"host", "first_start", SettingKind::kBoolean, "false", 0, 0,
+       "Whether the whole fleet starts for the first time."},
       {"listen", "callers", SettingKind::kAddress, std::nullopt, 0, 0,
        "Address for callers."},
       {"listen", "ready", SettingKind::kAddress, std::nullopt, 0, 0,
@@ -90,6 +95,8 @@
   ForwarderSettings it;
   it.host = core::HostId(file.Text("host", "id"));
   it.data_centre = core::DataCentreId(file.Text("host", "data_centre"));
+  it.link_mbps = file.Real("host", "link_mbps");
+  it.is_first_start = file.Boolean("host", "first_start");
   TRY_ASSIGN(it.callers_address, address("listen", "callers"));
   TRY_ASSIGN(it.ready_address, address("listen", "ready"));
   TRY_ASSIGN(it.discovery_address, address("listen", "discovery"));
--- a/Services/Forwarder/forwarder_settings.h
+++ b/Services/Forwarder/forwarder_settings.h
@@ -21,6 +21,10 @@
   // Name of this daemon, unique in the fleet.
   core::HostId host;
   core::DataCentreId data_centre;
+  // Capacity of this host's network link in Mbit/s.
+  double link_mbps = 0;
+  // The whole fleet starts for the first time.
+  bool is_first_start = false;
 
   core::SocketAddress callers_address;
   core::SocketAddress ready_address;
--- a/Services/Forwarder/registration_controller.cc
+++ b/Services/Forwarder/registration_controller.cc
@@ -16,6 +16,9 @@
 constexpr core::Duration kReregistrationGrace = core::milliseconds(2100);
 // A view older than this multiple of the leaving bound indicates an outage.
 constexpr double kOutageAgeFactor = 1.15;
+// Minimum interval of reads, as a share of the leaving bound. Heartbeats end
+// every long poll at once, so a shorter interval only costs calls.
+constexpr double kReadIntervalShare = 0.075;
 // Maximum size in bytes of the records of one report, so that it fits in a
 // datagram.
 constexpr size_t kReportBytes = 1100;
@@ -54,6 +57,8 @@
       adapters->topics.get(), scheduler,
       platform::TopicViewOptions{
           .topic = adapters->names.registrations,
+          .minimum_interval = core::FromSeconds(core::ToSeconds(leaving_bound) *
+                                                kReadIntervalShare),
           .outage_age = core::FromSeconds(core::ToSeconds(leaving_bound) *
                                           kOutageAgeFactor),
           .seed = random_seed},
--- a/Services/Forwarder/topic_numbers.h
+++ b/Services/Forwarder/topic_numbers.h
@@ -9,6 +9,7 @@
 
 inline constexpr uint8_t kConfigurationTopicNumber = 1;
 inline constexpr uint8_t kRegistrationTopicNumber = 2;
+inline constexpr uint8_t kFleetTopicNumber = 3;
 
 }  // namespace wasabi::forwarder
 
--- a/Tests/Forwarder/settings_page_test.cc
+++ b/Tests/Forwarder/settings_page_test.cc
@@ -36,6 +36,8 @@
       value = "10.0.0.1:80,10.0.0.2:80";
     } else if (name == "ip") {
       value = "10.0.0.1";
+    } else if (name == "bootstrap") {
+      value = "true";
     } else if (name.ends_with("_ms")) {
       value = "2000";
     }
--- a/Tests/LibForwarding/load_table_test.cc
+++ b/Tests/LibForwarding/load_table_test.cc
@@ -12,10 +12,8 @@
 const RunnerId kEndpoint("e");
 
 LoadReport Report(uint64_t sequence, uint32_t requests) {
-  LoadReport report;
-  report.sequence = sequence;
-  report.requests = {{LoadTable::KeyOf(kEndpoint), requests}};
-  return report;
+  return {.sequence = sequence,
+          .requests = {{EndpointKeyOf(kEndpoint), requests}}};
 }
 
 TEST_CASE("own counts and the latest report of each host add up") {
@@ -30,8 +28,7 @@
   board.Finish(kEndpoint);
   CHECK(board.Load(kEndpoint) == 8);
   CHECK(board.MakeReport().requests ==
-        std::vector<std::pair<uint32_t, uint32_t>>{
-            {LoadTable::KeyOf(kEndpoint), 1}});
+        EndpointCounts{{EndpointKeyOf(kEndpoint), 1}});
 }
 
 TEST_CASE("a late report is dropped, a report after a restart is applied") {
@@ -52,16 +49,24 @@
   CHECK(board.Load(kEndpoint) == 1);
 }
 
-TEST_CASE("a report survives encoding and decoding") {
-  LoadReport report;
-  report.sequence = 1234567;
-  report.requests = {{0x00ffee, 3}, {0x123456, 255}};
-  const std::string bytes = EncodeLoadReport(report);
-  const auto back = DecodeLoadReport(bytes);
-  REQUIRE(back.ok());
-  CHECK(*back == report);
-  CHECK_FALSE(DecodeLoadReport(bytes.substr(1)).ok());
-  CHECK_FALSE(DecodeLoadReport("").ok());
+TEST_CASE("a total of the fleet replaces the reports of single hosts") {
+  LoadTable board;
+  const core::TimePoint now{seconds(1)};
+  board.ApplyReport(HostId("a"), Report(1, 5), now);
+  board.Start(kEndpoint);
+  board.MakeReport();
+  board.Start(kEndpoint);
+  // The total includes one request of this host, which now has two.
+  board.ApplyTotal({{EndpointKeyOf(kEndpoint), 9}}, board.reported_own_counts(),
+                   now);
+  CHECK(board.Load(kEndpoint) == 10);
+  board.Finish(kEndpoint);
+  board.Finish(kEndpoint);
+  CHECK(board.Load(kEndpoint) == 8);
+  board.ExpireTotal(seconds(2), now + seconds(2));
+  CHECK(board.Load(kEndpoint) == 8);
+  board.ExpireTotal(seconds(2), now + seconds(3));
+  CHECK(board.Load(kEndpoint) == 5);
 }
 
 }  // namespace
