--- /dev/null
+++ b/Libraries/LibForwarding/crash_exchange.cc
@@ -0,0 +1,99 @@
+#include "LibForwarding/crash_exchange.h"
+
+#include <algorithm>
+
+#include "LibCore/message.h"
+#include "LibCore/try.h"
+
+namespace wasabi::forwarding {
+
+namespace {
+
+// Maximum number of suspect requests of one crash that fit in a datagram.
+constexpr size_t kMaxSuspectsPerReport = 60;
+constexpr int kSends = 3;
+constexpr core::Duration kSendInterval = core::milliseconds(200);
+// In a large fleet the changes of this time are reported together.
+constexpr core::Duration kBatchInterval = core::milliseconds(200);
+
+}  // namespace
+
+CrashExchange::CrashExchange(core::HostId self,
+                             routing::QuarantineTable* quarantine,
+                             SendFunction send)
+    : self_(std::move(self)), quarantine_(quarantine), send_(std::move(send)) {}
+
+void CrashExchange::Tick(core::TimePoint now) {
+  if (now >= next_batch_at_) {
+    QueueChanges(now);
+  }
+  const std::vector<core::HostId> receivers = Receivers();
+  for (Report& it : pending_) {
+    if (now < it.next_send_at) {
+      continue;
+    }
+    send_(receivers, membership::ApplicationKind::kCrashes, it.body);
+    --it.remaining_sends;
+    it.next_send_at = now + kSendInterval;
+  }
+  std::erase_if(pending_,
+                [](const Report& it) { return it.remaining_sends <= 0; });
+}
+
+bool CrashExchange::PassesReportsOn() const {
+  return peers_.UsesAggregators() && peers_.IsAggregator(self_);
+}
+
+std::vector<core::HostId> CrashExchange::Receivers() const {
+  if (!peers_.UsesAggregators()) {
+    return peers_.fleet;
+  }
+  if (!PassesReportsOn()) {
+    return peers_.aggregators;
+  }
+  std::vector<core::HostId> receivers = peers_.data_centre;
+  receivers.insert(receivers.end(), peers_.other_aggregators.begin(),
+                   peers_.other_aggregators.end());
+  return receivers;
+}
+
+void CrashExchange::QueueChanges(core::TimePoint now) {
+  if (peers_.UsesAggregators()) {
+    next_batch_at_ = now + kBatchInterval;
+  }
+  // Every host hears the same from each aggregator of its data centre, so these
+  // need not repeat themselves.
+  const int sends = PassesReportsOn() ? 1 : kSends;
+  const routing::QuarantineDelta delta = quarantine_->TakeDelta(now);
+  for (const routing::CrashRecord& it : delta.crashes) {
+    // Each datagram carries one crash record, truncated to the suspects that
+    // fit.
+    routing::CrashRecord record = it;
+    record.digests.resize(
+        std::min(record.digests.size(), kMaxSuspectsPerReport));
+    record.cleared.resize(
+        std::min(record.cleared.size(), kMaxSuspectsPerReport));
+    pending_.push_back(
+        {.body = core::Encode(routing::QuarantineDelta{.crashes = {record}}),
+         .remaining_sends = sends,
+         .next_send_at = now});
+  }
+}
+
+absl::Status CrashExchange::OnReport(std::string_view body,
+                                     core::TimePoint now) {
+  TRY_ASSIGN(const routing::QuarantineDelta delta,
+             core::Decode<routing::QuarantineDelta>(body));
+  if (PassesReportsOn()) {
+    quarantine_->Merge(delta, now);
+    return absl::OkStatus();
+  }
+  // The sender informs the others, so this host must not. Pending local changes
+  // are queued first; the delta that the merge creates is then discarded.
+  QueueChanges(now);
+  quarantine_->Merge(delta, now);
+  quarantine_->TakeDelta(now);
+  return absl::OkStatus();
+}
+
+}  // namespace wasabi::forwarding
--- a/Libraries/LibForwarding/load_exchange.cc
+++ b/Libraries/LibForwarding/load_exchange.cc
@@ -12,9 +12,6 @@
 
 using membership::ApplicationKind;
 
-// Fleets of more hosts use aggregators. Up to this size a report to every host
-// is sent often enough.
-constexpr size_t kMaxDirectPeers = 23;
 constexpr core::Duration kMinDirectInterval = core::milliseconds(100);
 constexpr double kMaxDirectBytesPerSecond = 9000;
 constexpr int kDirectLifetimeIntervals = 4;
@@ -50,7 +47,7 @@
                            SendFunction send)
     : options_(std::move(options)), loads_(loads), send_(std::move(send)) {}
 
-void LoadExchange::SetPeers(LoadPeers peers) {
+void LoadExchange::SetPeers(ReportPeers peers) {
   peers_ = std::move(peers);
   assemblies_.clear();
 }
@@ -59,7 +56,7 @@
   loads_->Expire(DirectInterval() * kDirectLifetimeIntervals, now);
   loads_->ExpireTotal(kTotalLifetime, now);
   aggregation_.Expire(kReportLifetime, now);
-  if (!IsLarge()) {
+  if (!peers_.UsesAggregators()) {
     SendDirectReport(now);
     return;
   }
@@ -70,10 +67,6 @@
   }
 }
 
-bool LoadExchange::IsLarge() const {
-  return peers_.fleet.size() > kMaxDirectPeers;
-}
-
 core::Duration LoadExchange::DirectInterval() const {
   const double bytes = kReportBytes * static_cast<double>(peers_.fleet.size());
   return std::max(kMinDirectInterval,
@@ -89,7 +82,8 @@
 }
 
 core::Duration LoadExchange::MaxAge() const {
-  return IsLarge() ? kReportInterval + TotalInterval() : DirectInterval();
+  return peers_.UsesAggregators() ? kReportInterval + TotalInterval()
+                                  : DirectInterval();
 }
 
 void LoadExchange::SendDirectReport(core::TimePoint now) {
@@ -172,7 +166,7 @@
   if (!report) {
     return absl::OkStatus();
   }
-  if (IsLarge()) {
+  if (peers_.UsesAggregators()) {
     aggregation_.SetHost(from.id, report->requests, now);
   } else {
     loads_->ApplyReport(from.id, *report, now);
--- a/Libraries/LibForwarding/load_exchange.h
+++ b/Libraries/LibForwarding/load_exchange.h
@@ -23,6 +23,7 @@
 #include "LibForwarding/load_report.h"
 #include "LibForwarding/load_report_assembly.h"
 #include "LibForwarding/load_table.h"
+#include "LibForwarding/report_peers.h"
 #include "LibLoad/aggregation.h"
 #include "LibMembership/application_kind.h"
 #include "LibMembership/member.h"
@@ -30,17 +31,6 @@
 
 namespace wasabi::forwarding {
 
-// The hosts with which a host shares loads, without itself.
-struct LoadPeers {
-  std::vector<core::HostId> fleet;
-  std::vector<core::HostId> data_centre;
-  // The aggregators of this host's data centre, best first. Includes this host
-  // if it is one of them.
-  std::vector<core::HostId> aggregators;
-  // The aggregators of all other data centres.
-  std::vector<core::HostId> other_aggregators;
-};
-
 struct LoadExchangeOptions {
   core::HostId self;
   // Rate at which an aggregator sends totals, in bytes per second including IP
@@ -59,7 +49,7 @@
                LoadTable* loads,
                SendFunction send);
 
-  void SetPeers(LoadPeers peers);
+  void SetPeers(ReportPeers peers);
 
   // Sends what is due, and removes what has expired. Must be called every few
   // ten milliseconds.
@@ -80,7 +70,6 @@
   core::Duration MaxAge() const;
 
  private:
-  bool IsLarge() const;
   void Send(const std::vector<core::HostId>& to,
             membership::ApplicationKind kind,
             const LoadReport& report);
@@ -103,7 +92,7 @@
   const LoadExchangeOptions options_;
   LoadTable* const loads_;
   const SendFunction send_;
-  LoadPeers peers_;
+  ReportPeers peers_;
   // The loads of this data centre, if this host is one of its aggregators.
   load::Aggregation<EndpointCounts> aggregation_;
   // Reports of which not all parts have arrived, by sender.
--- a/Services/Forwarder/fleet_roles.cc
+++ b/Services/Forwarder/fleet_roles.cc
@@ -72,10 +72,11 @@
   return roles;
 }
 
-forwarding::LoadPeers DeriveLoadPeers(const membership::MemberTable& table,
-                                      const core::HostId& self,
-                                      const core::DataCentreId& data_centre) {
-  forwarding::LoadPeers peers;
+forwarding::ReportPeers DeriveReportPeers(
+    const membership::MemberTable& table,
+    const core::HostId& self,
+    const core::DataCentreId& data_centre) {
+  forwarding::ReportPeers peers;
   for (const Member& it : table.members()) {
     if (it.id == self) {
       continue;
--- a/Services/Forwarder/fleet_roles.h
+++ b/Services/Forwarder/fleet_roles.h
@@ -10,7 +10,7 @@
 #include <vector>
 
 #include "LibCore/identifier.h"
-#include "LibForwarding/load_exchange.h"
+#include "LibForwarding/report_peers.h"
 #include "LibMembership/member_table.h"
 
 namespace wasabi::forwarder {
@@ -35,12 +35,13 @@
                        const core::HostId& self,
                        const core::DataCentreId& data_centre);
 
-// Returns the hosts with which the host `self` shares loads. The aggregators of
-// a data centre are its hosts with the fastest links, in rendezvous order;
-// hosts that are suspected to be down come last.
-forwarding::LoadPeers DeriveLoadPeers(const membership::MemberTable& table,
-                                      const core::HostId& self,
-                                      const core::DataCentreId& data_centre);
+// Returns the hosts with which the host `self` exchanges reports. The
+// aggregators of a data centre are its hosts with the fastest links, in
+// rendezvous order; hosts that are suspected to be down come last.
+forwarding::ReportPeers DeriveReportPeers(
+    const membership::MemberTable& table,
+    const core::HostId& self,
+    const core::DataCentreId& data_centre);
 
 }  // namespace wasabi::forwarder
 
--- a/Services/Forwarder/forwarder_daemon.cc
+++ b/Services/Forwarder/forwarder_daemon.cc
@@ -149,7 +149,7 @@
   context_.host_count = [this]() { return fleet_->host_count(); };
   context_.max_load_age = [this]() { return fleet_->max_load_age(); };
   metrics_.Gauge("platform_calls", [this]() {
-    return static_cast<double>(fleet_->platform_calls());
+    return static_cast<double>(fleet_->topics().platform_calls());
   });
   context_.endpoint_view_age = [this]() {
     return loop_->Now() - registrations_->view()->confirmed_at();
@@ -275,7 +275,7 @@
       target.starts_with(kTopics)
           ? core::ParseNumber<uint8_t>(target.substr(kTopics.size()))
           : std::nullopt;
-  const std::string copy = topic ? fleet_->EncodedCopy(*topic) : "";
+  const std::string copy = topic ? fleet_->topics().EncodedCopy(*topic) : "";
   transaction->Respond(
       {.status = copy.empty() ? kNotFound : kOkStatus, .body = copy});
 }
@@ -312,7 +312,7 @@
   settings_ = *settings;
   context_.selection.load_bound = settings_.load_bound;
   context_.retry_policy = settings_.retries;
-  fleet_->UpdateBounds(settings_);
+  fleet_->topics().UpdateBounds(settings_);
   core::SetLogLevel(settings_.log_level);
   events_.Record(core::EventCode::kSettingsReloaded, "",
                  "applied; changed addresses take effect at the next start");
--- a/Tests/Forwarder/fleet_roles_test.cc
+++ b/Tests/Forwarder/fleet_roles_test.cc
@@ -38,8 +38,8 @@
   size_t relays = 0;
   size_t readers = 0;
   for (const Member& it : members) {
-    const forwarding::LoadPeers peers =
-        DeriveLoadPeers(table, it.id, it.data_centre);
+    const forwarding::ReportPeers peers =
+        DeriveReportPeers(table, it.id, it.data_centre);
     CHECK(peers.fleet.size() == kHosts - 1);
     CHECK(peers.data_centre.size() == kHosts / kDataCentres - 1);
     CHECK(peers.other_aggregators.size() == 3 * (kDataCentres - 1));
@@ -48,7 +48,7 @@
           return m.data_centre == it.data_centre && m.id != it.id;
         });
     CHECK(peers.aggregators ==
-          DeriveLoadPeers(table, neighbour.id, it.data_centre).aggregators);
+          DeriveReportPeers(table, neighbour.id, it.data_centre).aggregators);
     for (const core::HostId& aggregator : peers.aggregators) {
       CHECK(table.Find(aggregator)->link_mbps == kFastLink);
       CHECK(table.Find(aggregator)->data_centre == it.data_centre);
@@ -68,7 +68,8 @@
   const core::DataCentreId data_centre("z0");
   const core::HostId self("h36");
   const auto aggregators = [&]() {
-    return DeriveLoadPeers(membership::MemberTable(members), self, data_centre)
+    return DeriveReportPeers(membership::MemberTable(members), self,
+                             data_centre)
         .aggregators;
   };
   const core::HostId first = aggregators().front();
@@ -88,7 +89,7 @@
   CHECK(roles.is_relay);
   CHECK(roles.reader_rank == 0);
   CHECK(roles.report_relays.empty());
-  CHECK(DeriveLoadPeers(table, self.id, self.data_centre).aggregators ==
+  CHECK(DeriveReportPeers(table, self.id, self.data_centre).aggregators ==
         std::vector<core::HostId>{self.id});
 }
 
--- a/Tests/LibForwarding/load_exchange_test.cc
+++ b/Tests/LibForwarding/load_exchange_test.cc
@@ -110,8 +110,8 @@
     std::string body;
   };
 
-  LoadPeers PeersOf(size_t self, size_t known) const {
-    LoadPeers peers;
+  ReportPeers PeersOf(size_t self, size_t known) const {
+    ReportPeers peers;
     for (size_t i = 0; i < hosts_.size(); ++i) {
       if (i >= known && i != self) {
         continue;
@@ -209,7 +209,7 @@
     busiest_before = std::max(busiest_before, fleet.bytes_sent(i));
   }
   // Each host has five requests and starts and ends some all the time.
-  for (size_t step = 0; step < kSeconds * 10; ++step) {
+  for (size_t step = 0; step < size_t{10} * kSeconds; ++step) {
     for (size_t i = 0; i < kHosts; ++i) {
       const auto endpoint = [&](size_t n) {
         return core::RunnerId(fmt::format("e{}", (i * 5 + n) % kEndpoints));
--- a/Tests/Soak/checker_test.cc
+++ b/Tests/Soak/checker_test.cc
@@ -216,6 +216,15 @@
          Disturb(it, Disturbance::Scope::kStore, false);
        },
        ""},
+      {"a host that crashes", kIdempotent,
+       [](World& it) { it.history.crashes.emplace_back("host=0 signal 11"); },
+       "hosts exit only on a signal"},
+  };
+}
+
+std::vector<CheckerCase> EndpointNoticeCases() {
+  using enum CallKind;
+  return {
       {"a run at an endpoint that had said that it is leaving", kIdempotent,
        SayLeaving,
        "an endpoint that said that it is leaving gets no new requests"},
@@ -231,14 +240,11 @@
        "an endpoint that asked for a pause gets no requests"},
       {"two runs in a pause", kIdempotent,
        [](World& it) { AskForPause(it, 2); }, ""},
-      {"a host that crashes", kIdempotent,
-       [](World& it) { it.history.crashes.emplace_back("host=0 signal 11"); },
-       "hosts exit only on a signal"},
   };
 }
 
-TEST_CASE("the checker reports the violated guarantee") {
-  for (const CheckerCase& row : Cases()) {
+void CheckCases(const std::vector<CheckerCase>& cases) {
+  for (const CheckerCase& row : cases) {
     INFO(row.what);
     World world(row.kind);
     row.change(world);
@@ -251,6 +257,11 @@
   }
 }
 
+TEST_CASE("the checker reports the violated guarantee") {
+  CheckCases(Cases());
+  CheckCases(EndpointNoticeCases());
+}
+
 TEST_CASE("retries beyond the budget are reported") {
   World world(CallKind::kIdempotent);
   for (int i = 0; i < 60; ++i) {
