--- a/Tests/Forwarder/forwarder_daemon_test.cc
+++ b/Tests/Forwarder/forwarder_daemon_test.cc
@@ -1,240 +1,24 @@
 // Runs the whole daemon on loopback addresses between a caller and endpoints
 // that respond from a script.
 
-#include "Services/Forwarder/forwarder_daemon.h"
-
 #include <catch2/catch.hpp>
-#include <deque>
-#include <functional>
 #include <string>
 #include <vector>
 
 #include "LibCore/text.h"
-#include "Tests/Support/RawServer/raw_server.h"
-#include "Tests/Support/TopicStore/fake_topic_client.h"
-#include "Tests/Support/free_address.h"
-#include "platform/adapters.h"
+#include "Tests/Support/ForwarderFixture/forwarder_fixture.h"
 
 namespace wasabi::forwarder {
 namespace {
 
+using support::CallerResult;
+using support::ChunkedStreamStart;
+using support::ForwarderFixture;
+using support::kClose;
+using support::kStreamEnd;
 using support::RawServer;
-
-constexpr core::Duration kTestTimeout = core::seconds(10);
-
-constexpr const char* kConfiguration = R"({"version":1,"routes":[
-  {"name":"safe","hostname":"a.test","path_prefix":"/safe/","kind":"safe",
-   "timeout_ms":2000,"target_latency_ms":100,"attempts":2,"service":"p"},
-  {"name":"unsafe","hostname":"a.test","path_prefix":"/unsafe/",
-   "kind":"unsafe","timeout_ms":2000,"target_latency_ms":100,"attempts":1,
-   "service":"p"},
-  {"name":"resumable","hostname":"a.test","path_prefix":"/resumable/",
-   "kind":"streaming","resumable":true,"timeout_ms":2000,
-   "target_latency_ms":100,"attempts":2,"service":"p","gap_aim_ms":300},
-  {"name":"once","hostname":"a.test","path_prefix":"/once/",
-   "kind":"streaming","resumable":false,"timeout_ms":2000,
-   "target_latency_ms":100,"attempts":1,"service":"p","gap_aim_ms":300},
-  {"name":"short","hostname":"a.test","path_prefix":"/short/","kind":"unsafe",
-   "timeout_ms":200,"target_latency_ms":100,"attempts":1,"service":"p"},
-  {"name":"empty","hostname":"a.test","path_prefix":"/empty/","kind":"unsafe",
-   "timeout_ms":400,"target_latency_ms":100,"attempts":1,"service":"q"},
-  {"name":"chats","hostname":"a.test","path_prefix":"/chats/","kind":"unsafe",
-   "timeout_ms":2000,"target_latency_ms":100,"attempts":1,"sticky":true,
-   "service":"m"}],
- "services":[{"name":"p"},{"name":"q"},{"name":"m","engine":{"slots":8}}],
- "tenants":[{"name":"t1","api_keys":["k1"]}]})";
-
-// Returns an endpoint's response with the id of the request and the headers in
-// `fields`.
-std::string Answer(int status,
-                   const std::string& fields,
-                   const std::string& body) {
-  return fmt::format(
-      "HTTP/1.1 {} X\r\nRequest-Id: id1\r\n{}Content-Length: {}\r\n\r\n{}",
-      status, fields, body.size(), body);
-}
-
-// Returns a signed 200 response.
-std::string Success(const std::string& body) {
-  return Answer(200, "Response-Signature: s\r\n", body);
-}
-
-// Returns the head of a chunked event stream and one chunk with `events`.
-std::string StreamStart(const std::string& events) {
-  return fmt::format(
-      "HTTP/1.1 200 X\r\nRequest-Id: id1\r\nResponse-Signature: s\r\n"
-      "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
-      "{:x}\r\n{}\r\n",
-      events.size(), events);
-}
-
-constexpr const char* kStreamEnd = "0\r\n\r\n";
-// At the end of a scripted response: closes the connection after the text
-// before it has been sent.
-constexpr char kClose = '\x01';
-
-// A daemon with two endpoints that take their responses from one shared script.
-// An empty response means that the endpoint does not respond.
-struct Fixture {
-  Fixture()
-      : scheduler(&loop),
-        first(&loop, support::FreeAddress(support::LoopbackIp(10))),
-        second(&loop, support::FreeAddress(support::LoopbackIp(11))),
-        client(&loop) {
-    for (RawServer* server : {&first, &second}) {
-      server->SetResponder([this, server](const std::string& text) {
-        return Respond(server, text);
-      });
-    }
-    Start();
-  }
-
-  ForwarderSettings Settings() {
-    const std::string ip = support::LoopbackIp(12);
-    const auto free = [&ip]() { return support::FreeAddress(ip); };
-    ForwarderSettings settings;
-    settings.host = core::HostId("h1");
-    settings.data_centre = core::DataCentreId("z1");
-    settings.callers_address = free();
-    settings.ready_address = free();
-    settings.discovery_address = free();
-    settings.gossip_address = free();
-    settings.internal_address = free();
-    settings.platform_address = free();
-    settings.leaving_bound = core::seconds(2);
-    settings.configuration_bound = core::seconds(2);
-    settings.shutdown_grace = core::seconds(2);
-    settings.max_address_lifetime = core::milliseconds(100);
-    settings.retries = {.ratio = 1, .slack = 100, .window = core::seconds(10)};
-    settings.load_bound = 2;
-    settings.event_capacity = 1000;
-    return settings;
-  }
-
-  void Start() {
-    settings = Settings();
-    auto daemon_or = ForwarderDaemon::Create(
-        &loop, settings, "/nonexistent",
-        [this](http::Client* http_client, const core::SocketAddress& address,
-               core::EventRing* events) {
-          forwarding::AdapterSet adapters =
-              adapter::MakeAdapters(http_client, address, events);
-          auto topics = std::make_unique<support::FakeTopicClient>(&scheduler);
-          store = topics.get();
-          adapters.topics = std::move(topics);
-          names = adapters.names;
-          return adapters;
-        });
-    REQUIRE(daemon_or.ok());
-    daemon = *std::move(daemon_or);
-    Register("e1", first, "ready");
-    Register("e2", second, "ready");
-  }
-
-  void Configure() {
-    store->Write(names.configuration, names.configuration_key, kConfiguration);
-    REQUIRE(RunUntil([this]() { return Get("/ready", true).status == 200; }));
-  }
-
-  void Register(const char* id,
-                const RawServer& server,
-                const char* state,
-                const char* pool = "p") {
-    store->Write(
-        names.registrations, id,
-        fmt::format(R"({{"service":"{}","address":"{}","zone":"z1","slots":8,)"
-                    R"("state":"{}","seq":{},"born":1}})",
-                    pool, server.address().ToString(), state, ++sequence));
-  }
-
-  std::string Respond(RawServer* server, const std::string& text) {
-    received.push_back(text);
-    if (script.empty()) {
-      return "";
-    }
-    std::string answer = script.front();
-    script.pop_front();
-    if (!answer.empty() && answer.back() == kClose) {
-      answer.pop_back();
-      loop.Post([server]() { server->CloseAll(); });
-    }
-    return answer;
-  }
-
-  bool RunUntil(const std::function<bool()>& is_done) {
-    const core::TimePoint end = loop.Now() + kTestTimeout;
-    while (!is_done() && loop.Now() < end) {
-      const auto timer = loop.NewTimer([this]() { loop.Stop(); });
-      timer->StartOnce(core::milliseconds(5));
-      loop.Run();
-    }
-    return loop.Now() < end;
-  }
-
-  struct Result {
-    int status = 0;
-    http::Headers headers;
-    std::string body;
-    std::optional<http::OriginOutcome> end;
-  };
-
-  std::shared_ptr<http::OriginCall> Send(const std::string& target,
-                                         const http::Headers& more,
-                                         bool is_ready_check,
-                                         Result* result) {
-    http::OriginRequest request;
-    request.address =
-        is_ready_check ? settings.ready_address : settings.callers_address;
-    request.method = "GET";
-    request.target = target;
-    request.headers = {{"Host", "a.test"}, {"Request-Id", "id1"}};
-    for (const auto& [name, value] : more.fields()) {
-      request.headers.Add(name, value);
-    }
-    http::OriginCallbacks callbacks;
-    callbacks.on_head = [result](const http::MessageHead& head) {
-      result->status = head.status;
-      result->headers = head.headers;
-    };
-    callbacks.on_body = [result](std::string_view piece) {
-      result->body.append(piece);
-    };
-    callbacks.on_end = [result](http::OriginOutcome end) { result->end = end; };
-    return client.Send(request, std::move(callbacks));
-  }
-
-  Result Get(const std::string& target,
-             bool is_ready_check = false,
-             const std::vector<http::Headers::Field>& more = {}) {
-    Result result;
-    http::Headers headers = {{"Authorization", "Bearer k1"},
-                             {"Deadline-Ms", "1500"}};
-    for (const auto& [name, value] : more) {
-      headers.Add(name, value);
-    }
-    Send(target, headers, is_ready_check, &result);
-    const core::TimePoint end = loop.Now() + kTestTimeout;
-    while (!result.end && loop.Now() < end) {
-      const auto timer = loop.NewTimer([this]() { loop.Stop(); });
-      timer->StartOnce(core::milliseconds(2));
-      loop.Run();
-    }
-    return result;
-  }
-
-  core::EventLoop loop;
-  platform::LoopScheduler scheduler;
-  RawServer first;
-  RawServer second;
-  std::deque<std::string> script;
-  std::vector<std::string> received;
-  int sequence = 0;
-  support::FakeTopicClient* store = nullptr;
-  forwarding::TopicNames names;
-  ForwarderSettings settings;
-  std::unique_ptr<ForwarderDaemon> daemon;
-  http::OriginClient client;
-};
+using support::ScriptedAnswer;
+using support::ScriptedSuccess;
 
 struct ScriptCase {
   const char* what;
@@ -248,8 +32,9 @@
 };
 
 TEST_CASE("a request gets the unchanged answer of its endpoint or an error") {
-  const std::string error = Answer(500, "Response-Signature: s\r\n", "bad");
-  const std::string shed = Answer(503, "Not-Executed: 1\r\n", "");
+  const std::string error =
+      ScriptedAnswer(500, "Response-Signature: s\r\n", "bad");
+  const std::string shed = ScriptedAnswer(503, "Not-Executed: 1\r\n", "");
   const std::string cut = fmt::format(
       "HTTP/1.1 200 X\r\nRequest-Id: id1\r\nResponse-Signature: s\r\n"
       "Content-Length: 9\r\n\r\npart{}",
@@ -258,11 +43,12 @@
   const std::string event1 = "id: 1\ndata: a\n\n";
   const std::string event2 = "id: 2\ndata: b\n\n";
   const std::string half = "id: 2\nda";
-  const std::string whole_stream = StreamStart(event1 + event2) + kStreamEnd;
-  const std::string cut_stream = StreamStart(event1 + half) + kClose;
-  const std::string rest_of_stream = StreamStart(event2) + kStreamEnd;
+  const std::string whole_stream =
+      ChunkedStreamStart(event1 + event2) + kStreamEnd;
+  const std::string cut_stream = ChunkedStreamStart(event1 + half) + kClose;
+  const std::string rest_of_stream = ChunkedStreamStart(event2) + kStreamEnd;
   const ScriptCase cases[] = {
-      {"success", "/unsafe/1", {Success("ok")}, 200, "ok", true, 1},
+      {"success", "/unsafe/1", {ScriptedSuccess("ok")}, 200, "ok", true, 1},
       {"a failure of a request that must not be retried",
        "/unsafe/1",
        {error},
@@ -272,7 +58,7 @@
        1},
       {"a failure, retried",
        "/safe/1",
-       {error, Success("ok")},
+       {error, ScriptedSuccess("ok")},
        200,
        "ok",
        true,
@@ -286,7 +72,7 @@
        2},
       {"not executed, retried on the other endpoint",
        "/unsafe/1",
-       {shed, Success("ok")},
+       {shed, ScriptedSuccess("ok")},
        200,
        "ok",
        true,
@@ -300,14 +86,14 @@
        2},
       {"503 without Not-Executed",
        "/unsafe/1",
-       {Answer(503, "", "")},
+       {ScriptedAnswer(503, "", "")},
        502,
        "",
        true,
        1},
       {"503 without Not-Executed, retried",
        "/safe/1",
-       {Answer(503, "", ""), Success("ok")},
+       {ScriptedAnswer(503, "", ""), ScriptedSuccess("ok")},
        200,
        "ok",
        true,
@@ -321,7 +107,7 @@
        1},
       {"truncated response, retried",
        "/safe/1",
-       {cut, Success("ok")},
+       {cut, ScriptedSuccess("ok")},
        200,
        "ok",
        true,
@@ -335,14 +121,14 @@
        1},
       {"connection closed without a response, retried",
        "/safe/1",
-       {closed, Success("ok")},
+       {closed, ScriptedSuccess("ok")},
        200,
        "ok",
        true,
        2},
       {"no Response-Signature",
        "/unsafe/1",
-       {Answer(200, "", "forged")},
+       {ScriptedAnswer(200, "", "forged")},
        502,
        "",
        true,
@@ -351,14 +137,14 @@
        "/unsafe/1",
        {"HTTP/1.1 200 X\r\nRequest-Id: other\r\nResponse-Signature: s\r\n"
         "Content-Length: 5\r\n\r\nwrong" +
-        Success("ok")},
+        ScriptedSuccess("ok")},
        200,
        "ok",
        true,
        1},
       {"extra bytes after the response",
        "/unsafe/1",
-       {Success("ok") + "HTTP/1.1 200 X\r\n"},
+       {ScriptedSuccess("ok") + "HTTP/1.1 200 X\r\n"},
        200,
        "ok",
        true,
@@ -421,10 +207,10 @@
   };
   for (const ScriptCase& row : cases) {
     INFO(row.what);
-    Fixture it;
+    ForwarderFixture it;
     it.Configure();
     it.script.assign(row.script.begin(), row.script.end());
-    const Fixture::Result result = it.Get(row.target);
+    const CallerResult result = it.Get(row.target);
     REQUIRE(result.end.has_value());
     CHECK(result.status == row.status);
     CHECK((result.end == http::OriginOutcome::kComplete) == row.is_whole);
@@ -442,10 +228,10 @@
 }
 
 TEST_CASE("a stream is resumed after the last event that the caller received") {
-  Fixture it;
+  ForwarderFixture it;
   it.Configure();
-  it.script = {StreamStart("id: 7\ndata: a\n\n") + kClose,
-               StreamStart("id: 8\ndata: b\n\n") + kStreamEnd};
+  it.script = {ChunkedStreamStart("id: 7\ndata: a\n\n") + kClose,
+               ChunkedStreamStart("id: 8\ndata: b\n\n") + kStreamEnd};
   it.Get("/resumable/1");
   REQUIRE(it.received.size() == 2);
   CHECK(it.received[0].find("Last-Event-Id") == std::string::npos);
@@ -453,8 +239,8 @@
 }
 
 TEST_CASE("a daemon without a configuration returns 503 instead of 404") {
-  Fixture it;
-  const Fixture::Result result = it.Get("/unsafe/1");
+  ForwarderFixture it;
+  const CallerResult result = it.Get("/unsafe/1");
   CHECK(result.status == 503);
   CHECK(result.headers.Find("Retry-After").has_value());
   CHECK(it.Get("/ready", true).status == 503);
@@ -462,10 +248,10 @@
 
 TEST_CASE(
     "the request to the endpoint is cancelled when the caller disconnects") {
-  Fixture it;
+  ForwarderFixture it;
   it.Configure();
   it.script = {""};
-  Fixture::Result result;
+  CallerResult result;
   const auto call =
       it.Send("/unsafe/1", {{"Authorization", "Bearer k1"}}, false, &result);
   REQUIRE(it.RunUntil([&]() { return it.received.size() == 1; }));
@@ -475,11 +261,11 @@
 }
 
 TEST_CASE("a draining endpoint receives no new requests") {
-  Fixture it;
+  ForwarderFixture it;
   it.Configure();
   it.Register("e1", it.first, "draining");
   const auto serves = [&it](const RawServer& server) {
-    it.script = {Success("ok")};
+    it.script = {ScriptedSuccess("ok")};
     const int before = server.requests();
     it.Get("/unsafe/1");
     return server.requests() > before;
@@ -494,15 +280,15 @@
 }
 
 TEST_CASE("an endpoint that says that it is leaving receives nothing more") {
-  Fixture it;
+  ForwarderFixture it;
   it.Configure();
-  const std::string leaving =
-      Answer(200, "Response-Signature: s\r\nServer-Leaving: 1\r\n", "ok");
+  const std::string leaving = ScriptedAnswer(
+      200, "Response-Signature: s\r\nServer-Leaving: 1\r\n", "ok");
   it.script = {leaving};
   CHECK(it.Get("/unsafe/1").status == 200);
   const RawServer& gone = it.first.requests() == 1 ? it.first : it.second;
   for (int i = 0; i < 20; ++i) {
-    it.script = {Success("ok")};
+    it.script = {ScriptedSuccess("ok")};
     CHECK(it.Get("/unsafe/1").status == 200);
   }
   CHECK(gone.requests() == 1);
@@ -526,23 +312,23 @@
   };
   for (const PauseCase& row : cases) {
     INFO(row.what);
-    Fixture it;
+    ForwarderFixture it;
     it.Configure();
     const auto shed = [](const char* seconds) {
-      return Answer(
+      return ScriptedAnswer(
           503, fmt::format("Not-Executed: 1\r\nRetry-After: {}\r\n", seconds),
           "");
     };
-    it.script = {shed(row.first),
-                 row.second == nullptr ? Success("ok") : shed(row.second)};
+    it.script = {shed(row.first), row.second == nullptr ? ScriptedSuccess("ok")
+                                                        : shed(row.second)};
     CHECK(it.Get("/unsafe/1").status == row.status);
     REQUIRE(it.received.size() == 2);
     const int sends_to_first = it.first.requests();
     const int sends_to_second = it.second.requests();
     const core::TimePoint asked_at = it.loop.Now();
     for (int i = 0; i < 10; ++i) {
-      it.script = {Success("ok")};
-      const Fixture::Result result = it.Get("/unsafe/1");
+      it.script = {ScriptedSuccess("ok")};
+      const CallerResult result = it.Get("/unsafe/1");
       CHECK(result.status == row.status);
       if (row.status != 200) {
         const double retry_after = std::stod(result.headers.Get("Retry-After"));
@@ -559,15 +345,15 @@
     it.script.clear();
     const core::TimePoint ends_at = asked_at + core::milliseconds(1050);
     it.RunUntil([&]() { return it.loop.Now() >= ends_at; });
-    it.script = {Success("ok")};
+    it.script = {ScriptedSuccess("ok")};
     CHECK(it.Get("/unsafe/1").status == 200);
   }
 }
 
 // Sends a request with a fixed prompt. Returns the address from which the
 // endpoint is asked to copy the cached prompt, or "".
-std::string PromptSourceSent(Fixture& it) {
-  it.script = {Success("ok")};
+std::string PromptSourceSent(ForwarderFixture& it) {
+  it.script = {ScriptedSuccess("ok")};
   it.received.clear();
   it.Get("/chats/1", false,
          {{"Prompt-Prefix", "aa:100,b1:10"}, {"Kv-Fetch", "9.9.9.9:9"}});
@@ -584,7 +370,7 @@
 
 TEST_CASE(
     "an endpoint without a cached prompt gets an address to copy it from") {
-  Fixture it;
+  ForwarderFixture it;
   it.Register("m1", it.first, "ready", "m");
   it.Register("m2", it.second, "ready", "m");
   it.Configure();
@@ -609,7 +395,7 @@
 }
 
 TEST_CASE("a prompt is copied from a draining endpoint") {
-  Fixture it;
+  ForwarderFixture it;
   it.Register("m1", it.first, "ready", "m");
   it.Configure();
   PromptSourceSent(it);
@@ -624,10 +410,10 @@
 }
 
 TEST_CASE("a daemon that shuts down completes the requests in flight") {
-  Fixture it;
+  ForwarderFixture it;
   it.Configure();
-  it.script = {StreamStart("id: 1\n\n")};
-  Fixture::Result result;
+  it.script = {ChunkedStreamStart("id: 1\n\n")};
+  CallerResult result;
   it.Send("/once/1", {{"Authorization", "Bearer k1"}}, false, &result);
   REQUIRE(it.RunUntil([&]() { return result.body == "id: 1\n\n"; }));
   it.daemon->BeginShutdown();
@@ -640,10 +426,10 @@
 }
 
 TEST_CASE("a reload of unreadable settings keeps the current settings") {
-  Fixture it;
+  ForwarderFixture it;
   it.Configure();
   it.daemon->Reload();
-  it.script = {Success("ok")};
+  it.script = {ScriptedSuccess("ok")};
   CHECK(it.Get("/unsafe/1").status == 200);
 }
 
--- /dev/null
+++ b/Tests/Support/ForwarderFixture/forwarder_fixture.cc
@@ -0,0 +1,208 @@
+#include "Tests/Support/ForwarderFixture/forwarder_fixture.h"
+
+#include <catch2/catch.hpp>
+
+#include "LibCore/text.h"
+#include "Tests/Support/free_address.h"
+#include "platform/adapters.h"
+
+namespace wasabi::support {
+
+namespace {
+
+constexpr core::Duration kTestTimeout = core::seconds(10);
+
+constexpr const char* kConfiguration = R"({"version":1,"routes":[
+  {"name":"safe","hostname":"a.test","path_prefix":"/safe/","kind":"safe",
+   "timeout_ms":2000,"target_latency_ms":100,"attempts":2,"service":"p"},
+  {"name":"unsafe","hostname":"a.test","path_prefix":"/unsafe/",
+   "kind":"unsafe","timeout_ms":2000,"target_latency_ms":100,"attempts":1,
+   "service":"p"},
+  {"name":"resumable","hostname":"a.test","path_prefix":"/resumable/",
+   "kind":"streaming","resumable":true,"timeout_ms":2000,
+   "target_latency_ms":100,"attempts":2,"service":"p","gap_aim_ms":300},
+  {"name":"once","hostname":"a.test","path_prefix":"/once/",
+   "kind":"streaming","resumable":false,"timeout_ms":2000,
+   "target_latency_ms":100,"attempts":1,"service":"p","gap_aim_ms":300},
+  {"name":"short","hostname":"a.test","path_prefix":"/short/","kind":"unsafe",
+   "timeout_ms":200,"target_latency_ms":100,"attempts":1,"service":"p"},
+  {"name":"empty","hostname":"a.test","path_prefix":"/empty/","kind":"unsafe",
+   "timeout_ms":400,"target_latency_ms":100,"attempts":1,"service":"q"},
+  {"name":"chats","hostname":"a.test","path_prefix":"/chats/","kind":"unsafe",
+   "timeout_ms":2000,"target_latency_ms":100,"attempts":1,"sticky":true,
+   "service":"m"}],
+ "services":[{"name":"p"},{"name":"q"},{"name":"m","engine":{"slots":8}}],
+ "tenants":[{"name":"t1","api_keys":["k1"]}]})";
+
+}  // namespace
+
+std::string ScriptedAnswer(int status,
+                           const std::string& fields,
+                           const std::string& body) {
+  return fmt::format(
+      "HTTP/1.1 {} X\r\nRequest-Id: id1\r\n{}Content-Length: {}\r\n\r\n{}",
+      status, fields, body.size(), body);
+}
+
+std::string ScriptedSuccess(const std::string& body) {
+  return ScriptedAnswer(200, "Response-Signature: s\r\n", body);
+}
+
+std::string ChunkedStreamStart(const std::string& events) {
+  return fmt::format(
+      "HTTP/1.1 200 X\r\nRequest-Id: id1\r\nResponse-Signature: s\r\n"
+      "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "{:x}\r\n{}\r\n",
+      events.size(), events);
+}
+
+std::string UnframedStreamStart(const std::string& events) {
+  return fmt::format(
+      "HTTP/1.1 200 X\r\nRequest-Id: id1\r\nResponse-Signature: s\r\n"
+      "Content-Type: text/event-stream\r\n\r\n{}",
+      events);
+}
+
+ForwarderFixture::ForwarderFixture()
+    : scheduler(&loop),
+      first(&loop, FreeAddress(LoopbackIp(10))),
+      second(&loop, FreeAddress(LoopbackIp(11))),
+      client(&loop) {
+  for (RawServer* server : {&first, &second}) {
+    server->SetResponder([this, server](const std::string& text) {
+      return Respond(server, text);
+    });
+  }
+  Start();
+}
+
+forwarder::ForwarderSettings ForwarderFixture::NewSettings() const {
+  const std::string ip = LoopbackIp(12);
+  const auto free = [&ip]() { return FreeAddress(ip); };
+  forwarder::ForwarderSettings settings;
+  settings.host = core::HostId("h1");
+  settings.data_centre = core::DataCentreId("z1");
+  settings.callers_address = free();
+  settings.ready_address = free();
+  settings.discovery_address = free();
+  settings.gossip_address = free();
+  settings.internal_address = free();
+  settings.platform_address = free();
+  settings.leaving_bound = core::seconds(2);
+  settings.configuration_bound = core::seconds(2);
+  settings.shutdown_grace = core::seconds(2);
+  settings.max_address_lifetime = core::milliseconds(100);
+  settings.retries = {.ratio = 1, .slack = 100, .window = core::seconds(10)};
+  settings.load_bound = 2;
+  settings.event_capacity = 1000;
+  return settings;
+}
+
+void ForwarderFixture::Start() {
+  settings = NewSettings();
+  auto daemon_or = forwarder::ForwarderDaemon::Create(
+      &loop, settings, "/nonexistent",
+      [this](http::Client* http_client, const core::SocketAddress& address,
+             core::EventRing* events) {
+        forwarding::AdapterSet adapters =
+            adapter::MakeAdapters(http_client, address, events);
+        auto topics = std::make_unique<FakeTopicClient>(&scheduler);
+        store = topics.get();
+        adapters.topics = std::move(topics);
+        names = adapters.names;
+        return adapters;
+      });
+  REQUIRE(daemon_or.ok());
+  daemon = *std::move(daemon_or);
+  Register("e1", first, "ready");
+  Register("e2", second, "ready");
+}
+
+void ForwarderFixture::Configure() {
+  store->Write(names.configuration, names.configuration_key, kConfiguration);
+  REQUIRE(RunUntil([this]() { return Get("/ready", true).status == 200; }));
+}
+
+void ForwarderFixture::Register(const char* id,
+                                const RawServer& server,
+                                const char* state,
+                                const char* pool) {
+  store->Write(
+      names.registrations, id,
+      fmt::format(R"({{"service":"{}","address":"{}","zone":"z1","slots":8,)"
+                  R"("state":"{}","seq":{},"born":1}})",
+                  pool, server.address().ToString(), state, ++sequence_));
+}
+
+std::string ForwarderFixture::Respond(RawServer* server,
+                                      const std::string& text) {
+  received.push_back(text);
+  if (script.empty()) {
+    return "";
+  }
+  std::string answer = script.front();
+  script.pop_front();
+  if (!answer.empty() && answer.back() == kClose) {
+    answer.pop_back();
+    loop.Post([server]() { server->CloseAll(); });
+  }
+  return answer;
+}
+
+bool ForwarderFixture::RunUntil(const std::function<bool()>& is_done) {
+  const core::TimePoint end = loop.Now() + kTestTimeout;
+  while (!is_done() && loop.Now() < end) {
+    const auto timer = loop.NewTimer([this]() { loop.Stop(); });
+    timer->StartOnce(core::milliseconds(5));
+    loop.Run();
+  }
+  return loop.Now() < end;
+}
+
+std::shared_ptr<http::OriginCall> ForwarderFixture::Send(
+    const std::string& target,
+    const http::Headers& more,
+    bool is_ready_check,
+    CallerResult* result) {
+  http::OriginRequest request;
+  request.address =
+      is_ready_check ? settings.ready_address : settings.callers_address;
+  request.method = "GET";
+  request.target = target;
+  request.headers = {{"Host", "a.test"}, {"Request-Id", "id1"}};
+  for (const auto& [name, value] : more.fields()) {
+    request.headers.Add(name, value);
+  }
+  http::OriginCallbacks callbacks;
+  callbacks.on_head = [result](const http::MessageHead& head) {
+    result->status = head.status;
+    result->headers = head.headers;
+  };
+  callbacks.on_body = [result](std::string_view piece) {
+    result->body.append(piece);
+  };
+  callbacks.on_end = [result](http::OriginOutcome end) { result->end = end; };
+  return client.Send(request, std::move(callbacks));
+}
+
+CallerResult ForwarderFixture::Get(
+    const std::string& target,
+    bool is_ready_check,
+    const std::vector<http::Headers::Field>& more) {
+  CallerResult result;
+  http::Headers headers = {{"Authorization", "Bearer k1"},
+                           {"Deadline-Ms", "1500"}};
+  for (const auto& [name, value] : more) {
+    headers.Add(name, value);
+  }
+  Send(target, headers, is_ready_check, &result);
+  const core::TimePoint end = loop.Now() + kTestTimeout;
+  while (!result.end && loop.Now() < end) {
+    const auto timer = loop.NewTimer([this]() { loop.Stop(); });
+    timer->StartOnce(core::milliseconds(2));
+    loop.Run();
+  }
+  return result;
+}
+
+}  // namespace wasabi::support
--- /dev/null
+++ b/Tests/Support/ForwarderFixture/forwarder_fixture.h
@@ -0,0 +1,98 @@
+// A forwarding daemon on loopback addresses, between a caller and two endpoints
+// that respond from one shared script.
+
+#ifndef TESTS_SUPPORT_FORWARDERFIXTURE_FORWARDER_FIXTURE_H_
+#define TESTS_SUPPORT_FORWARDERFIXTURE_FORWARDER_FIXTURE_H_
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "LibForwarding/adapter_set.h"
+#include "LibHttp/origin_client.h"
+#include "LibPlatform/loop_scheduler.h"
+#include "Services/Forwarder/forwarder_daemon.h"
+#include "Tests/Support/RawServer/raw_server.h"
+#include "Tests/Support/TopicStore/fake_topic_client.h"
+
+namespace wasabi::support {
+
+// At the end of a scripted response: closes the connection after the text
+// before it has been sent.
+inline constexpr char kClose = '\x01';
+// The end of a chunked body.
+inline constexpr const char* kStreamEnd = "0\r\n\r\n";
+
+// Returns an endpoint's response with the id of the request and the headers in
+// `fields`.
+std::string ScriptedAnswer(int status,
+                           const std::string& fields,
+                           const std::string& body);
+// Returns a signed 200 response.
+std::string ScriptedSuccess(const std::string& body);
+// Returns the head of a chunked event stream and one chunk with `events`.
+std::string ChunkedStreamStart(const std::string& events);
+// Returns the head of an event stream with neither a length nor chunks, and
+// `events`.
+std::string UnframedStreamStart(const std::string& events);
+
+// The response that a caller received.
+struct CallerResult {
+  int status = 0;
+  http::Headers headers;
+  std::string body;
+  // How the call ended; nullopt if it has not.
+  std::optional<http::OriginOutcome> end;
+};
+
+// The endpoints "e1" and "e2" are ready and belong to the pool "p" of most
+// routes. An empty scripted response means that the endpoint does not respond.
+struct ForwarderFixture {
+  ForwarderFixture();
+
+  // Writes the configuration and waits until the daemon is ready.
+  void Configure();
+  // Writes the registration of `server` as the endpoint `id`.
+  void Register(const char* id,
+                const RawServer& server,
+                const char* state,
+                const char* pool = "p");
+  // Runs the loop until `is_done`, or for ten seconds. Returns whether it was
+  // done in time.
+  bool RunUntil(const std::function<bool()>& is_done);
+  std::shared_ptr<http::OriginCall> Send(const std::string& target,
+                                         const http::Headers& more,
+                                         bool is_ready_check,
+                                         CallerResult* result);
+  // Sends a request and waits for the end of its response.
+  CallerResult Get(const std::string& target,
+                   bool is_ready_check = false,
+                   const std::vector<http::Headers::Field>& more = {});
+
+  core::EventLoop loop;
+  platform::LoopScheduler scheduler;
+  RawServer first;
+  RawServer second;
+  std::deque<std::string> script;
+  // The text of each request that reached an endpoint.
+  std::vector<std::string> received;
+  FakeTopicClient* store = nullptr;
+  forwarding::TopicNames names;
+  forwarder::ForwarderSettings settings;
+  std::unique_ptr<forwarder::ForwarderDaemon> daemon;
+  http::OriginClient client;
+
+ private:
+  forwarder::ForwarderSettings NewSettings() const;
+  void Start();
+  std::string Respond(RawServer* server, const std::string& text);
+
+  int sequence_ = 0;
+};
+
+}  // namespace wasabi::support
+
+#endif  // TESTS_SUPPORT_FORWARDERFIXTURE_FORWARDER_FIXTURE_H_
