Log lines of forwarded requests tell the framing of the answer

An answer that was broken off reached its caller as complete, and the lines did not tell whether its end was stated by a length, by chunks or only by the end of its connection, nor whether bytes of an event were left over (docs/incidents, hypotheses 1 and 2). attempt_failed and request_ended now do.

--- a/Libraries/LibForwarding/event_splitter.h
+++ b/Libraries/LibForwarding/event_splitter.h
@@ -22,7 +22,8 @@
   // The id of the last complete event that has a numeric one; nullopt if there
   // is none yet.
   std::optional<uint64_t> last_event_id() const { return last_event_id_; }
-  bool has_remainder() const { return !buffer_.empty(); }
+  // Number of bytes after the last complete event.
+  size_t remainder_bytes() const { return buffer_.size(); }
 
  private:
   void RecordEventIds(std::string_view events);
--- a/Libraries/LibForwarding/forward_session.cc
+++ b/Libraries/LibForwarding/forward_session.cc
@@ -274,9 +274,12 @@
   const Endpoint& endpoint = attempt_->endpoint();
   context_->events->Record(
       core::EventCode::kAttemptFailed, request_.id.value(),
-      fmt::format("endpoint={} end={} status={} ms={} load={} failure_share="
-                  "{:.2f} sends={} endpoints_age_ms={}",
+      fmt::format("endpoint={} end={} status={} framing={} "
+                  "partial_event_bytes={} ms={} load={} failure_share={:.2f} "
+                  "sends={} endpoints_age_ms={}",
                   endpoint.id.value(), NameOf(end), head_.status,
+                  head_.status == 0 ? "none" : http::NameOf(head_.framing()),
+                  splitter_.remainder_bytes(),
                   core::ToMilliseconds(Now() - attempt_->started_at()),
                   context_->loads->Load(endpoint.id),
                   context_->monitor->FailureShare(endpoint.id, Now()), sends_,
@@ -474,11 +477,13 @@
   }
   context_->events->Record(
       core::EventCode::kRequestEnded, request_.id.value(),
-      fmt::format("outcome={} endpoint={} prompt_source={} sends={} runs={} "
-                  "ms={} version={} endpoints_age_ms={}",
+      fmt::format("outcome={} endpoint={} prompt_source={} framing={} "
+                  "partial_event_bytes={} sends={} runs={} ms={} version={} "
+                  "endpoints_age_ms={}",
                   outcome, endpoint,
                   prompt_source_.empty() ? "none" : prompt_source_.value(),
-                  sends_, runs_,
+                  head_.status == 0 ? "none" : http::NameOf(head_.framing()),
+                  splitter_.remainder_bytes(), sends_, runs_,
                   core::ToMilliseconds(Now() - request_.received_at),
                   request_.table->version(),
                   core::ToMilliseconds(context_->endpoint_view_age())));
--- a/Libraries/LibHttp/message_parser.cc
+++ b/Libraries/LibHttp/message_parser.cc
@@ -45,6 +45,25 @@
 
 }  // namespace
 
+std::string_view NameOf(BodyFraming framing) {
+  switch (framing) {
+    case BodyFraming::kLength:
+      return "length";
+    case BodyFraming::kChunks:
+      return "chunks";
+    case BodyFraming::kConnectionEnd:
+      return "connection_end";
+  }
+  return "unknown";
+}
+
+BodyFraming MessageHead::framing() const {
+  if (is_chunked) {
+    return BodyFraming::kChunks;
+  }
+  return content_length ? BodyFraming::kLength : BodyFraming::kConnectionEnd;
+}
+
 // The interface that hides whether a request or a response is parsed.
 struct MessageParser::Implementation {
   explicit Implementation(Callbacks callbacks_in)
--- a/Libraries/LibHttp/message_parser.h
+++ b/Libraries/LibHttp/message_parser.h
@@ -16,6 +16,18 @@
 
 namespace wasabi::http {
 
+// How a message states where its body ends.
+enum class BodyFraming : uint8_t {
+  kLength,
+  kChunks,
+  // Neither a length nor chunks. The body of a response then extends to the end
+  // of its connection, so a truncated one can't be told by its framing.
+  kConnectionEnd,
+};
+
+// Returns the name of `framing` for log entries.
+std::string_view NameOf(BodyFraming framing);
+
 // The start line and header fields of a message.
 struct MessageHead {
   // Only set for requests.
@@ -29,6 +41,8 @@
   bool is_chunked = false;
   // The value of Content-Length; nullopt if the field is absent.
   std::optional<uint64_t> content_length;
+
+  BodyFraming framing() const;
 };
 
 enum class MessageKind : uint8_t { kRequest, kResponse };
