A failing test of streams that break off and look complete

A stream with neither a length nor chunks that ends inside an event is passed on with the half event and a proper end; so is one whose chunks end properly there.

--- /dev/null
+++ b/Tests/ForwardedStreams/cut_stream_looks_complete_test.cc
@@ -0,0 +1,126 @@
+// Regression test: streams that break off inside an event must not reach the
+// caller as complete answers, whatever their framing.
+
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+#include "Tests/Support/ForwarderFixture/forwarder_fixture.h"
+
+namespace wasabi::forwarder {
+namespace {
+
+using support::ChunkedStreamStart;
+using support::kClose;
+using support::kStreamEnd;
+using support::UnframedStreamStart;
+
+struct StreamCase {
+  const char* what;
+  const char* target;
+  std::vector<std::string> script;
+  int status;
+  std::string body;
+  bool is_whole;
+  // Number of requests that reached an endpoint.
+  size_t sends;
+};
+
+TEST_CASE("a stream that ends inside an event is not passed on as complete") {
+  const std::string event1 = "id: 1\ndata: a\n\n";
+  const std::string event2 = "id: 2\ndata: b\n\n";
+  const std::string half = "id: 2\nda";
+  const auto unframed = [](const std::string& events) {
+    return UnframedStreamStart(events) + kClose;
+  };
+  const StreamCase cases[] = {
+      {"unframed, whole",
+       "/once/1",
+       {unframed(event1 + event2)},
+       200,
+       event1 + event2,
+       true,
+       1},
+      {"unframed, broken off, must not be retried",
+       "/once/1",
+       {unframed(event1 + half)},
+       200,
+       event1,
+       false,
+       1},
+      {"unframed, broken off, resumed by an unframed stream",
+       "/resumable/1",
+       {unframed(event1 + half), unframed(event2)},
+       200,
+       event1 + event2,
+       true,
+       2},
+      {"unframed, broken off twice",
+       "/resumable/1",
+       {unframed(event1 + half), unframed(half)},
+       200,
+       event1,
+       false,
+       2},
+      {"unframed, broken off inside the first event",
+       "/once/1",
+       {unframed("id: 1\nda")},
+       502,
+       "",
+       true,
+       1},
+      {"unframed, broken off inside the first event, repeated",
+       "/resumable/1",
+       {unframed("id: 1\nda"), unframed(event1 + event2)},
+       200,
+       event1 + event2,
+       true,
+       2},
+      {"unframed, ends without an event",
+       "/once/1",
+       {unframed("")},
+       502,
+       "",
+       true,
+       1},
+      {"unframed, the rest ends without an event",
+       "/resumable/1",
+       {unframed(event1 + half), unframed("")},
+       200,
+       event1,
+       false,
+       2},
+      {"chunks that end properly inside an event",
+       "/once/1",
+       {ChunkedStreamStart(event1 + half) + kStreamEnd},
+       200,
+       event1,
+       false,
+       1},
+      {"chunks that end properly inside an event, resumed",
+       "/resumable/1",
+       {ChunkedStreamStart(event1 + half) + kStreamEnd,
+        ChunkedStreamStart(event2) + kStreamEnd},
+       200,
+       event1 + event2,
+       true,
+       2},
+  };
+  for (const StreamCase& row : cases) {
+    INFO(row.what);
+    support::ForwarderFixture it;
+    it.Configure();
+    it.script.assign(row.script.begin(), row.script.end());
+    const support::CallerResult result = it.Get(row.target);
+    REQUIRE(result.end.has_value());
+    CHECK(result.status == row.status);
+    CHECK((result.end == http::OriginOutcome::kComplete) == row.is_whole);
+    CHECK(it.received.size() == row.sends);
+    if (row.status == 200) {
+      CHECK(result.body == row.body);
+    }
+  }
+}
+
+}  // namespace
+}  // namespace wasabi::forwarder
