A stream that ends inside an event has been broken off

Cause: the end of a connection was taken for the end of a message. An answer with neither a length nor chunks counts as complete to the parser once its connection is closed in an orderly way, and the session then passed on what it held of the next event and ended its own chunks properly. It trusted the framing of chunks in the same way.

Why this works: the framing only tells where bytes end. The session is now asked whether the content is whole: a stream whose last event is incomplete is cut, whatever its framing, and so is one without any event that only its connection's end delimits. The attempt then counts as broken: it is resumed where that is allowed, and otherwise the caller's connection is closed without an end. Half events are never passed on. A plain answer without a length is complete after an orderly close, and not after a reset, as before.

--- a/Libraries/LibForwarding/event_splitter.cc
+++ b/Libraries/LibForwarding/event_splitter.cc
@@ -42,17 +42,11 @@
   std::string events = buffer_.substr(0, from + end);
   buffer_.erase(0, from + end);
   searched_ = buffer_.size();
+  has_events_ = true;
   RecordEventIds(events);
   return events;
 }
 
-std::string EventSplitter::TakeRemainder() {
-  searched_ = 0;
-  std::string rest;
-  rest.swap(buffer_);
-  return rest;
-}
-
 void EventSplitter::RecordEventIds(std::string_view events) {
   size_t start = 0;
   while (start < events.size()) {
--- a/Libraries/LibForwarding/event_splitter.h
+++ b/Libraries/LibForwarding/event_splitter.h
@@ -16,14 +16,14 @@
   // Appends `bytes` and returns the events that are now complete.
   std::string Add(std::string_view bytes);
 
-  // Removes and returns the bytes after the last complete event.
-  std::string TakeRemainder();
+  // Returns the bytes after the last complete event.
+  std::string_view remainder() const { return buffer_; }
 
   // The id of the last complete event that has a numeric one; nullopt if there
   // is none yet.
   std::optional<uint64_t> last_event_id() const { return last_event_id_; }
-  // Number of bytes after the last complete event.
-  size_t remainder_bytes() const { return buffer_.size(); }
+  // True once at least one event was complete.
+  bool has_events() const { return has_events_; }
 
  private:
   void RecordEventIds(std::string_view events);
@@ -32,6 +32,7 @@
   // Position in `buffer_` from which to search for the end of an event.
   size_t searched_ = 0;
   std::optional<uint64_t> last_event_id_;
+  bool has_events_ = false;
 };
 
 }  // namespace wasabi::forwarding
--- a/Libraries/LibForwarding/forward_attempt.cc
+++ b/Libraries/LibForwarding/forward_attempt.cc
@@ -119,17 +119,18 @@
   const core::TimePoint now = context_->loop->Now();
   switch (end) {
     case http::OriginOutcome::kComplete:
-      Finish(AttemptEnd::kAnswered);
+      if (callbacks_.is_whole()) {
+        Finish(AttemptEnd::kAnswered);
+      } else {
+        FinishCut();
+      }
       return;
     case http::OriginOutcome::kNotSent:
       context_->monitor->RecordUnreachable(endpoint_.id, now);
       Finish(AttemptEnd::kNotSent);
       return;
     case http::OriginOutcome::kCut:
-      context_->monitor->RecordFailure(endpoint_.id, now);
-      context_->crashes->RecordBrokenConnection(endpoint_,
-                                                request_.content_digest);
-      Finish(AttemptEnd::kCut);
+      FinishCut();
       return;
     case http::OriginOutcome::kMalformed:
       context_->monitor->RecordFailure(endpoint_.id, now);
@@ -138,6 +139,12 @@
   }
 }
 
+void ForwardAttempt::FinishCut() {
+  context_->monitor->RecordFailure(endpoint_.id, context_->loop->Now());
+  context_->crashes->RecordBrokenConnection(endpoint_, request_.content_digest);
+  Finish(AttemptEnd::kCut);
+}
+
 void ForwardAttempt::OnSilenceTimeout() {
   const core::Duration silence = context_->loop->Now() - last_byte_at_;
   if (silence < silence_timeout_) {
--- a/Libraries/LibForwarding/forward_attempt.h
+++ b/Libraries/LibForwarding/forward_attempt.h
@@ -40,6 +40,9 @@
     std::function<void(AttemptVerdict verdict, const http::MessageHead& head)>
         on_head;
     std::function<void(std::string_view piece)> on_body;
+    // Asked when the answer has ended as its framing says. Returns false if its
+    // content shows that it was broken off.
+    std::function<bool()> is_whole;
     std::function<void(AttemptEnd end)> on_end;
   };
 
@@ -71,6 +74,7 @@
   void RecordNotice(const EndpointNotice& notice);
   void OnBody(std::string_view piece);
   void OnCallEnd(http::OriginOutcome end);
+  void FinishCut();
   void OnSilenceTimeout();
   void StartProbe();
   void OnProbeEnd(bool is_reachable);
--- a/Libraries/LibForwarding/forward_session.cc
+++ b/Libraries/LibForwarding/forward_session.cc
@@ -172,6 +172,10 @@
       self->OnBody(piece);
     }
   };
+  callbacks.is_whole = [weak]() {
+    const auto self = weak.lock();
+    return self == nullptr || self->IsAnswerWhole();
+  };
   callbacks.on_end = [weak](AttemptEnd end) {
     if (const auto self = weak.lock()) {
       self->OnAttemptEnd(end);
@@ -279,13 +283,27 @@
                   "sends={} endpoints_age_ms={}",
                   endpoint.id.value(), NameOf(end), head_.status,
                   head_.status == 0 ? "none" : http::NameOf(head_.framing()),
-                  splitter_.remainder_bytes(),
+                  splitter_.remainder().size(),
                   core::ToMilliseconds(Now() - attempt_->started_at()),
                   context_->loads->Load(endpoint.id),
                   context_->monitor->FailureShare(endpoint.id, Now()), sends_,
                   core::ToMilliseconds(context_->endpoint_view_age())));
 }
 
+bool ForwardSession::IsAnswerWhole() const {
+  const bool has_events = verdict_ == AttemptVerdict::kSuccess && IsStream() &&
+                          request_.method != "HEAD";
+  if (!has_events) {
+    return true;
+  }
+  // An endpoint that breaks off before the first event may close its connection
+  // like one that has nothing to send.
+  const bool may_be_empty =
+      head_.framing() != http::BodyFraming::kConnectionEnd;
+  return splitter_.remainder().empty() &&
+         (splitter_.has_events() || may_be_empty);
+}
+
 void ForwardSession::OnAttemptEnd(AttemptEnd end) {
   if (end != AttemptEnd::kAnswered || verdict_ != AttemptVerdict::kSuccess) {
     RecordFailedAttempt(end);
@@ -393,7 +411,6 @@
   if (!transaction_->is_started()) {
     BeginRelay();
   }
-  transaction_->Write(splitter_.TakeRemainder());
   transaction_->Finish();
   End("answered");
 }
@@ -483,7 +500,7 @@
                   outcome, endpoint,
                   prompt_source_.empty() ? "none" : prompt_source_.value(),
                   head_.status == 0 ? "none" : http::NameOf(head_.framing()),
-                  splitter_.remainder_bytes(), sends_, runs_,
+                  splitter_.remainder().size(), sends_, runs_,
                   core::ToMilliseconds(Now() - request_.received_at),
                   request_.table->version(),
                   core::ToMilliseconds(context_->endpoint_view_age())));
--- a/Libraries/LibForwarding/forward_session.h
+++ b/Libraries/LibForwarding/forward_session.h
@@ -47,6 +47,8 @@
 
   void OnHead(AttemptVerdict verdict, const http::MessageHead& head);
   void OnBody(std::string_view piece);
+  // Returns whether an answer that has ended as its framing says is whole.
+  bool IsAnswerWhole() const;
   void OnAttemptEnd(AttemptEnd end);
   void RecordFailedAttempt(AttemptEnd end);
   void OnAnswered();
--- a/Tests/LibForwarding/event_splitter_test.cc
+++ b/Tests/LibForwarding/event_splitter_test.cc
@@ -55,7 +55,7 @@
     }
     CHECK(events == row.events);
     CHECK(splitter.last_event_id() == row.last_event_id);
-    CHECK(splitter.TakeRemainder() == row.rest);
+    CHECK(splitter.remainder() == row.rest);
   }
 }
 
