Bytes that are no answer, without end, cost a bounded time and memory

What would be seen: an endpoint that sends without end, in a head or a body, held its attempt until the caller's deadline; a stream without a blank line grew in memory up to a gibibyte, and a stream of anything with blank lines went to the caller.

Cause: only the parser's limits bounded an answer. Responses to other requests and interim ones could follow each other without end, the body of an answer that is not passed on was read to its end, and any byte counted as progress.

Now: what precedes the expected response is limited to 256 KiB and 16 interim responses; the body of an invalid answer is read only if it states at most 64 KiB; a failure or refusal beyond 256 KiB, and a stream with 256 KiB without an event, end the attempt; so does an event without an id that is greater than the one before it. Only whole events are progress. The connection is closed, the attempt is logged (end=oversized or improper) and counted (forward_oversized_answers, forward_malformed_answers); idle connections that bring bytes are counted (endpoint_unsolicited_closes).

--- a/Libraries/LibForwarding/event_splitter.cc
+++ b/Libraries/LibForwarding/event_splitter.cc
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr std::string_view kIdField = "id:";
+constexpr char kCommentMark = ':';
 
 // Returns the position after the last blank line of `text`, or npos if there is
 // none. Lines end in "\n" or "\r\n".
@@ -42,26 +43,45 @@
   std::string events = buffer_.substr(0, from + end);
   buffer_.erase(0, from + end);
   searched_ = buffer_.size();
-  has_events_ = true;
-  RecordEventIds(events);
+  events.resize(RecordEvents(events));
   return events;
 }
 
-void EventSplitter::RecordEventIds(std::string_view events) {
+size_t EventSplitter::RecordEvents(std::string_view events) {
   size_t start = 0;
-  while (start < events.size()) {
-    size_t end = events.find('\n', start);
-    end = end == std::string_view::npos ? events.size() : end;
-    const std::string_view line = events.substr(start, end - start);
-    if (line.substr(0, kIdField.size()) == kIdField) {
-      const auto id =
+  size_t line_start = 0;
+  while (line_start < events.size() && is_in_order_) {
+    size_t end = events.find('\n', line_start);
+    end = end == std::string_view::npos ? events.size() : end + 1;
+    const std::string_view line = events.substr(line_start, end - line_start);
+    if (line == "\n" || line == "\r\n") {
+      RecordEvent(events.substr(start, end - start));
+      start = is_in_order_ ? end : start;
+    }
+    line_start = end;
+  }
+  return start;
+}
+
+void EventSplitter::RecordEvent(std::string_view event) {
+  std::optional<uint64_t> id;
+  bool is_comment = true;
+  for (size_t start = 0; start < event.size();) {
+    size_t end = event.find('\n', start);
+    end = end == std::string_view::npos ? event.size() : end;
+    const std::string_view line = core::Trim(event.substr(start, end - start));
+    is_comment = is_comment && (line.empty() || line.front() == kCommentMark);
+    if (line.starts_with(kIdField)) {
+      id =
           core::ParseNumber<uint64_t>(core::Trim(line.substr(kIdField.size())));
-      if (id) {
-        last_event_id_ = id;
-      }
     }
     start = end + 1;
   }
+  const bool advances = id && (!last_event_id_ || *id > *last_event_id_);
+  is_in_order_ = is_in_order_ && (advances || is_comment);
+  has_events_ = has_events_ || advances;
+  bytes_without_event_ = advances ? 0 : bytes_without_event_ + event.size();
+  last_event_id_ = advances ? id : last_event_id_;
 }
 
 }  // namespace wasabi::forwarding
--- a/Libraries/LibForwarding/event_splitter.h
+++ b/Libraries/LibForwarding/event_splitter.h
@@ -1,5 +1,6 @@
 // Splits a text/event-stream body into complete events, so that an interrupted
-// stream can be resumed after the last complete one.
+// stream can be resumed after the last complete one. Checks that the ids of
+// events increase.
 
 #ifndef LIBFORWARDING_EVENT_SPLITTER_H_
 #define LIBFORWARDING_EVENT_SPLITTER_H_
@@ -13,26 +14,45 @@
 
 class EventSplitter {
  public:
-  // Appends `bytes` and returns the events that are now complete.
+  // `resume_after` is the id of the last event before this body, if any.
+  explicit EventSplitter(std::optional<uint64_t> resume_after = std::nullopt)
+      : last_event_id_(resume_after) {}
+
+  // Appends `bytes` and returns the events that are now complete, up to the
+  // first one that is out of order.
   std::string Add(std::string_view bytes);
 
   // Returns the bytes after the last complete event.
   std::string_view remainder() const { return buffer_; }
 
-  // The id of the last complete event that has a numeric one; nullopt if there
-  // is none yet.
+  // The id of the last complete event that has a numeric one, or `resume_after`
+  // if there is none yet.
   std::optional<uint64_t> last_event_id() const { return last_event_id_; }
-  // True once at least one event was complete.
+  // True once at least one event with an id was complete.
   bool has_events() const { return has_events_; }
+  // False once an event had no id, or one that is not greater than the id
+  // before it. Comments need no id.
+  bool is_in_order() const { return is_in_order_; }
+  // Number of bytes since the last event whose id was greater than the one
+  // before it.
+  size_t bytes_without_event() const {
+    return bytes_without_event_ + buffer_.size();
+  }
 
  private:
-  void RecordEventIds(std::string_view events);
+  // Handles complete events. Returns the length of those before the first one
+  // that is out of order.
+  size_t RecordEvents(std::string_view events);
+  // Handles one event, which ends with its blank line.
+  void RecordEvent(std::string_view event);
 
   std::string buffer_;
   // Position in `buffer_` from which to search for the end of an event.
   size_t searched_ = 0;
   std::optional<uint64_t> last_event_id_;
+  size_t bytes_without_event_ = 0;
   bool has_events_ = false;
+  bool is_in_order_ = true;
 };
 
 }  // namespace wasabi::forwarding
--- a/Libraries/LibForwarding/forward_attempt.cc
+++ b/Libraries/LibForwarding/forward_attempt.cc
@@ -27,7 +27,7 @@
   callbacks_ = std::move(callbacks);
   is_active_ = true;
   started_at_ = context_->loop->Now();
-  last_byte_at_ = started_at_;
+  last_progress_at_ = started_at_;
   context_->loads->Start(endpoint_.id);
   context_->service_times.Start(endpoint_.pool, started_at_);
   const auto weak = weak_from_this();
@@ -44,7 +44,7 @@
   };
   origin.on_body = [weak](std::string_view piece) {
     if (const auto self = weak.lock()) {
-      self->OnBody(piece);
+      self->callbacks_.on_body(piece);
     }
   };
   origin.on_end = [weak](http::OriginOutcome end) {
@@ -82,7 +82,7 @@
 }
 
 void ForwardAttempt::OnHead(const http::MessageHead& head) {
-  last_byte_at_ = context_->loop->Now();
+  last_progress_at_ = context_->loop->Now();
   RecordNotice(context_->endpoint_protocol->NoticeIn(head));
   const auto self = shared_from_this();
   callbacks_.on_head(
@@ -108,11 +108,15 @@
   }
 }
 
-void ForwardAttempt::OnBody(std::string_view piece) {
-  last_byte_at_ = context_->loop->Now();
+void ForwardAttempt::RecordProgress() {
+  last_progress_at_ = context_->loop->Now();
   has_probed_ = false;
-  const auto self = shared_from_this();
-  callbacks_.on_body(piece);
+}
+
+void ForwardAttempt::Abandon(AttemptEnd end) {
+  context_->monitor->RecordFailure(endpoint_.id, context_->loop->Now());
+  call_->Cancel();
+  Finish(end);
 }
 
 void ForwardAttempt::OnCallEnd(http::OriginOutcome end) {
@@ -136,6 +140,10 @@
       context_->monitor->RecordFailure(endpoint_.id, now);
       Finish(AttemptEnd::kMalformedAnswer);
       return;
+    case http::OriginOutcome::kOversized:
+      context_->monitor->RecordFailure(endpoint_.id, now);
+      Finish(AttemptEnd::kOversizedAnswer);
+      return;
   }
 }
 
@@ -146,7 +154,7 @@
 }
 
 void ForwardAttempt::OnSilenceTimeout() {
-  const core::Duration silence = context_->loop->Now() - last_byte_at_;
+  const core::Duration silence = context_->loop->Now() - last_progress_at_;
   if (silence < silence_timeout_) {
     silence_timer_->StartOnce(silence_timeout_ - silence);
     return;
@@ -213,8 +221,11 @@
   if (end == AttemptEnd::kSilent) {
     call_->Cancel();
   }
-  const Callbacks callbacks = std::exchange(callbacks_, {});
-  callbacks.on_end(end);
+  const auto callbacks =
+      std::make_shared<Callbacks>(std::exchange(callbacks_, {}));
+  callbacks->on_end(end);
+  // One of the callbacks may be running now.
+  context_->loop->Post([callbacks]() {});
 }
 
 void ForwardAttempt::Release() {
--- a/Libraries/LibForwarding/forward_attempt.h
+++ b/Libraries/LibForwarding/forward_attempt.h
@@ -30,6 +30,9 @@
   kCut,
   // The endpoint sent a malformed answer; the request may have run.
   kMalformedAnswer,
+  // The endpoint sent more bytes than an answer may have; the request may have
+  // run.
+  kOversizedAnswer,
   // The connection went silent; the request may have run.
   kSilent,
 };
@@ -58,9 +61,16 @@
   void Start(const AttemptOptions& options, Callbacks callbacks);
   // Closes the connection. No callback is called afterwards.
   void Cancel();
-  // Probes the endpoint with a new connection if no byte arrives for `limit`.
-  // The attempt ends with kSilent if the probe fails, or if nothing arrives for
-  // another two times `limit` although it succeeded. Zero disables the check.
+  // Closes the connection and ends the attempt with `end`, without the rest of
+  // the answer. May be called in `on_head` and `on_body`.
+  void Abandon(AttemptEnd end);
+  // Records that the answer has progressed. Bytes alone are no progress: those
+  // that are no answer may come without end.
+  void RecordProgress();
+  // Probes the endpoint with a new connection if the answer does not progress
+  // for `limit`. The attempt ends with kSilent if the probe fails, or if there
+  // is no progress for another two times `limit` although it succeeded. Zero
+  // disables the check.
   void SetSilenceTimeout(core::Duration limit);
   // Pauses or resumes reading from the endpoint.
   void SetReading(bool is_reading) { call_->SetReading(is_reading); }
@@ -72,7 +82,6 @@
  private:
   void OnHead(const http::MessageHead& head);
   void RecordNotice(const EndpointNotice& notice);
-  void OnBody(std::string_view piece);
   void OnCallEnd(http::OriginOutcome end);
   void FinishCut();
   void OnSilenceTimeout();
@@ -91,7 +100,7 @@
   std::unique_ptr<core::Timer> probe_timer_;
   core::Duration silence_timeout_{};
   core::TimePoint started_at_;
-  core::TimePoint last_byte_at_;
+  core::TimePoint last_progress_at_;
   bool has_probed_ = false;
   bool is_active_ = false;
 };
--- a/Libraries/LibForwarding/forward_session.cc
+++ b/Libraries/LibForwarding/forward_session.cc
@@ -17,6 +17,11 @@
 // Reading from the endpoint pauses while a slow caller has at least this many
 // unsent bytes.
 constexpr size_t kMaxUnsentBytes = 256U << 10U;
+// Maximum number of bytes between two events of a stream.
+constexpr size_t kMaxEventBytes = 256U << 10U;
+// The body of an invalid answer is read only if it is this short, to keep the
+// connection usable.
+constexpr uint64_t kMaxIgnoredBytes = 64U << 10U;
 // Maximum number of sends of one request, including those that were refused.
 constexpr uint32_t kMaxSends = 4;
 // Maximum share of the remaining time for which a request is queued on this
@@ -40,6 +45,8 @@
       return "cut";
     case AttemptEnd::kMalformedAnswer:
       return "improper";
+    case AttemptEnd::kOversizedAnswer:
+      return "oversized";
     case AttemptEnd::kSilent:
       return "silent";
   }
@@ -154,7 +161,7 @@
   verdict_ = AttemptVerdict::kInvalid;
   head_ = http::MessageHead();
   body_.clear();
-  splitter_ = EventSplitter();
+  splitter_ = EventSplitter(last_event_id_);
   prompt_source_ = core::RunnerId();
   tried_.insert(endpoint.id);
   ++sends_;
@@ -202,6 +209,11 @@
                             const http::MessageHead& head) {
   verdict_ = verdict;
   head_ = head;
+  const bool is_short =
+      head.content_length && *head.content_length <= kMaxIgnoredBytes;
+  if (verdict == AttemptVerdict::kInvalid && !is_short) {
+    attempt_->Abandon(AttemptEnd::kMalformedAnswer);
+  }
 }
 
 void ForwardSession::OnBody(std::string_view piece) {
@@ -209,6 +221,7 @@
     RelayEvents(piece);
     return;
   }
+  attempt_->RecordProgress();
   if (verdict_ == AttemptVerdict::kSuccess && transaction_->is_started()) {
     transaction_->Write(piece);
     ApplyBackPressure();
@@ -223,30 +236,44 @@
     transaction_->Write(std::exchange(body_, {}));
     return;
   }
-  // The rest of a failure's body contains nothing more for the caller.
-  verdict_ = AttemptVerdict::kInvalid;
-  body_.clear();
+  // A refusal is stated by its head alone.
+  attempt_->Abandon(verdict_ == AttemptVerdict::kNotRun
+                        ? AttemptEnd::kAnswered
+                        : AttemptEnd::kOversizedAnswer);
 }
 
 void ForwardSession::RelayEvents(std::string_view piece) {
   const std::string events = splitter_.Add(piece);
-  if (events.empty()) {
-    return;
+  if (!events.empty()) {
+    RelayWholeEvents(events);
   }
+  if (!splitter_.is_in_order()) {
+    attempt_->Abandon(AttemptEnd::kMalformedAnswer);
+  } else if (splitter_.bytes_without_event() > kMaxEventBytes) {
+    attempt_->Abandon(AttemptEnd::kOversizedAnswer);
+  }
+}
+
+void ForwardSession::RelayWholeEvents(const std::string& events) {
   if (!transaction_->is_started()) {
     BeginRelay();
     context_->metrics->Timing("forward_first_event_ms")
         .Add(core::ToSeconds(Now() - request_.received_at) * 1000);
   }
-  if (splitter_.last_event_id()) {
+  transaction_->Write(events);
+  if (splitter_.last_event_id() != last_event_id_) {
     last_event_id_ = splitter_.last_event_id();
+    OnStreamProgress();
   }
-  transaction_->Write(events);
+  ApplyBackPressure();
+}
+
+void ForwardSession::OnStreamProgress() {
+  attempt_->RecordProgress();
   if (CanRetryIfAttemptFails()) {
     attempt_->SetSilenceTimeout(
         std::max(request_.route->gap_objective * 2, kMinSilenceTimeout));
   }
-  ApplyBackPressure();
 }
 
 void ForwardSession::BeginRelay() {
@@ -275,6 +302,11 @@
 }
 
 void ForwardSession::RecordFailedAttempt(AttemptEnd end) {
+  if (end == AttemptEnd::kMalformedAnswer) {
+    ++context_->metrics->Counter("forward_malformed_answers");
+  } else if (end == AttemptEnd::kOversizedAnswer) {
+    ++context_->metrics->Counter("forward_oversized_answers");
+  }
   const Endpoint& endpoint = attempt_->endpoint();
   context_->events->Record(
       core::EventCode::kAttemptFailed, request_.id.value(),
@@ -317,6 +349,7 @@
       return;
     case AttemptEnd::kCut:
     case AttemptEnd::kMalformedAnswer:
+    case AttemptEnd::kOversizedAnswer:
     case AttemptEnd::kSilent:
       ++runs_;
       OnAttemptMayHaveRun(end);
@@ -390,9 +423,9 @@
     DeliverBufferedAnswer();
     return;
   }
-  Fail(end == AttemptEnd::kMalformedAnswer || end == AttemptEnd::kAnswered
-           ? core::ResultCode::kMalformedAnswer
-           : core::ResultCode::kAnswerTruncated,
+  const bool is_cut = end == AttemptEnd::kCut || end == AttemptEnd::kSilent;
+  Fail(is_cut ? core::ResultCode::kAnswerTruncated
+              : core::ResultCode::kMalformedAnswer,
        "the endpoint's answer is incomplete or malformed");
 }
 
--- a/Libraries/LibForwarding/forward_session.h
+++ b/Libraries/LibForwarding/forward_session.h
@@ -57,6 +57,9 @@
 
   // These relay the answer to the caller.
   void RelayEvents(std::string_view piece);
+  void RelayWholeEvents(const std::string& events);
+  // Handles that an event was relayed. Bytes that are no event are no progress.
+  void OnStreamProgress();
   void BeginRelay();
   void DeliverBufferedAnswer();
   void FinishRelay();
--- a/Libraries/LibHttp/origin_client.h
+++ b/Libraries/LibHttp/origin_client.h
@@ -46,6 +46,9 @@
   // The endpoint sent bytes that are not a valid response, or too many
   // responses that belong to other requests.
   kMalformed,
+  // The response, or the responses before it that are skipped, exceed their
+  // size limits.
+  kOversized,
 };
 
 // The callbacks of OriginClient::Send. They run on the event loop; none runs
@@ -97,6 +100,9 @@
 
   // Number of connection attempts since the start.
   uint64_t connections_made() const { return connections_made_; }
+  // Number of idle connections that were closed because the endpoint sent bytes
+  // that answer no request.
+  uint64_t unsolicited_closes() const { return unsolicited_closes_; }
 
  private:
   friend class OriginConnection;
@@ -115,6 +121,7 @@
   // destroyed.
   std::shared_ptr<OriginClient*> self_;
   uint64_t connections_made_ = 0;
+  uint64_t unsolicited_closes_ = 0;
 };
 
 }  // namespace wasabi::http
--- a/Libraries/LibHttp/origin_connection.cc
+++ b/Libraries/LibHttp/origin_connection.cc
@@ -17,6 +17,11 @@
 // With more responses that belong to other requests, the connection counts as
 // desynchronised.
 constexpr int kMaxSkippedResponses = 4;
+// Limits of what may precede the expected response. An endpoint could otherwise
+// send such bytes without end.
+constexpr uint64_t kMaxSkippedBytes = 256U << 10U;
+constexpr int kMaxInterimResponses = 16;
+constexpr uint32_t kMaxHeaderBytes = 64U << 10U;
 constexpr uint64_t kMaxResponseBytes = 1U << 30U;
 constexpr int kFirstFinalStatus = 200;
 constexpr int kSwitchingProtocols = 101;
@@ -38,6 +43,12 @@
                  : kDefaultIdleTimeout;
 }
 
+OriginOutcome OutcomeOf(ParseResult error) {
+  const bool is_oversized = error == ParseResult::kHeaderTooLarge ||
+                            error == ParseResult::kBodyTooLarge;
+  return is_oversized ? OriginOutcome::kOversized : OriginOutcome::kMalformed;
+}
+
 std::string Serialise(const OriginRequest& request) {
   std::string text =
       fmt::format("{} {} HTTP/1.1\r\n", request.method, request.target);
@@ -66,6 +77,8 @@
   self_ = shared_from_this();
   is_head_request_ = request.method == "HEAD";
   skipped_responses_ = 0;
+  interim_responses_ = 0;
+  skipped_bytes_ = 0;
   ++call_count_;
   NewParser();
   if (stream_ == nullptr) {
@@ -151,12 +164,14 @@
   MessageParser::Callbacks callbacks;
   callbacks.on_head = [this](const MessageHead& head) { OnHead(head); };
   callbacks.on_body = [this](std::string_view piece) {
-    if (!is_skipping_ && callbacks_.on_body) {
+    if (is_skipping_) {
+      skipped_bytes_ += piece.size();
+    } else if (callbacks_.on_body) {
       callbacks_.on_body(piece);
     }
   };
   ParserLimits limits;
-  limits.max_header_bytes = 64U << 10U;
+  limits.max_header_bytes = kMaxHeaderBytes;
   limits.max_body_bytes = kMaxResponseBytes;
   parser_ = std::make_unique<MessageParser>(MessageKind::kResponse, limits,
                                             std::move(callbacks));
@@ -171,6 +186,7 @@
     // No request is pending, so the bytes can't be a valid response.
     Close();
     if (const auto client = client_.lock()) {
+      ++(*client)->unsolicited_closes_;
       (*client)->Drop(this);
     }
     return;
@@ -178,11 +194,14 @@
   input_.append(bytes);
   while (is_active_ && !input_.empty()) {
     const ParseResult result = parser_->Feed(&input_);
+    if (is_active_ && HasTooMuchBefore()) {
+      Finish(OriginOutcome::kOversized);
+    }
     if (!is_active_ || result == ParseResult::kNeedMore) {
       return;
     }
     if (result != ParseResult::kComplete) {
-      Finish(OriginOutcome::kMalformed);
+      Finish(OutcomeOf(result));
       return;
     }
     OnMessageComplete();
@@ -194,6 +213,7 @@
       head.status < kFirstFinalStatus && head.status != kSwitchingProtocols;
   is_keep_alive_ = head.is_keep_alive;
   if (is_interim_) {
+    ++interim_responses_;
     return;
   }
   if (callbacks_.is_expected && !callbacks_.is_expected(head)) {
@@ -206,6 +226,11 @@
   }
 }
 
+bool OriginConnection::HasTooMuchBefore() const {
+  return skipped_bytes_ > kMaxSkippedBytes ||
+         interim_responses_ > kMaxInterimResponses;
+}
+
 void OriginConnection::OnMessageComplete() {
   if (!is_interim_ && !is_skipping_) {
     Finish(OriginOutcome::kComplete);
--- a/Libraries/LibHttp/origin_connection.h
+++ b/Libraries/LibHttp/origin_connection.h
@@ -42,6 +42,9 @@
   void OnStreamEnd(TcpStream::End end);
   void OnHead(const MessageHead& head);
   void OnMessageComplete();
+  // Returns whether the responses that precede the expected one exceed their
+  // limits.
+  bool HasTooMuchBefore() const;
   void Finish(OriginOutcome end);
 
   core::EventLoop* const loop_;
@@ -57,6 +60,9 @@
   std::string input_;
   int call_count_ = 0;
   int skipped_responses_ = 0;
+  int interim_responses_ = 0;
+  // Bytes of the bodies of skipped responses.
+  uint64_t skipped_bytes_ = 0;
   bool is_active_ = false;
   bool is_connected_ = false;
   bool is_head_request_ = false;
--- a/Services/Forwarder/forwarder_daemon.cc
+++ b/Services/Forwarder/forwarder_daemon.cc
@@ -151,6 +151,9 @@
   metrics_.Gauge("platform_calls", [this]() {
     return static_cast<double>(fleet_->topics().platform_calls());
   });
+  metrics_.Gauge("endpoint_unsolicited_closes", [this]() {
+    return static_cast<double>(origin_client_.unsolicited_closes());
+  });
   context_.endpoint_view_age = [this]() {
     return loop_->Now() - registrations_->view()->confirmed_at();
   };
--- a/Tests/LibHttp/forwarding_connections_test.cc
+++ b/Tests/LibHttp/forwarding_connections_test.cc
@@ -246,6 +246,10 @@
 TEST_CASE("responses are validated and matched to their request") {
   const std::string chunked =
       "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n";
+  std::string interim;
+  for (int i = 0; i < 1000; ++i) {
+    interim += "HTTP/1.1 102 Processing\r\n\r\n";
+  }
   const ResponseCase cases[] = {
       {"a complete response", kExpectedResponse, false,
        OriginOutcome::kComplete, "ok", true},
@@ -275,6 +279,16 @@
        false},
       {"only an unrelated response", kUnrelatedResponse, true,
        OriginOutcome::kCut, "", false},
+      {"endless bytes that are no head", std::string(1U << 20U, 'x'), false,
+       OriginOutcome::kMalformed, "", false},
+      {"an endless field of a head",
+       "HTTP/1.1 200 OK\r\nX: " + std::string(1U << 20U, 'x'), false,
+       OriginOutcome::kOversized, "", false},
+      {"endless interim responses", interim, false, OriginOutcome::kOversized,
+       "", false},
+      {"an endless unrelated response",
+       "HTTP/1.1 200 OK\r\nId: 0\r\n\r\n" + std::string(1U << 20U, 'x'), false,
+       OriginOutcome::kOversized, "", false},
   };
   for (const ResponseCase& row : cases) {
     INFO(row.what);
