A closing connection of a caller ends in time, whatever the caller sends

The time for which a closing connection still reads was counted from its last byte: a caller that never stops sending kept it open for good.

--- a/Libraries/LibHttp/request_connection.cc
+++ b/Libraries/LibHttp/request_connection.cc
@@ -11,7 +11,8 @@
 // Pipelined bytes that are buffered while a response is pending. Beyond this,
 // reading is paused.
 constexpr size_t kMaxPipelinedBytes = 64U << 10U;
-// A closing connection keeps reading for this long. Closing a socket with
+// A closing connection keeps reading for this long, whether or not the client
+// still sends. Closing a socket with
 // unread bytes would reset the connection and could destroy the last response
 // before the client has read it.
 constexpr core::Duration kLingerTime = core::seconds(1);
@@ -69,7 +70,7 @@
     return;
   }
   if (is_closing_) {
-    if (now - last_byte_at_ > kLingerTime) {
+    if (now - closing_since_ > kLingerTime) {
       Close();
     }
     return;
@@ -195,7 +196,7 @@
 
 void RequestConnection::CloseGracefully() {
   is_closing_ = true;
-  last_byte_at_ = loop_->Now();
+  closing_since_ = loop_->Now();
   stream_->ShutDownWriting();
   stream_->SetReading(true);
 }
--- a/Libraries/LibHttp/request_connection.h
+++ b/Libraries/LibHttp/request_connection.h
@@ -103,6 +103,8 @@
   bool closes_after_response_ = false;
   bool is_closing_ = false;
   core::TimePoint last_byte_at_;
+  // When the graceful close began.
+  core::TimePoint closing_since_;
   core::TimePoint request_started_at_;
 };
 
--- a/Tests/LibHttp/forwarding_connections_test.cc
+++ b/Tests/LibHttp/forwarding_connections_test.cc
@@ -158,6 +158,17 @@
   CHECK(RunUntil(&it.loop, [&]() { return it.has_ended; }));
 }
 
+TEST_CASE("a caller that never stops sending is closed after its response") {
+  ServerFixture it;
+  it.Connect();
+  it.caller->Write("nonsense\r\n\r\n");
+  it.AwaitText(" 400 ");
+  const auto timer = it.loop.NewTimer([&it]() { it.caller->Write("more"); });
+  timer->StartRepeating(core::milliseconds(50));
+  CHECK(
+      RunUntil(&it.loop, [&]() { return it.server->connection_count() == 0; }));
+}
+
 TEST_CASE("malformed requests are rejected and their connections closed") {
   struct Row {
     const char* text;
