Calls to the store and between hosts have limits of size

Headers are limited to 64 KiB, a fetched body to 64 MiB (max_body_bytes); beyond that the call ends with kMalformedAnswer. A response tells whether its body is delimited. Test: client_limits_test, new like the limits.

--- a/Libraries/LibHttp/client.cc
+++ b/Libraries/LibHttp/client.cc
@@ -14,9 +14,16 @@
 using core::MakeStatus;
 using core::ResultCode;
 
+// Limit of the size of all headers of a response, including interim ones.
+constexpr size_t kMaxHeaderBytes = 64U << 10U;
+
 // Converts the result of a transfer to the status that
 // ClientCallbacks::on_done describes.
-absl::Status TransferStatus(CURLcode code, bool was_sent) {
+absl::Status TransferStatus(CURLcode code, bool was_sent, bool is_oversized) {
+  if (is_oversized) {
+    return MakeStatus(ResultCode::kMalformedAnswer,
+                      "the response exceeds its size limit");
+  }
   const std::string text = curl_easy_strerror(code);
   switch (code) {
     case CURLE_OK:
@@ -116,6 +123,11 @@
   static size_t OnHeader(char* bytes, size_t size, size_t count, void* user) {
     auto* call = static_cast<Call*>(user);
     const std::string_view line(bytes, size * count);
+    call->header_bytes += line.size();
+    if (call->header_bytes > kMaxHeaderBytes) {
+      call->is_oversized = true;
+      return 0;
+    }
     if (line.starts_with("HTTP/")) {
       call->headers = Headers();
     } else if (const size_t colon = line.find(':');
@@ -129,6 +141,11 @@
   static size_t OnData(char* bytes, size_t size, size_t count, void* user) {
     auto* call = static_cast<Call*>(user);
     call->ReportHeaders();
+    call->body_bytes += size * count;
+    if (call->max_body_bytes > 0 && call->body_bytes > call->max_body_bytes) {
+      call->is_oversized = true;
+      return 0;
+    }
     if (call->callbacks.on_data) {
       call->callbacks.on_data(std::string_view(bytes, size * count));
     }
@@ -141,8 +158,13 @@
   ClientCallbacks callbacks;
   std::string body;
   Headers headers;
+  size_t header_bytes = 0;
+  uint64_t body_bytes = 0;
+  uint64_t max_body_bytes = 0;
   bool headers_reported = false;
   bool is_cancelled = false;
+  // The response exceeds a size limit.
+  bool is_oversized = false;
 };
 
 Client::State::State(core::EventLoop* event_loop)
@@ -172,6 +194,7 @@
   CURL* easy = curl_easy_init();
   call->easy = easy;
   call->body = request.body;
+  call->max_body_bytes = request.max_body_bytes;
   const std::string url =
       fmt::format("http://{}{}", request.address.ToString(), request.target);
   curl_easy_setopt(easy, CURLOPT_URL, url.c_str());
@@ -233,8 +256,8 @@
     const std::shared_ptr<Call> call = it->second;
     long request_size = 0;
     curl_easy_getinfo(call->easy, CURLINFO_REQUEST_SIZE, &request_size);
-    const absl::Status status =
-        TransferStatus(message->data.result, request_size > 0);
+    const absl::Status status = TransferStatus(
+        message->data.result, request_size > 0, call->is_oversized);
     if (status.ok()) {
       call->ReportHeaders();
     }
@@ -324,7 +347,19 @@
         }
         callback(std::move(*response));
       };
-  return Send(request, std::move(callbacks));
+  ClientRequest bounded = request;
+  if (bounded.max_body_bytes == 0) {
+    bounded.max_body_bytes = kDefaultMaxFetchBytes;
+  }
+  return Send(bounded, std::move(callbacks));
+}
+
+bool ClientResponse::IsDelimited() const {
+  constexpr int kNoContent = 204;
+  constexpr int kNotModified = 304;
+  return status == kNoContent || status == kNotModified ||
+         headers.Find("Content-Length").has_value() ||
+         headers.Find("Transfer-Encoding").has_value();
 }
 
 uint64_t Client::bytes_transferred() const {
--- a/Libraries/LibHttp/client.h
+++ b/Libraries/LibHttp/client.h
@@ -17,6 +17,9 @@
 
 namespace wasabi::http {
 
+// The size limit of a fetched body.
+inline constexpr uint64_t kDefaultMaxFetchBytes = 64U << 20U;
+
 struct ClientRequest {
   std::string method = "GET";
   core::SocketAddress address;
@@ -28,6 +31,9 @@
   // Limit for the whole call, including the connection setup; zero means no
   // limit.
   core::Duration total_timeout = core::Duration::zero();
+  // Limit of the body's size; zero means no limit. Fetch, which keeps the body,
+  // replaces zero by kDefaultMaxFetchBytes.
+  uint64_t max_body_bytes = 0;
   // Uses a new connection even if the pool has an idle one. Required for
   // requests that must not be delivered twice: if a reused connection breaks
   // before the first byte of the response, libcurl retries the request by
@@ -45,8 +51,9 @@
   // The call has ended; this is the last callback. The status is OK if the
   // response was received completely, regardless of its HTTP status,
   // kPeerUnreachable if no connection was established and so nothing was sent,
-  // kAnswerTruncated if the connection broke, and kDeadlineExceeded if the call
-  // timed out.
+  // kAnswerTruncated if the connection broke, kMalformedAnswer if the head or
+  // the body exceeds its size limit, and kDeadlineExceeded if the call timed
+  // out.
   std::function<void(const absl::Status& status)> on_done;
 };
 
@@ -55,6 +62,10 @@
   int status = 0;
   Headers headers;
   std::string body;
+
+  // False if only the end of the connection delimits the body. A truncated body
+  // then looks like a complete one, unless its content tells.
+  bool IsDelimited() const;
 };
 
 // A call in flight. Dropping the handle does not cancel the call.
--- /dev/null
+++ b/Tests/LibHttp/client_limits_test.cc
@@ -0,0 +1,89 @@
+// Tests what Client makes of responses that have no end, or none that is
+// stated.
+
+#include <catch2/catch.hpp>
+#include <optional>
+#include <string>
+
+#include "LibCore/event_loop.h"
+#include "LibCore/result_code.h"
+#include "LibHttp/client.h"
+#include "Tests/Support/RawServer/raw_server.h"
+#include "Tests/Support/free_address.h"
+
+namespace wasabi::http {
+namespace {
+
+constexpr core::Duration kTestTimeout = core::seconds(10);
+constexpr uint64_t kMaxBodyBytes = 100'000;
+
+struct LimitCase {
+  const char* what;
+  std::string answer;
+  // True if the server closes the connection after the answer.
+  bool closes;
+  core::ResultCode code;
+  // Only used with kOk.
+  bool is_delimited;
+};
+
+std::string Repeated(const std::string& piece, size_t bytes) {
+  std::string text;
+  while (text.size() < bytes) {
+    text += piece;
+  }
+  return text;
+}
+
+TEST_CASE("a response without a stated or reasonable end is told apart") {
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  const size_t endless = 1U << 20U;
+  const LimitCase cases[] = {
+      {"a length", ok + "Content-Length: 2\r\n\r\nok", false,
+       core::ResultCode::kOk, true},
+      {"chunks", ok + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+       false, core::ResultCode::kOk, true},
+      {"no content", "HTTP/1.1 204 X\r\n\r\n", false, core::ResultCode::kOk,
+       true},
+      {"neither a length nor chunks", ok + "\r\nok", true,
+       core::ResultCode::kOk, false},
+      {"a truncated length", ok + "Content-Length: 9\r\n\r\nok", true,
+       core::ResultCode::kAnswerTruncated, false},
+      {"truncated chunks", ok + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n",
+       true, core::ResultCode::kAnswerTruncated, false},
+      {"endless headers", ok + Repeated("A: b\r\n", endless), false,
+       core::ResultCode::kMalformedAnswer, false},
+      {"endless interim responses",
+       Repeated("HTTP/1.1 102 Processing\r\n\r\n", endless), false,
+       core::ResultCode::kMalformedAnswer, false},
+      {"an endless body", ok + "\r\n" + std::string(endless, 'x'), false,
+       core::ResultCode::kMalformedAnswer, false},
+  };
+  for (const LimitCase& row : cases) {
+    INFO(row.what);
+    core::EventLoop loop;
+    support::RawServer server(&loop,
+                              support::FreeAddress(support::LoopbackIp(3)));
+    server.SetAnswer(row.answer, row.closes);
+    Client client(&loop);
+    ClientRequest request;
+    request.address = server.address();
+    request.max_body_bytes = kMaxBodyBytes;
+    std::optional<absl::StatusOr<ClientResponse>> result;
+    client.Fetch(request, [&](absl::StatusOr<ClientResponse> response) {
+      result = std::move(response);
+      loop.Stop();
+    });
+    const auto timer = loop.NewTimer([&loop]() { loop.Stop(); });
+    timer->StartOnce(kTestTimeout);
+    loop.Run();
+    REQUIRE(result.has_value());
+    CHECK(core::CodeOf(result->status()) == row.code);
+    if (result->ok()) {
+      CHECK((*result)->IsDelimited() == row.is_delimited);
+    }
+  }
+}
+
+}  // namespace
+}  // namespace wasabi::http
