Stand-alone: an answer of a service that may be cut is no outcome

The end of a connection was taken for the end of a message here too: the answer of a service with neither a length nor chunks was kept as the final outcome of an at-most-once call although its connection may just have broken.

Engines that send errors, comments or one chunk without end are cut off after 64 KiB and 1 MiB without a new chunk (engine_stream_parser_test); the end of their answers was always told by their finish chunk and end marker.

--- a/Services/Router/engine_attempt.cc
+++ b/Services/Router/engine_attempt.cc
@@ -14,6 +14,8 @@
 
 constexpr int kHttpOk = 200;
 constexpr int kHttpServiceUnavailable = 503;
+// The body of an error is not used. A longer one is not waited for.
+constexpr size_t kMaxErrorBytes = 64U << 10U;
 
 // Returns `body` with the member "resume_from" added to its JSON object, unless
 // `resume_from` is 0.
@@ -108,10 +110,17 @@
 }
 
 void EngineAttempt::OnData(std::string_view bytes) {
-  last_progress_ = core::Clock::now();
-  if (is_ended_ || http_status_ != kHttpOk) {
+  if (is_ended_) {
+    return;
+  }
+  if (http_status_ != kHttpOk) {
+    error_bytes_ += bytes.size();
+    if (error_bytes_ > kMaxErrorBytes) {
+      Fail(HttpError());
+    }
     return;
   }
+  last_progress_ = core::Clock::now();
   const absl::Status status = parser_.Feed(bytes);
   if (!status.ok()) {
     Fail(status);
--- a/Services/Router/engine_attempt.h
+++ b/Services/Router/engine_attempt.h
@@ -85,6 +85,8 @@
   bool is_ended_ = false;
   int http_status_ = 0;
   http::Headers headers_;
+  // Bytes of the body of an error.
+  size_t error_bytes_ = 0;
 };
 
 }  // namespace wasabi::router
--- a/Services/Router/engine_stream_parser.cc
+++ b/Services/Router/engine_stream_parser.cc
@@ -18,7 +18,7 @@
 constexpr std::string_view kEventEnd = "\n\n";
 constexpr std::string_view kDataPrefix = "data: ";
 constexpr std::string_view kEndMarker = "[DONE]";
-constexpr size_t kMaxEventBytes = 1U << 20U;
+constexpr size_t kMaxBytesWithoutChunk = 1U << 20U;
 
 bool IsFinishChunk(const json& chunk) {
   const auto choices = chunk.find("choices");
@@ -43,6 +43,7 @@
 
 absl::Status EngineStreamParser::Feed(std::string_view bytes) {
   buffer_ += bytes;
+  bytes_without_chunk_ += bytes.size();
   size_t start = 0;
   for (size_t end = buffer_.find(kEventEnd); end != std::string::npos;
        end = buffer_.find(kEventEnd, start)) {
@@ -54,10 +55,10 @@
     TRY(OnEvent(event.substr(kDataPrefix.size())));
   }
   buffer_.erase(0, start);
-  if (buffer_.size() > kMaxEventBytes) {
-    return MakeStatus(
-        ResultCode::kAnswerTruncated,
-        "a server-sent event is too large, with more than 1048576 bytes");
+  if (bytes_without_chunk_ > kMaxBytesWithoutChunk) {
+    return MakeStatus(ResultCode::kAnswerTruncated,
+                      "the engine sent more than 1048576 bytes without a chunk "
+                      "of the answer");
   }
   return absl::OkStatus();
 }
@@ -82,6 +83,7 @@
         "the engine sent an error event or a chunk that is not a JSON object");
   }
   if (!is_bound_) {
+    bytes_without_chunk_ = 0;
     on_chunk_(next_index_++, data);
     return absl::OkStatus();
   }
@@ -102,6 +104,7 @@
                       "chunks are missing in the answer");
   }
   ++next_index_;
+  bytes_without_chunk_ = 0;
   has_finish_chunk_ = has_finish_chunk_ || IsFinishChunk(chunk);
   on_chunk_(number, data);
   return absl::OkStatus();
--- a/Services/Router/engine_stream_parser.h
+++ b/Services/Router/engine_stream_parser.h
@@ -31,7 +31,8 @@
 
   // Parses the next bytes of the response body. Returns kMismatchedAnswer for a
   // chunk of another request or data after the end marker, and kAnswerTruncated
-  // for a gap, a malformed or oversized event or an error event.
+  // for a gap, a malformed event, an error event, or too many bytes without a
+  // new chunk.
   absl::Status Feed(std::string_view bytes);
 
   // Returns true after the finish chunk and the end marker.
@@ -49,6 +50,8 @@
   bool is_bound_;
   ChunkCallback on_chunk_;
   std::string buffer_;
+  // Bytes since the last new chunk.
+  size_t bytes_without_chunk_ = 0;
   bool has_finish_chunk_ = false;
   bool has_end_marker_ = false;
 };
--- a/Services/Router/service_caller.cc
+++ b/Services/Router/service_caller.cc
@@ -81,6 +81,12 @@
                            kNoEndpointRetryAfter));
       return;
     }
+    if (response.ok() && !response->IsDelimited()) {
+      callback(core::MakeStatus(
+          ResultCode::kAnswerTruncated,
+          "the answer has neither a length nor chunks, so it may be cut"));
+      return;
+    }
     callback(std::move(response));
   });
 }
--- a/Tests/Router/engine_stream_parser_test.cc
+++ b/Tests/Router/engine_stream_parser_test.cc
@@ -71,5 +71,26 @@
   CHECK(indices == std::vector<uint32_t>{5, 6});
 }
 
+struct EndlessCase {
+  const char* name;
+  // Sent again and again after the first chunk.
+  std::string piece;
+};
+
+TEST_CASE("an engine that sends bytes without end is cut off") {
+  const EndlessCase it = GENERATE_COPY(
+      EndlessCase{"no events", "junk"}, EndlessCase{"comments", ": ping\n\n"},
+      EndlessCase{"one chunk again and again", Chunk("r", 0)});
+  INFO(it.name);
+  EngineStreamParser parser("r", 0, true, [](uint32_t, std::string_view) {});
+  REQUIRE(parser.Feed(Chunk("r", 0)).ok());
+  constexpr size_t kMaxBytes = 2U << 20U;
+  absl::Status status;
+  for (size_t n = 0; n < kMaxBytes && status.ok(); n += it.piece.size()) {
+    status = parser.Feed(it.piece);
+  }
+  CHECK(core::CodeOf(status) == ResultCode::kAnswerTruncated);
+}
+
 }  // namespace
 }  // namespace wasabi::router
