A page of the store that ends early does not make a view current

The view counted as current although the response itself states a later end; with the rest unread for up to the interval between reads. It now reads on at once and is not confirmed before it has reached the stated end; a response without a whole first record is an error.

topic_view_test, "a response that lacks records does not make a view current": fails with the check switched off (confirmed and the third record not read), passes with it. store_client_test cuts responses at each place.

--- a/Libraries/LibPlatform/keyed_topic_client.h
+++ b/Libraries/LibPlatform/keyed_topic_client.h
@@ -38,6 +38,8 @@
   Offset next = 0;
   // The history that the records belong to.
   LogEpoch epoch = 0;
+  // The topic ended later than `next` when it was read.
+  bool lacks_newer_records = false;
 };
 
 class KeyedTopicClient {
--- a/Libraries/LibPlatform/topic_view.cc
+++ b/Libraries/LibPlatform/topic_view.cc
@@ -32,7 +32,8 @@
 
 void TopicView::RefreshIfStale(core::Duration age, core::Duration wait) {
   const core::TimePoint now = scheduler_->Now();
-  const bool is_due = needs_snapshot_ || now - confirmed_at_ >= age;
+  const bool is_due =
+      needs_snapshot_ || lacks_newer_records_ || now - confirmed_at_ >= age;
   if (is_reading_ || !is_due || now < next_attempt_at_) {
     return;
   }
@@ -128,6 +129,7 @@
     return;
   }
   needs_snapshot_ = false;
+  lacks_newer_records_ = false;
   RecordRecovery();
   EnterHistory(page->epoch, page->next);
   ApplySnapshot(*page);
@@ -165,6 +167,11 @@
   RecordRecovery();
   EnterHistory(page->epoch, page->next);
   ApplyTail(*page);
+  lacks_newer_records_ = page->lacks_newer_records;
+  if (lacks_newer_records_) {
+    next_attempt_at_ = scheduler_->Now();
+    return;
+  }
   Confirm(std::max(started_at, scheduler_->Now() - kMaxResponseDelay));
 }
 
--- a/Libraries/LibPlatform/topic_view.h
+++ b/Libraries/LibPlatform/topic_view.h
@@ -157,6 +157,8 @@
   bool is_reading_ = false;
   bool is_reachable_ = true;
   bool needs_snapshot_ = true;
+  // The topic has records after those of the last read.
+  bool lacks_newer_records_ = false;
 };
 
 }  // namespace wasabi::platform
--- a/Tests/LibPlatform/topic_view_test.cc
+++ b/Tests/LibPlatform/topic_view_test.cc
@@ -76,6 +76,26 @@
         std::vector<KeyedRecord>{{.key = "a", .value = "3", .offset = 2}});
 }
 
+TEST_CASE("a response that lacks records does not make a view current") {
+  Fixture it;
+  it.client.Write("t", "a", "1");
+  it.RunFor(seconds(1));
+  it.client.SetRecordsPerRead(1);
+  it.scheduler.RunFor(seconds(1));
+  const core::TimePoint before = it.view->confirmed_at();
+  it.client.Write("t", "b", "2");
+  it.client.Write("t", "c", "3");
+  it.view->RefreshIfStale(milliseconds(100), kNoWait);
+  it.scheduler.RunFor(milliseconds(50));
+  CHECK(it.heard == Texts{"a=1@0", "b=2@1"});
+  CHECK((it.view->confirmed_at() == before));
+  // The rest is read at once, however old the view may be.
+  it.view->RefreshIfStale(seconds(60), kNoWait);
+  it.scheduler.RunFor(milliseconds(50));
+  CHECK(it.heard == Texts{"a=1@0", "b=2@1", "c=3@2"});
+  CHECK((it.view->confirmed_at() > before));
+}
+
 TEST_CASE("a view that missed deleted records loads a snapshot") {
   Fixture it;
   it.client.Write("t", "a", "1");
--- a/Tests/PlatformAdapter/store_client_test.cc
+++ b/Tests/PlatformAdapter/store_client_test.cc
@@ -120,6 +120,54 @@
         "GET /log-read?topic=t&part=0&from=6&wait_ms=500");
 }
 
+struct CutCase {
+  const char* what;
+  // Bytes of the records that arrive before the connection ends.
+  size_t bytes;
+  bool is_ok;
+  platform::Offset next;
+  bool lacks_newer_records;
+};
+
+TEST_CASE("a response that ends with its connection may lack records") {
+  const std::string records = Record("a", "xyz") + Record("b", "z");
+  const size_t first = Record("a", "xyz").size();
+  const CutCase cases[] = {
+      {"whole", records.size(), true, 8, false},
+      {"inside the second record", first + 3, true, 7, true},
+      {"after the first record", first, true, 7, true},
+      {"inside the first record", first - 1, false, 0, false},
+      {"inside the first length", 3, false, 0, false},
+      {"before the first record", 0, false, 0, false},
+  };
+  for (const CutCase& row : cases) {
+    INFO(row.what);
+    Fixture it;
+    it.server.SetAnswer({}, true);
+    it.answers = {"HTTP/1.1 200 X\r\n\r\n" + Bytes(8, 8) + Bytes(2, 8) +
+                  records.substr(0, row.bytes)};
+    const auto page = it.ReadFrom(6);
+    REQUIRE(page.ok() == row.is_ok);
+    if (page.ok()) {
+      CHECK(page->next == row.next);
+      CHECK(page->lacks_newer_records == row.lacks_newer_records);
+    }
+  }
+}
+
+TEST_CASE("a list of newest records that ends with its connection is whole") {
+  const std::string list =
+      R"({"items":[{"key":"a","value":"MQ==","offset":3}],"end":5})";
+  for (const size_t missing : {size_t{0}, size_t{1}, size_t{9}, list.size()}) {
+    INFO(missing);
+    Fixture it;
+    it.server.SetAnswer({}, true);
+    it.answers = {"HTTP/1.1 200 X\r\n\r\n" +
+                  list.substr(0, list.size() - missing)};
+    CHECK(it.ReadNewest().ok() == (missing == 0));
+  }
+}
+
 struct EpochCase {
   const char* what;
   std::string fields;
--- a/Tests/Support/TopicStore/fake_topic_client.cc
+++ b/Tests/Support/TopicStore/fake_topic_client.cc
@@ -21,7 +21,13 @@
                                platform::Offset from,
                                core::Duration /*wait*/,
                                ReadCallback callback) {
-  Answer(std::move(callback), log_.ReadFrom(topic, from));
+  absl::StatusOr<platform::KeyedPage> page = log_.ReadFrom(topic, from);
+  if (page.ok() && page->records.size() > records_per_read_) {
+    page->next = page->records[records_per_read_].offset;
+    page->records.resize(records_per_read_);
+    page->lacks_newer_records = true;
+  }
+  Answer(std::move(callback), std::move(page));
 }
 
 void FakeTopicClient::Put(const std::string& topic,
--- a/Tests/Support/TopicStore/fake_topic_client.h
+++ b/Tests/Support/TopicStore/fake_topic_client.h
@@ -45,6 +45,8 @@
   void SetDown(bool is_down) { is_down_ = is_down; }
   // While silent, reads are dropped and their callbacks never run.
   void SetSilent(bool is_silent) { is_silent_ = is_silent; }
+  // Limits the number of records that ReadFrom returns at once.
+  void SetRecordsPerRead(size_t n) { records_per_read_ = n; }
   // Returns the number of reads and Put calls so far.
   int calls() const { return calls_; }
 
@@ -54,6 +56,7 @@
 
   platform::Scheduler* const scheduler_;
   KeyedLog log_;
+  size_t records_per_read_ = SIZE_MAX;
   bool is_down_ = false;
   bool is_silent_ = false;
   int calls_ = 0;
