--- a/Libraries/LibForwarding/endpoint.h
+++ b/Libraries/LibForwarding/endpoint.h
@@ -5,6 +5,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <string>
 
 #include "LibCore/identifier.h"
 #include "LibCore/socket_address.h"
@@ -25,6 +26,9 @@
   // An endpoint that restarts under the same id has lost its caches and its
   // running requests.
   int64_t started_at_ms = 0;
+  // Version of the endpoint's software, not of its model's weights. What two
+  // versions generate can't be joined.
+  std::string software_version;
 
   auto operator<=>(const Endpoint&) const = default;
 };
--- a/Libraries/LibForwarding/forward_session.cc
+++ b/Libraries/LibForwarding/forward_session.cc
@@ -77,6 +77,9 @@
       last_event_id_(request_.resume_after) {}
 
 void ForwardSession::Start() {
+  if (request_.resume_after) {
+    ++context_->metrics->Counter("streams_resumed_by_callers");
+  }
   const auto weak = weak_from_this();
   transaction_->OnCallerGone([weak]() {
     if (const auto self = weak.lock()) {
@@ -310,10 +313,11 @@
   const Endpoint& endpoint = attempt_->endpoint();
   context_->events->Record(
       core::EventCode::kAttemptFailed, request_.id.value(),
-      fmt::format("endpoint={} end={} status={} framing={} "
+      fmt::format("endpoint={} software={} end={} status={} framing={} "
                   "partial_event_bytes={} ms={} load={} failure_share={:.2f} "
                   "sends={} endpoints_age_ms={}",
-                  endpoint.id.value(), NameOf(end), head_.status,
+                  endpoint.id.value(), endpoint.software_version, NameOf(end),
+                  head_.status,
                   head_.status == 0 ? "none" : http::NameOf(head_.framing()),
                   splitter_.remainder().size(),
                   core::ToMilliseconds(Now() - attempt_->started_at()),
@@ -414,6 +418,9 @@
                          sends_ < kMaxSends && TakeRetry();
   if (may_retry && Dispatch()) {
     ++context_->metrics->Counter("forward_retries");
+    if (transaction_->is_started()) {
+      ++context_->metrics->Counter("streams_resumed_by_host");
+    }
     return;
   }
   const bool has_failure = end == AttemptEnd::kAnswered &&
@@ -521,16 +528,20 @@
   LeaveQueue();
   deadline_timer_.reset();
   std::string endpoint = "none";
+  std::string software = "none";
   if (attempt_ != nullptr) {
     endpoint = attempt_->endpoint().id.value();
+    software = attempt_->endpoint().software_version;
     attempt_->Cancel();
   }
   context_->events->Record(
       core::EventCode::kRequestEnded, request_.id.value(),
-      fmt::format("outcome={} endpoint={} prompt_source={} framing={} "
+      fmt::format("outcome={} endpoint={} software={} resumed={} "
+                  "prompt_source={} framing={} "
                   "partial_event_bytes={} sends={} runs={} ms={} version={} "
                   "endpoints_age_ms={}",
-                  outcome, endpoint,
+                  outcome, endpoint, software,
+                  request_.resume_after.has_value(),
                   prompt_source_.empty() ? "none" : prompt_source_.value(),
                   head_.status == 0 ? "none" : http::NameOf(head_.framing()),
                   splitter_.remainder().size(), sends_, runs_,
