--- a/Tests/Support/ForwarderFixture/forwarder_fixture.cc
+++ b/Tests/Support/ForwarderFixture/forwarder_fixture.cc
@@ -48,12 +48,13 @@
   return ScriptedAnswer(200, "Response-Signature: s\r\n", body);
 }
 
-std::string ChunkedStreamStart(const std::string& events) {
+std::string ChunkedStreamStart(const std::string& events,
+                               const std::string& id) {
   return fmt::format(
-      "HTTP/1.1 200 X\r\nRequest-Id: id1\r\nResponse-Signature: s\r\n"
+      "HTTP/1.1 200 X\r\nRequest-Id: {}\r\nResponse-Signature: s\r\n"
       "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
       "{:x}\r\n{}\r\n",
-      events.size(), events);
+      id, events.size(), events);
 }
 
 std::string UnframedStreamStart(const std::string& events) {
@@ -126,12 +127,15 @@
 void ForwarderFixture::Register(const char* id,
                                 const RawServer& server,
                                 const char* state,
-                                const char* pool) {
+                                const char* pool,
+                                const char* software_version) {
   store->Write(
       names.registrations, id,
-      fmt::format(R"({{"service":"{}","address":"{}","zone":"z1","slots":8,)"
-                  R"("state":"{}","seq":{},"born":1}})",
-                  pool, server.address().ToString(), state, ++sequence_));
+      fmt::format(
+          R"({{"service":"{}","address":"{}","zone":"z1","version":"{}",)"
+          R"("slots":8,"state":"{}","seq":{},"born":1}})",
+          pool, server.address().ToString(), software_version, state,
+          ++sequence_));
 }
 
 std::string ForwarderFixture::Respond(RawServer* server,
@@ -169,7 +173,7 @@
       is_ready_check ? settings.ready_address : settings.callers_address;
   request.method = "GET";
   request.target = target;
-  request.headers = {{"Host", "a.test"}, {"Request-Id", "id1"}};
+  request.headers = {{"Host", "a.test"}, {"Request-Id", request_id}};
   for (const auto& [name, value] : more.fields()) {
     request.headers.Add(name, value);
   }
--- a/Tests/Support/ForwarderFixture/forwarder_fixture.h
+++ b/Tests/Support/ForwarderFixture/forwarder_fixture.h
@@ -33,8 +33,10 @@
                            const std::string& body);
 // Returns a signed 200 response.
 std::string ScriptedSuccess(const std::string& body);
-// Returns the head of a chunked event stream and one chunk with `events`.
-std::string ChunkedStreamStart(const std::string& events);
+// Returns the head of a chunked event stream and one chunk with `events`, in
+// answer to the request `id`.
+std::string ChunkedStreamStart(const std::string& events,
+                               const std::string& id = "id1");
 // Returns the head of an event stream with neither a length nor chunks, and
 // `events`.
 std::string UnframedStreamStart(const std::string& events);
@@ -59,7 +61,8 @@
   void Register(const char* id,
                 const RawServer& server,
                 const char* state,
-                const char* pool = "p");
+                const char* pool = "p",
+                const char* software_version = "v1");
   // Runs the loop until `is_done`, or for ten seconds. Returns whether it was
   // done in time.
   bool RunUntil(const std::function<bool()>& is_done);
@@ -76,6 +79,8 @@
   platform::LoopScheduler scheduler;
   RawServer first;
   RawServer second;
+  // The id of the requests that are sent from now on.
+  std::string request_id = "id1";
   std::deque<std::string> script;
   // The text of each request that reached an endpoint.
   std::vector<std::string> received;
