A stream goes on only at the software version that began it

Cause: parts of an answer were joined from endpoints that differ in something that nobody checked. A session resumed its stream at any endpoint of the pool, and a caller that took its stream up reached any endpoint from any host, which had no way to know where the stream had begun. The pool of a route that splits its traffic was drawn anew as well.

Why this works: a stream has an origin, its pool and software version, from its first event on; what continues it is chosen among endpoints of that origin only. An endpoint that is merely silent is kept while no other could take its place, and no retry is taken from the budget then.

--- a/Libraries/LibCore/result_code.cc
+++ b/Libraries/LibCore/result_code.cc
@@ -78,6 +78,9 @@
      "The call with this key was voided before it started; it will never run."},
     {ResultCode::kNoConfiguration, "no_configuration", 503,
      "The host has no current configuration yet; the request did not run."},
+    {ResultCode::kCannotResume, "cannot_resume", 503,
+     "No endpoint can continue the stream: the software version that began it "
+     "is unknown or does not serve; the request did not run."},
     {ResultCode::kEndpointFailed, "endpoint_failed", 502,
      "The endpoint ended the request with an error."},
     {ResultCode::kAnswerTruncated, "answer_cut", 502,
--- a/Libraries/LibCore/result_code.h
+++ b/Libraries/LibCore/result_code.h
@@ -48,6 +48,7 @@
   kPlatformUnavailable = 306,
   kNotRun = 307,
   kNoConfiguration = 308,
+  kCannotResume = 309,
   // 4xx: failures after the work started.
   kEndpointFailed = 400,
   kAnswerTruncated = 401,
--- a/Libraries/LibForwarding/endpoint_chooser.cc
+++ b/Libraries/LibForwarding/endpoint_chooser.cc
@@ -55,7 +55,47 @@
       prompt_share_(affinity_key_ ? context->popularity[pool_].Record(
                                         *affinity_key_,
                                         context->loop->Now())
-                                  : 0) {}
+                                  : 0),
+      pools_(request.route->pools) {}
+
+bool EndpointChooser::ContinueAt(StreamOrigin origin) {
+  for (const WeightedPool& pool : pools_) {
+    for (const Endpoint* it : context_->endpoints->Available(pool.pool)) {
+      if (OriginOf(*it) == origin) {
+        ContinueAfter(*it);
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
+void EndpointChooser::ContinueAfter(const Endpoint& endpoint) {
+  origin_ = OriginOf(endpoint);
+  // The pool may be another one of the route. It is not known then whether its
+  // endpoints copy prompts.
+  copies_prompts_ = copies_prompts_ && endpoint.pool == pool_;
+  pool_ = endpoint.pool;
+}
+
+bool EndpointChooser::IsSuitable(const Endpoint& endpoint) const {
+  return !origin_ || OriginOf(endpoint) == *origin_;
+}
+
+std::vector<const Endpoint*> EndpointChooser::Suitable() const {
+  std::vector<const Endpoint*> endpoints =
+      context_->endpoints->Available(pool_);
+  std::erase_if(endpoints,
+                [this](const Endpoint* it) { return !IsSuitable(*it); });
+  return endpoints;
+}
+
+bool EndpointChooser::HasOther(const std::set<core::RunnerId>& tried) const {
+  const std::vector<const Endpoint*> endpoints = Suitable();
+  return std::any_of(
+      endpoints.begin(), endpoints.end(),
+      [&tried](const Endpoint* it) { return !tried.contains(it->id); });
+}
 
 const Endpoint* EndpointChooser::Choose(const std::set<core::RunnerId>& tried,
                                         core::TimePoint now) const {
@@ -80,7 +120,7 @@
     const std::set<core::RunnerId>& tried,
     core::TimePoint now) const {
   std::optional<core::TimePoint> earliest;
-  for (const Endpoint* it : context_->endpoints->Available(pool_)) {
+  for (const Endpoint* it : Suitable()) {
     const core::TimePoint until = context_->monitor->PausedUntil(it->id);
     if (now < until) {
       earliest = std::min(earliest.value_or(until), until);
@@ -157,7 +197,7 @@
          .slots = it->slots,
          .failure_share = context_->monitor->FailureShare(it->id, now),
          .is_down = context_->monitor->IsDown(it->id, now),
-         .is_excluded = tried.contains(it->id) ||
+         .is_excluded = tried.contains(it->id) || !IsSuitable(*it) ||
                         now < context_->monitor->PausedUntil(it->id),
          .is_same_data_centre = it->data_centre == context_->data_centre});
   }
--- a/Libraries/LibForwarding/endpoint_chooser.h
+++ b/Libraries/LibForwarding/endpoint_chooser.h
@@ -14,6 +14,7 @@
 #include "LibForwarding/endpoint_selector.h"
 #include "LibForwarding/forward_context.h"
 #include "LibForwarding/forward_request.h"
+#include "LibForwarding/stream_origin.h"
 
 namespace wasabi::forwarding {
 
@@ -25,6 +26,17 @@
 
   const core::PoolId& pool() const { return pool_; }
 
+  // Restricts the choice to endpoints of `origin`, and to the pool of the route
+  // that has one. Returns false, and changes nothing, if none of them accepts
+  // requests.
+  bool ContinueAt(StreamOrigin origin);
+  // Restricts the choice to the endpoints that can continue what `endpoint` has
+  // begun.
+  void ContinueAfter(const Endpoint& endpoint);
+  // Returns whether an endpoint that is not in `tried` may be chosen sooner or
+  // later.
+  bool HasOther(const std::set<core::RunnerId>& tried) const;
+
   // Records that `endpoint` served the request and is therefore likely to have
   // the prompt cached.
   void RecordServed(const core::RunnerId& endpoint, core::TimePoint now) const;
@@ -49,6 +61,9 @@
                                   core::TimePoint now) const;
 
  private:
+  // Returns the endpoints that accept requests and can serve this one.
+  std::vector<const Endpoint*> Suitable() const;
+  bool IsSuitable(const Endpoint& endpoint) const;
   bool CanCopyFrom(const Endpoint& source,
                    const Endpoint& chosen,
                    core::TimePoint now) const;
@@ -65,12 +80,15 @@
   // Id of the prompt part that other requests share; nullopt if the request has
   // none.
   const std::optional<uint64_t> affinity_key_;
-  const core::PoolId pool_;
+  core::PoolId pool_;
   // Whether the pool's endpoints can copy cached prompts from each other.
   // Always false without an affinity key.
-  const bool copies_prompts_;
+  bool copies_prompts_;
   // Share of the pool's recent requests that have this prompt, from 0 to 1.
   const double prompt_share_;
+  // The origin of the stream that the request continues, once it is known.
+  std::optional<StreamOrigin> origin_;
+  const std::vector<WeightedPool>& pools_;
 };
 
 }  // namespace wasabi::forwarding
--- a/Libraries/LibForwarding/forward_attempt.cc
+++ b/Libraries/LibForwarding/forward_attempt.cc
@@ -159,6 +159,10 @@
     silence_timer_->StartOnce(silence_timeout_ - silence);
     return;
   }
+  if (!callbacks_.is_replaceable()) {
+    silence_timer_->StartOnce(silence_timeout_);
+    return;
+  }
   if (has_probed_) {
     // The endpoint accepts connections, but no data arrives on this one.
     Finish(AttemptEnd::kSilent);
--- a/Libraries/LibForwarding/forward_attempt.h
+++ b/Libraries/LibForwarding/forward_attempt.h
@@ -46,6 +46,9 @@
     // Asked when the answer has ended as its framing says. Returns false if its
     // content shows that it was broken off.
     std::function<bool()> is_whole;
+    // Asked before a silent attempt is given up. Returns whether another
+    // endpoint could take its place.
+    std::function<bool()> is_replaceable;
     std::function<void(AttemptEnd end)> on_end;
   };
 
--- a/Libraries/LibForwarding/forward_context.h
+++ b/Libraries/LibForwarding/forward_context.h
@@ -18,11 +18,13 @@
 #include "LibForwarding/endpoint_shares.h"
 #include "LibForwarding/endpoint_table.h"
 #include "LibForwarding/load_table.h"
+#include "LibForwarding/origin_history.h"
 #include "LibForwarding/prompt_holders.h"
 #include "LibForwarding/prompt_popularity.h"
 #include "LibForwarding/protocols.h"
 #include "LibForwarding/retry_allowance.h"
 #include "LibForwarding/service_times.h"
+#include "LibForwarding/stream_origin_exchange.h"
 #include "LibForwarding/wait_queue.h"
 #include "LibHttp/origin_client.h"
 #include "LibRouting/quarantine_table.h"
@@ -42,6 +44,7 @@
   WaitQueue* waiting = nullptr;
   routing::QuarantineTable* quarantine = nullptr;
   CrashDetector* crashes = nullptr;
+  StreamOriginExchange* stream_origins = nullptr;
   core::RandomSource* random = nullptr;
   SelectionPolicy selection;
   RetryAllowancePolicy retry_policy;
@@ -57,6 +60,7 @@
   std::map<core::PoolId, PromptPopularity> popularity;
   std::map<core::PoolId, EndpointShares> shares;
   PromptHolders prompt_holders;
+  OriginHistory origin_history;
 
   RetryAllowance& RetryAllowanceFor(const core::PoolId& pool) {
     return retries.try_emplace(pool, retry_policy).first->second;
--- a/Libraries/LibForwarding/forward_request.h
+++ b/Libraries/LibForwarding/forward_request.h
@@ -45,6 +45,9 @@
   core::TimePoint deadline;
   // Id of the last event that the caller received, if it resumes a stream.
   std::optional<uint64_t> resume_after;
+  // Id of the caller's attempt that brought the first event of the stream that
+  // it resumes, if the caller named it.
+  std::optional<core::RequestId> first_attempt;
 
   // Parts in order. The last one is specific to this request or its chat.
   std::vector<PromptPart> prompt;
--- a/Libraries/LibForwarding/forward_session.cc
+++ b/Libraries/LibForwarding/forward_session.cc
@@ -100,6 +100,64 @@
          "refused because this content has crashed endpoints");
     return;
   }
+  if (request_.resume_after && IsStream()) {
+    FindOrigin();
+  } else {
+    DispatchOrWait();
+  }
+}
+
+StreamKey ForwardSession::Key() const {
+  return KeyOfStream(request_.organisation,
+                     request_.first_attempt.value_or(request_.id));
+}
+
+void ForwardSession::FindOrigin() {
+  if (!request_.first_attempt) {
+    OnOriginFound(std::nullopt);
+    return;
+  }
+  context_->stream_origins->Find(
+      Key(), Now(),
+      [weak = weak_from_this()](std::optional<StreamOrigin> origin) {
+        const auto self = weak.lock();
+        if (self != nullptr && !self->has_ended_) {
+          self->OnOriginFound(origin);
+        }
+      });
+}
+
+void ForwardSession::OnOriginFound(std::optional<StreamOrigin> origin) {
+  if (!origin) {
+    ++context_->metrics->Counter("streams_of_unknown_origin");
+    context_->origin_history.Observe(*context_->endpoints, Now());
+    origin = context_->origin_history.OnlyOrigin(request_.route->pools, Now());
+  }
+  if (!origin) {
+    Refuse(core::MakeStatus(core::ResultCode::kCannotResume,
+                            "it is unknown where the stream began"));
+    return;
+  }
+  if (!chooser_.ContinueAt(*origin)) {
+    Refuse(core::MakeRefusal(core::ResultCode::kCannotResume,
+                             "no endpoint can continue the stream",
+                             RetryAfter()));
+    return;
+  }
+  has_begun_ = true;
+  DispatchOrWait();
+}
+
+void ForwardSession::OnStreamBegun() {
+  has_begun_ = true;
+  chooser_.ContinueAfter(attempt_->endpoint());
+  if (request_.route->repeat == RepeatPolicy::kResumable) {
+    context_->stream_origins->Record(Key(), OriginOf(attempt_->endpoint()),
+                                     Now());
+  }
+}
+
+void ForwardSession::DispatchOrWait() {
   if (!DispatchOrRefuse()) {
     Wait();
   }
@@ -186,6 +244,10 @@
     const auto self = weak.lock();
     return self == nullptr || self->IsAnswerWhole();
   };
+  callbacks.is_replaceable = [weak]() {
+    const auto self = weak.lock();
+    return self == nullptr || self->chooser_.HasOther(self->tried_);
+  };
   callbacks.on_end = [weak](AttemptEnd end) {
     if (const auto self = weak.lock()) {
       self->OnAttemptEnd(end);
@@ -265,6 +327,9 @@
   }
   transaction_->Write(events);
   if (splitter_.last_event_id() != last_event_id_) {
+    if (!has_begun_) {
+      OnStreamBegun();
+    }
     last_event_id_ = splitter_.last_event_id();
     OnStreamProgress();
   }
@@ -413,9 +478,9 @@
 }
 
 void ForwardSession::OnAttemptMayHaveRun(AttemptEnd end) {
-  const bool may_retry = IsRerunAllowed() &&
-                         runs_ < request_.route->max_attempts &&
-                         sends_ < kMaxSends && TakeRetry();
+  const bool may_retry =
+      IsRerunAllowed() && runs_ < request_.route->max_attempts &&
+      sends_ < kMaxSends && chooser_.HasOther(tried_) && TakeRetry();
   if (may_retry && Dispatch()) {
     ++context_->metrics->Counter("forward_retries");
     if (transaction_->is_started()) {
@@ -485,10 +550,13 @@
 void ForwardSession::Refuse(core::ResultCode code,
                             std::string_view message,
                             core::Duration retry_after) {
-  transaction_->Respond(context_->caller_protocol->EncodeError(
-      core::MakeRefusal(code, message, retry_after)));
+  Refuse(core::MakeRefusal(code, message, retry_after));
+}
+
+void ForwardSession::Refuse(const absl::Status& status) {
+  transaction_->Respond(context_->caller_protocol->EncodeError(status));
   ++context_->metrics->Counter("forward_refusals");
-  End(core::Describe(code).name);
+  End(core::Describe(core::CodeOf(status)).name);
 }
 
 void ForwardSession::Fail(core::ResultCode code, std::string_view message) {
--- a/Libraries/LibForwarding/forward_session.h
+++ b/Libraries/LibForwarding/forward_session.h
@@ -35,6 +35,11 @@
 
  private:
   void Start();
+  // Finds out where the stream that the caller resumes began, then starts.
+  void FindOrigin();
+  void OnOriginFound(std::optional<StreamOrigin> origin);
+  // Starts an attempt, refuses the request or queues it.
+  void DispatchOrWait();
   // Starts an attempt. Returns false if no endpoint can accept the request now.
   bool Dispatch();
   // Starts an attempt, or refuses the request if every endpoint has asked for a
@@ -69,12 +74,18 @@
   // Returns whether the request could be retried if the current attempt fails
   // after the request may have run.
   bool CanRetryIfAttemptFails() const;
+  // Returns the key under which the fleet knows the origin of this stream.
+  StreamKey Key() const;
+  // Handles that the current attempt has brought the first event of the stream.
+  void OnStreamBegun();
   bool TakeRetry();
   void Refuse(core::ResultCode code, std::string_view message);
   // `retry_after` is the time after which the caller may retry.
   void Refuse(core::ResultCode code,
               std::string_view message,
               core::Duration retry_after);
+  // The request has not run and will not run.
+  void Refuse(const absl::Status& status);
   void Fail(core::ResultCode code, std::string_view message);
   void OnDeadline();
   void OnQueueTimeout();
@@ -102,6 +113,9 @@
   // Attempts that may have run.
   uint32_t runs_ = 0;
   bool has_ended_ = false;
+  // Events of this stream have reached the caller, so that only endpoints of
+  // the same origin may continue it.
+  bool has_begun_ = false;
 
   // The endpoint from which the current attempt's endpoint copies the prompt;
   // empty if it copies none.
--- a/Libraries/LibMembership/application_kind.h
+++ b/Libraries/LibMembership/application_kind.h
@@ -22,6 +22,9 @@
   kCrashes = 82,
   kEndpointLoadSums = 83,
   kEndpointLoadTotal = 84,
+  kStreamOrigins = 85,
+  kStreamOriginQuery = 86,
+  kStreamOriginAnswer = 87,
 };
 
 }  // namespace wasabi::membership
--- a/Services/Forwarder/fleet_controller.cc
+++ b/Services/Forwarder/fleet_controller.cc
@@ -25,10 +25,23 @@
 constexpr double kLoadTotalLinkShare = 0.08;
 constexpr double kBytesPerMegabit = 125'000;
 
+bool IsUp(const Member& member) {
+  return member.state == MemberState::kAlive ||
+         member.state == MemberState::kSuspect;
+}
+
 bool AcceptsRequests(const Member& member) {
-  const bool is_up = member.state == MemberState::kAlive ||
-                     member.state == MemberState::kSuspect;
-  return is_up && member.applied_offset >= 0;
+  return IsUp(member) && member.applied_offset >= 0;
+}
+
+std::vector<core::HostId> RunningHosts(const membership::MemberTable& table) {
+  std::vector<core::HostId> hosts;
+  for (const Member& it : table.members()) {
+    if (IsUp(it)) {
+      hosts.push_back(it.id);
+    }
+  }
+  return hosts;
 }
 
 }  // namespace
@@ -52,6 +65,7 @@
                      context.loads,
                      SendFunction()),
       crash_exchange_(settings.host, context.quarantine, SendFunction()),
+      stream_origins_(settings.host, SendFunction()),
       fleet_topic_(context.adapters,
                    context.scheduler,
                    context.events,
@@ -116,6 +130,18 @@
          [this](const Member& /*from*/, std::string_view body) {
            return crash_exchange_.OnReport(body, context_.loop->Now());
          });
+  handle(ApplicationKind::kStreamOrigins,
+         [this](const Member& /*from*/, std::string_view body) {
+           return stream_origins_.OnReport(body, context_.loop->Now());
+         });
+  handle(ApplicationKind::kStreamOriginQuery,
+         [this](const Member& from, std::string_view body) {
+           return stream_origins_.OnQuery(from.id, body);
+         });
+  handle(ApplicationKind::kStreamOriginAnswer,
+         [this](const Member& from, std::string_view body) {
+           return stream_origins_.OnAnswer(from.id, body, context_.loop->Now());
+         });
 }
 
 void FleetController::UpdateRoles() {
@@ -129,6 +155,7 @@
       DeriveReportPeers(*table, settings_.host, settings_.data_centre);
   load_exchange_.SetPeers(peers);
   crash_exchange_.SetPeers(peers);
+  stream_origins_.SetHosts(RunningHosts(*table));
 }
 
 void FleetController::AnnounceReady() {
@@ -175,6 +202,7 @@
   topics_.Tick();
   load_exchange_.Tick(context_.loop->Now());
   crash_exchange_.Tick(context_.loop->Now());
+  stream_origins_.Tick(context_.loop->Now());
 }
 
 TopicController::SendFunction FleetController::SendFunction() {
--- a/Services/Forwarder/fleet_controller.h
+++ b/Services/Forwarder/fleet_controller.h
@@ -1,6 +1,7 @@
 // Manages fleet membership and what follows from it: this host's roles, the
 // reports that hosts exchange (records of the platform's topics, the number of
-// requests in flight at each endpoint, endpoint crashes), and the hosts that
+// requests in flight at each endpoint, endpoint crashes, where streams began),
+// and the hosts that
 // accept requests.
 
 #ifndef SERVICES_FORWARDER_FLEET_CONTROLLER_H_
@@ -15,6 +16,7 @@
 #include "LibForwarding/adapter_set.h"
 #include "LibForwarding/crash_exchange.h"
 #include "LibForwarding/load_exchange.h"
+#include "LibForwarding/stream_origin_exchange.h"
 #include "LibHttp/client.h"
 #include "LibMembership/gossip_node.h"
 #include "LibRouting/quarantine_table.h"
@@ -61,6 +63,10 @@
   std::vector<core::SocketAddress> ServingAddresses(
       const core::DataCentreId& data_centre) const;
 
+  forwarding::StreamOriginExchange* stream_origins() {
+    return &stream_origins_;
+  }
+
   // Returns the age that the known load of another host may reach.
   core::Duration max_load_age() const { return load_exchange_.MaxAge(); }
 
@@ -89,6 +95,7 @@
   bool are_roles_stale_ = true;
   forwarding::LoadExchange load_exchange_;
   forwarding::CrashExchange crash_exchange_;
+  forwarding::StreamOriginExchange stream_origins_;
   FleetTopicController fleet_topic_;
   TopicController topics_;
   std::unique_ptr<core::Timer> ticker_;
--- a/Services/Forwarder/forwarder_daemon.cc
+++ b/Services/Forwarder/forwarder_daemon.cc
@@ -15,6 +15,7 @@
 
 constexpr core::Duration kTick = core::milliseconds(50);
 constexpr core::Duration kSettingsCheckPeriod = core::seconds(3);
+constexpr core::Duration kOriginObservationPeriod = core::milliseconds(500);
 // Time that callers may cache a discovery response, unless the settings allow
 // less. Callers stop using a host that shuts down within this time.
 constexpr core::Duration kAddressLifetime = core::seconds(1);
@@ -142,6 +143,7 @@
   context_.waiting = &waiting_;
   context_.quarantine = &quarantine_;
   context_.crashes = &crashes_;
+  context_.stream_origins = fleet_->stream_origins();
   context_.random = &random_;
   context_.selection.load_bound = settings_.load_bound;
   context_.retry_policy = settings_.retries;
@@ -293,6 +295,10 @@
     is_announced_ = true;
     fleet_->AnnounceReady();
   }
+  if (now >= next_origin_observation_at_) {
+    next_origin_observation_at_ = now + kOriginObservationPeriod;
+    context_.origin_history.Observe(endpoints_, now);
+  }
   if (now >= next_settings_check_at_) {
     next_settings_check_at_ = now + kSettingsCheckPeriod;
     Reload();
--- a/Services/Forwarder/forwarder_daemon.h
+++ b/Services/Forwarder/forwarder_daemon.h
@@ -116,6 +116,7 @@
   bool has_stopped_listening_ = false;
   core::TimePoint stopping_since_;
   core::TimePoint next_settings_check_at_;
+  core::TimePoint next_origin_observation_at_;
 };
 
 }  // namespace wasabi::forwarder
