Soak: software versions, streams taken up again, unframed and endless answers

Endpoints of three software versions serve side by side; events tell the version that generated them. Callers take a stream that was cut up again at any host and name its first attempt; the checker demands that answers and streams come from one version. New faults: answers with neither a length nor chunks, some of them cut, and bytes that are no answer, without end.

--- a/Libraries/LibHttp/transaction.cc
+++ b/Libraries/LibHttp/transaction.cc
@@ -65,6 +65,17 @@
   connection->Send(head);
 }
 
+void Transaction::StartUnframed(int status, const Headers& headers) {
+  const auto connection = connection_.lock();
+  if (connection == nullptr || is_started_) {
+    return;
+  }
+  is_started_ = true;
+  is_unframed_ = true;
+  connection->Send(SerialiseHead(status, headers) +
+                   "Connection: close\r\n\r\n");
+}
+
 void Transaction::Write(std::string_view bytes) {
   const auto connection = connection_.lock();
   if (connection == nullptr || is_finished_ || bytes.empty()) {
@@ -88,6 +99,10 @@
   if (connection == nullptr || is_finished_) {
     return;
   }
+  if (is_unframed_) {
+    Abort();
+    return;
+  }
   const bool is_head = request_.method == "HEAD";
   if (!is_chunked_ && remaining_bytes_ > 0 && !is_head) {
     Abort();
--- a/Libraries/LibHttp/transaction.h
+++ b/Libraries/LibHttp/transaction.h
@@ -55,6 +55,9 @@
   void StartStream(int status,
                    const Headers& headers,
                    std::optional<uint64_t> content_length);
+  // Starts a response with neither a length nor chunks. Its body ends with the
+  // connection, so that the client can't tell a truncated one by its framing.
+  void StartUnframed(int status, const Headers& headers);
   // Appends `bytes` to the body.
   void Write(std::string_view bytes);
   // Completes the response. If the body is shorter than its declared length,
@@ -85,6 +88,7 @@
   bool is_started_ = false;
   bool is_finished_ = false;
   bool is_chunked_ = false;
+  bool is_unframed_ = false;
   // Bytes of the declared length that were not written yet.
   uint64_t remaining_bytes_ = 0;
   std::function<void()> on_client_disconnected_;
--- a/Tests/Soak/caller.cc
+++ b/Tests/Soak/caller.cc
@@ -48,6 +48,23 @@
   return kTraits.at(static_cast<size_t>(kind));
 }
 
+// Returns the id of the last whole event that the caller has of the stream; 0
+// if it has none.
+uint64_t LastEventIn(const Call& call) {
+  constexpr std::string_view kIdField = "id: ";
+  const size_t end = call.answer.rfind("\n\n");
+  const size_t start =
+      end == std::string::npos ? end : call.answer.rfind(kIdField, end);
+  if (start == std::string::npos) {
+    return call.resume_after;
+  }
+  const size_t digits = start + kIdField.size();
+  const std::string_view text =
+      std::string_view(call.answer)
+          .substr(digits, call.answer.find('\n', digits) - digits);
+  return core::ParseNumber<uint64_t>(text).value_or(call.resume_after);
+}
+
 std::string KeyOf(const Call& call) {
   switch (call.kind) {
     case CallKind::kReplacedKey:
@@ -174,6 +191,12 @@
     request.headers.Add(std::string(adapter::kTokenLimitsHeader), "2600,120");
     request.headers.Add("Model", "m");
   }
+  if (call.first_attempt) {
+    request.headers.Add(std::string(adapter::kFirstAttemptHeader),
+                        call.first_attempt->value());
+    request.headers.Add(std::string(adapter::kLastEventIdHeader),
+                        std::to_string(call.resume_after));
+  }
   return request;
 }
 
@@ -217,6 +240,31 @@
   exchange->call->ended_at = loop_->Now();
   exchange->disconnect_timer.reset();
   exchange->origin.reset();
+  const Call& call = *exchange->call;
+  if (call.kind == CallKind::kResumableStream &&
+      end == http::OriginOutcome::kCut && LastEventIn(call) > 0) {
+    TakeUp(call);
+  }
+}
+
+void Caller::TakeUp(const Call& call) {
+  const core::Duration left = call.sent_at + call.deadline - loop_->Now();
+  if (known_hosts_.empty() || left <= core::Duration::zero()) {
+    return;
+  }
+  auto next = std::make_shared<Call>();
+  next->id = core::RequestId(fmt::format("{:x}", random_.Next()));
+  next->kind = call.kind;
+  next->host = known_hosts_[random_.Below(known_hosts_.size())];
+  next->method = call.method;
+  next->target = call.target;
+  next->body = call.body;
+  next->key_version = call.key_version;
+  next->deadline = left;
+  next->first_attempt = call.first_attempt.value_or(call.id);
+  next->resume_after = LastEventIn(call);
+  next->sent_at = loop_->Now();
+  Send(next);
 }
 
 void Caller::Leave(const ExchangePointer& exchange) {
--- a/Tests/Soak/caller.h
+++ b/Tests/Soak/caller.h
@@ -50,6 +50,8 @@
   http::OriginRequest RequestOf(const Call& call) const;
   void Send(const std::shared_ptr<Call>& call);
   void OnEnd(const ExchangePointer& exchange, http::OriginOutcome end);
+  // Takes up the stream of `call`, which was cut, at any host.
+  void TakeUp(const Call& call);
   void Leave(const ExchangePointer& exchange);
 
   core::EventLoop* const loop_;
--- a/Tests/Soak/checker_test.cc
+++ b/Tests/Soak/checker_test.cc
@@ -132,6 +132,25 @@
   }
 }
 
+// Makes the call the first attempt of a stream that was cut after two events,
+// and adds the attempt that takes it up at `version`.
+void TakeUp(World& world, const std::string& version) {
+  const core::RequestId stream = world.call->id;
+  world.run->software_version = "v1";
+  world.call->end = http::OriginOutcome::kCut;
+  world.call->answer = support::EventOf(stream, 1, "v1");
+  Disturb(world, Disturbance::Scope::kEndpoint, false);
+  const auto next = std::make_shared<Call>(*world.call);
+  next->id = core::RequestId("r2");
+  next->first_attempt = stream;
+  next->resume_after = 1;
+  next->answer = support::EventOf(stream, 2, version);
+  world.history.calls.push_back(next);
+  const auto run = world.AddRun();
+  run->request = next->id;
+  run->software_version = version;
+}
+
 std::vector<CheckerCase> Cases() {
   using enum CallKind;
   return {
@@ -158,6 +177,17 @@
       {"a short answer", kAtMostOnce,
        [](World& it) { it.call->answer.pop_back(); },
        "answers are complete, in order and match the request"},
+      {"a stream taken up at its version", kResumableStream,
+       [](World& it) { TakeUp(it, "v1"); }, ""},
+      {"a stream taken up at another version", kResumableStream,
+       [](World& it) { TakeUp(it, "v2"); },
+       "a stream goes on at the software version that began it"},
+      {"an answer of two versions", kResumableStream,
+       [](World& it) {
+         TakeUp(it, "v1");
+         it.call->answer += support::EventOf(it.call->id, 2, "v2");
+       },
+       "answers are complete, in order and match the request"},
       {"a changed target", kAtMostOnce,
        [](World& it) { it.run->target += "x"; },
        "requests arrive unmodified and without forged headers"},
--- a/Tests/Soak/endpoint_fleet.cc
+++ b/Tests/Soak/endpoint_fleet.cc
@@ -25,6 +25,9 @@
 constexpr uint32_t kFirstProxyIp = 130;
 constexpr uint32_t kIpsPerRange = 50;
 constexpr size_t kDataCentres = 2;
+// Several software versions serve side by side from the start.
+constexpr size_t kEndpointsPerVersion = 2;
+constexpr size_t kVersions = 3;
 
 int64_t UnixMilliseconds() {
   return std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -49,6 +52,8 @@
   member->options.address = support::FreeAddress(
       support::LoopbackIp(kFirstEndpointIp + n % kIpsPerRange));
   member->options.seed = options_.seed * 1000 + n;
+  member->options.software_version =
+      fmt::format("v{}", 1 + n / kEndpointsPerVersion % kVersions);
   member->registered_address = support::FreeAddress(
       support::LoopbackIp(kFirstProxyIp + n % kIpsPerRange));
   member->link_faults =
@@ -83,12 +88,12 @@
   log_->Append(
       adapter::kRegistrationTopic, member->options.id.value(),
       fmt::format(
-          R"({{"service":"{}","address":"{}","zone":"z{}","version":"v1",)"
+          R"({{"service":"{}","address":"{}","zone":"z{}","version":"{}",)"
           R"("slots":{},"state":"{}","cold_left_ms":0,"seq":{},"born":{}}})",
           member->options.pool.value(), member->registered_address.ToString(),
-          n % kDataCentres, member->options.slots,
-          member->is_draining ? "draining" : "ready", ++member->sequence,
-          member->started_at_ms));
+          n % kDataCentres, member->options.software_version,
+          member->options.slots, member->is_draining ? "draining" : "ready",
+          ++member->sequence, member->started_at_ms));
 }
 
 void EndpointFleet::Unregister(Member* member) {
--- a/Tests/Soak/fault_plan.h
+++ b/Tests/Soak/fault_plan.h
@@ -46,6 +46,11 @@
   kEndpointLosesAnswers,
   kEndpointCutsStreams,
   kEndpointSlow,
+  // Answers of the endpoint have neither a length nor chunks, and some of its
+  // streams are cut off.
+  kEndpointAnswersUnframed,
+  // The endpoint sends bytes that are no answer, without end.
+  kEndpointSendsEndlessly,
   // The endpoint refuses requests and asks for a pause.
   kEndpointPauses,
   kResetEndpointConnections,
--- a/Tests/Soak/history.h
+++ b/Tests/Soak/history.h
@@ -43,6 +43,10 @@
   // Version of the configuration whose key a kReplacedKey call uses.
   int64_t key_version = 0;
   core::Duration deadline{};
+  // If the call takes a stream up: the call that brought its first event, and
+  // the id of the last event that the caller has.
+  std::optional<core::RequestId> first_attempt;
+  uint64_t resume_after = 0;
   core::TimePoint sent_at;
 
   // The answer as received so far.
--- a/Tests/Soak/main.cc
+++ b/Tests/Soak/main.cc
@@ -50,8 +50,10 @@
     std::cout << fmt::format("violated: {}: {}\n", it.guarantee, it.detail);
   }
   std::cout << fmt::format(
-      "seed={} calls={} served={} refused={} violations={}\n", options.seed,
-      result.calls, result.served, result.refused, result.violations.size());
+      "seed={} calls={} served={} refused={} resumed={} continued={} "
+      "violations={}\n",
+      options.seed, result.calls, result.served, result.refused, result.resumed,
+      result.continued, result.violations.size());
   if (!result.violations.empty()) {
     std::cout << "logs of the hosts: " << options.work_folder << "\n";
     return 1;
--- a/Tests/Soak/soak_run.cc
+++ b/Tests/Soak/soak_run.cc
@@ -25,6 +25,7 @@
 constexpr core::Duration kLinkDelay = core::milliseconds(120);
 constexpr double kLostAnswerShare = 0.4;
 constexpr double kFaultShare = 0.3;
+constexpr double kUnframedShare = 0.8;
 constexpr core::Duration kBackupPeriod = core::milliseconds(500);
 // The oldest backup, which a restore uses, is this many periods old.
 constexpr size_t kBackups = 6;
@@ -89,6 +90,8 @@
     constexpr int kUnavailable = 503;
     result.served += IsServed(*it) ? 1 : 0;
     result.refused += it->status == kUnavailable ? 1 : 0;
+    result.resumed += it->first_attempt ? 1 : 0;
+    result.continued += it->first_attempt && IsServed(*it) ? 1 : 0;
   }
   result.violations = violations_;
   return result;
@@ -179,6 +182,8 @@
                    &SoakRun::LoseEndpointAnswers,
                    &SoakRun::CutEndpointStreams,
                    &SoakRun::SlowEndpoint,
+                   &SoakRun::AnswerUnframed,
+                   &SoakRun::SendEndlessly,
                    &SoakRun::PauseEndpoint,
                    &SoakRun::ResetEndpointConnections,
                    &SoakRun::SilenceEndpointConnections,
@@ -356,6 +361,18 @@
                        action.duration);
 }
 
+void SoakRun::AnswerUnframed(const FaultAction& action) {
+  endpoints_.SetFaults(
+      action.target,
+      {.cut_answer_share = kFaultShare, .unframed_share = kUnframedShare},
+      action.duration);
+}
+
+void SoakRun::SendEndlessly(const FaultAction& action) {
+  endpoints_.SetFaults(action.target, {.endless_share = kFaultShare},
+                       action.duration);
+}
+
 void SoakRun::PauseEndpoint(const FaultAction& action) {
   endpoints_.SetFaults(action.target, {.pause_share = kFaultShare},
                        action.duration);
--- a/Tests/Soak/soak_run.h
+++ b/Tests/Soak/soak_run.h
@@ -27,6 +27,9 @@
   size_t served = 0;
   // Calls answered with status 503.
   size_t refused = 0;
+  // Streams that callers took up again, and those of them that were served.
+  size_t resumed = 0;
+  size_t continued = 0;
   std::vector<Violation> violations;
 };
 
@@ -77,6 +80,8 @@
   void LoseEndpointAnswers(const FaultAction& action);
   void CutEndpointStreams(const FaultAction& action);
   void SlowEndpoint(const FaultAction& action);
+  void AnswerUnframed(const FaultAction& action);
+  void SendEndlessly(const FaultAction& action);
   void PauseEndpoint(const FaultAction& action);
   void ResetEndpointConnections(const FaultAction& action);
   void SilenceEndpointConnections(const FaultAction& action);
--- a/Tests/Support/PlatformEndpoint/endpoint_run.cc
+++ b/Tests/Support/PlatformEndpoint/endpoint_run.cc
@@ -26,9 +26,11 @@
   return kMinEvents + request.Hash() % kEventCountRange;
 }
 
-std::string EventOf(const core::RequestId& request, uint64_t id) {
-  return fmt::format("id: {}\ndata: {} {:x}\n\n", id, request.value(),
-                     core::CombineHashes(request.Hash(), id));
+std::string EventOf(const core::RequestId& request,
+                    uint64_t id,
+                    const std::string& software_version) {
+  return fmt::format("id: {}\ndata: {} {:x} {}\n\n", id, request.value(),
+                     core::CombineHashes(request.Hash(), id), software_version);
 }
 
 }  // namespace wasabi::support
--- a/Tests/Support/PlatformEndpoint/endpoint_run.h
+++ b/Tests/Support/PlatformEndpoint/endpoint_run.h
@@ -30,6 +30,7 @@
 struct EndpointRun {
   core::RunnerId endpoint;
   core::PoolId pool;
+  std::string software_version;
   core::RequestId request;
   std::string method;
   std::string target;
@@ -51,12 +52,15 @@
   std::optional<core::TimePoint> paused_until;
 };
 
-// The answers that endpoints give. They depend only on the request id, so that
-// a stream can be resumed at another endpoint.
+// The answers that endpoints give. They depend only on the request id, or on
+// that of the attempt that began a stream, so that a stream can be resumed at
+// another endpoint. Events also tell the software version that generated them.
 std::string PlainAnswerOf(const core::RequestId& request);
 uint64_t EventCountOf(const core::RequestId& request);
 // Returns the event with this id; ids start at 1.
-std::string EventOf(const core::RequestId& request, uint64_t id);
+std::string EventOf(const core::RequestId& request,
+                    uint64_t id,
+                    const std::string& software_version);
 
 }  // namespace wasabi::support
 
--- a/Tests/Support/PlatformEndpoint/platform_endpoint.cc
+++ b/Tests/Support/PlatformEndpoint/platform_endpoint.cc
@@ -16,6 +16,8 @@
 constexpr core::Duration kEventTime = core::milliseconds(40);
 // Time for which an endpoint wants no requests, if it asks for a pause.
 constexpr core::Duration kPause = core::milliseconds(1500);
+// Time between two pieces of an answer without end.
+constexpr core::Duration kJunkPeriod = core::milliseconds(5);
 constexpr int kOk = 200;
 constexpr int kMisdirected = 421;
 constexpr int kInternalError = 500;
@@ -43,6 +45,10 @@
   uint64_t next_event = 1;
   // The id of the event in which the stream is cut off, or 0 if it is not.
   uint64_t cut_after = 0;
+  // The request whose first attempt began the stream.
+  core::RequestId stream;
+  // Sends bytes that are no answer, until the client closes the connection.
+  bool is_endless = false;
 };
 
 absl::StatusOr<std::unique_ptr<PlatformEndpoint>> PlatformEndpoint::Create(
@@ -81,6 +87,7 @@
   const auto run = std::make_shared<EndpointRun>();
   run->endpoint = options_.id;
   run->pool = options_.pool;
+  run->software_version = options_.software_version;
   run->request =
       core::RequestId(request.headers.Get(adapter::kRequestIdHeader));
   run->method = request.method;
@@ -148,6 +155,10 @@
   session->transaction = transaction;
   session->run = run;
   session->next_event = run->resume_after.value_or(0) + 1;
+  const auto first_attempt = run->headers.Find(adapter::kFirstAttemptHeader);
+  session->stream =
+      first_attempt ? core::RequestId(*first_attempt) : run->request;
+  session->is_endless = random_.Unit() < faults_.endless_share;
   run->signature = fmt::format(
       "{:x}.{}", core::CombineHashes(run->request.Hash(), options_.id.Hash()),
       random_.Below(UINT32_MAX));
@@ -155,7 +166,7 @@
   const std::weak_ptr<Session> weak = session;
   transaction->OnCallerGone([this, weak]() {
     if (const auto it = weak.lock()) {
-      End(it, RunEnd::kCancelled);
+      End(it, it->is_endless ? RunEnd::kCut : RunEnd::kCancelled);
     }
   });
   session->timer = loop_->NewTimer([this, weak]() {
@@ -163,7 +174,9 @@
     if (it == nullptr) {
       return;
     }
-    if (!IsStream(*it->run)) {
+    if (it->is_endless) {
+      StartEndless(it);
+    } else if (!IsStream(*it->run)) {
       AnswerPlain(it);
     } else if (!it->transaction->is_started()) {
       StartEvents(it);
@@ -175,6 +188,30 @@
                             (IsStream(*run) ? kFirstEventTime : kServiceTime));
 }
 
+void PlatformEndpoint::StartEndless(const SessionPointer& session) {
+  static const std::string kJunk(16U << 10U, 'x');
+  if (!session->transaction->is_started()) {
+    // A plain body that bears the signature could be any answer.
+    http::Headers headers = AnswerHeaders(session->run.get());
+    if (!IsStream(*session->run)) {
+      headers = {{std::string(adapter::kRequestIdHeader),
+                  session->run->request.value()}};
+    }
+    session->transaction->StartUnframed(kOk, headers);
+  }
+  session->transaction->Write(kJunk);
+  session->timer->StartOnce(kJunkPeriod);
+}
+
+void PlatformEndpoint::StartBody(const SessionPointer& session,
+                                 const http::Headers& headers) {
+  if (random_.Unit() < faults_.unframed_share) {
+    session->transaction->StartUnframed(kOk, headers);
+  } else {
+    session->transaction->StartStream(kOk, headers, std::nullopt);
+  }
+}
+
 void PlatformEndpoint::AnswerPlain(const SessionPointer& session) {
   if (random_.Unit() < faults_.lost_answer_share) {
     session->transaction->Abort();
@@ -183,6 +220,13 @@
   }
   const bool fails = random_.Unit() < faults_.failures;
   EndpointRun* run = session->run.get();
+  if (!fails && faults_.unframed_share > 0) {
+    StartBody(session, AnswerHeaders(run));
+    session->transaction->Write(PlainAnswerOf(run->request));
+    session->transaction->Finish();
+    End(session, RunEnd::kAnswered);
+    return;
+  }
   session->transaction->Respond(
       {.status = fails ? kInternalError : kOk,
        .headers = AnswerHeaders(run),
@@ -201,18 +245,19 @@
   }
   http::Headers headers = AnswerHeaders(session->run.get());
   headers.Add("Content-Type", "text/event-stream");
-  session->transaction->StartStream(kOk, headers, std::nullopt);
+  StartBody(session, headers);
   SendEvent(session);
 }
 
 void PlatformEndpoint::SendEvent(const SessionPointer& session) {
   const EndpointRun& run = *session->run;
-  if (session->next_event > EventCountOf(run.request)) {
+  if (session->next_event > EventCountOf(session->stream)) {
     session->transaction->Finish();
     End(session, RunEnd::kAnswered);
     return;
   }
-  const std::string event = EventOf(run.request, session->next_event);
+  const std::string event =
+      EventOf(session->stream, session->next_event, run.software_version);
   if (session->cut_after != 0 && session->next_event >= session->cut_after) {
     session->transaction->Write(event.substr(0, event.size() / 2));
     session->transaction->Abort();
--- a/Tests/Support/PlatformEndpoint/platform_endpoint.h
+++ b/Tests/Support/PlatformEndpoint/platform_endpoint.h
@@ -27,6 +27,11 @@
   // Share of the requests that the endpoint refuses without running them, with
   // the request for a pause.
   double pause_share = 0;
+  // Share of the answers that have neither a length nor chunks.
+  double unframed_share = 0;
+  // Share of the requests that get bytes that are no answer, without end, until
+  // the client closes the connection.
+  double endless_share = 0;
   // Added to the duration of each request or event.
   core::Duration delay = core::Duration::zero();
 
@@ -39,6 +44,7 @@
   core::SocketAddress address;
   size_t slots = 8;
   uint64_t seed = 0;
+  std::string software_version = "v1";
 };
 
 class PlatformEndpoint {
@@ -84,6 +90,9 @@
   http::Headers AnswerHeaders(EndpointRun* run) const;
   void StartSession(const TransactionPointer& transaction,
                     const RunPointer& run);
+  // Starts a body without a length, in chunks or unframed.
+  void StartBody(const SessionPointer& session, const http::Headers& headers);
+  void StartEndless(const SessionPointer& session);
   void AnswerPlain(const SessionPointer& session);
   void StartEvents(const SessionPointer& session);
   void SendEvent(const SessionPointer& session);
