Soak: callers whose host is gone take their stream up at the next one

A stream that was cut by the death of its host was mostly taken up at the same dead host, once. Callers now try up to four times, as the platform's do.

--- a/Tests/Soak/caller.cc
+++ b/Tests/Soak/caller.cc
@@ -26,6 +26,8 @@
 constexpr double kMaxDisconnectSeconds = 0.3;
 constexpr core::Duration kMaxIdle = core::seconds(10);
 constexpr int kMaxPrompts = 12;
+// Number of times that a caller takes up a stream.
+constexpr size_t kMaxTakeUps = 4;
 
 struct KindTraits {
   const char* path;
@@ -242,14 +244,15 @@
   exchange->origin.reset();
   const Call& call = *exchange->call;
   if (call.kind == CallKind::kResumableStream &&
-      end == http::OriginOutcome::kCut && LastEventIn(call) > 0) {
+      end != http::OriginOutcome::kComplete && LastEventIn(call) > 0) {
     TakeUp(call);
   }
 }
 
 void Caller::TakeUp(const Call& call) {
   const core::Duration left = call.sent_at + call.deadline - loop_->Now();
-  if (known_hosts_.empty() || left <= core::Duration::zero()) {
+  if (known_hosts_.empty() || left <= core::Duration::zero() ||
+      call.take_ups >= kMaxTakeUps) {
     return;
   }
   auto next = std::make_shared<Call>();
@@ -263,6 +266,7 @@
   next->deadline = left;
   next->first_attempt = call.first_attempt.value_or(call.id);
   next->resume_after = LastEventIn(call);
+  next->take_ups = call.take_ups + 1;
   next->sent_at = loop_->Now();
   Send(next);
 }
--- a/Tests/Soak/history.h
+++ b/Tests/Soak/history.h
@@ -47,6 +47,8 @@
   // the id of the last event that the caller has.
   std::optional<core::RequestId> first_attempt;
   uint64_t resume_after = 0;
+  // Number of times that the stream was taken up, this one included.
+  size_t take_ups = 0;
   core::TimePoint sent_at;
 
   // The answer as received so far.
