--- a/Services/Forwarder/fleet_controller.h
+++ b/Services/Forwarder/fleet_controller.h
@@ -1,8 +1,7 @@
 // Manages fleet membership and what follows from it: this host's roles, the
 // reports that hosts exchange (records of the platform's topics, the number of
 // requests in flight at each endpoint, endpoint crashes, where streams began),
-// and the hosts that
-// accept requests.
+// and the hosts that accept requests.
 
 #ifndef SERVICES_FORWARDER_FLEET_CONTROLLER_H_
 #define SERVICES_FORWARDER_FLEET_CONTROLLER_H_
