A stopping router ends in time, however busy its callers are

Cause: the router listened until a look once a second found no request open.

Now the listener closes once the notice of a stop is over, and the router waits for what is in flight; answers from then on close their connection. The tests that stop a fleet print why a stop failed.

--- a/Libraries/LibHttp/server.cc
+++ b/Libraries/LibHttp/server.cc
@@ -315,6 +315,9 @@
     MHD_add_response_header(response, field.first.c_str(),
                             field.second.c_str());
   }
+  if (is_stopped_listening_) {
+    MHD_add_response_header(response, MHD_HTTP_HEADER_CONNECTION, "close");
+  }
   const MHD_Result result =
       MHD_queue_response(exchange->connection_,
                          static_cast<unsigned>(exchange->status_), response);
--- a/Libraries/LibHttp/server.h
+++ b/Libraries/LibHttp/server.h
@@ -47,7 +47,8 @@
   // Aborts the connections that are still open.
   ~Server();
 
-  // Closes the listening socket. Requests in flight are not affected.
+  // Closes the listening socket. Requests in flight are not affected; answers
+  // from then on close their connection.
   void StopListening();
   // Number of requests in flight, including those that are still being
   // received.
--- a/Services/Router/router.cc
+++ b/Services/Router/router.cc
@@ -427,8 +427,12 @@
   answers_.Trim(loop_->Now());
   quarantine_->Tick();
   ShareDemand();
-  if (is_stopping_ && loop_->Now() >= stop_listening_at_ && IsDrained()) {
-    server_->StopListening();
+  if (!is_stopping_ || loop_->Now() < stop_listening_at_) {
+    return;
+  }
+  // While the router listens, new requests can keep it from being drained.
+  server_->StopListening();
+  if (IsDrained()) {
     events_.Record(EventCode::kProcessStopped, "", "");
     loop_->Stop();
   }
--- a/Tests/Integration/bad_input_test.cc
+++ b/Tests/Integration/bad_input_test.cc
@@ -5,14 +5,13 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include <atomic>
 #include <catch2/catch.hpp>
 #include <sstream>
-#include <thread>
 
 #include "LibCore/result_code.h"
 #include "LibCore/text.h"
 #include "Tests/Support/Fleet/http_probe.h"
+#include "Tests/Support/Scenario/bystander.h"
 #include "Tests/Support/Scenario/keyed_calls.h"
 #include "Tests/Support/Scenario/scenario.h"
 #include "Tests/Support/http_replies.h"
@@ -30,11 +29,9 @@
 constexpr size_t kNestedLists = 1U << 20U;
 constexpr size_t kOversizedDatagramBytes = 4000;
 
-constexpr const char* kChatTarget = "/v1/chat/completions";
+constexpr const char* kChatTarget = kSmallChatTarget;
 constexpr const char* kServiceTarget = "/v1/services/holds/place";
-constexpr const char* kGoodChat =
-    R"({"model":"luthier","messages":[{"role":"user","content":"?"}],)"
-    R"("max_tokens":2})";
+constexpr const char* kGoodChat = kSmallChat;
 
 FleetOptions OneRouter() {
   FleetOptions options = SmallFleetOptions();
@@ -88,45 +85,6 @@
   return 0;
 }
 
-// Sends valid requests back to back on its own thread while the router receives
-// bad input, and counts the successful and the failed ones.
-class Bystander {
- public:
-  explicit Bystander(const core::SocketAddress& router)
-      : thread_([this, router] { Work(router); }) {}
-  ~Bystander() {
-    is_stopped_ = true;
-    thread_.join();
-  }
-  Bystander(const Bystander&) = delete;
-  Bystander& operator=(const Bystander&) = delete;
-
-  // Waits until a request that started after this call has completed. Returns
-  // false on a timeout.
-  bool WaitForNextAnswer() {
-    const int seen = answered_ + failed_;
-    WaitUntil([&] { return answered_ + failed_ > seen + 1; }, kCountTimeout);
-    return answered_ + failed_ > seen + 1;
-  }
-  int answered() const { return answered_; }
-  int failed() const { return failed_; }
-
- private:
-  void Work(const core::SocketAddress& router) {
-    while (!is_stopped_) {
-      const auto response =
-          Post(router, kChatTarget, Organisation(), kGoodChat);
-      const bool is_good = response.ok() && response->status == kHttpOk;
-      ++(is_good ? answered_ : failed_);
-    }
-  }
-
-  std::atomic<bool> is_stopped_ = false;
-  std::atomic<int> answered_ = 0;
-  std::atomic<int> failed_ = 0;
-  std::thread thread_;
-};
-
 // A bad request and the result code that the router must return for it.
 struct BadRequest {
   std::string name;
@@ -213,7 +171,8 @@
   CHECK(!body.at("error").value("message", "").empty());
 }
 
-// Returns the gossip address of the only router from the platform's host list.
+// Returns the gossip address of the only router from the platform's host
+// list.
 core::SocketAddress GossipAddress(const Fleet& fleet) {
   const auto response = GetNow(fleet.AddressOf("platform"), "/v1/hosts");
   if (response.ok()) {
@@ -315,7 +274,9 @@
   CHECK(bystander.failed() == 0);
   KeyedCalls calls(&fleet);
   CHECK(calls.Send("after-bad-input", 0, std::chrono::seconds(5)).code == 0);
-  CHECK(fleet.Stop().ok());
+  const absl::Status stopped = fleet.Stop();
+  INFO(core::MessageOf(stopped));
+  CHECK(stopped.ok());
 }
 
 }  // namespace
--- a/Tests/Integration/entry_killed_test.cc
+++ b/Tests/Integration/entry_killed_test.cc
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 #include <csignal>
 
+#include "LibCore/text.h"
 #include "Tests/Support/Scenario/scenario.h"
 
 namespace wasabi::support {
@@ -32,7 +33,9 @@
   CHECK(result->at("lost") == 0);
   CHECK(result->at("doubled") == 0);
   CHECK(result->at("not_run_but_executed") == 0);
-  CHECK(fleet.Stop().ok());
+  const absl::Status stopped = fleet.Stop();
+  INFO(core::MessageOf(stopped));
+  CHECK(stopped.ok());
 }
 
 }  // namespace
--- a/Tests/Integration/leaving_endpoint_test.cc
+++ b/Tests/Integration/leaving_endpoint_test.cc
@@ -182,7 +182,9 @@
   REQUIRE(result.ok());
   INFO(result->dump());
   CHECK(ViolationCounts(*result).empty());
-  CHECK(fleet.Stop().ok());
+  const absl::Status stopped = fleet.Stop();
+  INFO(core::MessageOf(stopped));
+  CHECK(stopped.ok());
 }
 
 }  // namespace
--- a/Tests/Integration/not_run_test.cc
+++ b/Tests/Integration/not_run_test.cc
@@ -183,7 +183,9 @@
   // Keys that were refused during the faults must not run after them either.
   std::this_thread::sleep_for(kLateExecutionTime);
   CheckPromise(**scenario, calls);
-  CHECK(fleet.Stop().ok());
+  const absl::Status stopped = fleet.Stop();
+  INFO(core::MessageOf(stopped));
+  CHECK(stopped.ok());
 }
 
 // A fault that is injected while an earlier attempt of a key runs on a slow
@@ -313,7 +315,9 @@
     }
     CheckPromise(**scenario, calls);
   }
-  CHECK(fleet.Stop().ok());
+  const absl::Status stopped = fleet.Stop();
+  INFO(core::MessageOf(stopped));
+  CHECK(stopped.ok());
 }
 
 TEST_CASE("a resend above the rate limit does not receive not_run") {
@@ -346,7 +350,9 @@
   INFO("keys refused: " << refused);
   CHECK(refused > 0);
   CheckPromise(**scenario, calls);
-  CHECK(fleet.Stop().ok());
+  const absl::Status stopped = fleet.Stop();
+  INFO(core::MessageOf(stopped));
+  CHECK(stopped.ok());
 }
 
 }  // namespace
--- a/Tests/Integration/planned_stop_test.cc
+++ b/Tests/Integration/planned_stop_test.cc
@@ -83,8 +83,8 @@
 
 FleetOptions StopFleet() {
   FleetOptions options = SmallFleetOptions();
-  // A stopping router serves requests until the host lists that it returned to
-  // callers expire.
+  // A stopping router serves requests until the host lists that it returned
+  // to callers expire.
   options.router_settings["callers"]["host_answer_lifetime_ms"] = "500";
   return options;
 }
@@ -129,7 +129,9 @@
   // A caller whose answer was interrupted reattaches and still receives it
   // whole, so only this count shows the interruption.
   CHECK(result->at("reattachments") == 0);
-  CHECK(fleet.Stop().ok());
+  const absl::Status stopped = fleet.Stop();
+  INFO(core::MessageOf(stopped));
+  CHECK(stopped.ok());
 }
 
 }  // namespace
--- a/Tests/Integration/whole_path_test.cc
+++ b/Tests/Integration/whole_path_test.cc
@@ -3,6 +3,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "LibCore/text.h"
 #include "Tests/Support/Scenario/scenario.h"
 
 namespace wasabi::support {
@@ -22,7 +23,9 @@
   CHECK(result->at("wrong_answers") == 0);
   CHECK(result->at("lost") == 0);
   CHECK(result->at("doubled") == 0);
-  CHECK((*scenario)->fleet().Stop().ok());
+  const absl::Status stopped = (*scenario)->fleet().Stop();
+  INFO(core::MessageOf(stopped));
+  CHECK(stopped.ok());
 }
 
 }  // namespace
