A request that every endpoint refused is refused at once

Cause: after a refusal by an endpoint the session waited when its pool had more than one endpoint, also when all of them had been tried. It never sends to an endpoint twice, so it waited a quarter of its time in vain and was refused then.

Now it waits only while an endpoint is left that it has not tried, as retries of requests that may have run already do.

Measured: the new test took 376 ms before and fails there (bound 100 ms); now all of test_forwarder and test_forwarding pass.

--- a/Libraries/LibForwarding/forward_session.cc
+++ b/Libraries/LibForwarding/forward_session.cc
@@ -469,7 +469,7 @@
     Fail(core::ResultCode::kAnswerTruncated, reason);
     return;
   }
-  if (may_try && context_->endpoints->Available(chooser_.pool()).size() > 1) {
+  if (may_try && chooser_.HasOther(tried_)) {
     // All other endpoints are currently full.
     Wait();
     return;
--- a/Tests/Forwarder/forwarder_daemon_test.cc
+++ b/Tests/Forwarder/forwarder_daemon_test.cc
@@ -227,6 +227,21 @@
   }
 }
 
+TEST_CASE("a request that every endpoint refused is refused at once") {
+  ForwarderFixture it;
+  it.Configure();
+  const std::string shed = ScriptedAnswer(503, "Not-Executed: 1\r\n", "");
+  it.script = {shed, shed};
+  const core::TimePoint sent_at = it.loop.Now();
+  const CallerResult result = it.Get("/unsafe/1");
+  const core::Duration elapsed = it.loop.Now() - sent_at;
+  CHECK(result.status == 503);
+  CHECK(!result.headers.Get("Retry-After").empty());
+  CHECK(it.received.size() == 2);
+  // A part of the request's time that a caller notices.
+  CHECK(elapsed < core::milliseconds(100));
+}
+
 TEST_CASE("a stream is resumed after the last event that the caller received") {
   ForwarderFixture it;
   it.Configure();
