--- a/Libraries/LibPlatform/keyed_topic_client.h
+++ b/Libraries/LibPlatform/keyed_topic_client.h
@@ -38,7 +38,7 @@
   Offset next = 0;
   // The history that the records belong to.
   LogEpoch epoch = 0;
-  // The topic ended later than `next` when it was read, or may have done so.
+  // The topic ended later than `next` when it was read.
   bool lacks_newer_records = false;
 };
 
@@ -51,9 +51,7 @@
   virtual ~KeyedTopicClient() = default;
 
   // Reads the newest record of every key. Records at or after the page's `next`
-  // may or may not be included. A read after one that failed may go on where
-  // that one ended; its page then lacks newer records. Error:
-  // kPlatformUnavailable.
+  // may or may not be included. Error: kPlatformUnavailable.
   virtual void ReadNewest(const std::string& topic, ReadCallback callback) = 0;
 
   // Reads the records from `from` on, waiting up to `wait` for the first one.
--- a/Libraries/LibPlatform/topic_view.cc
+++ b/Libraries/LibPlatform/topic_view.cc
@@ -129,14 +129,10 @@
     return;
   }
   needs_snapshot_ = false;
-  lacks_newer_records_ = page->lacks_newer_records;
+  lacks_newer_records_ = false;
   RecordRecovery();
   EnterHistory(page->epoch, page->next);
   ApplySnapshot(*page);
-  if (lacks_newer_records_) {
-    next_attempt_at_ = scheduler_->Now();
-    return;
-  }
   Confirm(started_at);
 }
 
--- a/Tests/Support/TopicStore/fake_topic_client.cc
+++ b/Tests/Support/TopicStore/fake_topic_client.cc
@@ -14,11 +14,7 @@
 
 void FakeTopicClient::ReadNewest(const std::string& topic,
                                  ReadCallback callback) {
-  absl::StatusOr<platform::KeyedPage> page = log_.ReadNewest(topic);
-  if (page.ok()) {
-    page->lacks_newer_records = newest_lacks_records_;
-  }
-  Answer(std::move(callback), std::move(page));
+  Answer(std::move(callback), log_.ReadNewest(topic));
 }
 
 void FakeTopicClient::ReadFrom(const std::string& topic,
--- a/Tests/Support/TopicStore/fake_topic_client.h
+++ b/Tests/Support/TopicStore/fake_topic_client.h
@@ -47,8 +47,6 @@
   void SetSilent(bool is_silent) { is_silent_ = is_silent; }
   // Limits the number of records that ReadFrom returns at once.
   void SetRecordsPerRead(size_t n) { records_per_read_ = n; }
-  // While set, ReadNewest returns a page that may lack newer records.
-  void SetNewestLacksRecords(bool lacks) { newest_lacks_records_ = lacks; }
   // Returns the number of reads and Put calls so far.
   int calls() const { return calls_; }
 
@@ -59,7 +57,6 @@
   platform::Scheduler* const scheduler_;
   KeyedLog log_;
   size_t records_per_read_ = SIZE_MAX;
-  bool newest_lacks_records_ = false;
   bool is_down_ = false;
   bool is_silent_ = false;
   int calls_ = 0;
