--- a/Tests/Integration/at_most_once_test.cc
+++ b/Tests/Integration/at_most_once_test.cc
@@ -58,8 +58,8 @@
   return response.ok() && response->status == kHttpOk;
 }
 
-// Returns whether `service` still has answers to drop. A service that does
-// not respond counts as having some.
+// Returns whether `service` still has answers to drop. A service that does not
+// respond counts as having some.
 bool HasFaultsLeft(Fleet& fleet, const std::string& service) {
   const auto response = PostNow(fleet.AddressOf(service), "/faults",
                                 {{"kind", "lose_answer"}, {"count", 0}});
@@ -303,8 +303,8 @@
   CHECK((unknown == 0 || fault.allows_unknown_outcomes));
 }
 
-// Returns whether the events of `router` name `key`, which they do once it
-// has appended an intent.
+// Returns whether the events of `router` name `key`, which they do once it has
+// appended an intent.
 bool HasAppendedIntent(const core::SocketAddress& router,
                        const std::string& key) {
   const auto response = GetNow(router, "/v1/events");
@@ -357,9 +357,8 @@
   CHECK(stopped.ok());
 }
 
-// The first owner is paused between appending its intent and sending the
-// call. The second owner takes over while stale log reads do not return that
-// intent.
+// The first owner is paused between appending its intent and sending the call.
+// The second owner takes over while stale log reads do not return that intent.
 TEST_CASE(
     "only one of a frozen owner and an owner with stale reads runs a key") {
   auto scenario = Scenario::Create(ServiceFleet());
--- a/Tests/Integration/bad_input_test.cc
+++ b/Tests/Integration/bad_input_test.cc
@@ -171,8 +171,7 @@
   CHECK(!body.at("error").value("message", "").empty());
 }
 
-// Returns the gossip address of the only router from the platform's host
-// list.
+// Returns the gossip address of the only router from the platform's host list.
 core::SocketAddress GossipAddress(const Fleet& fleet) {
   const auto response = GetNow(fleet.AddressOf("platform"), "/v1/hosts");
   if (response.ok()) {
--- a/Tests/Integration/planned_stop_test.cc
+++ b/Tests/Integration/planned_stop_test.cc
@@ -83,8 +83,8 @@
 
 FleetOptions StopFleet() {
   FleetOptions options = SmallFleetOptions();
-  // A stopping router serves requests until the host lists that it returned
-  // to callers expire.
+  // A stopping router serves requests until the host lists that it returned to
+  // callers expire.
   options.router_settings["callers"]["host_answer_lifetime_ms"] = "500";
   return options;
 }
