--- a/Libraries/LibForwarding/crash_detector.cc
+++ b/Libraries/LibForwarding/crash_detector.cc
@@ -1,5 +1,6 @@
 #include "LibForwarding/crash_detector.h"
 
+#include <string>
 #include <utility>
 
 #include "LibCore/text.h"
@@ -15,6 +16,16 @@
 // be cut off by a network failure, which does not count as a crash.
 constexpr core::Duration kProbeTimeout = core::milliseconds(300);
 
+// Returns the requests as text: "CONTENT:PART,PART;CONTENT:PART".
+std::string Describe(const std::vector<RequestFingerprint>& requests) {
+  std::string text;
+  for (const RequestFingerprint& it : requests) {
+    text += fmt::format("{}{:x}:{:x}", text.empty() ? "" : ";", it.content,
+                        fmt::join(it.parts, ","));
+  }
+  return text;
+}
+
 }  // namespace
 
 CrashDetector::CrashDetector(core::EventLoop* loop,
@@ -23,9 +34,9 @@
     : loop_(loop), events_(events), quarantine_(quarantine) {}
 
 void CrashDetector::RecordBrokenConnection(const Endpoint& endpoint,
-                                           uint64_t content_digest) {
+                                           RequestFingerprint request) {
   Case& it = cases_[endpoint.id];
-  it.digests.push_back(content_digest);
+  it.requests.push_back(std::move(request));
   if (it.timer != nullptr) {
     return;
   }
@@ -67,11 +78,16 @@
     return;
   }
   const auto incarnation = static_cast<uint64_t>(closed.endpoint.started_at_ms);
-  quarantine_->RecordCrash(routing::MakeCrashId(id, incarnation),
-                           closed.digests, loop_->Now());
-  events_->Record(core::EventCode::kDigestSuspected, "",
-                  fmt::format("endpoint={} requests={}", id.value(),
-                              closed.digests.size()));
+  std::vector<uint64_t> digests;
+  for (const RequestFingerprint& it : closed.requests) {
+    digests.push_back(it.content);
+  }
+  quarantine_->RecordCrash(routing::MakeCrashId(id, incarnation), digests,
+                           loop_->Now());
+  events_->Record(
+      core::EventCode::kDigestSuspected, "",
+      fmt::format("endpoint={} requests={} contents_and_parts={}", id.value(),
+                  closed.requests.size(), Describe(closed.requests)));
 }
 
 }  // namespace wasabi::forwarding
--- a/Libraries/LibForwarding/crash_detector.h
+++ b/Libraries/LibForwarding/crash_detector.h
@@ -6,7 +6,6 @@
 #ifndef LIBFORWARDING_CRASH_DETECTOR_H_
 #define LIBFORWARDING_CRASH_DETECTOR_H_
 
-#include <cstdint>
 #include <map>
 #include <memory>
 #include <vector>
@@ -14,6 +13,7 @@
 #include "LibCore/event_loop.h"
 #include "LibCore/event_ring.h"
 #include "LibForwarding/endpoint.h"
+#include "LibForwarding/request_fingerprint.h"
 #include "LibHttp/tcp_stream.h"
 #include "LibRouting/quarantine_table.h"
 
@@ -26,17 +26,17 @@
                 core::EventRing* events,
                 routing::QuarantineTable* quarantine);
 
-  // Records that the connection to `endpoint` broke during a request with this
-  // content. Starts an investigation of the endpoint unless one is running.
+  // Records that the connection to `endpoint` broke during a request. Starts an
+  // investigation of the endpoint unless one is running.
   void RecordBrokenConnection(const Endpoint& endpoint,
-                              uint64_t content_digest);
+                              RequestFingerprint request);
 
  private:
-  // A running investigation of one endpoint, with the content digests of the
-  // requests whose connections broke there.
+  // A running investigation of one endpoint, with the requests whose
+  // connections broke there.
   struct Case {
     Endpoint endpoint;
-    std::vector<uint64_t> digests;
+    std::vector<RequestFingerprint> requests;
     std::unique_ptr<core::Timer> timer;
     std::shared_ptr<http::TcpStream> probe;
   };
--- a/Libraries/LibForwarding/forward_attempt.cc
+++ b/Libraries/LibForwarding/forward_attempt.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "LibCore/text.h"
+#include "LibForwarding/request_fingerprint.h"
 
 namespace wasabi::forwarding {
 
@@ -149,7 +150,7 @@
 
 void ForwardAttempt::FinishCut() {
   context_->monitor->RecordFailure(endpoint_.id, context_->loop->Now());
-  context_->crashes->RecordBrokenConnection(endpoint_, request_.content_digest);
+  context_->crashes->RecordBrokenConnection(endpoint_, FingerprintOf(request_));
   Finish(AttemptEnd::kCut);
 }
 
--- a/Tests/ForwardedStreams/prompt_part_crashes_endpoints_test.cc
+++ b/Tests/ForwardedStreams/prompt_part_crashes_endpoints_test.cc
@@ -96,7 +96,8 @@
   const PromptCase cases[] = {
       {"the first part", "bad0:90,", "a1:80,"},
       {"behind a shared part", "a1:80,bad0:90,", "a1:80,b2:60,"},
-      {"among parts that no other request has", "a1:80,%,bad0:90,%,", "a1:80,b2:60,"},
+      {"among parts that no other request has", "a1:80,%,bad0:90,%,",
+       "a1:80,b2:60,"},
   };
   for (const PromptCase& row : cases) {
     INFO(row.what);
--- a/Tests/LibForwarding/crash_detector_test.cc
+++ b/Tests/LibForwarding/crash_detector_test.cc
@@ -12,6 +12,7 @@
 using routing::QuarantineVerdict;
 
 constexpr uint64_t kDigest = 7;
+const RequestFingerprint kRequest{.content = kDigest, .parts = {}};
 
 struct Fixture {
   Endpoint MakeEndpoint(const char* id, const core::SocketAddress& address) {
@@ -44,10 +45,10 @@
   Fixture it;
   const core::SocketAddress closed =
       support::FreeAddress(support::LoopbackIp(4));
-  it.watch.RecordBrokenConnection(it.MakeEndpoint("e1", closed), kDigest);
+  it.watch.RecordBrokenConnection(it.MakeEndpoint("e1", closed), kRequest);
   it.RunFor(kInvestigationTime);
   CHECK(it.Verdict() != QuarantineVerdict::kRefuse);
-  it.watch.RecordBrokenConnection(it.MakeEndpoint("e2", closed), kDigest);
+  it.watch.RecordBrokenConnection(it.MakeEndpoint("e2", closed), kRequest);
   it.RunFor(kInvestigationTime);
   CHECK(it.Verdict() == QuarantineVerdict::kRefuse);
 }
@@ -58,7 +59,7 @@
                                   support::FreeAddress(support::LoopbackIp(5)));
   for (const char* id : {"e1", "e2", "e3"}) {
     it.watch.RecordBrokenConnection(it.MakeEndpoint(id, server.address()),
-                                    kDigest);
+                                    kRequest);
   }
   it.RunFor(kInvestigationTime);
   CHECK(it.Verdict() == QuarantineVerdict::kClear);
