Blame for a crash is found by prompt parts, not by whole requests alone

Cause: each host kept blame by the hash of the whole request, and that is what hosts told each other. No two requests were alike, so nothing was ever in flight at a second crash. Of the class 'blame counted against a whole request when a part of it may be guilty'. Reports were also cut to 60 suspects a crash, and hosts that started or were cut off never learned of earlier crashes.

Change: CrashSuspects keeps contents and shared prompt parts that were in flight at crashes; a completion clears them. The suspect that explains most crashes is refused, crashes that it explains blame nobody else, and parts that nothing tells apart are refused only together, so sound requests flow and settle it. Reports carry changes only, in as many datagrams as needed; CrashSync gives hosts what they missed. The bound on repeated contents is as before, but for contents that complete often.

--- a/Libraries/LibForwarding/crash_detector.cc
+++ b/Libraries/LibForwarding/crash_detector.cc
@@ -3,6 +3,7 @@
 #include <string>
 #include <utility>
 
+#include "LibCore/hash.h"
 #include "LibCore/text.h"
 
 namespace wasabi::forwarding {
@@ -30,8 +31,8 @@
 
 CrashDetector::CrashDetector(core::EventLoop* loop,
                              core::EventRing* events,
-                             routing::QuarantineTable* quarantine)
-    : loop_(loop), events_(events), quarantine_(quarantine) {}
+                             CrashSuspects* suspects)
+    : loop_(loop), events_(events), suspects_(suspects) {}
 
 void CrashDetector::RecordBrokenConnection(const Endpoint& endpoint,
                                            RequestFingerprint request) {
@@ -78,12 +79,8 @@
     return;
   }
   const auto incarnation = static_cast<uint64_t>(closed.endpoint.started_at_ms);
-  std::vector<uint64_t> digests;
-  for (const RequestFingerprint& it : closed.requests) {
-    digests.push_back(it.content);
-  }
-  quarantine_->RecordCrash(routing::MakeCrashId(id, incarnation), digests,
-                           loop_->Now());
+  suspects_->RecordCrash(core::CombineHashes(id.Hash(), incarnation),
+                         closed.requests, loop_->Now());
   events_->Record(
       core::EventCode::kDigestSuspected, "",
       fmt::format("endpoint={} requests={} contents_and_parts={}", id.value(),
--- a/Libraries/LibForwarding/crash_detector.h
+++ b/Libraries/LibForwarding/crash_detector.h
@@ -1,7 +1,7 @@
 // Identifies the requests that were in flight at an endpoint when it crashed. A
 // single broken connection does not prove a crash. Only if the endpoint then
 // also refuses connections is every request whose connection broke there
-// reported to the quarantine table as a suspect.
+// recorded as a suspect.
 
 #ifndef LIBFORWARDING_CRASH_DETECTOR_H_
 #define LIBFORWARDING_CRASH_DETECTOR_H_
@@ -12,10 +12,10 @@
 
 #include "LibCore/event_loop.h"
 #include "LibCore/event_ring.h"
+#include "LibForwarding/crash_suspects.h"
 #include "LibForwarding/endpoint.h"
 #include "LibForwarding/request_fingerprint.h"
 #include "LibHttp/tcp_stream.h"
-#include "LibRouting/quarantine_table.h"
 
 namespace wasabi::forwarding {
 
@@ -24,7 +24,7 @@
   // The arguments must outlive this object.
   CrashDetector(core::EventLoop* loop,
                 core::EventRing* events,
-                routing::QuarantineTable* quarantine);
+                CrashSuspects* suspects);
 
   // Records that the connection to `endpoint` broke during a request. Starts an
   // investigation of the endpoint unless one is running.
@@ -48,7 +48,7 @@
 
   core::EventLoop* const loop_;
   core::EventRing* const events_;
-  routing::QuarantineTable* const quarantine_;
+  CrashSuspects* const suspects_;
   std::map<core::RunnerId, Case> cases_;
 };
 
--- a/Libraries/LibForwarding/crash_exchange.cc
+++ b/Libraries/LibForwarding/crash_exchange.cc
@@ -1,6 +1,6 @@
 #include "LibForwarding/crash_exchange.h"
 
-#include <algorithm>
+#include <utility>
 
 #include "LibCore/message.h"
 #include "LibCore/try.h"
@@ -9,8 +9,6 @@
 
 namespace {
 
-// Maximum number of suspect requests of one crash that fit in a datagram.
-constexpr size_t kMaxSuspectsPerReport = 60;
 constexpr int kSends = 3;
 constexpr core::Duration kSendInterval = core::milliseconds(200);
 // In a large fleet the changes of this time are reported together.
@@ -19,9 +17,9 @@
 }  // namespace
 
 CrashExchange::CrashExchange(core::HostId self,
-                             routing::QuarantineTable* quarantine,
+                             CrashSuspects* suspects,
                              SendFunction send)
-    : self_(std::move(self)), quarantine_(quarantine), send_(std::move(send)) {}
+    : self_(std::move(self)), suspects_(suspects), send_(std::move(send)) {}
 
 void CrashExchange::Tick(core::TimePoint now) {
   if (now >= next_batch_at_) {
@@ -64,35 +62,19 @@
   // Every host hears the same from each aggregator of its data centre, so these
   // need not repeat themselves.
   const int sends = PassesReportsOn() ? 1 : kSends;
-  const routing::QuarantineDelta delta = quarantine_->TakeDelta(now);
-  for (const routing::CrashRecord& it : delta.crashes) {
-    // Each datagram carries one crash record, truncated to the suspects that
-    // fit.
-    routing::CrashRecord record = it;
-    record.digests.resize(
-        std::min(record.digests.size(), kMaxSuspectsPerReport));
-    record.cleared.resize(
-        std::min(record.cleared.size(), kMaxSuspectsPerReport));
-    pending_.push_back(
-        {.body = core::Encode(routing::QuarantineDelta{.crashes = {record}}),
-         .remaining_sends = sends,
-         .next_send_at = now});
+  for (const CrashReport& report : suspects_->TakeChanges(now)) {
+    for (const CrashReport& it : SplitReport(report)) {
+      pending_.push_back({.body = core::Encode(it),
+                          .remaining_sends = sends,
+                          .next_send_at = now});
+    }
   }
 }
 
 absl::Status CrashExchange::OnReport(std::string_view body,
                                      core::TimePoint now) {
-  TRY_ASSIGN(const routing::QuarantineDelta delta,
-             core::Decode<routing::QuarantineDelta>(body));
-  if (PassesReportsOn()) {
-    quarantine_->Merge(delta, now);
-    return absl::OkStatus();
-  }
-  // The sender informs the others, so this host must not. Pending local changes
-  // are queued first; the delta that the merge creates is then discarded.
-  QueueChanges(now);
-  quarantine_->Merge(delta, now);
-  quarantine_->TakeDelta(now);
+  TRY_ASSIGN(const CrashReport report, core::Decode<CrashReport>(body));
+  suspects_->MergeReport(report, PassesReportsOn(), now);
   return absl::OkStatus();
 }
 
--- a/Libraries/LibForwarding/crash_exchange.h
+++ b/Libraries/LibForwarding/crash_exchange.h
@@ -4,7 +4,7 @@
 //
 // When many endpoints crash, every host that had requests there reports each of
 // them. In a large fleet these reports go to aggregators, which merge them and
-// pass on only what is new.
+// pass on only what is new. Hosts that miss reports are caught up by CrashSync.
 
 #ifndef LIBFORWARDING_CRASH_EXCHANGE_H_
 #define LIBFORWARDING_CRASH_EXCHANGE_H_
@@ -18,9 +18,9 @@
 
 #include "LibCore/identifier.h"
 #include "LibCore/time.h"
+#include "LibForwarding/crash_suspects.h"
 #include "LibForwarding/report_peers.h"
 #include "LibMembership/application_kind.h"
-#include "LibRouting/quarantine_table.h"
 #include "absl/status/status.h"
 
 namespace wasabi::forwarding {
@@ -31,10 +31,8 @@
                                           membership::ApplicationKind kind,
                                           std::string_view body)>;
 
-  // `quarantine` must outlive the exchange.
-  CrashExchange(core::HostId self,
-                routing::QuarantineTable* quarantine,
-                SendFunction send);
+  // `suspects` must outlive the exchange.
+  CrashExchange(core::HostId self, CrashSuspects* suspects, SendFunction send);
 
   void SetPeers(ReportPeers peers) { peers_ = std::move(peers); }
 
@@ -53,12 +51,12 @@
   };
 
   bool PassesReportsOn() const;
-  // Turns the changes of the quarantine table into reports.
+  // Turns what this host has found out into reports.
   void QueueChanges(core::TimePoint now);
   std::vector<core::HostId> Receivers() const;
 
   const core::HostId self_;
-  routing::QuarantineTable* const quarantine_;
+  CrashSuspects* const suspects_;
   const SendFunction send_;
   ReportPeers peers_;
   // Reports with sends remaining, oldest first.
--- a/Libraries/LibForwarding/forward_context.h
+++ b/Libraries/LibForwarding/forward_context.h
@@ -13,6 +13,7 @@
 #include "LibCore/metrics.h"
 #include "LibCore/random_source.h"
 #include "LibForwarding/crash_detector.h"
+#include "LibForwarding/crash_suspects.h"
 #include "LibForwarding/endpoint_monitor.h"
 #include "LibForwarding/endpoint_selector.h"
 #include "LibForwarding/endpoint_shares.h"
@@ -27,7 +28,6 @@
 #include "LibForwarding/stream_origin_exchange.h"
 #include "LibForwarding/wait_queue.h"
 #include "LibHttp/origin_client.h"
-#include "LibRouting/quarantine_table.h"
 
 namespace wasabi::forwarding {
 
@@ -42,7 +42,7 @@
   EndpointMonitor* monitor = nullptr;
   LoadTable* loads = nullptr;
   WaitQueue* waiting = nullptr;
-  routing::QuarantineTable* quarantine = nullptr;
+  CrashSuspects* suspects = nullptr;
   CrashDetector* crashes = nullptr;
   StreamOriginExchange* stream_origins = nullptr;
   core::RandomSource* random = nullptr;
--- a/Libraries/LibForwarding/forward_session.cc
+++ b/Libraries/LibForwarding/forward_session.cc
@@ -70,6 +70,7 @@
     : context_(context),
       transaction_(std::move(transaction)),
       request_(std::move(request)),
+      fingerprint_(FingerprintOf(request_)),
       chooser_(context, request_),
       answer_deadline_(
           std::min(request_.deadline - kAnswerMargin,
@@ -94,10 +95,7 @@
   deadline_timer_->StartOnce(
       std::max(answer_deadline_ - Now(), core::Duration::zero()));
   context_->RetryAllowanceFor(chooser_.pool()).RecordRequest(Now());
-  if (context_->quarantine->VerdictFor(request_.content_digest, Now()) ==
-      routing::QuarantineVerdict::kRefuse) {
-    Fail(core::ResultCode::kQuarantined,
-         "refused because this content has crashed endpoints");
+  if (EndIfQuarantined()) {
     return;
   }
   if (request_.resume_after && IsStream()) {
@@ -163,7 +161,20 @@
   }
 }
 
+bool ForwardSession::EndIfQuarantined() {
+  if (!context_->suspects->IsRefused(fingerprint_, Now())) {
+    return false;
+  }
+  ++context_->metrics->Counter("forward_quarantined");
+  Fail(core::ResultCode::kQuarantined,
+       "refused because requests like this one have crashed endpoints");
+  return true;
+}
+
 bool ForwardSession::Dispatch() {
+  if (EndIfQuarantined()) {
+    return true;
+  }
   const Endpoint* endpoint = chooser_.Choose(tried_, Now());
   if (endpoint == nullptr) {
     return false;
@@ -434,7 +445,7 @@
       context_->monitor->RecordSuccess(endpoint, Now());
       context_->service_times.RecordServed(chooser_.pool(), Now());
       chooser_.RecordServed(endpoint, Now());
-      context_->quarantine->RecordCompletion(request_.content_digest);
+      context_->suspects->RecordCompletion(fingerprint_, Now());
       if (IsStream() || transaction_->is_started()) {
         FinishRelay();
       } else {
--- a/Libraries/LibForwarding/forward_session.h
+++ b/Libraries/LibForwarding/forward_session.h
@@ -17,6 +17,7 @@
 #include "LibForwarding/forward_attempt.h"
 #include "LibForwarding/forward_context.h"
 #include "LibForwarding/forward_request.h"
+#include "LibForwarding/request_fingerprint.h"
 #include "LibHttp/transaction.h"
 
 namespace wasabi::forwarding {
@@ -40,7 +41,10 @@
   void OnOriginFound(std::optional<StreamOrigin> origin);
   // Starts an attempt, refuses the request or queues it.
   void DispatchOrWait();
-  // Starts an attempt. Returns false if no endpoint can accept the request now.
+  // Ends the request if it would crash endpoints. Returns whether it would.
+  bool EndIfQuarantined();
+  // Starts an attempt, or ends the request if it would crash endpoints. Returns
+  // false if no endpoint can accept it now.
   bool Dispatch();
   // Starts an attempt, or refuses the request if every endpoint has asked for a
   // pause. Returns false if neither applies, so that the request has to wait.
@@ -100,6 +104,7 @@
   ForwardContext* const context_;
   const std::shared_ptr<http::Transaction> transaction_;
   const ForwardRequest request_;
+  const RequestFingerprint fingerprint_;
   EndpointChooser chooser_;
   std::shared_ptr<ForwardSession> self_;
   std::unique_ptr<core::Timer> deadline_timer_;
--- a/Libraries/LibMembership/application_kind.h
+++ b/Libraries/LibMembership/application_kind.h
@@ -25,6 +25,7 @@
   kStreamOrigins = 85,
   kStreamOriginQuery = 86,
   kStreamOriginAnswer = 87,
+  kCrashSync = 88,
 };
 
 }  // namespace wasabi::membership
--- a/Services/Forwarder/fleet_controller.cc
+++ b/Services/Forwarder/fleet_controller.cc
@@ -64,7 +64,10 @@
                                          kLoadTotalLinkShare},
                      context.loads,
                      SendFunction()),
-      crash_exchange_(settings.host, context.quarantine, SendFunction()),
+      crash_exchange_(settings.host, context.suspects, SendFunction()),
+      crash_sync_(context.suspects,
+                  core::ProcessSeed(settings.host.Hash()),
+                  SendFunction()),
       stream_origins_(settings.host, SendFunction()),
       fleet_topic_(context.adapters,
                    context.scheduler,
@@ -130,6 +133,10 @@
          [this](const Member& /*from*/, std::string_view body) {
            return crash_exchange_.OnReport(body, context_.loop->Now());
          });
+  handle(ApplicationKind::kCrashSync,
+         [this](const Member& from, std::string_view body) {
+           return crash_sync_.OnMessage(from.id, body, context_.loop->Now());
+         });
   handle(ApplicationKind::kStreamOrigins,
          [this](const Member& /*from*/, std::string_view body) {
            return stream_origins_.OnReport(body, context_.loop->Now());
@@ -155,6 +162,7 @@
       DeriveReportPeers(*table, settings_.host, settings_.data_centre);
   load_exchange_.SetPeers(peers);
   crash_exchange_.SetPeers(peers);
+  crash_sync_.SetHosts(peers.fleet);
   stream_origins_.SetHosts(RunningHosts(*table));
 }
 
@@ -202,6 +210,7 @@
   topics_.Tick();
   load_exchange_.Tick(context_.loop->Now());
   crash_exchange_.Tick(context_.loop->Now());
+  crash_sync_.Tick(context_.loop->Now());
   stream_origins_.Tick(context_.loop->Now());
 }
 
--- a/Services/Forwarder/fleet_controller.h
+++ b/Services/Forwarder/fleet_controller.h
@@ -14,11 +14,11 @@
 #include "LibCore/event_ring.h"
 #include "LibForwarding/adapter_set.h"
 #include "LibForwarding/crash_exchange.h"
+#include "LibForwarding/crash_sync.h"
 #include "LibForwarding/load_exchange.h"
 #include "LibForwarding/stream_origin_exchange.h"
 #include "LibHttp/client.h"
 #include "LibMembership/gossip_node.h"
-#include "LibRouting/quarantine_table.h"
 #include "Services/Forwarder/fleet_topic_controller.h"
 #include "Services/Forwarder/forwarder_settings.h"
 #include "Services/Forwarder/topic_controller.h"
@@ -33,7 +33,7 @@
   http::Client* client = nullptr;
   const forwarding::AdapterSet* adapters = nullptr;
   forwarding::LoadTable* loads = nullptr;
-  routing::QuarantineTable* quarantine = nullptr;
+  forwarding::CrashSuspects* suspects = nullptr;
 };
 
 class FleetController {
@@ -94,6 +94,7 @@
   bool are_roles_stale_ = true;
   forwarding::LoadExchange load_exchange_;
   forwarding::CrashExchange crash_exchange_;
+  forwarding::CrashSync crash_sync_;
   forwarding::StreamOriginExchange stream_origins_;
   FleetTopicController fleet_topic_;
   TopicController topics_;
--- a/Services/Forwarder/forwarder_daemon.cc
+++ b/Services/Forwarder/forwarder_daemon.cc
@@ -27,8 +27,6 @@
 // aborted. The rest of the period is left for the process to exit before it is
 // killed.
 constexpr double kDrainShare = 0.9;
-// Requests whose content crashes endpoints are rejected for this long.
-constexpr core::Duration kQuarantineLifetime = core::seconds(180);
 // Retry-After value of requests that are refused for lack of a current
 // configuration.
 constexpr core::Duration kRetryWithoutConfiguration = core::milliseconds(300);
@@ -63,8 +61,7 @@
                               settings.platform_address,
                               &events_)),
       scheduler_(loop),
-      quarantine_({.lifetime = kQuarantineLifetime}),
-      crashes_(loop, &events_, &quarantine_) {}
+      crashes_(loop, &events_, &suspects_) {}
 
 ForwarderDaemon::~ForwarderDaemon() = default;
 
@@ -92,7 +89,7 @@
                                               .client = &platform_client_,
                                               .adapters = &adapters_,
                                               .loads = &loads_,
-                                              .quarantine = &quarantine_},
+                                              .suspects = &suspects_},
                                              settings_));
   fleet_->SetTopics(
       {{.view = configuration_->view(), .relay = configuration_->relay()},
@@ -141,7 +138,7 @@
   context_.monitor = &monitor_;
   context_.loads = &loads_;
   context_.waiting = &waiting_;
-  context_.quarantine = &quarantine_;
+  context_.suspects = &suspects_;
   context_.crashes = &crashes_;
   context_.stream_origins = fleet_->stream_origins();
   context_.random = &random_;
@@ -289,7 +286,8 @@
   const core::TimePoint now = loop_->Now();
   registrations_->Tick();
   origin_client_.Expire(now);
-  quarantine_.Expire(now);
+  suspects_.Expire(now);
+  LogRefusedParts();
   waiting_.Serve();
   if (IsReady() && !is_announced_) {
     is_announced_ = true;
@@ -308,6 +306,20 @@
   }
 }
 
+void ForwarderDaemon::LogRefusedParts() {
+  std::set<std::vector<uint64_t>> refused;
+  for (const forwarding::RefusedParts& it :
+       suspects_.refused_parts(loop_->Now())) {
+    refused.insert(it.parts);
+    if (!logged_refused_parts_.contains(it.parts)) {
+      events_.Record(core::EventCode::kDigestQuarantined, "",
+                     fmt::format("parts={:x} crashes={}",
+                                 fmt::join(it.parts, ","), it.crashes));
+    }
+  }
+  logged_refused_parts_ = std::move(refused);
+}
+
 void ForwarderDaemon::Reload() {
   const auto settings = LoadForwarderSettings(settings_path_);
   if (!settings.ok()) {
--- a/Services/Forwarder/forwarder_daemon.h
+++ b/Services/Forwarder/forwarder_daemon.h
@@ -6,7 +6,9 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
+#include <vector>
 
 #include "LibCore/event_loop.h"
 #include "LibCore/event_ring.h"
@@ -82,6 +84,8 @@
   // Returns how long callers may cache the addresses in a discovery response.
   core::Duration AddressLifetime() const;
   void Tick();
+  // Records the prompt parts that are refused since the last call.
+  void LogRefusedParts();
   void CheckShutdown();
 
   core::EventLoop* const loop_;
@@ -99,7 +103,9 @@
   forwarding::EndpointMonitor monitor_;
   forwarding::LoadTable loads_;
   forwarding::WaitQueue waiting_;
-  routing::QuarantineTable quarantine_;
+  forwarding::CrashSuspects suspects_;
+  // The sets of prompt parts that were refused at the last tick.
+  std::set<std::vector<uint64_t>> logged_refused_parts_;
   forwarding::CrashDetector crashes_;
   forwarding::ForwardContext context_;
   std::unique_ptr<ConfigurationController> configuration_;
--- a/Tests/LibForwarding/crash_detector_test.cc
+++ b/Tests/LibForwarding/crash_detector_test.cc
@@ -9,8 +9,6 @@
 namespace wasabi::forwarding {
 namespace {
 
-using routing::QuarantineVerdict;
-
 constexpr uint64_t kDigest = 7;
 const RequestFingerprint kRequest{.content = kDigest, .parts = {}};
 
@@ -28,14 +26,12 @@
     loop.Run();
   }
 
-  QuarantineVerdict Verdict() {
-    return quarantine.VerdictFor(kDigest, loop.Now());
-  }
+  bool IsRefused() { return suspects.IsRefused(kRequest, loop.Now()); }
 
   core::EventLoop loop;
   core::EventRing events{"test", 100};
-  routing::QuarantineTable quarantine;
-  CrashDetector watch{&loop, &events, &quarantine};
+  CrashSuspects suspects;
+  CrashDetector watch{&loop, &events, &suspects};
 };
 
 constexpr core::Duration kInvestigationTime = core::milliseconds(600);
@@ -47,10 +43,10 @@
       support::FreeAddress(support::LoopbackIp(4));
   it.watch.RecordBrokenConnection(it.MakeEndpoint("e1", closed), kRequest);
   it.RunFor(kInvestigationTime);
-  CHECK(it.Verdict() != QuarantineVerdict::kRefuse);
+  CHECK_FALSE(it.IsRefused());
   it.watch.RecordBrokenConnection(it.MakeEndpoint("e2", closed), kRequest);
   it.RunFor(kInvestigationTime);
-  CHECK(it.Verdict() == QuarantineVerdict::kRefuse);
+  CHECK(it.IsRefused());
 }
 
 TEST_CASE("a broken connection to a running endpoint is not a crash") {
@@ -62,7 +58,8 @@
                                     kRequest);
   }
   it.RunFor(kInvestigationTime);
-  CHECK(it.Verdict() == QuarantineVerdict::kClear);
+  CHECK(it.suspects.crash_count() == 0);
+  CHECK_FALSE(it.IsRefused());
 }
 
 }  // namespace
--- a/Tests/LibForwarding/crash_exchange_test.cc
+++ b/Tests/LibForwarding/crash_exchange_test.cc
@@ -24,7 +24,7 @@
   explicit Fleet(size_t hosts) {
     for (size_t i = 0; i < hosts; ++i) {
       ids_.emplace_back(fmt::format("h{}", i));
-      tables_.push_back(std::make_unique<routing::QuarantineTable>());
+      tables_.push_back(std::make_unique<CrashSuspects>());
     }
     for (size_t i = 0; i < hosts; ++i) {
       exchanges_.push_back(std::make_unique<CrashExchange>(
@@ -39,7 +39,7 @@
     }
   }
 
-  routing::QuarantineTable& table(size_t i) { return *tables_[i]; }
+  CrashSuspects& table(size_t i) { return *tables_[i]; }
   core::TimePoint now() const { return now_; }
   size_t datagrams_sent() const { return datagrams_sent_; }
 
@@ -77,13 +77,17 @@
   }
 
   std::vector<core::HostId> ids_;
-  std::vector<std::unique_ptr<routing::QuarantineTable>> tables_;
+  std::vector<std::unique_ptr<CrashSuspects>> tables_;
   std::vector<std::unique_ptr<CrashExchange>> exchanges_;
   std::vector<std::pair<size_t, std::string>> datagrams_;
   size_t datagrams_sent_ = 0;
   core::TimePoint now_{seconds(10)};
 };
 
+RequestFingerprint RequestOf(uint64_t content) {
+  return {.content = content, .parts = {}};
+}
+
 struct CrashCase {
   size_t hosts;
   // Bound on the datagrams that a host sends on average, for each crash.
@@ -100,8 +104,8 @@
   for (uint64_t crash = 0; crash < kCrashes; ++crash) {
     for (uint64_t n = 0; n < kHostsPerCrash; ++n) {
       const size_t host = (crash * 7 + n * 11) % row.hosts;
-      fleet.table(host).RecordCrash(crash, {crash * kHostsPerCrash + n},
-                                    fleet.now());
+      fleet.table(host).RecordCrash(
+          crash, {RequestOf(crash * kHostsPerCrash + n)}, fleet.now());
     }
   }
   fleet.RunFor(seconds(2));
@@ -109,11 +113,11 @@
     CHECK(fleet.table(i).crash_count() == kCrashes);
   }
   // A request that crashed one endpoint crashes a second one and is refused.
-  fleet.table(0).RecordCrash(kCrashes, {0}, fleet.now());
+  fleet.table(0).RecordCrash(kCrashes, {RequestOf(0)}, fleet.now());
   fleet.RunFor(seconds(1));
   for (size_t i = 0; i < row.hosts; ++i) {
-    CHECK(fleet.table(i).VerdictFor(0, fleet.now()) ==
-          routing::QuarantineVerdict::kRefuse);
+    CHECK(fleet.table(i).IsRefused(RequestOf(0), fleet.now()));
+    CHECK_FALSE(fleet.table(i).IsRefused(RequestOf(1), fleet.now()));
   }
   CHECK(fleet.datagrams_sent() / row.hosts / kCrashes <= row.max_datagrams);
   // Nothing is sent any more once all know everything.
--- /dev/null
+++ b/Tests/LibForwarding/crash_suspects_test.cc
@@ -0,0 +1,251 @@
+#include "LibForwarding/crash_suspects.h"
+
+#include <catch2/catch.hpp>
+#include <vector>
+
+namespace wasabi::forwarding {
+namespace {
+
+using core::milliseconds;
+using core::seconds;
+
+constexpr core::TimePoint kStart{seconds(100)};
+constexpr uint64_t kHarmful = 1;
+constexpr uint64_t kShared = 2;
+constexpr uint64_t kOther = 3;
+
+// Returns a request whose content no other request has.
+RequestFingerprint NewRequest(std::vector<uint64_t> parts) {
+  static uint64_t content = 1000;
+  return {.content = ++content, .parts = std::move(parts)};
+}
+
+// What happens one second after what happened before.
+struct Step {
+  enum class What : uint8_t { kCrash, kCompletion };
+  What what;
+  // The parts of each request in flight, or of the one that completes.
+  std::vector<std::vector<uint64_t>> requests;
+};
+
+constexpr auto kCrash = Step::What::kCrash;
+constexpr auto kCompletion = Step::What::kCompletion;
+
+void Play(const std::vector<Step>& steps,
+          CrashSuspects& suspects,
+          core::TimePoint& now) {
+  uint64_t crash_id = 0;
+  for (const Step& step : steps) {
+    now += seconds(1);
+    std::vector<RequestFingerprint> requests;
+    for (const std::vector<uint64_t>& it : step.requests) {
+      requests.push_back(NewRequest(it));
+    }
+    if (step.what == kCrash) {
+      suspects.RecordCrash(++crash_id, requests, now);
+    } else {
+      suspects.RecordCompletion(requests.front(), now);
+    }
+  }
+}
+
+struct BlameCase {
+  const char* what;
+  std::vector<Step> steps;
+  // Parts of requests that are refused afterwards, and of some that are not.
+  std::vector<std::vector<uint64_t>> refused;
+  std::vector<std::vector<uint64_t>> allowed;
+};
+
+TEST_CASE("the part that explains the crashes is refused, and no other") {
+  const std::vector<uint64_t> harmful = {kHarmful, kShared};
+  const Step crash{kCrash, {harmful}};
+  const Step shared_completes{kCompletion, {{kShared, kOther}}};
+  const BlameCase cases[] = {
+      {"two crashes are too few", {crash, crash}, {}, {harmful}},
+      {"the shared part completes in between",
+       {crash, crash, shared_completes, crash},
+       {harmful, {kHarmful}, {kHarmful, kOther}},
+       {{kShared}, {kShared, kOther}, {}}},
+      {"nothing tells the parts apart",
+       {crash, crash, crash},
+       {harmful, {kHarmful, kShared, kOther}},
+       {{kShared}, {kHarmful}, {kOther}}},
+      {"a crash with one of two parts tells them apart",
+       {crash, crash, crash, {kCrash, {{kHarmful, kOther}}}},
+       {harmful, {kHarmful}, {kHarmful, kOther}},
+       {{kShared}, {kShared, kOther}}},
+      {"bystanders at every crash that complete elsewhere",
+       {{kCrash, {harmful, {kOther}}},
+        {kCompletion, {{kOther}}},
+        {kCrash, {harmful, {kOther}}},
+        {kCompletion, {{kOther}}},
+        {kCrash, {harmful, {kOther}}}},
+       {harmful},
+       {{kOther}, {kShared, kOther}}},
+      {"several harmful requests lost in one crash",
+       {{kCrash, {harmful, {kHarmful, kOther}, {kOther}}},
+        {kCrash, {harmful, harmful}},
+        shared_completes,
+        {kCrash, {{kHarmful, kOther}, {kShared}}}},
+       {harmful, {kHarmful}},
+       {{kShared}, {kOther}, {kShared, kOther}}},
+      {"a bystander of three crashes is explained by the harmful part",
+       {{kCrash, {harmful, {kOther}}},
+        {kCrash, {harmful, {kOther}}},
+        {kCrash, {harmful, {kOther}}},
+        shared_completes,
+        {kCrash, {harmful}}},
+       {harmful},
+       {{kOther}, {kShared}}},
+      {"a part that has completed since",
+       {crash, crash, crash, {kCompletion, {harmful}}},
+       {},
+       {harmful, {kHarmful}, {kShared}}},
+      {"two harmful parts",
+       {{kCrash, {{kHarmful}}},
+        {kCrash, {{kOther}}},
+        {kCrash, {{kHarmful}}},
+        {kCrash, {{kOther}}},
+        {kCrash, {{kHarmful}}},
+        {kCrash, {{kOther}}}},
+       {{kHarmful}, {kOther, kShared}},
+       {{kShared}}},
+      {"prompts without shared parts",
+       {{kCrash, {{}}}, {kCrash, {{}}}, {kCrash, {{}}}},
+       {},
+       {{}, {kShared}}},
+  };
+  for (const BlameCase& row : cases) {
+    INFO(row.what);
+    CrashSuspects suspects;
+    core::TimePoint now = kStart;
+    Play(row.steps, suspects, now);
+    for (const auto& it : row.refused) {
+      INFO("refused, parts: " << it.size());
+      CHECK(suspects.IsRefused(NewRequest(it), now));
+    }
+    for (const auto& it : row.allowed) {
+      INFO("allowed, parts: " << it.size());
+      CHECK_FALSE(suspects.IsRefused(NewRequest(it), now));
+    }
+  }
+}
+
+TEST_CASE("a part that often completes needs more evidence") {
+  CrashSuspects suspects;
+  core::TimePoint now = kStart;
+  Play({{kCompletion, {{kShared}}}}, suspects, now);
+  for (size_t i = 1; i <= 5; ++i) {
+    now += seconds(1);
+    suspects.RecordCrash(i, {NewRequest({kShared})}, now);
+    INFO(i << " crashes");
+    CHECK(suspects.IsRefused(NewRequest({kShared}), now) == (i >= 5));
+  }
+}
+
+TEST_CASE("endpoints that are lost together are one crash for a part") {
+  CrashSuspects suspects;
+  for (size_t i = 1; i <= 6; ++i) {
+    suspects.RecordCrash(i, {NewRequest({kShared})},
+                         kStart + milliseconds(10) * i);
+  }
+  CHECK_FALSE(suspects.IsRefused(NewRequest({kShared}), kStart + seconds(1)));
+}
+
+TEST_CASE("a content is refused after two crashes, and its parts are not") {
+  CrashSuspects suspects;
+  const RequestFingerprint repeated = NewRequest({kShared, kOther});
+  suspects.RecordCrash(1, {repeated}, kStart);
+  CHECK_FALSE(suspects.IsRefused(repeated, kStart));
+  for (size_t i = 2; i <= 4; ++i) {
+    suspects.RecordCrash(i, {repeated}, kStart + seconds(i));
+    CHECK(suspects.IsRefused(repeated, kStart + seconds(i)));
+    CHECK_FALSE(
+        suspects.IsRefused(NewRequest({kShared, kOther}), kStart + seconds(i)));
+  }
+}
+
+TEST_CASE("a content that callers ask for often survives two lost endpoints") {
+  CrashSuspects suspects;
+  const RequestFingerprint popular = NewRequest({});
+  suspects.RecordCompletion(popular, kStart);
+  suspects.RecordCrash(1, {popular}, kStart + milliseconds(500));
+  suspects.RecordCrash(2, {popular}, kStart + milliseconds(510));
+  CHECK_FALSE(suspects.IsRefused(popular, kStart + seconds(1)));
+}
+
+TEST_CASE("crashes expire") {
+  const CrashSuspectsPolicy policy;
+  CrashSuspects suspects(policy);
+  core::TimePoint now = kStart;
+  const Step crash{kCrash, {{kHarmful}}};
+  Play({crash, crash, crash}, suspects, now);
+  const core::TimePoint first_expires = kStart + seconds(1) + policy.lifetime;
+  suspects.Expire(first_expires - milliseconds(1));
+  CHECK(suspects.IsRefused(NewRequest({kHarmful}), now));
+  suspects.Expire(first_expires);
+  CHECK_FALSE(suspects.IsRefused(NewRequest({kHarmful}), now));
+  suspects.Expire(now + policy.lifetime);
+  CHECK(suspects.crash_count() == 0);
+  // A report of what has expired changes nothing.
+  suspects.MergeReport(
+      {.crash_id = 9,
+       .age_milliseconds = core::ToMilliseconds(policy.lifetime),
+       .in_flight = {.contents = {}, .parts = {kHarmful}},
+       .cleared = {}},
+      false, now + policy.lifetime);
+  CHECK(suspects.crash_count() == 0);
+}
+
+TEST_CASE("memory is bounded, and what matters is kept") {
+  const CrashSuspectsPolicy policy{.max_crashes = 8, .max_suspects = 16};
+  CrashSuspects suspects(policy);
+  for (size_t i = 0; i < 100; ++i) {
+    std::vector<RequestFingerprint> requests = {NewRequest({kHarmful})};
+    for (uint64_t n = 0; n < 50; ++n) {
+      requests.push_back(NewRequest({1000 + i * 50 + n}));
+    }
+    suspects.RecordCrash(i, requests, kStart + seconds(i));
+    CHECK(suspects.crash_count() <= policy.max_crashes);
+  }
+  for (const CrashReport& it : suspects.TakeChanges(kStart + seconds(100))) {
+    CHECK(it.in_flight.size() <= policy.max_suspects);
+  }
+  CHECK(suspects.IsRefused(NewRequest({kHarmful}), kStart + seconds(100)));
+}
+
+TEST_CASE("reports may arrive late, repeatedly and out of order") {
+  CrashSuspects first;
+  CrashSuspects second;
+  core::TimePoint now = kStart;
+  std::vector<CrashReport> reports;
+  const auto report = [&]() {
+    for (const CrashReport& it : first.TakeChanges(now)) {
+      reports.push_back(it);
+    }
+  };
+  for (size_t i = 1; i <= 3; ++i) {
+    now += seconds(1);
+    first.RecordCrash(i, {NewRequest({kHarmful, kShared})}, now);
+    report();
+  }
+  first.RecordCompletion(NewRequest({kShared}), now);
+  report();
+  // The clearing of a suspect arrives before the suspect itself.
+  for (int round = 0; round < 2; ++round) {
+    for (auto it = reports.rbegin(); it != reports.rend(); ++it) {
+      second.MergeReport(*it, false, now);
+    }
+  }
+  CHECK(second.IsRefused(NewRequest({kHarmful}), now));
+  CHECK_FALSE(second.IsRefused(NewRequest({kShared}), now));
+  // Others hear only what the sender did not know when it named a suspect.
+  for (const CrashReport& it : second.TakeChanges(now)) {
+    CHECK(it.in_flight.size() == 0);
+    CHECK(it.cleared.parts == std::vector<uint64_t>{kShared});
+  }
+}
+
+}  // namespace
+}  // namespace wasabi::forwarding
