Soak: harmful prompt parts, and limits that endpoints name

Stand-ins: an endpoint crashes when it runs a prompt with a harmful part, in any place but the last; an endpoint names a limit in its answers. Nothing listens at the address of a crashed endpoint any more: the proxy in front of it went on accepting, so that no host ever recognised a crash in the soak. Checker: requests that crash endpoints are stopped, harmless ones flow, an endpoint gets no more than its limit; each with rows that report and excuse it.

--- a/Tests/Soak/caller.cc
+++ b/Tests/Soak/caller.cc
@@ -26,6 +26,8 @@
 constexpr double kMaxDisconnectSeconds = 0.3;
 constexpr core::Duration kMaxIdle = core::seconds(10);
 constexpr int kMaxPrompts = 12;
+// Share of the streams that get a harmful prompt part, while there is one.
+constexpr double kHarmfulShare = 0.15;
 // Number of times that a caller takes up a stream.
 constexpr size_t kMaxTakeUps = 4;
 
@@ -164,9 +166,26 @@
   call->key_version = newest_version;
   call->deadline = traits.deadline;
   call->sent_at = loop_->Now();
+  if (traits.is_stream && random_.Unit() < kHarmfulShare) {
+    call->harmful_part = harmful_part_;
+  }
   return call;
 }
 
+std::string Caller::PromptOf(const Call& call) {
+  const uint64_t prompt = 16 + call.id.Hash() % kMaxPrompts;
+  if (call.harmful_part.empty()) {
+    return fmt::format("1:500,{:x}:2000,{}:100", prompt, call.id.value());
+  }
+  // The harmful part stands behind or in front of those that harmless requests
+  // have too.
+  return prompt % 2 == 0
+             ? fmt::format("1:500,{}:90,{}:100", call.harmful_part,
+                           call.id.value())
+             : fmt::format("{}:90,1:500,{:x}:2000,{}:100", call.harmful_part,
+                           prompt, call.id.value());
+}
+
 http::OriginRequest Caller::RequestOf(const Call& call) const {
   http::OriginRequest request;
   request.address = (*hosts_)[call.host].callers;
@@ -186,10 +205,8 @@
       {"Kv-From", "127.0.0.1:9/1"},
       {"Cache-Hold", "1"}};
   if (TraitsOf(call.kind).is_stream) {
-    const uint64_t prompt = call.id.Hash() % kMaxPrompts;
-    request.headers.Add(
-        std::string(adapter::kPromptPartsHeader),
-        fmt::format("1:500,{:x}:2000,{}:100", 16 + prompt, call.id.value()));
+    request.headers.Add(std::string(adapter::kPromptPartsHeader),
+                        PromptOf(call));
     request.headers.Add(std::string(adapter::kTokenLimitsHeader), "2600,120");
     request.headers.Add("Model", "m");
   }
@@ -262,6 +279,7 @@
   next->method = call.method;
   next->target = call.target;
   next->body = call.body;
+  next->harmful_part = call.harmful_part;
   next->key_version = call.key_version;
   next->deadline = left;
   next->first_attempt = call.first_attempt.value_or(call.id);
--- a/Tests/Soak/caller.h
+++ b/Tests/Soak/caller.h
@@ -36,6 +36,10 @@
   // `newest_version` is the version of the newest acknowledged configuration.
   void SendRequest(int64_t newest_version);
 
+  // Puts a prompt part that crashes endpoints into some of the streams from now
+  // on; none if `part` is empty.
+  void SetHarmfulPart(const std::string& part) { harmful_part_ = part; }
+
   // Resolves the addresses again when they have expired. Must be called
   // frequently.
   void Poll();
@@ -47,6 +51,8 @@
   void ResolveAddresses();
   void OnAddresses(const std::string& body);
   std::shared_ptr<Call> NewCall(int64_t newest_version);
+  // Returns the parts of the prompt of a stream.
+  static std::string PromptOf(const Call& call);
   http::OriginRequest RequestOf(const Call& call) const;
   void Send(const std::shared_ptr<Call>& call);
   void OnEnd(const ExchangePointer& exchange, http::OriginOutcome end);
@@ -65,6 +71,7 @@
   core::TimePoint resolve_at_{};
   std::shared_ptr<http::OriginCall> resolve_call_;
   uint64_t next_call_ = 0;
+  std::string harmful_part_;
 };
 
 }  // namespace wasabi::soak
--- a/Tests/Soak/checker.cc
+++ b/Tests/Soak/checker.cc
@@ -27,6 +27,17 @@
 constexpr core::Duration kPauseSlack = core::milliseconds(500);
 constexpr size_t kMaxRunsInPause = 2;
 constexpr size_t kMinCancellableRuns = 8;
+// A prompt part that has crashed this many endpoints is stopped.
+constexpr size_t kCrashesUntilStopped = 5;
+constexpr int64_t kMaxRunsAfterCrashes = 3;
+constexpr size_t kMinHarmlessCalls = 20;
+// A host is bound by a limit this long after an answer has named it. In a
+// window an endpoint may get this many times what its limit allows, and this
+// many requests more.
+constexpr core::Duration kTimeToBind = core::milliseconds(500);
+constexpr core::Duration kLimitWindow = core::seconds(4);
+constexpr double kMaxLimitFactor = 1.5;
+constexpr double kLimitSlack = 5;
 constexpr double kMaxLateEndShare = 0.25;
 constexpr size_t kMinRecoveryCalls = 50;
 constexpr double kMinServedShare = 0.95;
@@ -106,6 +117,10 @@
       CheckAnnouncedDeparture(*it);
       CheckPause(*it);
     }
+    CheckHarmfulRequests();
+    for (const LimitPeriod& it : history_.limits) {
+      CheckLimit(it);
+    }
     CheckCancellation();
     CheckRetryBudget();
     CheckRecovery();
@@ -442,6 +457,120 @@
     }
   }
 
+  void CheckHarmfulRequests() {
+    std::map<std::string, std::vector<RunPointer>> runs;
+    for (const RunPointer& it : history_.runs) {
+      const std::string part = support::HarmfulPartIn(it->headers);
+      if (!part.empty()) {
+        runs[part].push_back(it);
+      }
+    }
+    for (const auto& [part, harmful] : runs) {
+      std::vector<core::TimePoint> crashes;
+      for (const RunPointer& it : harmful) {
+        if (it->crashes_endpoint) {
+          crashes.push_back(it->ended_at);
+        }
+      }
+      std::sort(crashes.begin(), crashes.end());
+      if (crashes.empty()) {
+        continue;
+      }
+      if (crashes.size() >= kCrashesUntilStopped) {
+        CheckStopped(part, harmful, crashes[kCrashesUntilStopped - 1]);
+      }
+      CheckHarmless(
+          part, crashes[std::min(crashes.size(), kCrashesUntilStopped) - 1]);
+    }
+  }
+
+  // Checks that requests with a part that has crashed endpoints until
+  // `crashed_at` do not reach further ones.
+  void CheckStopped(const std::string& part,
+                    const std::vector<RunPointer>& harmful,
+                    core::TimePoint crashed_at) {
+    const auto n = std::count_if(
+        harmful.begin(), harmful.end(), [&](const RunPointer& it) {
+          const auto call = calls_.find(it->request);
+          return it->started_at > crashed_at + bounds_.stable &&
+                 call != calls_.end() &&
+                 IsHostStable(call->second->host, it->started_at);
+        });
+    if (n > kMaxRunsAfterCrashes) {
+      Add("requests that crash endpoints are stopped",
+          fmt::format("part={} {} runs after {} ms", part, n,
+                      Milliseconds(crashed_at + bounds_.stable)));
+    }
+  }
+
+  // Checks that streams without the part begin while those with it still come.
+  void CheckHarmless(const std::string& part, core::TimePoint crashed_at) {
+    core::TimePoint last;
+    for (const CallPointer& it : history_.calls) {
+      last = it->harmful_part == part ? std::max(last, it->sent_at) : last;
+    }
+    size_t calls = 0;
+    size_t begun = 0;
+    for (const CallPointer& it : history_.calls) {
+      const bool counts =
+          IsStream(it->kind) && it->harmful_part.empty() && it->end &&
+          !it->first_attempt && !it->disconnected_at &&
+          it->sent_at > crashed_at + 2 * bounds_.stable && it->sent_at < last &&
+          !IsDisturbed(it->sent_at - bounds_.stable, it->ended_at,
+                       [](const Disturbance& /*any*/) { return true; });
+      calls += counts ? 1 : 0;
+      begun += counts && !RunsOf(*it).empty() ? 1 : 0;
+    }
+    if (calls >= kMinHarmlessCalls && begun * 2 < calls) {
+      Add("harmless requests flow while harmful ones are refused",
+          fmt::format("part={} {} of {} begun", part, begun, calls));
+    }
+  }
+
+  // Returns the times of the requests to a limited endpoint from hosts that
+  // knew its limit and were not disturbed since.
+  std::vector<core::TimePoint> BoundRequests(const LimitPeriod& period) const {
+    std::map<size_t, core::TimePoint> told;
+    std::vector<core::TimePoint> times;
+    for (const RunPointer& it : history_.runs) {
+      const auto call = calls_.find(it->request);
+      if (it->endpoint != period.endpoint || call == calls_.end() ||
+          it->started_at < period.from || it->started_at > period.to) {
+        continue;
+      }
+      const size_t host = call->second->host;
+      const auto told_at = told.find(host);
+      if (told_at != told.end() &&
+          it->started_at > told_at->second + kTimeToBind &&
+          !IsHostDisturbed(host, told_at->second, it->started_at)) {
+        times.push_back(it->started_at);
+      }
+      if (it->limit_named_at && told_at == told.end()) {
+        told[host] = *it->limit_named_at;
+      }
+    }
+    std::sort(times.begin(), times.end());
+    return times;
+  }
+
+  void CheckLimit(const LimitPeriod& period) {
+    const std::vector<core::TimePoint> times = BoundRequests(period);
+    const double allowed =
+        kMaxLimitFactor * period.per_second * core::ToSeconds(kLimitWindow) +
+        kLimitSlack;
+    for (auto it = times.begin(); it != times.end(); ++it) {
+      const auto end = std::upper_bound(it, times.end(), *it + kLimitWindow);
+      if (*it + kLimitWindow >= period.from + bounds_.stable &&
+          static_cast<double>(end - it) > allowed) {
+        Add("an endpoint gets no more requests than its limit",
+            fmt::format("endpoint={} {} requests from {} ms, {} allowed",
+                        period.endpoint.value(), end - it, Milliseconds(*it),
+                        allowed));
+        return;
+      }
+    }
+  }
+
   void CheckCancellation() {
     size_t late_starts = 0;
     size_t cancellable_runs = 0;
@@ -531,9 +660,9 @@
     size_t served = 0;
     std::string example;
     for (const CallPointer& it : history_.calls) {
-      const bool counts = it->sent_at > recovery_deadline &&
-                          !it->disconnected_at && it->end &&
-                          it->kind != CallKind::kUnknownKey;
+      const bool counts =
+          it->sent_at > recovery_deadline && !it->disconnected_at && it->end &&
+          it->harmful_part.empty() && it->kind != CallKind::kUnknownKey;
       calls += counts ? 1 : 0;
       served += counts && IsServed(*it) ? 1 : 0;
       if (counts && !IsServed(*it)) {
--- a/Tests/Soak/checker_test.cc
+++ b/Tests/Soak/checker_test.cc
@@ -279,6 +279,115 @@
   };
 }
 
+// Adds a stream call that was sent `after` seconds later, and its run.
+std::shared_ptr<EndpointRun> AddStream(World& world,
+                                       double after,
+                                       const std::string& harmful_part) {
+  static int n = 0;
+  const auto call = std::make_shared<Call>(*world.call);
+  call->id = core::RequestId(fmt::format("stream-{}", ++n));
+  call->kind = CallKind::kResumableStream;
+  call->harmful_part = harmful_part;
+  call->sent_at = world.sent_at + core::FromSeconds(after);
+  call->ended_at = call->sent_at + milliseconds(30);
+  call->status = 502;
+  call->signature.clear();
+  call->answer.clear();
+  world.history.calls.push_back(call);
+  const auto run = world.AddRun();
+  run->request = call->id;
+  run->end = RunEnd::kCut;
+  run->started_at = call->sent_at + milliseconds(2);
+  run->ended_at = call->sent_at + milliseconds(28);
+  run->headers.Add(
+      "Prompt-Prefix",
+      harmful_part.empty() ? "1:5,2:5" : fmt::format("{}:5,2:5", harmful_part));
+  return run;
+}
+
+// Five requests with a harmful part crash endpoints, and `n` more run later.
+void CrashEndpoints(World& world, int n) {
+  for (int i = 0; i < 5; ++i) {
+    AddStream(world, 0.1 * i, "bad1")->crashes_endpoint = true;
+  }
+  for (int i = 0; i < n; ++i) {
+    AddStream(world, 4, "bad1")->crashes_endpoint = true;
+  }
+}
+
+// After five crashes, 30 harmless streams come in between harmful ones, of
+// which only `begun` begin.
+void RefuseHarmless(World& world, int begun) {
+  CrashEndpoints(world, 0);
+  for (int i = 0; i < 30; ++i) {
+    AddStream(world, 7, "");
+    if (i >= begun) {
+      world.history.runs.pop_back();
+    }
+  }
+  AddStream(world, 8, "bad1");
+  world.history.runs.pop_back();
+}
+
+// An endpoint names a limit of two a second, and gets `n` requests in the four
+// seconds that end three seconds later.
+void Limit(World& world, int n) {
+  world.history.limits.push_back({.endpoint = core::RunnerId("e1"),
+                                  .per_second = 2,
+                                  .from = world.sent_at,
+                                  .to = world.sent_at + seconds(9)});
+  world.run->limit_named_at = world.sent_at + milliseconds(20);
+  for (int i = 0; i < n; ++i) {
+    AddStream(world, 1 + 3.9 * i / n, "");
+  }
+}
+
+std::vector<CheckerCase> HarmfulPartCases() {
+  using enum CallKind;
+  return {
+      {"four harmful requests run after five crashes", kIdempotent,
+       [](World& it) { CrashEndpoints(it, 4); },
+       "requests that crash endpoints are stopped"},
+      {"three harmful requests run after five crashes", kIdempotent,
+       [](World& it) { CrashEndpoints(it, 3); }, ""},
+      {"four after five crashes, from a host that was disturbed", kIdempotent,
+       [](World& it) {
+         CrashEndpoints(it, 4);
+         Disturb(it, Disturbance::Scope::kHost, false);
+         it.history.disturbances.back()->to = it.sent_at + seconds(2);
+       },
+       ""},
+      {"harmless streams do not begin", kIdempotent,
+       [](World& it) { RefuseHarmless(it, 14); },
+       "harmless requests flow while harmful ones are refused"},
+      {"half of the harmless streams begin", kIdempotent,
+       [](World& it) { RefuseHarmless(it, 15); }, ""},
+  };
+}
+
+std::vector<CheckerCase> LimitCases() {
+  using enum CallKind;
+  return {
+      {"18 requests where 17 are allowed", kIdempotent,
+       [](World& it) { Limit(it, 18); },
+       "an endpoint gets no more requests than its limit"},
+      {"17 requests where 17 are allowed", kIdempotent,
+       [](World& it) { Limit(it, 17); }, ""},
+      {"18 requests of a host that was not told", kIdempotent,
+       [](World& it) {
+         Limit(it, 18);
+         it.run->limit_named_at.reset();
+       },
+       ""},
+      {"18 requests of a host that restarted since", kIdempotent,
+       [](World& it) {
+         Limit(it, 18);
+         Disturb(it, Disturbance::Scope::kHost, false);
+       },
+       ""},
+  };
+}
+
 void CheckCases(const std::vector<CheckerCase>& cases) {
   for (const CheckerCase& row : cases) {
     INFO(row.what);
@@ -297,6 +406,8 @@
   CheckCases(Cases());
   CheckCases(StreamCases());
   CheckCases(EndpointNoticeCases());
+  CheckCases(HarmfulPartCases());
+  CheckCases(LimitCases());
 }
 
 TEST_CASE("retries beyond the budget are reported") {
--- a/Tests/Soak/endpoint_fleet.cc
+++ b/Tests/Soak/endpoint_fleet.cc
@@ -25,6 +25,8 @@
 constexpr uint32_t kFirstProxyIp = 130;
 constexpr uint32_t kIpsPerRange = 50;
 constexpr size_t kDataCentres = 2;
+// Time after which an endpoint that a request crashed is back.
+constexpr core::Duration kRestartTime = core::seconds(2);
 // Several software versions serve side by side from the start.
 constexpr size_t kEndpointsPerVersion = 2;
 constexpr size_t kVersions = 3;
@@ -58,22 +60,30 @@
       support::LoopbackIp(kFirstProxyIp + n % kIpsPerRange));
   member->link_faults =
       std::make_unique<support::LinkFaults>(options_.seed + n);
-  TRY_ASSIGN(member->relay,
-             support::TcpRelay::Create(loop_, member->registered_address,
-                                       member->options.address,
-                                       member->link_faults.get()));
   TRY(Start(member.get()));
   members_.push_back(std::move(member));
   return absl::OkStatus();
 }
 
 absl::Status EndpointFleet::Start(Member* member) {
+  TRY_ASSIGN(member->relay,
+             support::TcpRelay::Create(loop_, member->registered_address,
+                                       member->options.address,
+                                       member->link_faults.get()));
   TRY_ASSIGN(member->endpoint,
              support::PlatformEndpoint::Create(
                  loop_, member->options,
                  [this](const support::PlatformEndpoint::RunPointer& run) {
                    history_->runs.push_back(run);
                  }));
+  // The endpoint must not be destroyed while it handles a request.
+  member->endpoint->SetCrashObserver([this, member]() {
+    loop_->Post([this, member]() {
+      if (member->state == State::kServing) {
+        CrashMember(member, kRestartTime);
+      }
+    });
+  });
   member->state = State::kServing;
   member->started_at_ms = UnixMilliseconds();
   member->sequence = 0;
@@ -124,12 +134,19 @@
 
 void EndpointFleet::Crash(uint64_t target, core::Duration duration) {
   Member* member = Choose(target);
-  if (member == nullptr) {
-    return;
+  if (member != nullptr) {
+    CrashMember(member, duration);
   }
+}
+
+void EndpointFleet::CrashMember(Member* member, core::Duration duration) {
   AddDisturbance(*member, duration);
+  EndLimits(*member);
+  member->faults_end_at = {};
   member->endpoint.reset();
+  // Nothing listens at the address of a crashed endpoint.
   member->relay->ResetAll();
+  member->relay.reset();
   member->state = State::kCrashed;
   member->crashed_at = loop_->Now();
   member->transition_at = loop_->Now() + duration;
@@ -168,6 +185,29 @@
   }
 }
 
+void EndpointFleet::SetLimit(uint64_t target,
+                             double per_second,
+                             core::Duration duration) {
+  const Member* member = Choose(target);
+  if (member == nullptr) {
+    return;
+  }
+  SetFaults(target, {.limit = per_second}, duration);
+  const core::TimePoint now = loop_->Now();
+  history_->limits.push_back({.endpoint = member->options.id,
+                              .per_second = per_second,
+                              .from = now,
+                              .to = now + duration});
+}
+
+void EndpointFleet::EndLimits(const Member& member) {
+  for (LimitPeriod& it : history_->limits) {
+    if (it.endpoint == member.options.id) {
+      it.to = std::min(it.to, loop_->Now());
+    }
+  }
+}
+
 void EndpointFleet::SetFaults(uint64_t target,
                               const support::EndpointFaults& faults,
                               core::Duration duration) {
@@ -176,6 +216,8 @@
     return;
   }
   AddDisturbance(*member, duration);
+  // The new faults replace those before.
+  EndLimits(*member);
   member->endpoint->SetFaults(faults);
   member->faults_end_at = loop_->Now() + duration;
 }
--- a/Tests/Soak/endpoint_fleet.h
+++ b/Tests/Soak/endpoint_fleet.h
@@ -46,6 +46,8 @@
   void Crash(uint64_t target, core::Duration duration);
   // Adds another endpoint to the pool, then removes this one.
   void Replace(uint64_t target, Announcement announcement);
+  // Lets the endpoint name a limit, in requests per second, in its answers.
+  void SetLimit(uint64_t target, double per_second, core::Duration duration);
   void SetFaults(uint64_t target,
                  const support::EndpointFaults& faults,
                  core::Duration duration);
@@ -94,6 +96,9 @@
   // Returns the serving endpoint that `target` selects, or null if there is
   // none.
   Member* Choose(uint64_t target);
+  void CrashMember(Member* member, core::Duration duration);
+  // Records that the endpoint no longer names a limit.
+  void EndLimits(const Member& member);
   void AddDisturbance(const Member& member, core::Duration duration);
   void PollMember(Member* member);
 
--- a/Tests/Soak/fault_plan.cc
+++ b/Tests/Soak/fault_plan.cc
@@ -23,12 +23,26 @@
        kSilenceStoreConnections, kRefuseHost, kStoreOutage, kStoreSlow,
        kStoreLosesAnswers, kStoreCompacts, kRestoreStore, kRestoreStore,
        kChangeConfiguration, kUnregisterEndpoint, kReplaceEndpoint},
-      {kCrashEndpoint, kEndpointFails, kEndpointLosesAnswers,
-       kEndpointCutsStreams, kEndpointSlow, kEndpointPauses, kEndpointPauses,
-       kEndpointAnswersUnframed, kEndpointAnswersUnframed,
-       kEndpointSendsEndlessly, kLeaveByAnswers, kResetEndpointConnections,
-       kSilenceEndpointConnections, kDelayEndpointLink, kCutEndpointOneWay,
-       kReplaceEndpoint},
+      {kCrashEndpoint,
+       kEndpointFails,
+       kEndpointLosesAnswers,
+       kEndpointCutsStreams,
+       kEndpointSlow,
+       kEndpointPauses,
+       kEndpointPauses,
+       kEndpointAnswersUnframed,
+       kEndpointAnswersUnframed,
+       kEndpointSendsEndlessly,
+       kLeaveByAnswers,
+       kResetEndpointConnections,
+       kSilenceEndpointConnections,
+       kDelayEndpointLink,
+       kCutEndpointOneWay,
+       kReplaceEndpoint,
+       kHarmfulPrompts,
+       kHarmfulPrompts,
+       kEndpointLimits,
+       kEndpointLimits},
       {kStopHost,
        kKillHost,
        kPauseHost,
@@ -48,7 +62,9 @@
        kEndpointPauses,
        kLeaveByAnswers,
        kEndpointAnswersUnframed,
-       kEndpointSendsEndlessly},
+       kEndpointSendsEndlessly,
+       kHarmfulPrompts,
+       kEndpointLimits},
   };
   return kFamilies;
 }
@@ -98,7 +114,9 @@
                 "reset_endpoint_connections",
                 "silence_endpoint_connections",
                 "delay_endpoint_link",
-                "cut_endpoint_one_way"};
+                "cut_endpoint_one_way",
+                "harmful_prompts",
+                "endpoint_limits"};
   return kNames.at(static_cast<size_t>(kind));
 }
 
--- a/Tests/Soak/fault_plan.h
+++ b/Tests/Soak/fault_plan.h
@@ -57,6 +57,10 @@
   kSilenceEndpointConnections,
   kDelayEndpointLink,
   kCutEndpointOneWay,
+  // Some streams have a prompt part that crashes every endpoint that runs it.
+  kHarmfulPrompts,
+  // The endpoint names a limit in its answers.
+  kEndpointLimits,
   kCount,
 };
 
--- a/Tests/Soak/history.h
+++ b/Tests/Soak/history.h
@@ -43,6 +43,9 @@
   // Version of the configuration whose key a kReplacedKey call uses.
   int64_t key_version = 0;
   core::Duration deadline{};
+  // The id of the part in its prompt that crashes endpoints; empty if it has
+  // none.
+  std::string harmful_part;
   // If the call takes a stream up: the call that brought its first event, and
   // the id of the last event that the caller has.
   std::optional<core::RequestId> first_attempt;
@@ -74,6 +77,15 @@
   core::TimePoint acknowledged_at;
 };
 
+// A period in which an endpoint named a limit in its answers.
+struct LimitPeriod {
+  core::RunnerId endpoint;
+  // Requests per second from all hosts together.
+  double per_second = 0;
+  core::TimePoint from;
+  core::TimePoint to;
+};
+
 // An interval in which the test disturbed a host, the store or an endpoint.
 struct Disturbance {
   enum class Scope : uint8_t { kHost, kStore, kEndpoint };
@@ -93,6 +105,7 @@
   std::vector<std::shared_ptr<support::EndpointRun>> runs;
   std::vector<Configuration> configurations;
   std::vector<Departure> departures;
+  std::vector<LimitPeriod> limits;
   std::vector<std::shared_ptr<Disturbance>> disturbances;
   // One entry per host that exited unexpectedly, with its exit status.
   std::vector<std::string> crashes;
--- a/Tests/Soak/soak_run.cc
+++ b/Tests/Soak/soak_run.cc
@@ -26,6 +26,12 @@
 constexpr double kLostAnswerShare = 0.4;
 constexpr double kFaultShare = 0.3;
 constexpr double kUnframedShare = 0.8;
+// Harmful prompts and limits last for these times longer than other faults, as
+// their bounds apply only some seconds later.
+constexpr core::Duration kHarmfulTime = core::seconds(9);
+constexpr core::Duration kLimitTime = core::seconds(6);
+// Requests per second.
+constexpr double kEndpointLimit = 2;
 constexpr core::Duration kBackupPeriod = core::milliseconds(500);
 // The oldest backup, which a restore uses, is this many periods old.
 constexpr size_t kBackups = 6;
@@ -188,7 +194,9 @@
                    &SoakRun::ResetEndpointConnections,
                    &SoakRun::SilenceEndpointConnections,
                    &SoakRun::DelayEndpointLink,
-                   &SoakRun::CutEndpointOneWay};
+                   &SoakRun::CutEndpointOneWay,
+                   &SoakRun::SendHarmfulPrompts,
+                   &SoakRun::LimitEndpoint};
   (this->*kHandlers.at(static_cast<size_t>(action.kind)))(action);
 }
 
@@ -404,4 +412,21 @@
                           action.duration);
 }
 
+void SoakRun::SendHarmfulPrompts(const FaultAction& action) {
+  const std::string part =
+      fmt::format("{}{:x}", support::kHarmfulPartPrefix, action.target % 4096);
+  const auto set_part = [this](const std::string& value) {
+    for (const auto& it : callers_) {
+      it->SetHarmfulPart(value);
+    }
+  };
+  set_part(part);
+  CallAfter(action.duration + kHarmfulTime, [set_part]() { set_part(""); });
+}
+
+void SoakRun::LimitEndpoint(const FaultAction& action) {
+  endpoints_.SetLimit(action.target, kEndpointLimit,
+                      action.duration + kLimitTime);
+}
+
 }  // namespace wasabi::soak
--- a/Tests/Soak/soak_run.h
+++ b/Tests/Soak/soak_run.h
@@ -87,6 +87,8 @@
   void SilenceEndpointConnections(const FaultAction& action);
   void DelayEndpointLink(const FaultAction& action);
   void CutEndpointOneWay(const FaultAction& action);
+  void SendHarmfulPrompts(const FaultAction& action);
+  void LimitEndpoint(const FaultAction& action);
 
   // Returns the host that `action.target` selects.
   RouterProcess* TargetHost(const FaultAction& action);
--- a/Tests/Support/PlatformEndpoint/endpoint_run.cc
+++ b/Tests/Support/PlatformEndpoint/endpoint_run.cc
@@ -1,7 +1,10 @@
 #include "Tests/Support/PlatformEndpoint/endpoint_run.h"
 
+#include <vector>
+
 #include "LibCore/hash.h"
 #include "LibCore/text.h"
+#include "platform/wire_names.h"
 
 namespace wasabi::support {
 
@@ -33,4 +36,15 @@
                      core::CombineHashes(request.Hash(), id), software_version);
 }
 
+std::string HarmfulPartIn(const http::Headers& headers) {
+  const std::vector<std::string> parts =
+      core::SplitList(headers.Get(adapter::kPromptPartsHeader));
+  for (size_t i = 0; i + 1 < parts.size(); ++i) {
+    if (parts[i].starts_with(kHarmfulPartPrefix)) {
+      return parts[i].substr(0, parts[i].find(':'));
+    }
+  }
+  return {};
+}
+
 }  // namespace wasabi::support
--- a/Tests/Support/PlatformEndpoint/endpoint_run.h
+++ b/Tests/Support/PlatformEndpoint/endpoint_run.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "LibCore/identifier.h"
 #include "LibCore/time.h"
@@ -50,8 +51,20 @@
   bool announces_departure = false;
   // The refusal asked for no requests until this time.
   std::optional<core::TimePoint> paused_until;
+  // When the answer told the client the limit of the endpoint, if it named one.
+  std::optional<core::TimePoint> limit_named_at;
+  // The endpoint crashed because it ran this request.
+  bool crashes_endpoint = false;
 };
 
+// Prompt parts whose ids begin with this crash every endpoint that runs them,
+// unless they are the last of their prompt.
+inline constexpr std::string_view kHarmfulPartPrefix = "bad";
+
+// Returns the id of the part in the request's prompt that crashes endpoints, or
+// "" if there is none.
+std::string HarmfulPartIn(const http::Headers& headers);
+
 // The answers that endpoints give. They depend only on the request id, or on
 // that of the attempt that began a stream, so that a stream can be resumed at
 // another endpoint. Events also tell the software version that generated them.
--- a/Tests/Support/PlatformEndpoint/platform_endpoint.cc
+++ b/Tests/Support/PlatformEndpoint/platform_endpoint.cc
@@ -72,6 +72,7 @@
     : loop_(loop),
       options_(std::move(options)),
       observer_(std::move(observer)),
+      crash_observer_([]() {}),
       random_(options_.seed) {}
 
 PlatformEndpoint::~PlatformEndpoint() {
@@ -129,10 +130,22 @@
     answer.headers.Add(std::string(adapter::kPauseHeader),
                        fmt::format("{}", core::ToSeconds(kPause)));
   }
+  if (!is_for_other_endpoint) {
+    NameLimit(run, &answer.headers);
+  }
   transaction->Respond(answer);
   return true;
 }
 
+void PlatformEndpoint::NameLimit(EndpointRun* run,
+                                 http::Headers* headers) const {
+  if (faults_.limit > 0) {
+    run->limit_named_at = loop_->Now();
+    headers->Add(std::string(adapter::kLimitHeader),
+                 fmt::format("{}", faults_.limit));
+  }
+}
+
 void PlatformEndpoint::AnnounceDeparture() {
   is_leaving_ = true;
   server_->CloseAfterResponses();
@@ -146,6 +159,7 @@
     run->announces_departure = true;
     headers.Add(std::string(adapter::kLeavingHeader), "1");
   }
+  NameLimit(run, &headers);
   return headers;
 }
 
@@ -235,6 +249,13 @@
 }
 
 void PlatformEndpoint::StartEvents(const SessionPointer& session) {
+  if (!HarmfulPartIn(session->run->headers).empty()) {
+    session->run->crashes_endpoint = true;
+    session->transaction->Abort();
+    End(session, RunEnd::kCut);
+    crash_observer_();
+    return;
+  }
   if (random_.Unit() < faults_.failures + faults_.lost_answer_share) {
     session->transaction->Abort();
     End(session, RunEnd::kCut);
--- a/Tests/Support/PlatformEndpoint/platform_endpoint.h
+++ b/Tests/Support/PlatformEndpoint/platform_endpoint.h
@@ -32,6 +32,9 @@
   // Share of the requests that get bytes that are no answer, without end, until
   // the client closes the connection.
   double endless_share = 0;
+  // Requests per second that the endpoint says it accepts from all hosts
+  // together; 0 if it names no limit.
+  double limit = 0;
   // Added to the duration of each request or event.
   core::Duration delay = core::Duration::zero();
 
@@ -64,6 +67,10 @@
   PlatformEndpoint(const PlatformEndpoint&) = delete;
   PlatformEndpoint& operator=(const PlatformEndpoint&) = delete;
 
+  // Sets a callback for a request that crashes the endpoint.
+  void SetCrashObserver(std::function<void()> observer) {
+    crash_observer_ = std::move(observer);
+  }
   void SetFaults(const EndpointFaults& faults) { faults_ = faults; }
   // States in every answer from now on that the endpoint is leaving, and that
   // the answer is the last on its connection.
@@ -86,6 +93,8 @@
   // Refuses a request that is addressed to another endpoint, exceeds the
   // capacity or falls into a pause. Returns true if it was refused.
   bool Refuse(const TransactionPointer& transaction, EndpointRun* run);
+  // Adds the limit of the endpoint, if it has one, to the headers of an answer.
+  void NameLimit(EndpointRun* run, http::Headers* headers) const;
   // Returns the headers that identify the answer of `run`.
   http::Headers AnswerHeaders(EndpointRun* run) const;
   void StartSession(const TransactionPointer& transaction,
@@ -101,6 +110,7 @@
   core::EventLoop* const loop_;
   const EndpointOptions options_;
   const RunObserver observer_;
+  std::function<void()> crash_observer_;
   core::RandomSource random_;
   EndpointFaults faults_;
   bool is_leaving_ = false;
