A limit that another host knows for long is taken over; rate limits in the comments

A host that did not know an endpoint's limit ignored a report of it that was over ten seconds old, and granted permits without end to hosts that asked it. In a fleet of hundreds most hosts send to an endpoint less often than that.

--- a/Libraries/LibCore/event.cc
+++ b/Libraries/LibCore/event.cc
@@ -66,7 +66,8 @@
      "A request was in flight on an endpoint that crashed; its content digest "
      "is suspect."},
     {EventCode::kDigestQuarantined, "digest_quarantined",
-     "Requests with this content digest are refused after repeated crashes."},
+     "Requests with this content digest, or with these prompt parts, are "
+     "refused after repeated crashes."},
     {EventCode::kOwnershipTransferReceived, "hand_over_received",
      "The previous owner transferred its state."},
     {EventCode::kEndpointChanged, "endpoint_changed",
@@ -74,8 +75,8 @@
     {EventCode::kEndpointPaused, "endpoint_paused",
      "An endpoint asked this host to send it nothing for a time."},
     {EventCode::kEndpointLimited, "endpoint_limited",
-     "An endpoint named a limit on the requests per second of all hosts, or "
-     "ended it."},
+     "An endpoint announced or ended a limit on the requests per second of "
+     "all hosts."},
     {EventCode::kIntentAppended, "intent_appended",
      "An intent to run a call was appended to its partition."},
     {EventCode::kIntentWon, "intent_won",
--- a/Libraries/LibForwarding/endpoint_limit.h
+++ b/Libraries/LibForwarding/endpoint_limit.h
@@ -1,5 +1,5 @@
-// Messages about the limits that endpoints in need name: requests per second
-// that they accept from all hosts together.
+// Messages about the rate limits that overloaded endpoints announce: requests
+// per second that they accept from all hosts together.
 
 #ifndef LIBFORWARDING_ENDPOINT_LIMIT_H_
 #define LIBFORWARDING_ENDPOINT_LIMIT_H_
@@ -12,13 +12,14 @@
 
 namespace wasabi::forwarding {
 
-// What an endpoint said of its limit, as one host knows it.
+// The rate limit of an endpoint, as one host knows it.
 struct LimitReport {
   // Hash of the endpoint's id.
   uint64_t endpoint = 0;
-  // Requests per second; 0 if the endpoint no longer names a limit.
+  // Requests per second; 0 if the limit has ended.
   double per_second = 0;
-  // Time since the endpoint said so in milliseconds, on the sender's clock.
+  // Time since the endpoint announced it in milliseconds, on the sender's
+  // clock.
   int64_t age_milliseconds = 0;
 
   auto operator<=>(const LimitReport&) const = default;
--- a/Libraries/LibForwarding/limit_table.cc
+++ b/Libraries/LibForwarding/limit_table.cc
@@ -9,8 +9,8 @@
 
 // Other hosts hear of a change of at least this share.
 constexpr double kMinReportedChange = 0.05;
-// A report that is on its way for longer than this cannot bring an ended limit
-// back.
+// The end of a limit is remembered for this long, so that older reports do not
+// bring the limit back.
 constexpr core::Duration kEndedLifetime = core::seconds(10);
 
 bool DiffersMuch(double a, double b) {
@@ -28,32 +28,31 @@
   }
   Limit& limit = it == limits_.end() ? limits_[endpoint] : it->second;
   const double before = limit.per_second;
-  limit = {.per_second = per_second.value_or(0), .said_at = now};
+  limit = {.per_second = per_second.value_or(0), .announced_at = now};
   return DiffersMuch(before, limit.per_second);
 }
 
 bool LimitTable::Merge(const LimitReport& report, core::TimePoint now) {
-  const core::TimePoint said_at =
+  const core::TimePoint announced_at =
       now - core::milliseconds(std::max<int64_t>(0, report.age_milliseconds));
-  const bool is_valid = std::isfinite(report.per_second) &&
-                        report.per_second >= 0 &&
-                        now - said_at < kEndedLifetime;
+  const bool is_valid =
+      std::isfinite(report.per_second) && report.per_second >= 0;
   const auto it = limits_.find(report.endpoint);
   const bool is_known = it != limits_.end();
-  if (!is_valid || (is_known && it->second.said_at >= said_at) ||
+  if (!is_valid || (is_known && it->second.announced_at >= announced_at) ||
       (!is_known && report.per_second == 0)) {
     return false;
   }
   Limit& limit = is_known ? it->second : limits_[report.endpoint];
   const double before = limit.per_second;
-  limit = {.per_second = report.per_second, .said_at = said_at};
+  limit = {.per_second = report.per_second, .announced_at = announced_at};
   return DiffersMuch(before, limit.per_second);
 }
 
 void LimitTable::Expire(core::TimePoint now) {
   absl::erase_if(limits_, [now](const auto& it) {
     return it.second.per_second == 0 &&
-           now - it.second.said_at > kEndedLifetime;
+           now - it.second.announced_at > kEndedLifetime;
   });
 }
 
@@ -71,9 +70,10 @@
     return {.endpoint = endpoint,
             .age_milliseconds = core::ToMilliseconds(kEndedLifetime)};
   }
-  return {.endpoint = endpoint,
-          .per_second = it->second.per_second,
-          .age_milliseconds = core::ToMilliseconds(now - it->second.said_at)};
+  return {
+      .endpoint = endpoint,
+      .per_second = it->second.per_second,
+      .age_milliseconds = core::ToMilliseconds(now - it->second.announced_at)};
 }
 
 }  // namespace wasabi::forwarding
--- a/Libraries/LibForwarding/limit_table.h
+++ b/Libraries/LibForwarding/limit_table.h
@@ -1,6 +1,6 @@
-// The limits that endpoints name, as far as this host knows: from the answers
-// that it relayed, and from other hosts. What was said last counts. Performs no
-// I/O; the caller passes in the time.
+// The rate limits that endpoints announce, as far as this host knows: from the
+// answers that it relayed, and from other hosts. The latest announcement
+// counts. Performs no I/O; the caller passes in the time.
 
 #ifndef LIBFORWARDING_LIMIT_TABLE_H_
 #define LIBFORWARDING_LIMIT_TABLE_H_
@@ -16,8 +16,8 @@
 
 class LimitTable {
  public:
-  // Records what an endpoint said at `now`: requests per second, or nullopt if
-  // it named no limit. Returns whether other hosts should hear of it.
+  // Records the limit in an answer that arrived at `now`: requests per second,
+  // or nullopt if there is none. Returns whether other hosts should hear of it.
   bool Record(uint64_t endpoint,
               std::optional<double> per_second,
               core::TimePoint now);
@@ -36,7 +36,7 @@
   struct Limit {
     // 0 if the limit has ended.
     double per_second = 0;
-    core::TimePoint said_at;
+    core::TimePoint announced_at;
   };
 
   absl::flat_hash_map<uint64_t, Limit> limits_;
--- a/Libraries/LibForwarding/permit_exchange.h
+++ b/Libraries/LibForwarding/permit_exchange.h
@@ -1,6 +1,7 @@
-// Keeps the limits of endpoints: the hosts of a fleet together send an endpoint
-// no more requests per second than it accepts. It is decision code without I/O:
-// the caller supplies the time, the hosts and a function that sends datagrams.
+// Keeps the rate limits of endpoints: the hosts of a fleet together send an
+// endpoint no more requests per second than it accepts. It is decision code
+// without I/O: the caller supplies the time, the hosts and a function that
+// sends datagrams.
 //
 // The permits of an endpoint are granted by one host, the first in the
 // rendezvous order of the endpoint. Every other host asks it before it sends a
@@ -48,8 +49,8 @@
   void SetHosts(const std::vector<core::HostId>& running, size_t fleet_size);
   void SetPeers(ReportPeers peers) { peers_ = std::move(peers); }
 
-  // Records what an endpoint says in an answer: requests per second, or nullopt
-  // if it names no limit.
+  // Records the limit in an answer: requests per second, or nullopt if there is
+  // none.
   void RecordLimit(const core::RunnerId& endpoint,
                    std::optional<double> per_second,
                    core::TimePoint now);
--- a/Libraries/LibForwarding/protocols.h
+++ b/Libraries/LibForwarding/protocols.h
@@ -74,7 +74,7 @@
   // accepts requests.
   core::Duration pause{};
   // Requests per second that the endpoint accepts from all hosts together;
-  // nullopt if it names no limit.
+  // nullopt if it announces no limit.
   std::optional<double> max_per_second = {};
 
   auto operator<=>(const EndpointNotice&) const = default;
--- a/Tests/ForwardedStreams/endpoint_gets_more_than_its_limit_test.cc
+++ b/Tests/ForwardedStreams/endpoint_gets_more_than_its_limit_test.cc
@@ -6,6 +6,7 @@
 #include <catch2/catch.hpp>
 #include <deque>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "LibCore/text.h"
@@ -32,7 +33,8 @@
   LimitedEndpoints(ForwarderFixture* fixture,
                    std::string first_limit,
                    std::string second_limit)
-      : fixture_(fixture), limits_{first_limit, second_limit} {
+      : fixture_(fixture),
+        limits_{std::move(first_limit), std::move(second_limit)} {
     const std::vector<RawServer*> servers = {&fixture->first, &fixture->second};
     for (size_t i = 0; i < servers.size(); ++i) {
       servers[i]->SetResponder([this, i](const std::string& /*text*/) {
--- a/Tests/Soak/checker_test.cc
+++ b/Tests/Soak/checker_test.cc
@@ -294,7 +294,7 @@
   call->signature.clear();
   call->answer.clear();
   world.history.calls.push_back(call);
-  const auto run = world.AddRun();
+  auto run = world.AddRun();
   run->request = call->id;
   run->end = RunEnd::kCut;
   run->started_at = call->sent_at + milliseconds(2);
