A request that gets no permit is refused at once where no other endpoint can take it

Cause: after a denied permit the request joined the queue again, at its end and with a new time limit, up to 70 times.

Change: it is refused with the time at which the first endpoint opens.

--- a/Libraries/LibForwarding/endpoint_chooser.cc
+++ b/Libraries/LibForwarding/endpoint_chooser.cc
@@ -137,6 +137,18 @@
   return earliest;
 }
 
+std::optional<core::TimePoint> EndpointChooser::NextOpening(
+    core::TimePoint now) const {
+  std::optional<core::TimePoint> earliest;
+  for (const Endpoint* it : Suitable()) {
+    const core::TimePoint until = ClosedUntil(it->id);
+    if (now < until) {
+      earliest = std::min(earliest.value_or(until), until);
+    }
+  }
+  return earliest;
+}
+
 void EndpointChooser::RecordServed(const core::RunnerId& endpoint,
                                    core::TimePoint now) const {
   if (copies_prompts_) {
--- a/Libraries/LibForwarding/endpoint_chooser.h
+++ b/Libraries/LibForwarding/endpoint_chooser.h
@@ -55,6 +55,10 @@
       const std::set<core::RunnerId>& tried,
       core::TimePoint now) const;
 
+  // Returns the earliest time at which one of the endpoints that are closed now
+  // accepts requests again; nullopt if none is closed.
+  std::optional<core::TimePoint> NextOpening(core::TimePoint now) const;
+
   // Returns an endpoint that is likely to have the prompt cached, for `chosen`
   // to copy from. Returns nullptr if there is none, or if `chosen` is known to
   // have the prompt cached. The pointer is valid as for Choose.
--- a/Libraries/LibForwarding/forward_session.cc
+++ b/Libraries/LibForwarding/forward_session.cc
@@ -210,11 +210,12 @@
   }
   if (runs_ > 0 || transaction_->is_started()) {
     FailAfterRun();
-  } else if (chooser_.HasOther(tried_)) {
-    DispatchOrWait();
-  } else {
-    Refuse(core::ResultCode::kOverloaded, "no other endpoint is left");
+    return;
   }
+  const core::TimePoint opening = chooser_.NextOpening(Now()).value_or(Now());
+  Refuse(core::ResultCode::kOverloaded,
+         "the endpoints are at their limits or full",
+         std::max(opening - Now(), RetryAfter()));
 }
 
 bool ForwardSession::DispatchOrRefuse() {
--- a/Tests/ForwardedStreams/endpoint_gets_more_than_its_limit_test.cc
+++ b/Tests/ForwardedStreams/endpoint_gets_more_than_its_limit_test.cc
@@ -148,6 +148,47 @@
   CHECK(refused > 0);
 }
 
+TEST_CASE("a request is not held while endpoints are full or at their limit") {
+  constexpr size_t kSlots = 8;
+  ForwarderFixture it;
+  LimitedEndpoints endpoints(&it, "8", "");
+  it.Configure();
+  REQUIRE(it.RunUntil([&]() {
+    it.Get("/unsafe/1");
+    return endpoints.count(0) > 0;
+  }));
+  // The second endpoint takes requests and does not answer them.
+  it.second.SetResponder([](const std::string& /*text*/) { return ""; });
+  std::vector<CallerResult> results(2 * kSlots);
+  std::vector<std::shared_ptr<http::OriginCall>> calls;
+  const int before = it.second.requests();
+  for (CallerResult& result : results) {
+    calls.push_back(it.Send(
+        "/unsafe/1", {{"Authorization", "Bearer k1"}, {"Deadline-Ms", "60000"}},
+        false, &result));
+  }
+  REQUIRE(it.RunUntil([&]() {
+    return it.second.requests() - before == static_cast<int>(kSlots) &&
+           std::count_if(results.begin(), results.end(),
+                         [](const CallerResult& row) {
+                           return row.end.has_value();
+                         }) == static_cast<int>(kSlots);
+  }));
+  // A request may wait for a quarter of its 1.5 s, and only once.
+  std::vector<CallerResult> waiting(3 * kSlots);
+  const core::TimePoint started_at = it.loop.Now();
+  for (CallerResult& result : waiting) {
+    calls.push_back(it.Send(
+        "/unsafe/1", {{"Authorization", "Bearer k1"}, {"Deadline-Ms", "1500"}},
+        false, &result));
+  }
+  it.RunUntil([&]() {
+    return std::all_of(waiting.begin(), waiting.end(),
+                       [](const CallerResult& row) { return row.end; });
+  });
+  CHECK(it.loop.Now() - started_at < core::milliseconds(450));
+}
+
 TEST_CASE("a limit ends when the endpoint no longer names it") {
   ForwarderFixture it;
   LimitedEndpoints endpoints(&it, "1", "1");
