--- a/Tests/Support/FaultProxy/tcp_relay.cc
+++ b/Tests/Support/FaultProxy/tcp_relay.cc
@@ -14,6 +14,7 @@
 
 #include "LibCore/result_code.h"
 #include "LibCore/text.h"
+#include "LibCore/try.h"
 
 namespace wasabi::support {
 
@@ -204,21 +205,60 @@
     const core::SocketAddress& target,
     LinkFaults* faults) {
   std::unique_ptr<TcpRelay> relay(new TcpRelay(loop, address, target, faults));
-  relay->listener_ = OpenSocket();
+  TRY(relay->Listen());
+  return relay;
+}
+
+absl::Status TcpRelay::Listen() {
+  listener_ = OpenSocket();
   const int on = 1;
-  setsockopt(relay->listener_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-  const sockaddr_in native = address.ToNative();
-  if (bind(relay->listener_, reinterpret_cast<const sockaddr*>(&native),
+  setsockopt(listener_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+  const sockaddr_in native = address_.ToNative();
+  if (bind(listener_, reinterpret_cast<const sockaddr*>(&native),
            sizeof(native)) != 0 ||
-      listen(relay->listener_, kListenBacklog) != 0) {
+      listen(listener_, kListenBacklog) != 0) {
     return core::MakeStatus(
         core::ResultCode::kCannotListen,
-        fmt::format("can't listen on TCP address {}", address.ToString()));
+        fmt::format("can't listen on TCP address {}", address_.ToString()));
+  }
+  watcher_ = loop_->Watch(listener_, [this](bool, bool) { OnAccept(); });
+  return absl::OkStatus();
+}
+
+void TcpRelay::StopListening() {
+  watcher_ = nullptr;
+  for (const int filler : std::exchange(fillers_, {})) {
+    close(filler);
+  }
+  if (listener_ >= 0) {
+    close(std::exchange(listener_, -1));
+  }
+}
+
+void TcpRelay::RefuseConnections() {
+  StopListening();
+}
+
+void TcpRelay::IgnoreConnections() {
+  // A queue of length 0 still takes one connection; the others are enough for a
+  // few more that the kernel may let in.
+  constexpr size_t kFillers = 4;
+  if (listener_ < 0 || !fillers_.empty()) {
+    return;
+  }
+  watcher_ = nullptr;
+  listen(listener_, 0);
+  const sockaddr_in native = address_.ToNative();
+  for (size_t i = 0; i < kFillers; ++i) {
+    const int filler = OpenSocket();
+    connect(filler, reinterpret_cast<const sockaddr*>(&native), sizeof(native));
+    fillers_.push_back(filler);
   }
-  TcpRelay* it = relay.get();
-  relay->watcher_ =
-      loop->Watch(relay->listener_, [it](bool, bool) { it->OnAccept(); });
-  return relay;
+}
+
+absl::Status TcpRelay::AcceptConnections() {
+  StopListening();
+  return Listen();
 }
 
 TcpRelay::TcpRelay(core::EventLoop* loop,
@@ -228,9 +268,8 @@
     : loop_(loop), address_(address), target_(target), faults_(faults) {}
 
 TcpRelay::~TcpRelay() {
-  watcher_ = nullptr;
+  StopListening();
   connections_.clear();
-  close(listener_);
 }
 
 void TcpRelay::ResetAll() {
--- a/Tests/Support/FaultProxy/tcp_relay.h
+++ b/Tests/Support/FaultProxy/tcp_relay.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <memory>
 #include <set>
+#include <vector>
 
 #include "LibCore/event_loop.h"
 #include "LibCore/socket_address.h"
@@ -31,6 +32,12 @@
   void ResetAll();
   // Permanently stops relaying on all open connections without closing them.
   void StallAll();
+  // From now on, attempts to connect are refused, or get no answer at all. Open
+  // connections are not affected.
+  void RefuseConnections();
+  void IgnoreConnections();
+  // Ends RefuseConnections and IgnoreConnections. Error: kCannotListen.
+  absl::Status AcceptConnections();
 
   size_t open_connections() const { return connections_.size(); }
 
@@ -41,6 +48,8 @@
            const core::SocketAddress& address,
            const core::SocketAddress& target,
            LinkFaults* faults);
+  absl::Status Listen();
+  void StopListening();
   void OnAccept();
 
   core::EventLoop* loop_;
@@ -48,6 +57,9 @@
   const core::SocketAddress target_;
   LinkFaults* faults_;
   int listener_ = -1;
+  // Connections that fill the listener's queue, so that the kernel ignores
+  // others.
+  std::vector<int> fillers_;
   std::unique_ptr<core::IoWatcher> watcher_;
   std::set<std::shared_ptr<Connection>> connections_;
 };
--- a/Tests/Support/ForwarderFixture/forwarder_fixture.cc
+++ b/Tests/Support/ForwarderFixture/forwarder_fixture.cc
@@ -77,11 +77,12 @@
   Start();
 }
 
-forwarder::ForwarderSettings ForwarderFixture::NewSettings() const {
-  const std::string ip = LoopbackIp(12);
+forwarder::ForwarderSettings ForwarderFixture::NewSettings(
+    const std::string& host,
+    const std::string& ip) const {
   const auto free = [&ip]() { return FreeAddress(ip); };
   forwarder::ForwarderSettings settings;
-  settings.host = core::HostId("h1");
+  settings.host = core::HostId(host);
   settings.data_centre = core::DataCentreId("z1");
   settings.callers_address = free();
   settings.ready_address = free();
@@ -99,26 +100,59 @@
   return settings;
 }
 
-void ForwarderFixture::Start() {
-  settings = NewSettings();
-  auto daemon_or = forwarder::ForwarderDaemon::Create(
-      &loop, settings, "/nonexistent",
-      [this](http::Client* http_client, const core::SocketAddress& address,
-             core::EventRing* events) {
+std::unique_ptr<forwarder::ForwarderDaemon> ForwarderFixture::NewDaemon(
+    const forwarder::ForwarderSettings& daemon_settings,
+    FakeTopicClient** topics) {
+  auto created = forwarder::ForwarderDaemon::Create(
+      &loop, daemon_settings, "/nonexistent",
+      [this, topics](http::Client* http_client,
+                     const core::SocketAddress& address,
+                     core::EventRing* events) {
         forwarding::AdapterSet adapters =
             adapter::MakeAdapters(http_client, address, events);
-        auto topics = std::make_unique<FakeTopicClient>(&scheduler);
-        store = topics.get();
-        adapters.topics = std::move(topics);
+        auto client = std::make_unique<FakeTopicClient>(&scheduler);
+        *topics = client.get();
+        adapters.topics = std::move(client);
         names = adapters.names;
         return adapters;
       });
-  REQUIRE(daemon_or.ok());
-  daemon = *std::move(daemon_or);
+  REQUIRE(created.ok());
+  return *std::move(created);
+}
+
+void ForwarderFixture::Start() {
+  settings = NewSettings("h1", LoopbackIp(12));
+  daemon = NewDaemon(settings, &store);
   Register("e1", first, "ready");
   Register("e2", second, "ready");
 }
 
+FixturePeer* ForwarderFixture::AddPeer(const std::string& host) {
+  const auto index = static_cast<uint32_t>(peers.size());
+  auto peer = std::make_unique<FixturePeer>();
+  peer->settings = NewSettings(host, LoopbackIp(20 + index));
+  peer->settings.seeds = {settings.gossip_address};
+  peer->daemon = NewDaemon(peer->settings, &peer->store);
+  // Hosts accept datagrams from addresses that the platform names.
+  store->Write(names.fleet, host, peer->settings.gossip_address.ToString());
+  RegisterAt("e1", first.address(), "ready", peer.get());
+  RegisterAt("e2", second.address(), "ready", peer.get());
+  peer->store->Write(names.configuration, names.configuration_key,
+                     kConfiguration);
+  const auto knows_peer = [&](const forwarder::ForwarderSettings& of,
+                              const std::string& other) {
+    return GetInternal("/v1/events", of).find("member=" + other) !=
+           std::string::npos;
+  };
+  REQUIRE(RunUntil([&]() {
+    return GetInternal("/v1/events", peer->settings)
+                   .find("configuration_applied") != std::string::npos &&
+           knows_peer(settings, host) && knows_peer(peer->settings, "h1");
+  }));
+  peers.push_back(std::move(peer));
+  return peers.back().get();
+}
+
 void ForwarderFixture::Configure() {
   store->Write(names.configuration, names.configuration_key, kConfiguration);
   REQUIRE(RunUntil([this]() { return Get("/ready", true).status == 200; }));
@@ -129,13 +163,22 @@
                                 const char* state,
                                 const char* pool,
                                 const char* software_version) {
-  store->Write(
+  RegisterAt(id, server.address(), state, nullptr, pool, software_version);
+}
+
+void ForwarderFixture::RegisterAt(const char* id,
+                                  const core::SocketAddress& address,
+                                  const char* state,
+                                  const FixturePeer* peer,
+                                  const char* pool,
+                                  const char* software_version) {
+  FakeTopicClient* topics = peer == nullptr ? store : peer->store;
+  topics->Write(
       names.registrations, id,
       fmt::format(
           R"({{"service":"{}","address":"{}","zone":"z1","version":"{}",)"
           R"("slots":8,"state":"{}","seq":{},"born":1}})",
-          pool, server.address().ToString(), software_version, state,
-          ++sequence_));
+          pool, address.ToString(), software_version, state, ++sequence_));
 }
 
 std::string ForwarderFixture::Respond(RawServer* server,
@@ -209,4 +252,22 @@
   return result;
 }
 
+std::string ForwarderFixture::GetInternal(
+    const std::string& target,
+    const forwarder::ForwarderSettings& of) {
+  CallerResult result;
+  http::OriginRequest request;
+  request.address = of.internal_address;
+  request.method = "GET";
+  request.target = target;
+  http::OriginCallbacks callbacks;
+  callbacks.on_body = [&result](std::string_view piece) {
+    result.body.append(piece);
+  };
+  callbacks.on_end = [&result](http::OriginOutcome end) { result.end = end; };
+  client.Send(request, std::move(callbacks));
+  RunUntil([&result]() { return result.end.has_value(); });
+  return result.body;
+}
+
 }  // namespace wasabi::support
--- a/Tests/Support/ForwarderFixture/forwarder_fixture.h
+++ b/Tests/Support/ForwarderFixture/forwarder_fixture.h
@@ -50,6 +50,13 @@
   std::optional<http::OriginOutcome> end;
 };
 
+// Another daemon of the fixture's fleet, with a store of its own.
+struct FixturePeer {
+  FakeTopicClient* store = nullptr;
+  forwarder::ForwarderSettings settings;
+  std::unique_ptr<forwarder::ForwarderDaemon> daemon;
+};
+
 // The endpoints "e1" and "e2" are ready and belong to the pool "p" of most
 // routes. An empty scripted response means that the endpoint does not respond.
 struct ForwarderFixture {
@@ -63,6 +70,18 @@
                 const char* state,
                 const char* pool = "p",
                 const char* software_version = "v1");
+  // Writes that the endpoint `id` is reached at `address`, to the store of the
+  // fixture's daemon or of `peer`.
+  void RegisterAt(const char* id,
+                  const core::SocketAddress& address,
+                  const char* state = "ready",
+                  const FixturePeer* peer = nullptr,
+                  const char* pool = "p",
+                  const char* software_version = "v1");
+  // Starts another daemon, which reaches the endpoints at the servers'
+  // addresses, and waits until it is ready and both daemons know each other.
+  // Requires Configure.
+  FixturePeer* AddPeer(const std::string& host);
   // Runs the loop until `is_done`, or for ten seconds. Returns whether it was
   // done in time.
   bool RunUntil(const std::function<bool()>& is_done);
@@ -74,6 +93,10 @@
   CallerResult Get(const std::string& target,
                    bool is_ready_check = false,
                    const std::vector<http::Headers::Field>& more = {});
+  // Returns what the daemon with `of` serves at `target` of its internal
+  // address.
+  std::string GetInternal(const std::string& target,
+                          const forwarder::ForwarderSettings& of);
 
   core::EventLoop loop;
   platform::LoopScheduler scheduler;
@@ -88,10 +111,15 @@
   forwarding::TopicNames names;
   forwarder::ForwarderSettings settings;
   std::unique_ptr<forwarder::ForwarderDaemon> daemon;
+  std::vector<std::unique_ptr<FixturePeer>> peers;
   http::OriginClient client;
 
  private:
-  forwarder::ForwarderSettings NewSettings() const;
+  forwarder::ForwarderSettings NewSettings(const std::string& host,
+                                           const std::string& ip) const;
+  std::unique_ptr<forwarder::ForwarderDaemon> NewDaemon(
+      const forwarder::ForwarderSettings& daemon_settings,
+      FakeTopicClient** topics);
   void Start();
   std::string Respond(RawServer* server, const std::string& text);
 
