Other hosts carry the requests of a host that is cut off from all endpoints

What callers saw: hosts that had lost their links to all endpoints served one first try in ten.

Cause: a host took the loss of its own path for that of the endpoints, and had no way round. New connections that failed counted against each endpoint, and requests whose connections were reset could be blamed for crashes.

Change: PathProber tells the two apart. After a failed connection it probes other endpoints; when several fail and none answers, the path is lost until a probe succeeds. Meanwhile attempts go through a tunnel of another host: a raw connection to one registered endpoint, opened before any byte of the request is sent. The entry keeps all decisions (deadline, retries, permits, loads, origins); closing its side ends the work. A carrier takes 256 tunnels, checks its own view of the endpoint, reads notices from the answers, and drains before it stops. Tunnels lead to endpoints only. When no host can carry, the request is refused at once (no_path, 503). Failures while the path is lost count neither for endpoint health nor for crash blame.

--- a/Libraries/LibCore/event.cc
+++ b/Libraries/LibCore/event.cc
@@ -77,6 +77,10 @@
     {EventCode::kEndpointLimited, "endpoint_limited",
      "An endpoint announced or ended a limit on the requests per second of "
      "all hosts."},
+    {EventCode::kPathLost, "path_lost",
+     "This host cannot connect to endpoints; other hosts carry its requests."},
+    {EventCode::kPathRestored, "path_restored",
+     "This host can connect to endpoints again."},
     {EventCode::kIntentAppended, "intent_appended",
      "An intent to run a call was appended to its partition."},
     {EventCode::kIntentWon, "intent_won",
--- a/Libraries/LibCore/event.h
+++ b/Libraries/LibCore/event.h
@@ -49,6 +49,8 @@
   kEndpointChanged = 317,
   kEndpointPaused = 318,
   kEndpointLimited = 319,
+  kPathLost = 320,
+  kPathRestored = 321,
   // 4xx: the ledger of non-repeatable calls.
   kIntentAppended = 400,
   kIntentWon = 401,
--- a/Libraries/LibCore/result_code.cc
+++ b/Libraries/LibCore/result_code.cc
@@ -81,6 +81,9 @@
     {ResultCode::kCannotResume, "cannot_resume", 503,
      "No endpoint can continue the stream: the software version that began it "
      "is unknown or does not serve; the request did not run."},
+    {ResultCode::kNoPath, "no_path", 503,
+     "The host cannot reach the endpoints, and no other host can carry the "
+     "request; the request did not run."},
     {ResultCode::kEndpointFailed, "endpoint_failed", 502,
      "The endpoint ended the request with an error."},
     {ResultCode::kAnswerTruncated, "answer_cut", 502,
--- a/Libraries/LibCore/result_code.h
+++ b/Libraries/LibCore/result_code.h
@@ -49,6 +49,7 @@
   kNotRun = 307,
   kNoConfiguration = 308,
   kCannotResume = 309,
+  kNoPath = 310,
   // 4xx: failures after the work started.
   kEndpointFailed = 400,
   kAnswerTruncated = 401,
--- a/Libraries/LibForwarding/crash_detector.cc
+++ b/Libraries/LibForwarding/crash_detector.cc
@@ -31,8 +31,9 @@
 
 CrashDetector::CrashDetector(core::EventLoop* loop,
                              core::EventRing* events,
-                             CrashSuspects* suspects)
-    : loop_(loop), events_(events), suspects_(suspects) {}
+                             CrashSuspects* suspects,
+                             PathProber* path)
+    : loop_(loop), events_(events), suspects_(suspects), path_(path) {}
 
 void CrashDetector::RecordBrokenConnection(const Endpoint& endpoint,
                                            RequestFingerprint request) {
@@ -60,11 +61,17 @@
   callbacks.on_connected = [this, id]() { Close(id, false); };
   callbacks.on_data = [](std::string_view /*bytes*/) {};
   callbacks.on_end = [this, id](http::TcpStream::End /*end*/) {
-    Close(id, true);
+    OnRefused(id);
   };
   it.probe->Start(std::move(callbacks));
 }
 
+void CrashDetector::OnRefused(const core::RunnerId& id) {
+  cases_[id].timer.reset();
+  path_->RecordFailure(id);
+  path_->AfterCheck([this, id](bool is_lost) { Close(id, !is_lost); });
+}
+
 void CrashDetector::Close(const core::RunnerId& id, bool has_crashed) {
   const auto it = cases_.find(id);
   if (it == cases_.end()) {
--- a/Libraries/LibForwarding/crash_detector.h
+++ b/Libraries/LibForwarding/crash_detector.h
@@ -1,7 +1,7 @@
 // Identifies the requests that were in flight at an endpoint when it crashed. A
 // single broken connection does not prove a crash. Only if the endpoint then
-// also refuses connections is every request whose connection broke there
-// recorded as a suspect.
+// also refuses connections, while this host's path to other endpoints is good,
+// is every request whose connection broke there recorded as a suspect.
 
 #ifndef LIBFORWARDING_CRASH_DETECTOR_H_
 #define LIBFORWARDING_CRASH_DETECTOR_H_
@@ -14,6 +14,7 @@
 #include "LibCore/event_ring.h"
 #include "LibForwarding/crash_suspects.h"
 #include "LibForwarding/endpoint.h"
+#include "LibForwarding/path_prober.h"
 #include "LibForwarding/request_fingerprint.h"
 #include "LibHttp/tcp_stream.h"
 
@@ -24,7 +25,8 @@
   // The arguments must outlive this object.
   CrashDetector(core::EventLoop* loop,
                 core::EventRing* events,
-                CrashSuspects* suspects);
+                CrashSuspects* suspects,
+                PathProber* path);
 
   // Records that the connection to `endpoint` broke during a request. Starts an
   // investigation of the endpoint unless one is running.
@@ -42,6 +44,7 @@
   };
 
   void Probe(const core::RunnerId& id);
+  void OnRefused(const core::RunnerId& id);
   // Ends an investigation. If the endpoint has crashed, reports the requests of
   // the investigation as suspects.
   void Close(const core::RunnerId& id, bool has_crashed);
@@ -49,6 +52,7 @@
   core::EventLoop* const loop_;
   core::EventRing* const events_;
   CrashSuspects* const suspects_;
+  PathProber* const path_;
   std::map<core::RunnerId, Case> cases_;
 };
 
--- a/Libraries/LibForwarding/endpoint_monitor.cc
+++ b/Libraries/LibForwarding/endpoint_monitor.cc
@@ -46,6 +46,13 @@
   record.down_until = now + record.hold_down;
 }
 
+void EndpointMonitor::EndHoldDowns() {
+  for (auto& [id, record] : records_) {
+    record.hold_down = core::Duration::zero();
+    record.down_until = core::TimePoint();
+  }
+}
+
 void EndpointMonitor::RecordPause(const core::RunnerId& endpoint,
                                   core::TimePoint until) {
   core::TimePoint& paused_until = records_[endpoint].paused_until;
--- a/Libraries/LibForwarding/endpoint_monitor.h
+++ b/Libraries/LibForwarding/endpoint_monitor.h
@@ -24,6 +24,9 @@
   // open connection was lost together with the endpoint. Starts a hold-down,
   // which doubles with each repetition.
   void RecordUnreachable(const core::RunnerId& endpoint, core::TimePoint now);
+  // Ends all hold-downs, because what looked like unreachable endpoints was the
+  // loss of this host's own path.
+  void EndHoldDowns();
   // Records that the endpoint wants no requests from this host until `until`.
   void RecordPause(const core::RunnerId& endpoint, core::TimePoint until);
   // Discards the state of an endpoint that was removed or has restarted.
--- /dev/null
+++ b/Libraries/LibForwarding/endpoint_notices.h
@@ -0,0 +1,26 @@
+// Records what endpoints say about themselves in the heads of their answers:
+// that they leave, that they want a pause, and the limit that they accept.
+
+#ifndef LIBFORWARDING_ENDPOINT_NOTICES_H_
+#define LIBFORWARDING_ENDPOINT_NOTICES_H_
+
+#include <optional>
+#include <string>
+
+#include "LibForwarding/endpoint.h"
+#include "LibForwarding/forward_context.h"
+#include "LibForwarding/protocols.h"
+
+namespace wasabi::forwarding {
+
+// Records `notice` of `endpoint`, which an answer to the request `request_id`
+// has brought. A limit counts only in an answer that `is_valid`.
+void RecordNotice(ForwardContext* context,
+                  const Endpoint& endpoint,
+                  const EndpointNotice& notice,
+                  bool is_valid,
+                  const std::string& request_id);
+
+}  // namespace wasabi::forwarding
+
+#endif  // LIBFORWARDING_ENDPOINT_NOTICES_H_
--- a/Libraries/LibForwarding/endpoint_table.cc
+++ b/Libraries/LibForwarding/endpoint_table.cc
@@ -68,6 +68,15 @@
          (it != departures_.end() && endpoint.started_at_ms <= it->second);
 }
 
+const Endpoint* EndpointTable::FindAvailable(uint64_t id_hash) const {
+  for (const auto& [id, endpoint] : endpoints_) {
+    if (id.Hash() == id_hash) {
+      return IsLeaving(endpoint) ? nullptr : &endpoint;
+    }
+  }
+  return nullptr;
+}
+
 std::vector<const Endpoint*> EndpointTable::Available(
     const core::PoolId& pool) const {
   std::vector<const Endpoint*> available;
--- a/Libraries/LibForwarding/endpoint_table.h
+++ b/Libraries/LibForwarding/endpoint_table.h
@@ -4,6 +4,7 @@
 #ifndef LIBFORWARDING_ENDPOINT_TABLE_H_
 #define LIBFORWARDING_ENDPOINT_TABLE_H_
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <vector>
@@ -27,6 +28,9 @@
   // Returns nullptr if the endpoint is unknown. The pointer is valid until the
   // table changes.
   const Endpoint* Find(const core::RunnerId& id) const;
+  // Returns the endpoint whose id has this hash if it accepts new requests,
+  // otherwise nullptr. The pointer is valid as for Find.
+  const Endpoint* FindAvailable(uint64_t id_hash) const;
   // Records that the endpoint, in its life that began at `started_at_ms`,
   // announced that it is leaving. It does not become available again before it
   // restarts, whatever its registration says. Returns whether this is news.
--- a/Libraries/LibForwarding/forward_attempt.cc
+++ b/Libraries/LibForwarding/forward_attempt.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "LibCore/text.h"
+#include "LibForwarding/endpoint_notices.h"
 #include "LibForwarding/request_fingerprint.h"
 
 namespace wasabi::forwarding {
@@ -12,6 +13,8 @@
 // Time limit of a probe. A round trip to another data centre takes a few
 // milliseconds at most.
 constexpr core::Duration kProbeTimeout = core::milliseconds(300);
+// Maximum number of hosts that are asked to carry one request.
+constexpr size_t kMaxCarriers = 6;
 
 }  // namespace
 
@@ -25,12 +28,29 @@
 }
 
 void ForwardAttempt::Start(const AttemptOptions& options, Callbacks callbacks) {
+  options_ = options;
   callbacks_ = std::move(callbacks);
   is_active_ = true;
   started_at_ = context_->loop->Now();
   last_progress_at_ = started_at_;
   context_->loads->Start(endpoint_.id);
   context_->service_times.Start(endpoint_.pool, started_at_);
+  Send();
+}
+
+void ForwardAttempt::Send() {
+  AttemptOptions options = options_;
+  options.remaining -= context_->loop->Now() - started_at_;
+  http::OriginRequest request =
+      context_->endpoint_protocol->Encode(request_, endpoint_, options);
+  if (context_->path->is_lost() && !ChooseCarrier(&request)) {
+    context_->loop->Post([weak = weak_from_this()]() {
+      if (const auto self = weak.lock()) {
+        self->Finish(AttemptEnd::kNoPath);
+      }
+    });
+    return;
+  }
   const auto weak = weak_from_this();
   http::OriginCallbacks origin;
   origin.is_expected = [weak](const http::MessageHead& head) {
@@ -53,9 +73,22 @@
       self->OnCallEnd(end);
     }
   };
-  call_ = context_->client->Send(
-      context_->endpoint_protocol->Encode(request_, endpoint_, options),
-      std::move(origin));
+  call_ = context_->client->Send(request, std::move(origin));
+}
+
+bool ForwardAttempt::ChooseCarrier(http::OriginRequest* request) {
+  if (tried_carriers_.size() >= kMaxCarriers) {
+    return false;
+  }
+  carrier_ = context_->carriers->Choose(tried_carriers_, context_->loop->Now());
+  if (!carrier_) {
+    return false;
+  }
+  tried_carriers_.insert(carrier_->host);
+  request->tunnel = http::TunnelRoute{.carrier = carrier_->address,
+                                      .endpoint_hash = endpoint_.id.Hash()};
+  ++context_->metrics->Counter("forward_carried");
+  return true;
 }
 
 void ForwardAttempt::Cancel() {
@@ -63,7 +96,9 @@
     return;
   }
   Release();
-  call_->Cancel();
+  if (call_ != nullptr) {
+    call_->Cancel();
+  }
 }
 
 void ForwardAttempt::SetSilenceTimeout(core::Duration limit) {
@@ -84,49 +119,20 @@
 
 void ForwardAttempt::OnHead(const http::MessageHead& head) {
   last_progress_at_ = context_->loop->Now();
+  if (!carrier_ && !call_->is_reused()) {
+    context_->path->RecordConnected();
+  }
   const AttemptVerdict verdict =
       context_->endpoint_protocol->Classify(request_, head, call_->is_reused());
   const auto notice = context_->endpoint_protocol->NoticeIn(head);
   if (notice) {
-    RecordNotice(*notice);
-  }
-  if (notice && verdict != AttemptVerdict::kInvalid) {
-    RecordLimit(notice->max_per_second);
+    RecordNotice(context_, endpoint_, *notice,
+                 verdict != AttemptVerdict::kInvalid, request_.id.value());
   }
   const auto self = shared_from_this();
   callbacks_.on_head(verdict, head);
 }
 
-void ForwardAttempt::RecordNotice(const EndpointNotice& notice) {
-  if (notice.is_leaving && context_->endpoints->RecordDeparture(
-                               endpoint_.id, endpoint_.started_at_ms)) {
-    context_->events->Record(
-        core::EventCode::kRunnerLeaving, request_.id.value(),
-        fmt::format("endpoint={} started_at_ms={} announced in an answer",
-                    endpoint_.id.value(), endpoint_.started_at_ms));
-  }
-  if (notice.pause > core::Duration::zero()) {
-    context_->monitor->RecordPause(endpoint_.id,
-                                   context_->loop->Now() + notice.pause);
-    context_->events->Record(
-        core::EventCode::kEndpointPaused, request_.id.value(),
-        fmt::format("endpoint={} pause_ms={}", endpoint_.id.value(),
-                    core::ToMilliseconds(notice.pause)));
-  }
-}
-
-void ForwardAttempt::RecordLimit(std::optional<double> per_second) {
-  const bool was_limited = context_->permits->IsLimited(endpoint_.id);
-  context_->permits->RecordLimit(endpoint_.id, per_second,
-                                 context_->loop->Now());
-  if (was_limited != per_second.has_value()) {
-    context_->events->Record(
-        core::EventCode::kEndpointLimited, request_.id.value(),
-        fmt::format("endpoint={} max_per_second={}", endpoint_.id.value(),
-                    per_second ? fmt::format("{:.3f}", *per_second) : "none"));
-  }
-}
-
 void ForwardAttempt::RecordProgress() {
   last_progress_at_ = context_->loop->Now();
   has_probed_ = false;
@@ -149,8 +155,14 @@
       }
       return;
     case http::OriginOutcome::kNotSent:
-      context_->monitor->RecordUnreachable(endpoint_.id, now);
-      Finish(AttemptEnd::kNotSent);
+      OnNotSent();
+      return;
+    case http::OriginOutcome::kCarrierUnavailable:
+      context_->carriers->RecordUnavailable(carrier_->host, now);
+      Send();
+      return;
+    case http::OriginOutcome::kEndpointUnavailable:
+      Send();
       return;
     case http::OriginOutcome::kCut:
       FinishCut();
@@ -166,9 +178,39 @@
   }
 }
 
+void ForwardAttempt::OnNotSent() {
+  const bool was_direct = !carrier_;
+  RecordUnreachable();
+  if (was_direct && context_->path->is_lost()) {
+    // No byte was sent, so the request can take another way.
+    Send();
+    return;
+  }
+  Finish(AttemptEnd::kNotSent);
+}
+
+void ForwardAttempt::RecordUnreachable() {
+  if (!carrier_) {
+    context_->path->RecordFailure(endpoint_.id);
+  }
+  if (carrier_ || !context_->path->is_lost()) {
+    context_->monitor->RecordUnreachable(endpoint_.id, context_->loop->Now());
+  }
+}
+
+void ForwardAttempt::RecordFailure() {
+  const bool is_broken_way = carrier_ || context_->path->is_lost();
+  if (!is_broken_way) {
+    context_->monitor->RecordFailure(endpoint_.id, context_->loop->Now());
+  }
+}
+
 void ForwardAttempt::FinishCut() {
-  context_->monitor->RecordFailure(endpoint_.id, context_->loop->Now());
-  context_->crashes->RecordBrokenConnection(endpoint_, FingerprintOf(request_));
+  RecordFailure();
+  if (!carrier_) {
+    context_->crashes->RecordBrokenConnection(endpoint_,
+                                              FingerprintOf(request_));
+  }
   Finish(AttemptEnd::kCut);
 }
 
@@ -192,6 +234,11 @@
 
 void ForwardAttempt::StartProbe() {
   has_probed_ = true;
+  if (carrier_) {
+    // This host cannot probe the endpoint. A longer silence decides.
+    OnProbeEnd(true);
+    return;
+  }
   auto probe = http::TcpStream::Connect(context_->loop, endpoint_.address);
   if (!probe.ok()) {
     OnProbeEnd(false);
@@ -231,7 +278,7 @@
   if (is_reachable) {
     return;
   }
-  context_->monitor->RecordUnreachable(endpoint_.id, context_->loop->Now());
+  RecordUnreachable();
   Finish(AttemptEnd::kSilent);
 }
 
--- a/Libraries/LibForwarding/forward_attempt.h
+++ b/Libraries/LibForwarding/forward_attempt.h
@@ -1,6 +1,7 @@
-// Sends one request to one endpoint and receives the answer. While it is
-// active, the attempt counts towards the endpoint's load, and can detect that
-// the connection has gone silent.
+// Sends one request to one endpoint and receives the answer: directly, or
+// through another host while this host's own path is lost. While it is active,
+// the attempt counts towards the endpoint's load, and can detect that the
+// connection has gone silent.
 
 #ifndef LIBFORWARDING_FORWARD_ATTEMPT_H_
 #define LIBFORWARDING_FORWARD_ATTEMPT_H_
@@ -8,6 +9,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -26,6 +28,9 @@
   kAnswered,
   // The request was not sent, so it did not run.
   kNotSent,
+  // As kNotSent, because this host's path is lost and no other host can carry
+  // the request.
+  kNoPath,
   // The connection broke; the request may have run.
   kCut,
   // The endpoint sent a malformed answer; the request may have run.
@@ -79,14 +84,26 @@
   void SetReading(bool is_reading) { call_->SetReading(is_reading); }
 
   const Endpoint& endpoint() const { return endpoint_; }
+  // Returns the name of the host that carries the request, for log entries;
+  // "none" if it is sent directly.
+  std::string carrier_name() const {
+    return carrier_ ? carrier_->host.value() : "none";
+  }
   bool is_active() const { return is_active_; }
   core::TimePoint started_at() const { return started_at_; }
 
  private:
+  // Sends the request, by the way that is open now.
+  void Send();
+  // Sets the way through a carrier. Returns false if none is left.
+  bool ChooseCarrier(http::OriginRequest* request);
   void OnHead(const http::MessageHead& head);
-  void RecordNotice(const EndpointNotice& notice);
-  void RecordLimit(std::optional<double> per_second);
   void OnCallEnd(http::OriginOutcome end);
+  void OnNotSent();
+  // Records the failure of a connection to the endpoint, unless it rather tells
+  // of this host's path.
+  void RecordUnreachable();
+  void RecordFailure();
   void FinishCut();
   void OnSilenceTimeout();
   void StartProbe();
@@ -97,8 +114,12 @@
   ForwardContext* const context_;
   const ForwardRequest& request_;
   const Endpoint endpoint_;
+  AttemptOptions options_;
   Callbacks callbacks_;
   std::shared_ptr<http::OriginCall> call_;
+  // The host that carries the request; nullopt if it is sent directly.
+  std::optional<Carrier> carrier_;
+  std::set<core::HostId> tried_carriers_;
   std::unique_ptr<core::Timer> silence_timer_;
   std::shared_ptr<http::TcpStream> probe_;
   std::unique_ptr<core::Timer> probe_timer_;
--- a/Libraries/LibForwarding/forward_context.h
+++ b/Libraries/LibForwarding/forward_context.h
@@ -12,6 +12,7 @@
 #include "LibCore/event_ring.h"
 #include "LibCore/metrics.h"
 #include "LibCore/random_source.h"
+#include "LibForwarding/carrier_directory.h"
 #include "LibForwarding/crash_detector.h"
 #include "LibForwarding/crash_suspects.h"
 #include "LibForwarding/endpoint_monitor.h"
@@ -20,6 +21,7 @@
 #include "LibForwarding/endpoint_table.h"
 #include "LibForwarding/load_table.h"
 #include "LibForwarding/origin_history.h"
+#include "LibForwarding/path_prober.h"
 #include "LibForwarding/permit_exchange.h"
 #include "LibForwarding/prompt_holders.h"
 #include "LibForwarding/prompt_popularity.h"
@@ -45,6 +47,8 @@
   WaitQueue* waiting = nullptr;
   CrashSuspects* suspects = nullptr;
   CrashDetector* crashes = nullptr;
+  PathProber* path = nullptr;
+  CarrierDirectory* carriers = nullptr;
   PermitExchange* permits = nullptr;
   StreamOriginExchange* stream_origins = nullptr;
   core::RandomSource* random = nullptr;
--- a/Libraries/LibForwarding/forward_session.cc
+++ b/Libraries/LibForwarding/forward_session.cc
@@ -41,6 +41,8 @@
       return "answered";
     case AttemptEnd::kNotSent:
       return "not_sent";
+    case AttemptEnd::kNoPath:
+      return "no_path";
     case AttemptEnd::kCut:
       return "cut";
     case AttemptEnd::kMalformedAnswer:
@@ -425,11 +427,12 @@
   const Endpoint& endpoint = attempt_->endpoint();
   context_->events->Record(
       core::EventCode::kAttemptFailed, request_.id.value(),
-      fmt::format("endpoint={} software={} end={} status={} framing={} "
+      fmt::format("endpoint={} software={} carrier={} end={} status={} "
+                  "framing={} "
                   "partial_event_bytes={} ms={} load={} failure_share={:.2f} "
                   "sends={} endpoints_age_ms={}",
-                  endpoint.id.value(), endpoint.software_version, NameOf(end),
-                  head_.status,
+                  endpoint.id.value(), endpoint.software_version,
+                  attempt_->carrier_name(), NameOf(end), head_.status,
                   head_.status == 0 ? "none" : http::NameOf(head_.framing()),
                   splitter_.remainder().size(),
                   core::ToMilliseconds(Now() - attempt_->started_at()),
@@ -464,6 +467,9 @@
     case AttemptEnd::kNotSent:
       OnAttemptNotRun("the endpoint is unreachable");
       return;
+    case AttemptEnd::kNoPath:
+      OnNoPath();
+      return;
     case AttemptEnd::kCut:
     case AttemptEnd::kMalformedAnswer:
     case AttemptEnd::kOversizedAnswer:
@@ -506,6 +512,15 @@
   }
 }
 
+void ForwardSession::OnNoPath() {
+  if (runs_ > 0 || transaction_->is_started()) {
+    FailAfterRun();
+    return;
+  }
+  Refuse(core::ResultCode::kNoPath,
+         "neither this host nor another one can reach endpoints");
+}
+
 void ForwardSession::OnAttemptNotRun(std::string_view reason) {
   const bool has_sent = verdict_ == AttemptVerdict::kNotRun;
   const bool may_try = sends_ < kMaxSends && (!has_sent || TakeRetry());
@@ -653,18 +668,20 @@
   deadline_timer_.reset();
   std::string endpoint = "none";
   std::string software = "none";
+  std::string carrier = "none";
   if (attempt_ != nullptr) {
     endpoint = attempt_->endpoint().id.value();
     software = attempt_->endpoint().software_version;
+    carrier = attempt_->carrier_name();
     attempt_->Cancel();
   }
   context_->events->Record(
       core::EventCode::kRequestEnded, request_.id.value(),
-      fmt::format("outcome={} endpoint={} software={} resumed={} "
+      fmt::format("outcome={} endpoint={} software={} carrier={} resumed={} "
                   "prompt_source={} framing={} "
                   "partial_event_bytes={} sends={} runs={} ms={} version={} "
                   "endpoints_age_ms={}",
-                  outcome, endpoint, software,
+                  outcome, endpoint, software, carrier,
                   request_.resume_after.has_value(),
                   prompt_source_.empty() ? "none" : prompt_source_.value(),
                   head_.status == 0 ? "none" : http::NameOf(head_.framing()),
--- a/Libraries/LibForwarding/forward_session.h
+++ b/Libraries/LibForwarding/forward_session.h
@@ -66,6 +66,8 @@
   void OnAttemptEnd(AttemptEnd end);
   void RecordFailedAttempt(AttemptEnd end);
   void OnAnswered();
+  // Handles that neither this host nor another one could send the request.
+  void OnNoPath();
   void OnAttemptNotRun(std::string_view reason);
   void OnAttemptMayHaveRun();
   // Ends a request that may have run and is not sent again.
--- /dev/null
+++ b/Libraries/LibForwarding/tunnel.cc
@@ -0,0 +1,198 @@
+#include "LibForwarding/tunnel.h"
+
+#include <utility>
+
+#include "LibForwarding/endpoint_notices.h"
+#include "LibHttp/tunnel.h"
+
+namespace wasabi::forwarding {
+
+namespace {
+
+// Shorter than the time in which hosts expect an answer, so that they hear of
+// it.
+constexpr core::Duration kConnectTimeout = core::milliseconds(300);
+constexpr core::Duration kLingerTime = core::seconds(1);
+// Reading from one side pauses while the other has this many unsent bytes.
+constexpr size_t kMaxUnsentBytes = 64U << 10U;
+constexpr int kFirstFinalStatus = 200;
+
+void ApplyBackPressure(const http::TcpStream& to, http::TcpStream* from) {
+  if (to.unsent_bytes() >= kMaxUnsentBytes) {
+    from->SetReading(false);
+  }
+}
+
+}  // namespace
+
+Tunnel::Tunnel(ForwardContext* context,
+               std::shared_ptr<http::TcpStream> host,
+               Endpoint endpoint,
+               EndObserver on_end)
+    : context_(context),
+      host_(std::move(host)),
+      endpoint_(std::move(endpoint)),
+      on_end_(std::move(on_end)) {}
+
+void Tunnel::Start() {
+  const auto weak = weak_from_this();
+  // 1. The host's side is watched from the start: it may give up.
+  http::TcpStream::Callbacks host;
+  host.on_data = [weak](std::string_view bytes) {
+    if (const auto self = weak.lock()) {
+      self->OnHostData(bytes);
+    }
+  };
+  host.on_end = [weak](http::TcpStream::End /*end*/) {
+    if (const auto self = weak.lock()) {
+      self->End();
+    }
+  };
+  host.on_drained = [weak]() {
+    const auto self = weak.lock();
+    if (self != nullptr && self->endpoint_stream_ != nullptr) {
+      self->endpoint_stream_->SetReading(true);
+    }
+  };
+  host_->SetCallbacks(std::move(host));
+  // 2. The endpoint's side.
+  auto stream = http::TcpStream::Connect(context_->loop, endpoint_.address);
+  if (!stream.ok()) {
+    OnNotConnected();
+    return;
+  }
+  endpoint_stream_ = *std::move(stream);
+  http::TcpStream::Callbacks endpoint;
+  endpoint.on_connected = [weak]() {
+    if (const auto self = weak.lock()) {
+      self->OnConnected();
+    }
+  };
+  endpoint.on_data = [weak](std::string_view bytes) {
+    if (const auto self = weak.lock()) {
+      self->OnEndpointData(bytes);
+    }
+  };
+  endpoint.on_end = [weak](http::TcpStream::End end) {
+    if (const auto self = weak.lock()) {
+      self->OnEndpointEnd(end);
+    }
+  };
+  endpoint.on_drained = [weak]() {
+    if (const auto self = weak.lock()) {
+      self->host_->SetReading(true);
+    }
+  };
+  endpoint_stream_->Start(std::move(endpoint));
+  timer_ = context_->loop->NewTimer([weak]() {
+    if (const auto self = weak.lock()) {
+      self->OnNotConnected();
+    }
+  });
+  timer_->StartOnce(kConnectTimeout);
+}
+
+void Tunnel::OnConnected() {
+  is_connected_ = true;
+  timer_.reset();
+  context_->path->RecordConnected();
+  NewParser();
+  host_->Write(http::EncodeTunnelReply(http::TunnelReply::kOpen));
+}
+
+void Tunnel::OnNotConnected() {
+  context_->path->RecordFailure(endpoint_.id);
+  // A host whose own path is lost knows nothing of the endpoint.
+  host_->Write(http::EncodeTunnelReply(
+      context_->path->is_lost() ? http::TunnelReply::kCarrierUnavailable
+                                : http::TunnelReply::kEndpointUnreachable));
+  End();
+}
+
+void Tunnel::OnHostData(std::string_view bytes) {
+  if (!is_connected_) {
+    // Nothing may be sent before the reply.
+    End();
+    return;
+  }
+  endpoint_stream_->Write(bytes);
+  ApplyBackPressure(*endpoint_stream_, host_.get());
+}
+
+void Tunnel::OnEndpointData(std::string_view bytes) {
+  if (!has_head_) {
+    ReadNotices(bytes);
+  }
+  host_->Write(bytes);
+  ApplyBackPressure(*host_, endpoint_stream_.get());
+}
+
+void Tunnel::OnEndpointEnd(http::TcpStream::End end) {
+  if (!is_connected_) {
+    OnNotConnected();
+    return;
+  }
+  if (end == http::TcpStream::End::kBroken) {
+    // The host must be able to tell it from an orderly end.
+    host_->Abort();
+    End();
+    return;
+  }
+  endpoint_stream_->Close();
+  host_->ShutDownWriting();
+  timer_ = context_->loop->NewTimer([weak = weak_from_this()]() {
+    if (const auto self = weak.lock()) {
+      self->End();
+    }
+  });
+  timer_->StartOnce(kLingerTime);
+}
+
+void Tunnel::NewParser() {
+  http::MessageParser::Callbacks callbacks;
+  callbacks.on_head = [this](const http::MessageHead& head) {
+    if (head.status < kFirstFinalStatus) {
+      return;
+    }
+    has_head_ = true;
+    const auto notice = context_->endpoint_protocol->NoticeIn(head);
+    if (notice) {
+      RecordNotice(context_, endpoint_, *notice, true, "");
+    }
+  };
+  callbacks.on_body = [](std::string_view /*piece*/) {};
+  parser_ = std::make_unique<http::MessageParser>(
+      http::MessageKind::kResponse, http::ParserLimits(), std::move(callbacks));
+}
+
+void Tunnel::ReadNotices(std::string_view bytes) {
+  unparsed_.append(bytes);
+  while (!has_head_ && !unparsed_.empty()) {
+    const http::ParseResult result = parser_->Feed(&unparsed_);
+    if (result == http::ParseResult::kComplete) {
+      NewParser();
+      continue;
+    }
+    // The host finds out by itself that the answer is malformed.
+    has_head_ = has_head_ || result != http::ParseResult::kNeedMore;
+    break;
+  }
+  if (has_head_) {
+    unparsed_.clear();
+  }
+}
+
+void Tunnel::End() {
+  if (!on_end_) {
+    return;
+  }
+  const auto self = shared_from_this();
+  timer_.reset();
+  host_->Close();
+  if (endpoint_stream_ != nullptr) {
+    endpoint_stream_->Close();
+  }
+  std::exchange(on_end_, nullptr)(self);
+}
+
+}  // namespace wasabi::forwarding
--- /dev/null
+++ b/Libraries/LibForwarding/tunnel.h
@@ -0,0 +1,61 @@
+// One tunnel of TunnelServer. It relays bytes with backpressure, passes on how
+// the endpoint's connection ended, and reads the heads of the endpoint's
+// answers for notices that bind this host too.
+
+#ifndef LIBFORWARDING_TUNNEL_H_
+#define LIBFORWARDING_TUNNEL_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "LibForwarding/endpoint.h"
+#include "LibForwarding/forward_context.h"
+#include "LibHttp/message_parser.h"
+#include "LibHttp/tcp_stream.h"
+
+namespace wasabi::forwarding {
+
+class Tunnel : public std::enable_shared_from_this<Tunnel> {
+ public:
+  using EndObserver = std::function<void(const std::shared_ptr<Tunnel>&)>;
+
+  // `host` is the connection of the host that asked for the tunnel. `on_end` is
+  // called once, when both connections are closed.
+  Tunnel(ForwardContext* context,
+         std::shared_ptr<http::TcpStream> host,
+         Endpoint endpoint,
+         EndObserver on_end);
+
+  // Connects to the endpoint.
+  void Start();
+
+ private:
+  void OnConnected();
+  void OnNotConnected();
+  void OnHostData(std::string_view bytes);
+  void OnEndpointData(std::string_view bytes);
+  void OnEndpointEnd(http::TcpStream::End end);
+  void NewParser();
+  // Looks for notices in the head of the answer.
+  void ReadNotices(std::string_view bytes);
+  void End();
+
+  ForwardContext* const context_;
+  const std::shared_ptr<http::TcpStream> host_;
+  const Endpoint endpoint_;
+  EndObserver on_end_;
+  std::shared_ptr<http::TcpStream> endpoint_stream_;
+  // Limits the time for connecting, and that for the end of the host's side
+  // after the endpoint has closed its own.
+  std::unique_ptr<core::Timer> timer_;
+  std::unique_ptr<http::MessageParser> parser_;
+  std::string unparsed_;
+  bool is_connected_ = false;
+  bool has_head_ = false;
+};
+
+}  // namespace wasabi::forwarding
+
+#endif  // LIBFORWARDING_TUNNEL_H_
--- /dev/null
+++ b/Libraries/LibForwarding/tunnel_server.cc
@@ -0,0 +1,60 @@
+#include "LibForwarding/tunnel_server.h"
+
+#include <utility>
+
+#include "LibForwarding/tunnel.h"
+#include "LibHttp/tunnel.h"
+
+namespace wasabi::forwarding {
+
+namespace {
+
+// Bounds the connections and the memory that other hosts' requests may take.
+constexpr size_t kMaxTunnels = 256;
+
+}  // namespace
+
+TunnelServer::TunnelServer(ForwardContext* context) : context_(context) {}
+
+TunnelServer::~TunnelServer() = default;
+
+void TunnelServer::Open(const std::shared_ptr<http::Transaction>& transaction) {
+  const auto refuse = [&](http::TunnelReply reply) {
+    ++context_->metrics->Counter("tunnels_refused");
+    const auto stream = transaction->TakeOver();
+    if (stream != nullptr) {
+      stream->Write(http::EncodeTunnelReply(reply));
+      stream->Close();
+    }
+  };
+  if (is_stopping_ || context_->path->is_lost() ||
+      tunnels_.size() >= kMaxTunnels) {
+    refuse(http::TunnelReply::kCarrierUnavailable);
+    return;
+  }
+  const auto hash = http::EndpointHashOfTunnel(transaction->request().target);
+  const Endpoint* endpoint =
+      hash ? context_->endpoints->FindAvailable(*hash) : nullptr;
+  const core::TimePoint now = context_->loop->Now();
+  if (endpoint == nullptr ||
+      now < context_->monitor->PausedUntil(endpoint->id)) {
+    refuse(http::TunnelReply::kEndpointUnavailable);
+    return;
+  }
+  if (context_->monitor->IsDown(endpoint->id, now)) {
+    refuse(http::TunnelReply::kEndpointUnreachable);
+    return;
+  }
+  auto stream = transaction->TakeOver();
+  if (stream == nullptr) {
+    return;
+  }
+  const auto tunnel = std::make_shared<Tunnel>(
+      context_, std::move(stream), *endpoint,
+      [this](const std::shared_ptr<Tunnel>& it) { tunnels_.erase(it); });
+  tunnels_.insert(tunnel);
+  ++context_->metrics->Counter("tunnels_opened");
+  tunnel->Start();
+}
+
+}  // namespace wasabi::forwarding
--- a/Libraries/LibHttp/origin_client.cc
+++ b/Libraries/LibHttp/origin_client.cc
@@ -29,7 +29,8 @@
 
 std::shared_ptr<OriginCall> OriginClient::Send(const OriginRequest& request,
                                                OriginCallbacks callbacks) {
-  std::shared_ptr<OriginConnection> connection = TakeIdle(request);
+  std::shared_ptr<OriginConnection> connection =
+      request.tunnel ? nullptr : TakeIdle(request);
   if (connection == nullptr) {
     connection =
         std::make_shared<OriginConnection>(loop_, self_, request.address);
--- a/Libraries/LibHttp/origin_client.h
+++ b/Libraries/LibHttp/origin_client.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -19,14 +20,24 @@
 
 namespace wasabi::http {
 
+// The way to an endpoint through another host (see tunnel.h).
+struct TunnelRoute {
+  core::SocketAddress carrier;
+  uint64_t endpoint_hash = 0;
+};
+
 // A request to forward to an endpoint.
 struct OriginRequest {
   core::SocketAddress address;
+  // If set, the request goes through a new tunnel instead of a connection to
+  // `address`.
+  std::optional<TunnelRoute> tunnel = std::nullopt;
   std::string method;
   std::string target;
   // The client adds Content-Length where it is needed.
   Headers headers;
   std::string body;
+  // Time limit for a new connection, or for a new tunnel.
   core::Duration connect_timeout = core::milliseconds(400);
   // Idle connections are reused only if they were idle for less than this.
   core::Duration max_idle = core::seconds(3);
@@ -40,6 +51,10 @@
   kComplete,
   // The connection was not established, so no byte of the request was sent.
   kNotSent,
+  // No byte of the request was sent either: the tunnel's carrier cannot be
+  // reached or cannot carry requests, or it must not send this endpoint any.
+  kCarrierUnavailable,
+  kEndpointUnavailable,
   // The connection closed before the response was complete. The endpoint may
   // have processed the request.
   kCut,
--- a/Libraries/LibHttp/origin_connection.cc
+++ b/Libraries/LibHttp/origin_connection.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "LibCore/text.h"
+#include "LibHttp/tunnel.h"
 
 namespace wasabi::http {
 
@@ -81,29 +82,38 @@
   skipped_bytes_ = 0;
   ++call_count_;
   NewParser();
+  is_tunnel_ = request.tunnel.has_value();
   if (stream_ == nullptr) {
-    Connect(request.connect_timeout);
+    Connect(request);
   }
-  if (stream_ != nullptr) {
+  if (stream_ == nullptr) {
+    return;
+  }
+  if (is_tunnel_) {
+    unsent_request_ = Serialise(request);
+    stream_->Write(EncodeTunnelRequest(request.tunnel->endpoint_hash));
+  } else {
     stream_->Write(Serialise(request));
   }
 }
 
-void OriginConnection::Connect(core::Duration timeout) {
-  auto stream = TcpStream::Connect(loop_, address_);
+void OriginConnection::Connect(const OriginRequest& request) {
+  const OriginOutcome failure =
+      is_tunnel_ ? OriginOutcome::kCarrierUnavailable : OriginOutcome::kNotSent;
+  auto stream = TcpStream::Connect(
+      loop_, is_tunnel_ ? request.tunnel->carrier : address_);
   if (!stream.ok()) {
-    loop_->Post([self = shared_from_this()]() {
-      self->Finish(OriginOutcome::kNotSent);
-    });
+    loop_->Post(
+        [self = shared_from_this(), failure]() { self->Finish(failure); });
     return;
   }
   stream_ = *std::move(stream);
   const auto weak = weak_from_this();
   TcpStream::Callbacks callbacks;
   callbacks.on_connected = [weak]() {
-    if (const auto self = weak.lock()) {
-      self->is_connected_ = true;
-      self->connect_timer_.reset();
+    const auto self = weak.lock();
+    if (self != nullptr && !self->is_tunnel_) {
+      self->OnConnected();
     }
   };
   callbacks.on_data = [weak](std::string_view bytes) {
@@ -117,12 +127,39 @@
     }
   };
   stream_->Start(std::move(callbacks));
-  connect_timer_ = loop_->NewTimer([weak]() {
+  connect_timer_ = loop_->NewTimer([weak, failure]() {
     if (const auto self = weak.lock()) {
-      self->Finish(OriginOutcome::kNotSent);
+      self->Finish(failure);
     }
   });
-  connect_timer_->StartOnce(timeout);
+  connect_timer_->StartOnce(request.connect_timeout);
+}
+
+void OriginConnection::OnConnected() {
+  is_connected_ = true;
+  connect_timer_.reset();
+}
+
+void OriginConnection::OnTunnelReply() {
+  const auto reply = TakeTunnelReply(&input_);
+  if (!reply) {
+    return;
+  }
+  switch (*reply) {
+    case TunnelReply::kOpen:
+      OnConnected();
+      stream_->Write(std::exchange(unsent_request_, {}));
+      return;
+    case TunnelReply::kEndpointUnreachable:
+      Finish(OriginOutcome::kNotSent);
+      return;
+    case TunnelReply::kEndpointUnavailable:
+      Finish(OriginOutcome::kEndpointUnavailable);
+      return;
+    case TunnelReply::kCarrierUnavailable:
+      Finish(OriginOutcome::kCarrierUnavailable);
+      return;
+  }
 }
 
 void OriginConnection::Close() {
@@ -192,7 +229,10 @@
     return;
   }
   input_.append(bytes);
-  while (is_active_ && !input_.empty()) {
+  if (!is_connected_) {
+    OnTunnelReply();
+  }
+  while (is_active_ && is_connected_ && !input_.empty()) {
     const ParseResult result = parser_->Feed(&input_);
     if (is_active_ && HasTooMuchBefore()) {
       Finish(OriginOutcome::kOversized);
@@ -253,7 +293,8 @@
     return;
   }
   if (!is_connected_) {
-    Finish(OriginOutcome::kNotSent);
+    Finish(is_tunnel_ ? OriginOutcome::kCarrierUnavailable
+                      : OriginOutcome::kNotSent);
     return;
   }
   is_keep_alive_ = false;
@@ -273,7 +314,8 @@
   // If bytes follow the response, or the response was complete before the whole
   // request was sent, the connection is desynchronised and can't be reused.
   const bool is_reusable = end == OriginOutcome::kComplete && is_keep_alive_ &&
-                           input_.empty() && stream_->unsent_bytes() == 0;
+                           !is_tunnel_ && input_.empty() &&
+                           stream_->unsent_bytes() == 0;
   const auto callbacks =
       std::make_shared<OriginCallbacks>(std::exchange(callbacks_, {}));
   if (is_reusable) {
--- a/Libraries/LibHttp/origin_connection.h
+++ b/Libraries/LibHttp/origin_connection.h
@@ -36,7 +36,9 @@
   bool IsUsable(core::TimePoint now, core::Duration max_idle) const;
 
  private:
-  void Connect(core::Duration timeout);
+  void Connect(const OriginRequest& request);
+  void OnConnected();
+  void OnTunnelReply();
   void NewParser();
   void OnData(std::string_view bytes);
   void OnStreamEnd(TcpStream::End end);
@@ -63,8 +65,11 @@
   int interim_responses_ = 0;
   // Bytes of the bodies of skipped responses.
   uint64_t skipped_bytes_ = 0;
+  // The request that is sent once the tunnel is open.
+  std::string unsent_request_;
   bool is_active_ = false;
   bool is_connected_ = false;
+  bool is_tunnel_ = false;
   bool is_head_request_ = false;
   // The current response doesn't belong to the request.
   bool is_skipping_ = false;
--- a/Libraries/LibHttp/request_connection.cc
+++ b/Libraries/LibHttp/request_connection.cc
@@ -119,6 +119,19 @@
   CloseGracefully();
 }
 
+std::shared_ptr<TcpStream> RequestConnection::Release() {
+  const auto self = shared_from_this();
+  is_closing_ = true;
+  transaction_.reset();
+  TcpStream::Callbacks callbacks;
+  callbacks.on_data = [](std::string_view /*bytes*/) {};
+  stream_->SetCallbacks(std::move(callbacks));
+  if (callbacks_.on_closed) {
+    callbacks_.on_closed(this);
+  }
+  return stream_;
+}
+
 void RequestConnection::OnData(std::string_view bytes) {
   last_byte_at_ = loop_->Now();
   if (is_closing_) {
--- a/Libraries/LibHttp/request_connection.h
+++ b/Libraries/LibHttp/request_connection.h
@@ -75,6 +75,8 @@
   void OnAnswered();
   // Closes the connection after the bytes written so far.
   void AbortResponse();
+  // Ends this object's use of the connection and returns it.
+  std::shared_ptr<TcpStream> Release();
 
  private:
   void OnData(std::string_view bytes);
--- a/Libraries/LibHttp/tcp_stream.cc
+++ b/Libraries/LibHttp/tcp_stream.cc
@@ -139,6 +139,14 @@
   }
 }
 
+void TcpStream::Abort() {
+  if (is_open()) {
+    SetOption(descriptor_, SOL_SOCKET, SO_LINGER,
+              linger{.l_onoff = 1, .l_linger = 0});
+  }
+  Close();
+}
+
 void TcpStream::OnReady(bool is_readable, bool is_writable) {
   const auto self = shared_from_this();
   if (is_connecting_) {
--- a/Libraries/LibHttp/tcp_stream.h
+++ b/Libraries/LibHttp/tcp_stream.h
@@ -70,6 +70,8 @@
   void ShutDownWriting();
   // Closes the socket and discards buffered bytes.
   void Close();
+  // Does what Close does, and resets the connection.
+  void Abort();
   bool is_open() const { return descriptor_ >= 0; }
 
  private:
--- a/Libraries/LibHttp/transaction.cc
+++ b/Libraries/LibHttp/transaction.cc
@@ -115,6 +115,16 @@
   connection->OnAnswered();
 }
 
+std::shared_ptr<TcpStream> Transaction::TakeOver() {
+  const auto connection = connection_.lock();
+  if (connection == nullptr || is_started_ || is_finished_) {
+    return nullptr;
+  }
+  is_started_ = true;
+  is_finished_ = true;
+  return connection->Release();
+}
+
 void Transaction::Abort() {
   const auto connection = connection_.lock();
   if (connection == nullptr || is_finished_) {
--- a/Libraries/LibHttp/transaction.h
+++ b/Libraries/LibHttp/transaction.h
@@ -16,6 +16,7 @@
 namespace wasabi::http {
 
 class RequestConnection;
+class TcpStream;
 
 // A received request in its original form: the target is not decoded, and the
 // header fields keep their order and spelling.
@@ -63,6 +64,10 @@
   // Completes the response. If the body is shorter than its declared length,
   // the response is aborted instead.
   void Finish();
+  // Takes the connection away from the server, for a protocol other than HTTP.
+  // Returns nullptr if the connection is closed. To be called instead of a
+  // response. The caller must set the stream's callbacks.
+  std::shared_ptr<TcpStream> TakeOver();
   // Closes the connection after the bytes written so far without completing the
   // body, so that the client detects a truncated response.
   void Abort();
--- a/Services/Forwarder/fleet_controller.cc
+++ b/Services/Forwarder/fleet_controller.cc
@@ -44,6 +44,21 @@
   return hosts;
 }
 
+std::vector<forwarding::Carrier> CarriersOf(
+    const membership::MemberTable& table,
+    const core::HostId& self) {
+  std::vector<forwarding::Carrier> carriers;
+  for (const Member& it : table.members()) {
+    if (it.id != self && it.state == MemberState::kAlive &&
+        AcceptsRequests(it)) {
+      carriers.push_back({.host = it.id,
+                          .address = it.link_address,
+                          .data_centre = it.data_centre});
+    }
+  }
+  return carriers;
+}
+
 }  // namespace
 
 absl::StatusOr<std::unique_ptr<FleetController>> FleetController::Create(
@@ -180,6 +195,7 @@
   const std::vector<core::HostId> running = RunningHosts(*table);
   stream_origins_.SetHosts(running);
   permits_.SetHosts(running, host_count());
+  context_.carriers->SetCarriers(CarriersOf(*table, settings_.host));
 }
 
 void FleetController::AnnounceReady() {
--- a/Services/Forwarder/fleet_controller.h
+++ b/Services/Forwarder/fleet_controller.h
@@ -13,6 +13,7 @@
 #include "LibCore/event_loop.h"
 #include "LibCore/event_ring.h"
 #include "LibForwarding/adapter_set.h"
+#include "LibForwarding/carrier_directory.h"
 #include "LibForwarding/crash_exchange.h"
 #include "LibForwarding/crash_sync.h"
 #include "LibForwarding/load_exchange.h"
@@ -35,6 +36,7 @@
   const forwarding::AdapterSet* adapters = nullptr;
   forwarding::LoadTable* loads = nullptr;
   forwarding::CrashSuspects* suspects = nullptr;
+  forwarding::CarrierDirectory* carriers = nullptr;
 };
 
 class FleetController {
--- a/Services/Forwarder/forwarder_daemon.cc
+++ b/Services/Forwarder/forwarder_daemon.cc
@@ -8,6 +8,7 @@
 #include "LibCore/text.h"
 #include "LibCore/try.h"
 #include "LibForwarding/forward_session.h"
+#include "LibHttp/tunnel.h"
 
 namespace wasabi::forwarder {
 
@@ -61,7 +62,10 @@
                               settings.platform_address,
                               &events_)),
       scheduler_(loop),
-      crashes_(loop, &events_, &suspects_) {}
+      carriers_(settings.data_centre, random_.Next()),
+      path_(loop, &events_, &endpoints_, &carriers_, random_.Next()),
+      crashes_(loop, &events_, &suspects_, &path_),
+      tunnels_(&context_) {}
 
 ForwarderDaemon::~ForwarderDaemon() = default;
 
@@ -92,7 +96,8 @@
                                               .client = &platform_client_,
                                               .adapters = &adapters_,
                                               .loads = &loads_,
-                                              .suspects = &suspects_},
+                                              .suspects = &suspects_,
+                                              .carriers = &carriers_},
                                              settings_));
   fleet_->SetTopics(
       {{.view = configuration_->view(), .relay = configuration_->relay()},
@@ -143,6 +148,9 @@
   context_.waiting = &waiting_;
   context_.suspects = &suspects_;
   context_.crashes = &crashes_;
+  context_.path = &path_;
+  context_.carriers = &carriers_;
+  path_.SetLossObserver([this]() { monitor_.EndHoldDowns(); });
   context_.stream_origins = fleet_->stream_origins();
   context_.permits = fleet_->permits();
   context_.random = &random_;
@@ -154,6 +162,12 @@
   metrics_.Gauge("platform_calls", [this]() {
     return static_cast<double>(fleet_->topics().platform_calls());
   });
+  metrics_.Gauge("carriers",
+                 [this]() { return static_cast<double>(carriers_.size()); });
+  metrics_.Gauge("path_lost", [this]() { return path_.is_lost() ? 1.0 : 0.0; });
+  metrics_.Gauge("tunnels_open", [this]() {
+    return static_cast<double>(tunnels_.open_tunnels());
+  });
   metrics_.Gauge("endpoint_unsolicited_closes", [this]() {
     return static_cast<double>(origin_client_.unsolicited_closes());
   });
@@ -263,6 +277,10 @@
 void ForwarderDaemon::OnInternalRequest(const TransactionPointer& transaction) {
   constexpr std::string_view kTopics = "/v1/topics/";
   constexpr int kNotFound = 404;
+  if (transaction->request().method == http::kTunnelMethod) {
+    tunnels_.Open(transaction);
+    return;
+  }
   const std::string_view target = transaction->request().target;
   if (target == "/metrics") {
     transaction->Respond({.status = kOkStatus,
@@ -353,6 +371,7 @@
                  fmt::format("in_flight={}", callers_->open_transactions()));
   fleet_->AnnounceLeaving();
   callers_->CloseAfterResponses();
+  tunnels_.Stop();
 }
 
 void ForwarderDaemon::CheckShutdown() {
@@ -366,8 +385,9 @@
   }
   const core::Duration drain_limit = core::FromSeconds(
       core::ToSeconds(settings_.shutdown_grace) * kDrainShare);
-  const bool is_drained =
-      has_stopped_listening_ && callers_->open_transactions() == 0;
+  const bool is_drained = has_stopped_listening_ &&
+                          callers_->open_transactions() == 0 &&
+                          tunnels_.open_tunnels() == 0;
   if (!is_drained && elapsed < drain_limit) {
     return;
   }
--- a/Services/Forwarder/forwarder_daemon.h
+++ b/Services/Forwarder/forwarder_daemon.h
@@ -16,6 +16,7 @@
 #include "LibCore/random_source.h"
 #include "LibForwarding/adapter_set.h"
 #include "LibForwarding/forward_context.h"
+#include "LibForwarding/tunnel_server.h"
 #include "LibHttp/client.h"
 #include "LibHttp/origin_client.h"
 #include "LibHttp/request_server.h"
@@ -73,7 +74,7 @@
   void OnRequest(const TransactionPointer& transaction);
   void OnReadinessCheck(const TransactionPointer& transaction);
   void OnDiscovery(const TransactionPointer& transaction);
-  // Serves metrics, events, and copies of topics.
+  // Serves metrics, events, copies of topics, and tunnels.
   void OnInternalRequest(const TransactionPointer& transaction);
   void RespondError(const TransactionPointer& transaction,
                     const absl::Status& status);
@@ -106,6 +107,8 @@
   forwarding::CrashSuspects suspects_;
   // The sets of prompt parts that were refused at the last tick.
   std::set<std::vector<uint64_t>> logged_refused_parts_;
+  forwarding::CarrierDirectory carriers_;
+  forwarding::PathProber path_;
   forwarding::CrashDetector crashes_;
   forwarding::ForwardContext context_;
   std::unique_ptr<ConfigurationController> configuration_;
@@ -116,6 +119,7 @@
   std::unique_ptr<http::RequestServer> ready_;
   std::unique_ptr<http::RequestServer> discovery_;
   std::unique_ptr<http::RequestServer> internal_;
+  forwarding::TunnelServer tunnels_;
   std::unique_ptr<core::Timer> ticker_;
   bool is_announced_ = false;
   bool is_stopping_ = false;
