A failing test: brittle endpoints fall over below their capacity

Four hosts before two endpoints with eight slots, whose room for waiting requests shrinks to none and which crash after more than four requests turned away in a second.

--- a/Tests/Support/PlatformEndpoint/platform_endpoint.cc
+++ b/Tests/Support/PlatformEndpoint/platform_endpoint.cc
@@ -117,7 +117,8 @@
       expected && *expected != options_.id.value();
   const bool asks_for_pause = random_.Unit() < faults_.pause_share;
   if (!is_for_other_endpoint && !asks_for_pause &&
-      sessions_.size() < 2 * options_.slots) {
+      sessions_.size() <
+          options_.slots + faults_.waiting_room.value_or(options_.slots)) {
     return false;
   }
   run->end = RunEnd::kRefused;
@@ -134,11 +135,31 @@
     NameLimit(run, &answer.headers);
   }
   transaction->Respond(answer);
+  if (!is_for_other_endpoint && !asks_for_pause) {
+    RecordTurnedAway();
+  }
   return true;
 }
 
+void PlatformEndpoint::RecordTurnedAway() {
+  const core::TimePoint now = loop_->Now();
+  turned_away_at_.push_back(now);
+  while (now - turned_away_at_.front() > core::seconds(1)) {
+    turned_away_at_.pop_front();
+  }
+  if (faults_.brittle_limit > 0 &&
+      turned_away_at_.size() > faults_.brittle_limit) {
+    turned_away_at_.clear();
+    crash_observer_();
+  }
+}
+
 void PlatformEndpoint::NameLimit(EndpointRun* run,
                                  http::Headers* headers) const {
+  if (faults_.brittle_limit > 0) {
+    headers->Add(std::string(adapter::kBrittleHeader),
+                 fmt::format("{}", faults_.brittle_limit));
+  }
   if (faults_.limit > 0) {
     run->limit_named_at = loop_->Now();
     headers->Add(std::string(adapter::kLimitHeader),
--- a/Tests/Support/PlatformEndpoint/platform_endpoint.h
+++ b/Tests/Support/PlatformEndpoint/platform_endpoint.h
@@ -6,8 +6,10 @@
 
 #include <compare>
 #include <cstddef>
+#include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -35,6 +37,12 @@
   // Requests per second that the endpoint says it accepts from all hosts
   // together; 0 if it names no limit.
   double limit = 0;
+  // Requests that the endpoint says it can turn away in a second for want of
+  // room without falling over; 0 if it is not brittle.
+  size_t brittle_limit = 0;
+  // Requests that wait when all slots are taken; by default as many as there
+  // are slots.
+  std::optional<size_t> waiting_room = std::nullopt;
   // Added to the duration of each request or event.
   core::Duration delay = core::Duration::zero();
 
@@ -67,7 +75,8 @@
   PlatformEndpoint(const PlatformEndpoint&) = delete;
   PlatformEndpoint& operator=(const PlatformEndpoint&) = delete;
 
-  // Sets a callback for a request that crashes the endpoint.
+  // Sets a callback that is called when a request, or too many of them while it
+  // is brittle, crash the endpoint.
   void SetCrashObserver(std::function<void()> observer) {
     crash_observer_ = std::move(observer);
   }
@@ -93,7 +102,11 @@
   // Refuses a request that is addressed to another endpoint, exceeds the
   // capacity or falls into a pause. Returns true if it was refused.
   bool Refuse(const TransactionPointer& transaction, EndpointRun* run);
-  // Adds the limit of the endpoint, if it has one, to the headers of an answer.
+  // Records that a request was turned away for want of room. A brittle endpoint
+  // crashes after too many.
+  void RecordTurnedAway();
+  // Adds the limit of the endpoint, if it has one, and whether it is brittle,
+  // to the headers of an answer.
   void NameLimit(EndpointRun* run, http::Headers* headers) const;
   // Returns the headers that identify the answer of `run`.
   http::Headers AnswerHeaders(EndpointRun* run) const;
@@ -114,6 +127,8 @@
   core::RandomSource random_;
   EndpointFaults faults_;
   bool is_leaving_ = false;
+  // When requests were turned away for want of room, within the last second.
+  std::deque<core::TimePoint> turned_away_at_;
   std::set<SessionPointer> sessions_;
   std::unique_ptr<http::RequestServer> server_;
 };
