A permit whose answer comes late is not used

Cause: a process that was paused between its question for a permit and the answer acted on the answer when it went on, seconds later, before it ended the question. The granting host had long counted the permit in another window.

--- a/Libraries/LibForwarding/permit_exchange.cc
+++ b/Libraries/LibForwarding/permit_exchange.cc
@@ -248,7 +248,10 @@
                                       core::TimePoint now) {
   TRY_ASSIGN(const auto answer, core::Decode<PermitAnswer>(body));
   const auto it = questions_.find(answer.sequence);
-  if (it == questions_.end() || it->second.asked != from) {
+  // An answer that comes late, as after a pause of this process, may have run
+  // out.
+  if (it == questions_.end() || it->second.asked != from ||
+      now >= it->second.ends_at) {
     return absl::OkStatus();
   }
   const Question question = std::move(it->second);
