The hosts of a fleet share the places of brittle endpoints

What would be seen: endpoints that crash when they must turn away too many requests do so, since each host decides on loads of other hosts that are older than the work.

Cause: nothing bounded the requests of all hosts together at one endpoint. Change: an endpoint that says that it is brittle has its places (slots) granted by one host, the first in its rendezvous order. Each message states how many requests of the sender are in flight, so lost messages and new granting hosts are made up for. A host that gets no answer sends nothing; after three it takes the granting host for away and the first hosts have one place each. Without a place the request goes to another endpoint or is refused at once. LimitNews, taken out of PermitExchange, spreads the news. A host leaves its data centre for a carrier after the first one that cannot help.

--- a/Libraries/LibCore/event.cc
+++ b/Libraries/LibCore/event.cc
@@ -81,6 +81,9 @@
      "This host cannot connect to endpoints; other hosts carry its requests."},
     {EventCode::kPathRestored, "path_restored",
      "This host can connect to endpoints again."},
+    {EventCode::kEndpointBrittle, "endpoint_brittle",
+     "An endpoint said, or no longer says, that it crashes if it has to turn "
+     "away too many requests."},
     {EventCode::kIntentAppended, "intent_appended",
      "An intent to run a call was appended to its partition."},
     {EventCode::kIntentWon, "intent_won",
--- a/Libraries/LibCore/event.h
+++ b/Libraries/LibCore/event.h
@@ -51,6 +51,7 @@
   kEndpointLimited = 319,
   kPathLost = 320,
   kPathRestored = 321,
+  kEndpointBrittle = 322,
   // 4xx: the ledger of non-repeatable calls.
   kIntentAppended = 400,
   kIntentWon = 401,
--- a/Libraries/LibForwarding/carrier_directory.h
+++ b/Libraries/LibForwarding/carrier_directory.h
@@ -42,9 +42,10 @@
   // while.
   void RecordUnavailable(const core::HostId& host, core::TimePoint now);
 
-  // Returns a random host that is not in `tried`, one of this host's data
-  // centre if possible; nullopt if none is left. Each call may return another
-  // one, so that the carriers share the work.
+  // Returns a random host that is not in `tried`: one of this host's data
+  // centre first, unless hosts there could not help lately. Returns nullopt if
+  // none is left. Each call may return another one, so that carriers share the
+  // work.
   std::optional<Carrier> Choose(const std::set<core::HostId>& tried,
                                 core::TimePoint now);
 
--- a/Libraries/LibForwarding/endpoint_chooser.cc
+++ b/Libraries/LibForwarding/endpoint_chooser.cc
@@ -118,8 +118,9 @@
 
 core::TimePoint EndpointChooser::ClosedUntil(
     const core::RunnerId& endpoint) const {
-  return std::max(context_->monitor->PausedUntil(endpoint),
-                  context_->permits->ExhaustedUntil(endpoint));
+  return std::max({context_->monitor->PausedUntil(endpoint),
+                   context_->permits->ExhaustedUntil(endpoint),
+                   context_->places->FullUntil(endpoint)});
 }
 
 std::optional<core::TimePoint> EndpointChooser::ClosedUntil(
--- a/Libraries/LibForwarding/endpoint_chooser.h
+++ b/Libraries/LibForwarding/endpoint_chooser.h
@@ -67,7 +67,7 @@
 
  private:
   // Returns the time until which an endpoint wants no requests, or has no
-  // permit for them. It may have passed.
+  // permit or place for them. It may have passed.
   core::TimePoint ClosedUntil(const core::RunnerId& endpoint) const;
   // Returns the endpoints that accept requests and can serve this one.
   std::vector<const Endpoint*> Suitable() const;
--- a/Libraries/LibForwarding/endpoint_counts.cc
+++ b/Libraries/LibForwarding/endpoint_counts.cc
@@ -39,8 +39,12 @@
 }
 
 uint32_t EndpointKeyOf(const core::RunnerId& endpoint) {
+  return EndpointKeyOf(endpoint.Hash());
+}
+
+uint32_t EndpointKeyOf(uint64_t id_hash) {
   constexpr uint64_t kKeyMask = (1U << kEndpointKeyBits) - 1;
-  return static_cast<uint32_t>(endpoint.Hash() & kKeyMask);
+  return static_cast<uint32_t>(id_hash & kKeyMask);
 }
 
 }  // namespace wasabi::forwarding
--- a/Libraries/LibForwarding/endpoint_counts.h
+++ b/Libraries/LibForwarding/endpoint_counts.h
@@ -17,6 +17,7 @@
 // Returns a short hash of an endpoint's id. If the keys of two endpoints
 // collide, each appears to have the sum of both loads.
 uint32_t EndpointKeyOf(const core::RunnerId& endpoint);
+uint32_t EndpointKeyOf(uint64_t id_hash);
 
 // Number of requests by endpoint key (EndpointKeyOf). Endpoints without
 // requests are omitted.
--- a/Libraries/LibForwarding/endpoint_notices.cc
+++ b/Libraries/LibForwarding/endpoint_notices.cc
@@ -44,6 +44,20 @@
   }
 }
 
+void RecordBrittle(ForwardContext* context,
+                   const Endpoint& endpoint,
+                   bool is_brittle,
+                   const std::string& request_id) {
+  const bool was_brittle = context->places->IsBrittle(endpoint.id);
+  context->places->RecordBrittle(endpoint, is_brittle, context->loop->Now());
+  if (was_brittle != is_brittle) {
+    context->events->Record(
+        core::EventCode::kEndpointBrittle, request_id,
+        fmt::format("endpoint={} is_brittle={} slots={}", endpoint.id.value(),
+                    is_brittle, endpoint.slots));
+  }
+}
+
 }  // namespace
 
 void RecordNotice(ForwardContext* context,
@@ -59,6 +73,7 @@
   }
   if (is_valid) {
     RecordLimit(context, endpoint, notice.max_per_second, request_id);
+    RecordBrittle(context, endpoint, notice.is_brittle, request_id);
   }
 }
 
--- a/Libraries/LibForwarding/endpoint_notices.h
+++ b/Libraries/LibForwarding/endpoint_notices.h
@@ -1,5 +1,6 @@
 // Records what endpoints say about themselves in the heads of their answers:
-// that they leave, that they want a pause, and the limit that they accept.
+// that they leave, that they want a pause, the limit that they accept, and that
+// they are brittle.
 
 #ifndef LIBFORWARDING_ENDPOINT_NOTICES_H_
 #define LIBFORWARDING_ENDPOINT_NOTICES_H_
@@ -14,7 +15,7 @@
 namespace wasabi::forwarding {
 
 // Records `notice` of `endpoint`, which an answer to the request `request_id`
-// has brought. A limit counts only in an answer that `is_valid`.
+// has brought. Limits and brittleness count only in an answer that `is_valid`.
 void RecordNotice(ForwardContext* context,
                   const Endpoint& endpoint,
                   const EndpointNotice& notice,
--- a/Libraries/LibForwarding/forward_attempt.cc
+++ b/Libraries/LibForwarding/forward_attempt.cc
@@ -307,6 +307,7 @@
     probe_.reset();
   }
   context_->loads->Finish(endpoint_.id);
+  context_->places->OnFinished(endpoint_.id, context_->loop->Now());
   context_->service_times.Finish(endpoint_.pool, context_->loop->Now());
 }
 
--- a/Libraries/LibForwarding/forward_context.h
+++ b/Libraries/LibForwarding/forward_context.h
@@ -23,6 +23,7 @@
 #include "LibForwarding/origin_history.h"
 #include "LibForwarding/path_prober.h"
 #include "LibForwarding/permit_exchange.h"
+#include "LibForwarding/place_exchange.h"
 #include "LibForwarding/prompt_holders.h"
 #include "LibForwarding/prompt_popularity.h"
 #include "LibForwarding/protocols.h"
@@ -50,6 +51,7 @@
   PathProber* path = nullptr;
   CarrierDirectory* carriers = nullptr;
   PermitExchange* permits = nullptr;
+  PlaceExchange* places = nullptr;
   StreamOriginExchange* stream_origins = nullptr;
   core::RandomSource* random = nullptr;
   SelectionPolicy selection;
--- a/Libraries/LibForwarding/forward_session.cc
+++ b/Libraries/LibForwarding/forward_session.cc
@@ -181,7 +181,9 @@
   if (endpoint == nullptr) {
     return false;
   }
-  if (context_->permits->IsLimited(endpoint->id)) {
+  if (context_->places->IsBrittle(endpoint->id)) {
+    AskForPlace(*endpoint);
+  } else if (context_->permits->IsLimited(endpoint->id)) {
     AskForPermit(*endpoint);
   } else {
     StartAttempt(*endpoint);
@@ -189,6 +191,19 @@
   return true;
 }
 
+void ForwardSession::AskForPlace(const Endpoint& endpoint) {
+  LeaveQueue();
+  context_->places->Acquire(
+      endpoint.id, Now(), [weak = weak_from_this(), endpoint](bool is_granted) {
+        const auto self = weak.lock();
+        if (self != nullptr && !self->has_ended_ && is_granted) {
+          self->AskForPermit(endpoint);
+        } else if (self != nullptr && !self->has_ended_) {
+          self->OnPermitDenied();
+        }
+      });
+}
+
 void ForwardSession::AskForPermit(const Endpoint& endpoint) {
   LeaveQueue();
   context_->permits->Acquire(
@@ -199,9 +214,11 @@
         }
         if (is_granted) {
           self->StartAttempt(endpoint);
-        } else {
-          self->OnPermitDenied();
+          return;
         }
+        // A place that was granted stays free.
+        self->context_->places->OnFinished(endpoint.id, self->Now());
+        self->OnPermitDenied();
       });
 }
 
--- a/Libraries/LibForwarding/forward_session.h
+++ b/Libraries/LibForwarding/forward_session.h
@@ -53,9 +53,12 @@
   bool DispatchOrRefuse();
   void Wait();
   void LeaveQueue();
-  // Starts an attempt once the endpoint's limit permits it.
+  // Starts an attempt once the endpoint has a place for it, if it is brittle,
+  // and its limit permits it.
+  void AskForPlace(const Endpoint& endpoint);
   void AskForPermit(const Endpoint& endpoint);
-  // Handles that the limit of the chosen endpoint permits no request now.
+  // Handles that the chosen endpoint has no place, or its limit permits no
+  // request now.
   void OnPermitDenied();
   void StartAttempt(const Endpoint& endpoint);
 
--- a/Libraries/LibForwarding/load_table.cc
+++ b/Libraries/LibForwarding/load_table.cc
@@ -74,8 +74,8 @@
   return own + total - std::min(total, total_->own_counts.Of(key));
 }
 
-uint32_t LoadTable::OwnLoad(const core::RunnerId& endpoint) const {
-  return own_counts_.Of(EndpointKeyOf(endpoint));
+uint32_t LoadTable::OwnLoad(uint64_t id_hash) const {
+  return own_counts_.Of(EndpointKeyOf(id_hash));
 }
 
 LoadReport LoadTable::MakeReport() {
--- a/Libraries/LibForwarding/load_table.h
+++ b/Libraries/LibForwarding/load_table.h
@@ -42,7 +42,11 @@
   // Returns the number of requests of the whole fleet at an endpoint.
   uint32_t Load(const core::RunnerId& endpoint) const;
   // Returns the number of requests of this host alone.
-  uint32_t OwnLoad(const core::RunnerId& endpoint) const;
+  uint32_t OwnLoad(const core::RunnerId& endpoint) const {
+    return OwnLoad(endpoint.Hash());
+  }
+  // The same for the endpoint whose id has this hash.
+  uint32_t OwnLoad(uint64_t id_hash) const;
   // Returns this host's own report with the next sequence number.
   LoadReport MakeReport();
   // Returns whether the own counts differ from those of the last report.
--- a/Libraries/LibForwarding/permit_exchange.cc
+++ b/Libraries/LibForwarding/permit_exchange.cc
@@ -23,15 +23,13 @@
 constexpr core::Duration kMaxWait = core::seconds(5);
 // The bucket of an endpoint that nobody asked for is dropped after this time.
 constexpr core::Duration kBucketLifetime = core::seconds(10);
-constexpr int kSends = 3;
-constexpr core::Duration kReportInterval = core::milliseconds(150);
-// Reports that fit in a datagram, at 22 bytes each.
-constexpr size_t kMaxReportsPerDatagram = 50;
 
 }  // namespace
 
 PermitExchange::PermitExchange(core::HostId self, SendFunction send)
-    : self_(std::move(self)), send_(std::move(send)) {
+    : self_(std::move(self)),
+      send_(std::move(send)),
+      limits_(self_, ApplicationKind::kEndpointLimits, send_) {
   SetHosts({self_}, 1);
 }
 
@@ -53,10 +51,7 @@
 void PermitExchange::RecordLimit(const core::RunnerId& endpoint,
                                  std::optional<double> per_second,
                                  core::TimePoint now) {
-  const uint64_t key = endpoint.Hash();
-  if (limits_.Record(key, per_second, now)) {
-    QueueReport(key);
-  }
+  limits_.Record(endpoint.Hash(), per_second, now);
 }
 
 void PermitExchange::Forget(const core::RunnerId& endpoint) {
@@ -169,56 +164,7 @@
   });
   absl::erase_if(exhausted_until_,
                  [now](const auto& it) { return now >= it.second; });
-  limits_.Expire(now);
-  SendReports(now);
-}
-
-void PermitExchange::QueueReport(uint64_t endpoint) {
-  const int sends = peers_.PassesReportsOn(self_) ? 1 : kSends;
-  for (PendingReport& it : pending_) {
-    if (it.endpoint == endpoint) {
-      it.remaining_sends = sends;
-      return;
-    }
-  }
-  pending_.push_back({.endpoint = endpoint, .remaining_sends = sends});
-}
-
-void PermitExchange::SendReports(core::TimePoint now) {
-  if (now < next_reports_at_ || pending_.empty()) {
-    return;
-  }
-  next_reports_at_ = now + kReportInterval;
-  const std::vector<core::HostId> receivers = peers_.ReceiversOf(self_);
-  LimitReports reports;
-  const auto send = [&]() {
-    send_(receivers, ApplicationKind::kEndpointLimits, core::Encode(reports));
-    reports.limits.clear();
-  };
-  for (PendingReport& it : pending_) {
-    --it.remaining_sends;
-    reports.limits.push_back(limits_.ReportOf(it.endpoint, now));
-    if (reports.limits.size() == kMaxReportsPerDatagram) {
-      send();
-    }
-  }
-  if (!reports.limits.empty()) {
-    send();
-  }
-  std::erase_if(pending_, [](const PendingReport& it) {
-    return it.remaining_sends <= 0;
-  });
-}
-
-absl::Status PermitExchange::OnReports(std::string_view body,
-                                       core::TimePoint now) {
-  TRY_ASSIGN(const auto reports, core::Decode<LimitReports>(body));
-  for (const LimitReport& it : reports.limits) {
-    if (limits_.Merge(it, now) && peers_.PassesReportsOn(self_)) {
-      QueueReport(it.endpoint);
-    }
-  }
-  return absl::OkStatus();
+  limits_.Tick(now);
 }
 
 absl::Status PermitExchange::OnQuestion(const core::HostId& from,
--- a/Libraries/LibForwarding/permit_exchange.h
+++ b/Libraries/LibForwarding/permit_exchange.h
@@ -26,7 +26,7 @@
 #include "LibCore/rendezvous.h"
 #include "LibCore/time.h"
 #include "LibForwarding/endpoint_limit.h"
-#include "LibForwarding/limit_table.h"
+#include "LibForwarding/limit_news.h"
 #include "LibForwarding/permit_bucket.h"
 #include "LibForwarding/report_peers.h"
 #include "LibMembership/application_kind.h"
@@ -47,7 +47,7 @@
   // Sets the running hosts that this host sees, itself included, and the number
   // of hosts of the whole fleet, which may include some that it cannot reach.
   void SetHosts(const std::vector<core::HostId>& running, size_t fleet_size);
-  void SetPeers(ReportPeers peers) { peers_ = std::move(peers); }
+  void SetPeers(ReportPeers peers) { limits_.SetPeers(std::move(peers)); }
 
   // Records the limit in an answer: requests per second, or nullopt if there is
   // none.
@@ -72,7 +72,9 @@
   void Tick(core::TimePoint now);
 
   // Handle a datagram of another host. Errors: kMalformedMessage.
-  absl::Status OnReports(std::string_view body, core::TimePoint now);
+  absl::Status OnReports(std::string_view body, core::TimePoint now) {
+    return limits_.OnReports(body, now);
+  }
   absl::Status OnQuestion(const core::HostId& from,
                           std::string_view body,
                           core::TimePoint now);
@@ -88,12 +90,6 @@
     Callback callback;
     core::TimePoint ends_at;
   };
-  // Reports of changed limits, sent several times because datagrams get lost.
-  struct PendingReport {
-    uint64_t endpoint = 0;
-    int remaining_sends = 0;
-  };
-
   // Returns the host that grants the permits of an endpoint; empty if no host
   // is known.
   core::HostId GranterOf(uint64_t endpoint) const;
@@ -105,17 +101,14 @@
   // Takes a permit of this host's own share, without asking.
   bool TakeOwnShare(uint64_t endpoint, core::TimePoint now);
   void Exhaust(uint64_t endpoint, core::Duration wait, core::TimePoint now);
-  void QueueReport(uint64_t endpoint);
-  void SendReports(core::TimePoint now);
 
   const core::HostId self_;
   const SendFunction send_;
-  ReportPeers peers_;
   std::vector<core::HostId> running_;
   std::vector<core::RendezvousCandidate> candidates_;
   size_t fleet_size_ = 1;
 
-  LimitTable limits_;
+  LimitNews limits_;
   absl::flat_hash_map<uint64_t, PermitBucket> buckets_;
   absl::flat_hash_map<uint64_t, core::TimePoint> exhausted_until_;
   // The last turn in which this host used its own share of an endpoint.
@@ -124,8 +117,6 @@
   std::map<core::HostId, core::TimePoint> silent_until_;
   std::map<uint64_t, Question> questions_;
   uint64_t sequence_ = 0;
-  std::vector<PendingReport> pending_;
-  core::TimePoint next_reports_at_{};
 };
 
 }  // namespace wasabi::forwarding
--- /dev/null
+++ b/Libraries/LibForwarding/place_exchange.h
@@ -0,0 +1,144 @@
+// Keeps the hosts of a fleet together within the places of brittle endpoints,
+// which crash when they have to turn away too many requests for want of room.
+// Decision code without I/O: the caller supplies the time, the hosts and a
+// function that sends datagrams.
+//
+// The places of an endpoint are granted by one host, the first in the
+// rendezvous order of the endpoint. Every message to it says how many requests
+// of the sender are in flight there, so that lost messages, restarts and a new
+// granting host are made up for by the next one.
+
+#ifndef LIBFORWARDING_PLACE_EXCHANGE_H_
+#define LIBFORWARDING_PLACE_EXCHANGE_H_
+
+#include <functional>
+#include <map>
+#include <set>
+#include <string_view>
+#include <vector>
+
+#include "LibCore/identifier.h"
+#include "LibCore/rendezvous.h"
+#include "LibCore/time.h"
+#include "LibForwarding/endpoint.h"
+#include "LibForwarding/limit_news.h"
+#include "LibForwarding/place_message.h"
+#include "LibForwarding/report_peers.h"
+#include "absl/container/flat_hash_map.h"
+#include "absl/status/status.h"
+
+namespace wasabi::forwarding {
+
+class PlaceExchange {
+ public:
+  using SendFunction = LimitNews::SendFunction;
+  using Callback = std::function<void(bool is_granted)>;
+  // Returns the number of this host's requests in flight at the endpoint whose
+  // id has this hash.
+  using InFlightFunction = std::function<uint32_t(uint64_t endpoint)>;
+
+  PlaceExchange(core::HostId self,
+                InFlightFunction in_flight,
+                SendFunction send);
+
+  // As for PermitExchange.
+  void SetHosts(const std::vector<core::HostId>& running, size_t fleet_size);
+  void SetPeers(ReportPeers peers) { brittle_.SetPeers(std::move(peers)); }
+
+  // Records whether an answer of the endpoint says that it is brittle.
+  void RecordBrittle(const Endpoint& endpoint,
+                     bool is_brittle,
+                     core::TimePoint now);
+  // Discards what is known of an endpoint that was removed or has restarted.
+  void Forget(const core::RunnerId& endpoint);
+
+  bool IsBrittle(const core::RunnerId& endpoint) const {
+    return brittle_.Find(endpoint.Hash()).has_value();
+  }
+  // Returns the time until which the endpoint has no place, which may have
+  // passed.
+  core::TimePoint FullUntil(const core::RunnerId& endpoint) const;
+  // Asks for a place for one request that starts at once if it is granted.
+  // Calls `callback` once, possibly at once.
+  void Acquire(const core::RunnerId& endpoint,
+               core::TimePoint now,
+               Callback callback);
+  // Reports that a request of this host has ended, or does not start although
+  // its place was granted.
+  void OnFinished(const core::RunnerId& endpoint, core::TimePoint now);
+
+  // Sends what is due, and ends questions that got no answer. Must be called
+  // every few ten milliseconds.
+  void Tick(core::TimePoint now);
+
+  // Handle a datagram of another host. Errors: kMalformedMessage.
+  absl::Status OnNews(std::string_view body, core::TimePoint now) {
+    return brittle_.OnReports(body, now);
+  }
+  absl::Status OnQuestion(const core::HostId& from,
+                          std::string_view body,
+                          core::TimePoint now);
+  absl::Status OnAnswer(const core::HostId& from,
+                        std::string_view body,
+                        core::TimePoint now);
+  absl::Status OnReport(const core::HostId& from,
+                        std::string_view body,
+                        core::TimePoint now);
+
+ private:
+  // A question that waits for its answer.
+  struct Question {
+    uint64_t endpoint = 0;
+    core::HostId asked;
+    Callback callback;
+    core::TimePoint ends_at;
+  };
+  // The requests in flight of one host at one endpoint.
+  struct Holder {
+    uint64_t sequence = 0;
+    uint32_t in_flight = 0;
+    core::TimePoint heard_at;
+  };
+
+  core::HostId GranterOf(uint64_t endpoint) const;
+  // Returns the requests in flight of this host, and those that wait for an
+  // answer.
+  uint32_t OwnDemand(uint64_t endpoint) const;
+  // Records what a host said. Returns the holder.
+  Holder& RecordHolder(const core::HostId& host,
+                       const PlaceReport& report,
+                       core::TimePoint now);
+  // Grants a place to `host` if one is free.
+  bool Grant(const core::HostId& host,
+             const PlaceReport& report,
+             core::TimePoint now);
+  // Returns whether this host may send a request without asking.
+  bool HasOwnPlace(uint64_t endpoint) const;
+  void Deny(uint64_t endpoint, core::TimePoint now);
+  PlaceReport MakeReport(uint64_t endpoint, core::TimePoint now);
+  void SendReport(uint64_t endpoint, core::TimePoint now);
+
+  const core::HostId self_;
+  const InFlightFunction in_flight_;
+  const SendFunction send_;
+  std::vector<core::HostId> running_;
+  std::vector<core::RendezvousCandidate> candidates_;
+  size_t fleet_size_ = 1;
+
+  // The slots of the endpoints that are brittle.
+  LimitNews brittle_;
+  absl::flat_hash_map<uint64_t, std::map<core::HostId, Holder>> holders_;
+  absl::flat_hash_map<uint64_t, core::TimePoint> full_until_;
+  // Endpoints at which this host has, or had at the last report, requests.
+  std::set<uint64_t> reported_;
+  std::map<uint64_t, Question> questions_;
+  std::map<core::HostId, core::TimePoint> silent_until_;
+  // Questions in a row that each host has not answered.
+  std::map<core::HostId, int> unanswered_;
+  uint64_t sequence_ = 0;
+  core::TimePoint next_reports_at_{};
+};
+
+}  // namespace wasabi::forwarding
+
+#endif  // LIBFORWARDING_PLACE_EXCHANGE_H_
--- a/Libraries/LibForwarding/protocols.h
+++ b/Libraries/LibForwarding/protocols.h
@@ -76,6 +76,9 @@
   // Requests per second that the endpoint accepts from all hosts together;
   // nullopt if it announces no limit.
   std::optional<double> max_per_second = {};
+  // The endpoint crashes if it has to turn away too many requests for want of
+  // room.
+  bool is_brittle = false;
 
   auto operator<=>(const EndpointNotice&) const = default;
 };
--- a/Libraries/LibMembership/application_kind.h
+++ b/Libraries/LibMembership/application_kind.h
@@ -29,6 +29,10 @@
   kEndpointLimits = 89,
   kPermitQuestion = 90,
   kPermitAnswer = 91,
+  kBrittleEndpoints = 92,
+  kPlaceQuestion = 93,
+  kPlaceAnswer = 94,
+  kPlaceReport = 95,
 };
 
 }  // namespace wasabi::membership
--- a/Services/Forwarder/fleet_controller.cc
+++ b/Services/Forwarder/fleet_controller.cc
@@ -85,6 +85,12 @@
                   SendFunction()),
       stream_origins_(settings.host, SendFunction()),
       permits_(settings.host, SendFunction()),
+      places_(
+          settings.host,
+          [loads = context.loads](uint64_t endpoint) {
+            return loads->OwnLoad(endpoint);
+          },
+          SendFunction()),
       fleet_topic_(context.adapters,
                    context.scheduler,
                    context.events,
@@ -177,6 +183,22 @@
          [this](const Member& from, std::string_view body) {
            return permits_.OnAnswer(from.id, body, context_.loop->Now());
          });
+  handle(ApplicationKind::kBrittleEndpoints,
+         [this](const Member& /*from*/, std::string_view body) {
+           return places_.OnNews(body, context_.loop->Now());
+         });
+  handle(ApplicationKind::kPlaceQuestion,
+         [this](const Member& from, std::string_view body) {
+           return places_.OnQuestion(from.id, body, context_.loop->Now());
+         });
+  handle(ApplicationKind::kPlaceAnswer,
+         [this](const Member& from, std::string_view body) {
+           return places_.OnAnswer(from.id, body, context_.loop->Now());
+         });
+  handle(ApplicationKind::kPlaceReport,
+         [this](const Member& from, std::string_view body) {
+           return places_.OnReport(from.id, body, context_.loop->Now());
+         });
 }
 
 void FleetController::UpdateRoles() {
@@ -192,9 +214,11 @@
   crash_exchange_.SetPeers(peers);
   crash_sync_.SetHosts(peers.fleet);
   permits_.SetPeers(peers);
+  places_.SetPeers(peers);
   const std::vector<core::HostId> running = RunningHosts(*table);
   stream_origins_.SetHosts(running);
   permits_.SetHosts(running, host_count());
+  places_.SetHosts(running, host_count());
   context_.carriers->SetCarriers(CarriersOf(*table, settings_.host));
 }
 
@@ -245,6 +269,7 @@
   crash_sync_.Tick(context_.loop->Now());
   stream_origins_.Tick(context_.loop->Now());
   permits_.Tick(context_.loop->Now());
+  places_.Tick(context_.loop->Now());
 }
 
 TopicController::SendFunction FleetController::SendFunction() {
--- a/Services/Forwarder/fleet_controller.h
+++ b/Services/Forwarder/fleet_controller.h
@@ -18,6 +18,7 @@
 #include "LibForwarding/crash_sync.h"
 #include "LibForwarding/load_exchange.h"
 #include "LibForwarding/permit_exchange.h"
+#include "LibForwarding/place_exchange.h"
 #include "LibForwarding/stream_origin_exchange.h"
 #include "LibHttp/client.h"
 #include "LibMembership/gossip_node.h"
@@ -70,6 +71,7 @@
   }
 
   forwarding::PermitExchange* permits() { return &permits_; }
+  forwarding::PlaceExchange* places() { return &places_; }
 
   // Returns the age that the known load of another host may reach.
   core::Duration max_load_age() const { return load_exchange_.MaxAge(); }
@@ -102,6 +104,7 @@
   forwarding::CrashSync crash_sync_;
   forwarding::StreamOriginExchange stream_origins_;
   forwarding::PermitExchange permits_;
+  forwarding::PlaceExchange places_;
   FleetTopicController fleet_topic_;
   TopicController topics_;
   std::unique_ptr<core::Timer> ticker_;
--- a/Services/Forwarder/forwarder_daemon.cc
+++ b/Services/Forwarder/forwarder_daemon.cc
@@ -78,6 +78,7 @@
     monitor_.Forget(before.id);
     if (fleet_ != nullptr) {
       fleet_->permits()->Forget(before.id);
+      fleet_->places()->Forget(before.id);
     }
     context_.prompt_holders.ForgetEndpoint(before.id);
     origin_client_.Forget(before.address);
@@ -153,6 +154,7 @@
   path_.SetLossObserver([this]() { monitor_.EndHoldDowns(); });
   context_.stream_origins = fleet_->stream_origins();
   context_.permits = fleet_->permits();
+  context_.places = fleet_->places();
   context_.random = &random_;
   context_.selection.load_bound = settings_.load_bound;
   context_.retry_policy = settings_.retries;
