Places of requests that last for seconds stay taken; a carrier does not outlive its way

The host that grants the places of an endpoint did not report its own requests to itself again, so after two seconds their places counted as free and others were granted them. It now repeats its own report as other hosts do. And an attempt whose carrier could not help, and that went on directly since the path was back, still counted as carried: its failures were not looked into.

The second has no test of its own.

--- a/Libraries/LibForwarding/forward_attempt.cc
+++ b/Libraries/LibForwarding/forward_attempt.cc
@@ -39,6 +39,7 @@
 }
 
 void ForwardAttempt::Send() {
+  carrier_.reset();
   AttemptOptions options = options_;
   options.remaining -= context_->loop->Now() - started_at_;
   http::OriginRequest request =
--- a/Libraries/LibForwarding/place_exchange.cc
+++ b/Libraries/LibForwarding/place_exchange.cc
@@ -94,6 +94,7 @@
     return;
   }
   const core::HostId granter = GranterOf(key);
+  reported_.insert(key);
   if (granter == self_) {
     const bool is_granted = Grant(self_, MakeReport(key, now), now);
     if (!is_granted) {
@@ -113,7 +114,6 @@
                                  .asked = granter,
                                  .callback = std::move(callback),
                                  .ends_at = now + kMaxAnswerTime};
-  reported_.insert(key);
   send_({granter}, ApplicationKind::kPlaceQuestion, core::Encode(report));
 }
 
@@ -183,11 +183,11 @@
 void PlaceExchange::SendReport(uint64_t endpoint, core::TimePoint now) {
   const PlaceReport report = MakeReport(endpoint, now);
   const core::HostId granter = GranterOf(endpoint);
+  reported_.insert(endpoint);
   if (granter == self_) {
     RecordHolder(self_, report, now);
     return;
   }
-  reported_.insert(endpoint);
   if (!granter.empty()) {
     send_({granter}, ApplicationKind::kPlaceReport, core::Encode(report));
   }
--- a/Tests/LibForwarding/place_replay_test.cc
+++ b/Tests/LibForwarding/place_replay_test.cc
@@ -273,6 +273,50 @@
   }
 }
 
+TEST_CASE("the places of long requests of the granting host stay taken") {
+  const core::HostId self("h0");
+  const core::HostId other("h1");
+  int granted_here = 0;
+  for (int i = 0; i < 8; ++i) {
+    Endpoint endpoint = BrittleEndpoint();
+    endpoint.id = core::RunnerId(fmt::format("e{}", i));
+    std::optional<PlaceAnswer> answer;
+    uint32_t in_flight = 0;
+    PlaceExchange places(
+        self, [&in_flight](uint64_t /*endpoint*/) { return in_flight; },
+        [&answer](const std::vector<core::HostId>& /*to*/, ApplicationKind kind,
+                  std::string_view body) {
+          if (kind == ApplicationKind::kPlaceAnswer) {
+            answer = *core::Decode<PlaceAnswer>(body);
+          }
+        });
+    places.SetHosts({self, other}, 2);
+    places.RecordBrittle(endpoint, true, kStart);
+    for (uint32_t k = 0; k < kSlots; ++k) {
+      places.Acquire(endpoint.id, kStart, [&in_flight](bool is_granted) {
+        in_flight += is_granted ? 1 : 0;
+      });
+    }
+    core::TimePoint now = kStart;
+    for (; now < kStart + seconds(10); now += kTick) {
+      places.Tick(now);
+    }
+    const PlaceReport question{.sequence = 1,
+                               .in_flight = 0,
+                               .slots = {.endpoint = endpoint.id.Hash(),
+                                         .per_second = kSlots,
+                                         .age_milliseconds = 0}};
+    REQUIRE(places.OnQuestion(other, core::Encode(question), now).ok());
+    REQUIRE(answer.has_value());
+    if (!answer->is_misdirected) {
+      ++granted_here;
+      CHECK(in_flight == kSlots);
+      CHECK_FALSE(answer->is_granted);
+    }
+  }
+  CHECK(granted_here > 0);
+}
+
 // A process that is paused between its question and the answer must not act on
 // the answer when it goes on.
 TEST_CASE("a permission that has run out is not used") {
