--- a/Tests/Support/FaultProxy/tcp_relay.cc
+++ b/Tests/Support/FaultProxy/tcp_relay.cc
@@ -251,7 +251,9 @@
   const sockaddr_in native = address_.ToNative();
   for (size_t i = 0; i < kFillers; ++i) {
     const int filler = OpenSocket();
-    connect(filler, reinterpret_cast<const sockaddr*>(&native), sizeof(native));
+    // It is under way, or the queue is full already; both fill the queue.
+    static_cast<void>(connect(
+        filler, reinterpret_cast<const sockaddr*>(&native), sizeof(native)));
     fillers_.push_back(filler);
   }
 }
