Soak: a data centre is evacuated, and the checker finds requests that reach it

The soak had no evacuations. The operator orders one for its fault's time and six seconds more; the checker allows 5 s from the order.

--- a/Tests/Soak/checker.cc
+++ b/Tests/Soak/checker.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "LibCore/text.h"
+#include "Tests/Soak/endpoint_fleet.h"
 
 namespace wasabi::soak {
 
@@ -113,6 +114,9 @@
       CheckRequest(*it);
     }
     CheckDepartures();
+    for (const Evacuation& it : history_.evacuations) {
+      CheckEvacuation(it);
+    }
     for (const RunPointer& it : history_.runs) {
       CheckAnnouncedDeparture(*it);
       CheckPause(*it);
@@ -398,6 +402,24 @@
     }
   }
 
+  void CheckEvacuation(const Evacuation& evacuation) {
+    const core::TimePoint bound = evacuation.from + bounds_.evacuation;
+    const core::TimePoint end = evacuation.to.value_or(now_);
+    for (const RunPointer& run : history_.runs) {
+      const auto call = calls_.find(run->request);
+      if (run->started_at <= bound || run->started_at >= end ||
+          DataCentreOf(run->endpoint) != evacuation.data_centre ||
+          call == calls_.end()) {
+        continue;
+      }
+      if (IsHostStable(call->second->host, run->started_at)) {
+        Add("an evacuated data centre gets no requests",
+            fmt::format("ordered_ms={}; {}; {}", Milliseconds(evacuation.from),
+                        Describe(*call->second), Describe(*run)));
+      }
+    }
+  }
+
   // Calls `visit` for each later run at the endpoint of `run` that its host
   // caused, unless the host was disturbed in between.
   template <typename Visitor>
--- a/Tests/Soak/checker_test.cc
+++ b/Tests/Soak/checker_test.cc
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "LibCore/text.h"
+#include "Tests/Soak/endpoint_fleet.h"
 
 namespace wasabi::soak {
 namespace {
@@ -92,6 +93,13 @@
   world.call->end = http::OriginOutcome::kCut;
 }
 
+void Evacuate(World& it) {
+  it.history.evacuations.push_back(
+      {.data_centre = DataCentreOf(it.run->endpoint),
+       .from = it.sent_at - seconds(6),
+       .to = std::nullopt});
+}
+
 void Depart(World& world) {
   world.history.departures.push_back(
       {.endpoint = core::RunnerId("e1"),
@@ -252,6 +260,26 @@
          Disturb(it, Disturbance::Scope::kStore, false);
        },
        ""},
+      {"a run in a data centre that is evacuated", kIdempotent, Evacuate,
+       "an evacuated data centre gets no requests"},
+      {"a run just after an evacuation was ordered", kIdempotent,
+       [](World& it) {
+         Evacuate(it);
+         it.history.evacuations[0].from = it.sent_at - seconds(4);
+       },
+       ""},
+      {"a run after an evacuation has ended", kIdempotent,
+       [](World& it) {
+         Evacuate(it);
+         it.history.evacuations[0].to = it.sent_at;
+       },
+       ""},
+      {"a run in another data centre than the evacuated one", kIdempotent,
+       [](World& it) {
+         Evacuate(it);
+         it.history.evacuations[0].data_centre = core::DataCentreId("other");
+       },
+       ""},
       {"a host that crashes", kIdempotent,
        [](World& it) { it.history.crashes.emplace_back("host=0 signal 11"); },
        "hosts exit only on a signal"},
--- a/Tests/Soak/endpoint_fleet.cc
+++ b/Tests/Soak/endpoint_fleet.cc
@@ -39,6 +39,14 @@
 
 }  // namespace
 
+core::DataCentreId DataCentreOf(uint64_t number) {
+  return core::DataCentreId(fmt::format("z{}", number % kDataCentres));
+}
+
+core::DataCentreId DataCentreOf(const core::RunnerId& endpoint) {
+  return DataCentreOf(endpoint.Hash());
+}
+
 EndpointFleet::EndpointFleet(core::EventLoop* loop,
                              const SoakOptions& options,
                              support::WatchedLog* log,
@@ -94,16 +102,16 @@
 void EndpointFleet::Register(Member* member) {
   member->is_registered = true;
   member->next_heartbeat_at = loop_->Now() + kHeartbeatPeriod;
-  const size_t n = member->options.id.Hash();
   log_->Append(
       adapter::kRegistrationTopic, member->options.id.value(),
       fmt::format(
-          R"({{"service":"{}","address":"{}","zone":"z{}","version":"{}",)"
+          R"({{"service":"{}","address":"{}","zone":"{}","version":"{}",)"
           R"("slots":{},"state":"{}","cold_left_ms":0,"seq":{},"born":{}}})",
           member->options.pool.value(), member->registered_address.ToString(),
-          n % kDataCentres, member->options.software_version,
-          member->options.slots, member->is_draining ? "draining" : "ready",
-          ++member->sequence, member->started_at_ms));
+          DataCentreOf(member->options.id).value(),
+          member->options.software_version, member->options.slots,
+          member->is_draining ? "draining" : "ready", ++member->sequence,
+          member->started_at_ms));
 }
 
 void EndpointFleet::Unregister(Member* member) {
@@ -175,6 +183,15 @@
       {.endpoint = member->options.id, .acknowledged_at = now});
 }
 
+void EndpointFleet::RecordEvacuation(const core::DataCentreId& data_centre,
+                                     core::Duration duration) {
+  for (const auto& it : members_) {
+    if (DataCentreOf(it->options.id) == data_centre) {
+      AddDisturbance(*it, duration);
+    }
+  }
+}
+
 void EndpointFleet::RegisterAgain() {
   for (const auto& it : members_) {
     if (it->is_registered) {
--- a/Tests/Soak/endpoint_fleet.h
+++ b/Tests/Soak/endpoint_fleet.h
@@ -28,6 +28,10 @@
   kAnswers,
 };
 
+// Returns the data centre of an endpoint, or the one that `number` selects.
+core::DataCentreId DataCentreOf(const core::RunnerId& endpoint);
+core::DataCentreId DataCentreOf(uint64_t number);
+
 class EndpointFleet {
  public:
   // All arguments must outlive the fleet.
@@ -57,6 +61,11 @@
   void ResetConnections(uint64_t target);
   void SilenceConnections(uint64_t target);
 
+  // Records that the endpoints of a data centre get no requests for
+  // `duration`.
+  void RecordEvacuation(const core::DataCentreId& data_centre,
+                        core::Duration duration);
+
   // Writes the state of every registration again.
   void RegisterAgain();
 
--- a/Tests/Soak/fault_plan.cc
+++ b/Tests/Soak/fault_plan.cc
@@ -16,13 +16,15 @@
 const std::vector<Family>& FaultFamilies() {
   static const std::vector<Family> kFamilies = {
       {kStopHost, kStopHost, kReloadHost, kChangeConfiguration,
-       kReplaceEndpoint, kUnregisterEndpoint, kLeaveByAnswers},
+       kReplaceEndpoint, kUnregisterEndpoint, kLeaveByAnswers,
+       kEvacuateDataCentre},
       {kStopHost, kKillHost, kPauseHost, kKillAllHosts, kChangeConfiguration,
        kReplaceEndpoint},
       {kCutHostFromStore, kCutHostOneWay, kResetStoreConnections,
        kSilenceStoreConnections, kRefuseHost, kStoreOutage, kStoreSlow,
        kStoreLosesAnswers, kStoreCompacts, kRestoreStore, kRestoreStore,
-       kChangeConfiguration, kUnregisterEndpoint, kReplaceEndpoint},
+       kChangeConfiguration, kUnregisterEndpoint, kReplaceEndpoint,
+       kEvacuateDataCentre, kEvacuateDataCentre},
       {kCrashEndpoint,
        kEndpointFails,
        kEndpointLosesAnswers,
@@ -64,7 +66,8 @@
        kEndpointAnswersUnframed,
        kEndpointSendsEndlessly,
        kHarmfulPrompts,
-       kEndpointLimits},
+       kEndpointLimits,
+       kEvacuateDataCentre},
   };
   return kFamilies;
 }
@@ -90,6 +93,7 @@
                 "replace_endpoint",
                 "unregister_endpoint",
                 "leave_by_answers",
+                "evacuate_data_centre",
                 "kill_host",
                 "pause_host",
                 "kill_all_hosts",
--- a/Tests/Soak/fault_plan.h
+++ b/Tests/Soak/fault_plan.h
@@ -23,6 +23,7 @@
   kUnregisterEndpoint,
   // An endpoint leaves and says so in its answers only.
   kLeaveByAnswers,
+  kEvacuateDataCentre,
   // Host failures.
   kKillHost,
   kPauseHost,
--- a/Tests/Soak/history.h
+++ b/Tests/Soak/history.h
@@ -77,6 +77,14 @@
   core::TimePoint acknowledged_at;
 };
 
+// A period in which no request may be sent to the endpoints of a data centre.
+struct Evacuation {
+  core::DataCentreId data_centre;
+  // When the store acknowledged the order, and its removal.
+  core::TimePoint from;
+  std::optional<core::TimePoint> to;
+};
+
 // A period in which an endpoint named a limit in its answers.
 struct LimitPeriod {
   core::RunnerId endpoint;
@@ -106,6 +114,7 @@
   std::vector<Configuration> configurations;
   std::vector<Departure> departures;
   std::vector<LimitPeriod> limits;
+  std::vector<Evacuation> evacuations;
   std::vector<std::shared_ptr<Disturbance>> disturbances;
   // One entry per host that exited unexpectedly, with its exit status.
   std::vector<std::string> crashes;
--- a/Tests/Soak/operator.cc
+++ b/Tests/Soak/operator.cc
@@ -11,6 +11,8 @@
 
 using nlohmann::json;
 
+const std::string kEvacuationKeyPrefix = "evacuate/";
+
 json PlainRoute(const std::string& name,
                 const std::string& kind,
                 int attempts,
@@ -74,9 +76,37 @@
                                       .acknowledged_at = loop_->Now()});
 }
 
+void Operator::Evacuate(const core::DataCentreId& data_centre) {
+  if (!evacuated_.insert(data_centre).second) {
+    return;
+  }
+  WriteEvacuation(data_centre, "{}");
+  history_->evacuations.push_back(
+      {.data_centre = data_centre, .from = loop_->Now(), .to = std::nullopt});
+}
+
+void Operator::EndEvacuation(const core::DataCentreId& data_centre) {
+  evacuated_.erase(data_centre);
+  WriteEvacuation(data_centre, std::nullopt);
+  for (Evacuation& it : history_->evacuations) {
+    if (it.data_centre == data_centre && !it.to) {
+      it.to = loop_->Now();
+    }
+  }
+}
+
+void Operator::WriteEvacuation(const core::DataCentreId& data_centre,
+                               std::optional<std::string> order) {
+  log_->Append(adapter::kConfigurationTopic,
+               kEvacuationKeyPrefix + data_centre.value(), std::move(order));
+}
+
 void Operator::Rewrite() {
   log_->Append(adapter::kConfigurationTopic, adapter::kConfigurationKey,
                newest_);
+  for (const core::DataCentreId& it : evacuated_) {
+    WriteEvacuation(it, "{}");
+  }
 }
 
 }  // namespace wasabi::soak
--- a/Tests/Soak/operator.h
+++ b/Tests/Soak/operator.h
@@ -6,6 +6,10 @@
 
 #include <cstdint>
 
+#include <optional>
+#include <set>
+#include <string>
+
 #include "LibCore/event_loop.h"
 #include "Tests/Soak/history.h"
 #include "Tests/Support/PlatformStore/watched_log.h"
@@ -26,18 +30,27 @@
   // Writes the next configuration. The store has acknowledged it when this
   // returns.
   void Configure();
-  // Writes the newest configuration again.
+  // Orders that no request is sent to a data centre, or ends that order.
+  void Evacuate(const core::DataCentreId& data_centre);
+  void EndEvacuation(const core::DataCentreId& data_centre);
+  // Writes the newest configuration and the orders that stand again.
   void Rewrite();
 
   // Returns the version of the newest configuration, or 0 if there is none.
   int64_t version() const { return version_; }
 
  private:
+  // Writes the record of an evacuation; without a value the key is deleted.
+  void WriteEvacuation(const core::DataCentreId& data_centre,
+                       std::optional<std::string> order);
+
   core::EventLoop* const loop_;
   support::WatchedLog* const log_;
   History* const history_;
   int64_t version_ = 0;
   std::string newest_;
+  // The data centres that are evacuated.
+  std::set<core::DataCentreId> evacuated_;
 };
 
 // Returns the API key that only configuration `version` contains.
--- a/Tests/Soak/soak_options.h
+++ b/Tests/Soak/soak_options.h
@@ -18,6 +18,9 @@
   core::Duration leaving = core::seconds(2);
   // Time within which a new configuration takes effect.
   core::Duration configuration = core::seconds(2);
+  // Time within which hosts stop sending requests to a data centre that is
+  // evacuated.
+  core::Duration evacuation = core::seconds(5);
   core::Duration shutdown_grace = core::seconds(6);
   // Time bounds apply to a host only after this long without a disturbance.
   core::Duration stable = core::seconds(3);
--- a/Tests/Soak/soak_run.cc
+++ b/Tests/Soak/soak_run.cc
@@ -30,6 +30,7 @@
 // their bounds apply only some seconds later.
 constexpr core::Duration kHarmfulTime = core::seconds(9);
 constexpr core::Duration kLimitTime = core::seconds(6);
+constexpr core::Duration kEvacuationTime = core::seconds(6);
 // Requests per second.
 constexpr double kEndpointLimit = 2;
 constexpr core::Duration kBackupPeriod = core::milliseconds(500);
@@ -170,6 +171,7 @@
                    &SoakRun::ReplaceEndpoint,
                    &SoakRun::UnregisterEndpoint,
                    &SoakRun::LeaveByAnswers,
+                   &SoakRun::EvacuateDataCentre,
                    &SoakRun::KillHost,
                    &SoakRun::PauseHost,
                    &SoakRun::KillAllHosts,
@@ -254,6 +256,15 @@
   endpoints_.Replace(action.target, Announcement::kAnswers);
 }
 
+void SoakRun::EvacuateDataCentre(const FaultAction& action) {
+  const core::DataCentreId data_centre = DataCentreOf(action.target);
+  const core::Duration duration = action.duration + kEvacuationTime;
+  operator_.Evacuate(data_centre);
+  endpoints_.RecordEvacuation(data_centre, duration);
+  CallAfter(duration,
+            [this, data_centre]() { operator_.EndEvacuation(data_centre); });
+}
+
 void SoakRun::KillHost(const FaultAction& action) {
   TargetHost(action)->Kill();
 }
--- a/Tests/Soak/soak_run.h
+++ b/Tests/Soak/soak_run.h
@@ -62,6 +62,7 @@
   void ReplaceEndpoint(const FaultAction& action);
   void UnregisterEndpoint(const FaultAction& action);
   void LeaveByAnswers(const FaultAction& action);
+  void EvacuateDataCentre(const FaultAction& action);
   void KillHost(const FaultAction& action);
   void PauseHost(const FaultAction& action);
   void KillAllHosts(const FaultAction& action);
