--- a/Libraries/LibCore/event.cc
+++ b/Libraries/LibCore/event.cc
@@ -84,6 +84,20 @@
     {EventCode::kEndpointBrittle, "endpoint_brittle",
      "An endpoint said, or no longer says, that it crashes if it has to turn "
      "away too many requests."},
+    {EventCode::kEvacuationRead, "evacuation_read",
+     "A record that evacuates a data centre, or drops an evacuation, was "
+     "read."},
+    {EventCode::kEvacuationInForce, "evacuation_in_force",
+     "From now on no request of this host reaches the data centre."},
+    {EventCode::kEvacuationRemoved, "evacuation_removed",
+     "The evacuation of the data centre ended; its endpoints get requests "
+     "again."},
+    {EventCode::kEvacuationRetained, "evacuation_retained",
+     "The record of an evacuation is missing from a restored topic; the "
+     "evacuation stays in force for a limited time."},
+    {EventCode::kSendWithheld, "send_withheld",
+     "A request was not sent because the data centre of its endpoint was "
+     "evacuated after the endpoint was chosen."},
     {EventCode::kIntentAppended, "intent_appended",
      "An intent to run a call was appended to its partition."},
     {EventCode::kIntentWon, "intent_won",
--- a/Libraries/LibCore/event.h
+++ b/Libraries/LibCore/event.h
@@ -52,6 +52,11 @@
   kPathLost = 320,
   kPathRestored = 321,
   kEndpointBrittle = 322,
+  kEvacuationRead = 323,
+  kEvacuationInForce = 324,
+  kEvacuationRemoved = 325,
+  kEvacuationRetained = 326,
+  kSendWithheld = 327,
   // 4xx: the ledger of non-repeatable calls.
   kIntentAppended = 400,
   kIntentWon = 401,
--- a/Libraries/LibForwarding/adapter_set.h
+++ b/Libraries/LibForwarding/adapter_set.h
@@ -5,6 +5,7 @@
 #define LIBFORWARDING_ADAPTER_SET_H_
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -27,6 +28,13 @@
   virtual absl::StatusOr<Registration> DecodeRegistration(
       const std::string& id,
       const std::string& text) const = 0;
+  // Returns the data centre that a record of the configuration topic with this
+  // key evacuates, or nullopt if the key is a different one. Such a record is
+  // in force whatever its value is.
+  virtual std::optional<core::DataCentreId> EvacuatedDataCentre(
+      const std::string& /*key*/) const {
+    return std::nullopt;
+  }
 };
 
 // A caller's decoded request for the host addresses to use.
--- a/Libraries/LibForwarding/endpoint_chooser.cc
+++ b/Libraries/LibForwarding/endpoint_chooser.cc
@@ -97,6 +97,16 @@
       [&tried](const Endpoint* it) { return !tried.contains(it->id); });
 }
 
+bool EndpointChooser::IsEvacuated() const {
+  const auto& all = context_->endpoints->all();
+  return !context_->endpoints->evacuated().empty() && Suitable().empty() &&
+         std::any_of(all.begin(), all.end(), [this](const auto& it) {
+           const Endpoint& endpoint = it.second;
+           return endpoint.pool == pool_ && IsSuitable(endpoint) &&
+                  context_->endpoints->IsEvacuated(endpoint.data_centre);
+         });
+}
+
 const Endpoint* EndpointChooser::Choose(const std::set<core::RunnerId>& tried,
                                         core::TimePoint now) const {
   const std::vector<const Endpoint*> endpoints =
--- a/Libraries/LibForwarding/endpoint_chooser.h
+++ b/Libraries/LibForwarding/endpoint_chooser.h
@@ -37,6 +37,10 @@
   // later.
   bool HasOther(const std::set<core::RunnerId>& tried) const;
 
+  // Returns whether evacuations of data centres leave no endpoint that accepts
+  // the request, although some are registered.
+  bool IsEvacuated() const;
+
   // Records that `endpoint` served the request and is therefore likely to have
   // the prompt cached.
   void RecordServed(const core::RunnerId& endpoint, core::TimePoint now) const;
--- a/Libraries/LibForwarding/endpoint_table.cc
+++ b/Libraries/LibForwarding/endpoint_table.cc
@@ -1,5 +1,7 @@
 #include "LibForwarding/endpoint_table.h"
 
+#include <utility>
+
 namespace wasabi::forwarding {
 
 namespace {
@@ -68,10 +70,23 @@
          (it != departures_.end() && endpoint.started_at_ms <= it->second);
 }
 
+void EndpointTable::SetEvacuated(std::set<core::DataCentreId> data_centres) {
+  const std::set<core::DataCentreId> before =
+      std::exchange(evacuated_, std::move(data_centres));
+  if (!evacuation_end_observer_) {
+    return;
+  }
+  for (const core::DataCentreId& it : before) {
+    if (!IsEvacuated(it)) {
+      evacuation_end_observer_(it);
+    }
+  }
+}
+
 const Endpoint* EndpointTable::FindAvailable(uint64_t id_hash) const {
   for (const auto& [id, endpoint] : endpoints_) {
     if (id.Hash() == id_hash) {
-      return IsLeaving(endpoint) ? nullptr : &endpoint;
+      return IsAvailable(endpoint) ? &endpoint : nullptr;
     }
   }
   return nullptr;
@@ -81,7 +96,7 @@
     const core::PoolId& pool) const {
   std::vector<const Endpoint*> available;
   for (const auto& [id, endpoint] : endpoints_) {
-    if (endpoint.pool == pool && !IsLeaving(endpoint)) {
+    if (endpoint.pool == pool && IsAvailable(endpoint)) {
       available.push_back(&endpoint);
     }
   }
--- a/Libraries/LibForwarding/endpoint_table.h
+++ b/Libraries/LibForwarding/endpoint_table.h
@@ -1,5 +1,6 @@
 // Holds the currently registered endpoints and lists them by pool. Endpoints
-// that announce in an answer that they are leaving are not listed any more.
+// that announce in an answer that they are leaving, and those of evacuated data
+// centres, are not listed.
 
 #ifndef LIBFORWARDING_ENDPOINT_TABLE_H_
 #define LIBFORWARDING_ENDPOINT_TABLE_H_
@@ -7,6 +8,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <set>
 #include <vector>
 
 #include "LibForwarding/endpoint.h"
@@ -19,6 +21,11 @@
   // removed. `before` is the registration that is no longer valid.
   using RemovalObserver = std::function<void(const Endpoint& before)>;
 
+  // Called by SetEvacuated for each data centre whose evacuation has ended,
+  // before any request can be sent to its endpoints.
+  using EvacuationEndObserver =
+      std::function<void(const core::DataCentreId& data_centre)>;
+
   // Adds an endpoint or replaces its registration. Returns whether anything
   // changed.
   bool Put(const Endpoint& endpoint);
@@ -36,6 +43,14 @@
   // restarts, whatever its registration says. Returns whether this is news.
   bool RecordDeparture(const core::RunnerId& id, int64_t started_at_ms);
 
+  // Replaces the set of evacuated data centres. Their endpoints get no new
+  // requests, but stay in the table as sources of cached prompts.
+  void SetEvacuated(std::set<core::DataCentreId> data_centres);
+  bool IsEvacuated(const core::DataCentreId& data_centre) const {
+    return evacuated_.contains(data_centre);
+  }
+  const std::set<core::DataCentreId>& evacuated() const { return evacuated_; }
+
   // Returns the endpoints of a pool that accept new requests, sorted by id. The
   // pointers are valid until the table changes.
   std::vector<const Endpoint*> Available(const core::PoolId& pool) const;
@@ -44,16 +59,24 @@
   void SetRemovalObserver(RemovalObserver observer) {
     observer_ = std::move(observer);
   }
+  void SetEvacuationEndObserver(EvacuationEndObserver observer) {
+    evacuation_end_observer_ = std::move(observer);
+  }
 
  private:
   bool IsLeaving(const Endpoint& endpoint) const;
+  bool IsAvailable(const Endpoint& endpoint) const {
+    return !IsLeaving(endpoint) && !IsEvacuated(endpoint.data_centre);
+  }
 
   std::map<core::RunnerId, Endpoint> endpoints_;
   // Start time of each endpoint that announced that it is leaving. Kept after
   // its registration is removed, since a platform that recovers from an outage
   // may list it once more.
   std::map<core::RunnerId, int64_t> departures_;
+  std::set<core::DataCentreId> evacuated_;
   RemovalObserver observer_;
+  EvacuationEndObserver evacuation_end_observer_;
 };
 
 }  // namespace wasabi::forwarding
--- a/Libraries/LibForwarding/forward_attempt.cc
+++ b/Libraries/LibForwarding/forward_attempt.cc
@@ -44,12 +44,17 @@
   options.remaining -= context_->loop->Now() - started_at_;
   http::OriginRequest request =
       context_->endpoint_protocol->Encode(request_, endpoint_, options);
+  if (context_->endpoints->IsEvacuated(endpoint_.data_centre)) {
+    // The evacuation was read while another way to the endpoint was tried.
+    context_->events->Record(
+        core::EventCode::kSendWithheld, request_.id.value(),
+        fmt::format("endpoint={} data_centre={}", endpoint_.id.value(),
+                    endpoint_.data_centre.value()));
+    PostFinish(AttemptEnd::kNotSent);
+    return;
+  }
   if (context_->path->is_lost() && !ChooseCarrier(&request)) {
-    context_->loop->Post([weak = weak_from_this()]() {
-      if (const auto self = weak.lock()) {
-        self->Finish(AttemptEnd::kNoPath);
-      }
-    });
+    PostFinish(AttemptEnd::kNoPath);
     return;
   }
   const auto weak = weak_from_this();
@@ -77,6 +82,14 @@
   call_ = context_->client->Send(request, std::move(origin));
 }
 
+void ForwardAttempt::PostFinish(AttemptEnd end) {
+  context_->loop->Post([weak = weak_from_this(), end]() {
+    if (const auto self = weak.lock()) {
+      self->Finish(end);
+    }
+  });
+}
+
 bool ForwardAttempt::ChooseCarrier(http::OriginRequest* request) {
   if (tried_carriers_.size() >= kMaxCarriers) {
     return false;
--- a/Libraries/LibForwarding/forward_attempt.h
+++ b/Libraries/LibForwarding/forward_attempt.h
@@ -95,6 +95,8 @@
  private:
   // Sends the request, by the way that is open now.
   void Send();
+  // Finishes after the caller's turn of the event loop.
+  void PostFinish(AttemptEnd end);
   // Sets the way through a carrier. Returns false if none is left.
   bool ChooseCarrier(http::OriginRequest* request);
   void OnHead(const http::MessageHead& head);
--- a/Libraries/LibForwarding/forward_session.cc
+++ b/Libraries/LibForwarding/forward_session.cc
@@ -212,6 +212,9 @@
         if (self == nullptr || self->has_ended_) {
           return;
         }
+        if (is_granted && self->WithholdIfEvacuated(endpoint)) {
+          return;
+        }
         if (is_granted) {
           self->StartAttempt(endpoint);
           return;
@@ -222,6 +225,23 @@
       });
 }
 
+bool ForwardSession::WithholdIfEvacuated(const Endpoint& endpoint) {
+  if (!context_->endpoints->IsEvacuated(endpoint.data_centre)) {
+    return false;
+  }
+  context_->events->Record(
+      core::EventCode::kSendWithheld, request_.id.value(),
+      fmt::format("endpoint={} data_centre={} sends={}", endpoint.id.value(),
+                  endpoint.data_centre.value(), sends_));
+  context_->places->OnFinished(endpoint.id, Now());
+  if (runs_ == 0 && !transaction_->is_started()) {
+    DispatchOrWait();
+  } else if (!Dispatch()) {
+    FailAfterRun();
+  }
+  return true;
+}
+
 void ForwardSession::OnPermitDenied() {
   ++context_->metrics->Counter("forward_permits_denied");
   if (Dispatch()) {
@@ -241,6 +261,11 @@
   if (Dispatch()) {
     return true;
   }
+  if (chooser_.IsEvacuated()) {
+    Refuse(core::ResultCode::kNoEndpoint,
+           "every endpoint is in an evacuated data centre");
+    return true;
+  }
   const auto closed_until = chooser_.ClosedUntil(tried_, Now());
   if (!closed_until) {
     return false;
--- a/Libraries/LibForwarding/forward_session.h
+++ b/Libraries/LibForwarding/forward_session.h
@@ -59,6 +59,9 @@
   void AskForPermit(const Endpoint& endpoint);
   // Handles that the chosen endpoint has no place, or its limit permits no
   // request now.
+  // Goes on with another endpoint if the data centre of `endpoint` was
+  // evacuated after it was chosen. Returns false, and does nothing, otherwise.
+  bool WithholdIfEvacuated(const Endpoint& endpoint);
   void OnPermitDenied();
   void StartAttempt(const Endpoint& endpoint);
 
--- a/Libraries/LibForwarding/tunnel.cc
+++ b/Libraries/LibForwarding/tunnel.cc
@@ -96,6 +96,12 @@
   is_connected_ = true;
   timer_.reset();
   context_->path->RecordConnected();
+  if (context_->endpoints->IsEvacuated(endpoint_.data_centre)) {
+    host_->Write(
+        http::EncodeTunnelReply(http::TunnelReply::kEndpointUnavailable));
+    End();
+    return;
+  }
   NewParser();
   host_->Write(http::EncodeTunnelReply(http::TunnelReply::kOpen));
 }
--- a/Services/Forwarder/forwarder_daemon.cc
+++ b/Services/Forwarder/forwarder_daemon.cc
@@ -88,6 +88,10 @@
   configuration_->SetObserver([this](const forwarding::RouteTableView& table) {
     OnConfiguration(table);
   });
+  configuration_->SetEvacuationObserver(
+      [this](const std::set<core::DataCentreId>& evacuated) {
+        endpoints_.SetEvacuated(evacuated);
+      });
   registrations_ = std::make_unique<RegistrationController>(
       &adapters_, &scheduler_, &events_, &endpoints_, settings_.leaving_bound,
       random_.Next());
@@ -166,6 +170,9 @@
   });
   metrics_.Gauge("carriers",
                  [this]() { return static_cast<double>(carriers_.size()); });
+  metrics_.Gauge("evacuated_data_centres", [this]() {
+    return static_cast<double>(endpoints_.evacuated().size());
+  });
   metrics_.Gauge("path_lost", [this]() { return path_.is_lost() ? 1.0 : 0.0; });
   metrics_.Gauge("tunnels_open", [this]() {
     return static_cast<double>(tunnels_.open_tunnels());
@@ -308,6 +315,7 @@
 
 void ForwarderDaemon::Tick() {
   const core::TimePoint now = loop_->Now();
+  configuration_->Tick();
   registrations_->Tick();
   origin_client_.Expire(now);
   suspects_.Expire(now);
--- a/Tests/LibForwarding/endpoint_table_test.cc
+++ b/Tests/LibForwarding/endpoint_table_test.cc
@@ -50,5 +50,29 @@
   }
 }
 
+TEST_CASE("endpoints of an evacuated data centre are not available") {
+  const core::DataCentreId zone("z2");
+  EndpointTable table;
+  Endpoint endpoint = EndpointStartedAt(kStartedAt);
+  endpoint.data_centre = zone;
+  table.Put(endpoint);
+  std::vector<core::DataCentreId> ended;
+  table.SetEvacuationEndObserver(
+      [&ended](const core::DataCentreId& it) { ended.push_back(it); });
+  table.SetEvacuated({zone, core::DataCentreId("z3")});
+  CHECK(table.Available(kPool).empty());
+  CHECK(table.FindAvailable(kId.Hash()) == nullptr);
+  CHECK(table.Find(kId) != nullptr);
+  // A registration does not end it.
+  endpoint.started_at_ms = kStartedAt + 1;
+  table.Put(endpoint);
+  CHECK(table.Available(kPool).empty());
+  CHECK(ended.empty());
+  table.SetEvacuated({core::DataCentreId("z3")});
+  CHECK(table.Available(kPool).size() == 1);
+  CHECK(table.FindAvailable(kId.Hash()) != nullptr);
+  CHECK(ended == std::vector<core::DataCentreId>{zone});
+}
+
 }  // namespace
 }  // namespace wasabi::forwarding
--- a/Tests/Support/ForwarderFixture/forwarder_fixture.cc
+++ b/Tests/Support/ForwarderFixture/forwarder_fixture.cc
@@ -56,6 +56,10 @@
     }
     return registration;
   }
+  std::optional<core::DataCentreId> EvacuatedDataCentre(
+      const std::string& key) const override {
+    return inner_->EvacuatedDataCentre(key);
+  }
 
  private:
   const std::unique_ptr<forwarding::RecordProtocol> inner_;
@@ -158,6 +162,13 @@
   Register("e2", second, "ready");
 }
 
+void ForwarderFixture::Restart() {
+  const KeyedLog contents = store->Backup();
+  daemon.reset();
+  daemon = NewDaemon(settings, &links, &store);
+  store->RestoreFrom(contents);
+}
+
 FixturePeer* ForwarderFixture::AddPeer(const std::string& host,
                                        const EndpointLinkMap& peer_links) {
   const auto index = static_cast<uint32_t>(peers.size());
@@ -206,10 +217,11 @@
   topics->Write(
       names.registrations, id,
       fmt::format(
-          R"({{"service":"{}","address":"{}","zone":"z1","version":"{}",)"
+          R"({{"service":"{}","address":"{}","zone":"{}","version":"{}",)"
           R"("slots":8,"state":"{}","seq":{},"born":1}})",
-          pool, server.address().ToString(), software_version, state,
-          sequence));
+          pool, server.address().ToString(),
+          data_centres.contains(id) ? data_centres.at(id) : "z1",
+          software_version, state, sequence));
 }
 
 std::string ForwarderFixture::Respond(RawServer* server,
--- a/Tests/Support/ForwarderFixture/forwarder_fixture.h
+++ b/Tests/Support/ForwarderFixture/forwarder_fixture.h
@@ -81,6 +81,9 @@
   // Configure.
   FixturePeer* AddPeer(const std::string& host,
                        const EndpointLinkMap& peer_links = {});
+  // Kills the daemon and starts it anew, with a store of the same contents. A
+  // new history of the store begins.
+  void Restart();
   // Runs the loop until `is_done`, or for ten seconds. Returns whether it was
   // done in time.
   bool RunUntil(const std::function<bool()>& is_done);
@@ -109,6 +112,9 @@
   FakeTopicClient* store = nullptr;
   forwarding::TopicNames names;
   forwarder::ForwarderSettings settings;
+  // The data centres of endpoints, by their ids, in registrations that are
+  // written from now on; "z1" for others.
+  std::map<std::string, std::string> data_centres;
   // To be set before Configure.
   EndpointLinkMap links;
   std::unique_ptr<forwarder::ForwarderDaemon> daemon;
