Load control is switched by the settings or by the platform's contracts

The part on admission changes how requests wait and are refused. Deployments that do not ask for it have to behave as before, so it needs a switch before any code that depends on it.

The result is ForwardContext::load_control_enabled, renewed on reload.

--- a/Libraries/LibForwarding/adapter_set.h
+++ b/Libraries/LibForwarding/adapter_set.h
@@ -4,6 +4,8 @@
 #ifndef LIBFORWARDING_ADAPTER_SET_H_
 #define LIBFORWARDING_ADAPTER_SET_H_
 
+#include <compare>
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -60,6 +62,15 @@
   std::string fleet;
 };
 
+// Behaviour that a deployment asks for.
+struct DeploymentFeatures {
+  // Order of waiting and paced return for times of overload, see
+  // ForwardContext::load_control_enabled.
+  bool load_control = false;
+
+  auto operator<=>(const DeploymentFeatures&) const = default;
+};
+
 struct AdapterSet {
   std::unique_ptr<CallerProtocol> callers;
   std::unique_ptr<EndpointProtocol> endpoints;
@@ -67,6 +78,10 @@
   std::unique_ptr<DiscoveryProtocol> discovery;
   std::unique_ptr<platform::KeyedTopicClient> topics;
   TopicNames names;
+  // Interprets the terms of the platform's list of contracts. Terms that it
+  // does not know are ignored. Empty if the platform has no such list.
+  std::function<DeploymentFeatures(const std::vector<std::string>& terms)>
+      decode_contracts;
 };
 
 }  // namespace wasabi::forwarding
--- a/Libraries/LibForwarding/forward_context.h
+++ b/Libraries/LibForwarding/forward_context.h
@@ -54,6 +54,10 @@
   PlaceExchange* places = nullptr;
   StreamOriginExchange* stream_origins = nullptr;
   core::RandomSource* random = nullptr;
+  // Whether the deployment asks for an order of waiting that is fair among
+  // organisations, early refusal and paced return. Otherwise requests wait and
+  // are refused as before.
+  bool load_control_enabled = false;
   SelectionPolicy selection;
   RetryAllowancePolicy retry_policy;
   core::DataCentreId data_centre;
--- a/Services/Forwarder/forwarder_daemon.cc
+++ b/Services/Forwarder/forwarder_daemon.cc
@@ -158,6 +158,7 @@
   context_.random = &random_;
   context_.selection.load_bound = settings_.load_bound;
   context_.retry_policy = settings_.retries;
+  context_.load_control_enabled = IsLoadControlEnabled();
   context_.data_centre = settings_.data_centre;
   context_.host_count = [this]() { return fleet_->host_count(); };
   context_.max_load_age = [this]() { return fleet_->max_load_age(); };
@@ -178,6 +179,12 @@
   };
 }
 
+bool ForwarderDaemon::IsLoadControlEnabled() const {
+  return settings_.load_control_enabled ||
+         (adapters_.decode_contracts &&
+          adapters_.decode_contracts(settings_.contracts).load_control);
+}
+
 void ForwarderDaemon::OnConfiguration(const forwarding::RouteTableView& table) {
   callers_->SetLimits(table->caller_limits());
 }
@@ -357,6 +364,7 @@
   settings_ = *settings;
   context_.selection.load_bound = settings_.load_bound;
   context_.retry_policy = settings_.retries;
+  context_.load_control_enabled = IsLoadControlEnabled();
   fleet_->topics().UpdateBounds(settings_);
   core::SetLogLevel(settings_.log_level);
   events_.Record(core::EventCode::kSettingsReloaded, "",
--- a/Services/Forwarder/forwarder_daemon.h
+++ b/Services/Forwarder/forwarder_daemon.h
@@ -69,6 +69,8 @@
   absl::Status Start();
   absl::Status StartServers();
   void InitializeContext();
+  // Whether the settings or the platform's contracts ask for load control.
+  bool IsLoadControlEnabled() const;
   void OnConfiguration(const forwarding::RouteTableView& table);
 
   void OnRequest(const TransactionPointer& transaction);
--- a/Services/Forwarder/forwarder_settings.cc
+++ b/Services/Forwarder/forwarder_settings.cc
@@ -56,6 +56,10 @@
        "gossip port is taken to be this host's."},
       {"platform", "address", SettingKind::kAddress, std::nullopt, 0, 0,
        "Address of the platform's store."},
+      {"platform", "contracts", SettingKind::kText, "", 0, 0,
+       "The platform's list of contracts; its adapter switches on the "
+       "behaviour "
+       "that they ask for."},
       {"bounds", "leaving_ms", SettingKind::kReal, "2000", 100, kHourMs,
        "A leaving endpoint gets no new work after this time, in "
        "milliseconds."},
@@ -74,6 +78,9 @@
        "Retries per window that the fleet may send regardless of traffic."},
       {"placement", "load_bound", SettingKind::kReal, "2", 1, 100,
        "Maximum load of one endpoint, as a multiple of its pool's mean."},
+      {"load_control", "enabled", SettingKind::kBoolean, "false", 0, 0,
+       "Whether requests wait in an order that is fair among organisations, "
+       "and refused callers get a paced time of return."},
       {"log", "level", SettingKind::kText, "request", 0, 0,
        "off, notice (fleet events) or request (single requests too)."},
       {"log", "event_capacity", SettingKind::kInteger, "5000", 100, 1000000,
@@ -115,6 +122,8 @@
                 .slack = file.Real("retries", "slack"),
                 .window = seconds("retries", "window_s")};
   it.load_bound = file.Real("placement", "load_bound");
+  it.load_control_enabled = file.Boolean("load_control", "enabled");
+  it.contracts = file.List("platform", "contracts");
   TRY_ASSIGN(it.log_level,
              core::ParseLogLevel(path, file.Text("log", "level")));
   it.event_capacity =
--- a/Services/Forwarder/forwarder_settings.h
+++ b/Services/Forwarder/forwarder_settings.h
@@ -52,6 +52,11 @@
   // Maximum load of one endpoint, as a multiple of the mean load in its pool.
   double load_bound = 0;
 
+  // Whether load control is on regardless of `contracts`.
+  bool load_control_enabled = false;
+  // The platform's list of contracts. Only its adapter interprets the terms.
+  std::vector<std::string> contracts;
+
   core::LogLevel log_level = core::LogLevel::kNotice;
   // Number of events that the process keeps in memory.
   size_t event_capacity = 0;
--- a/Tests/Forwarder/settings_page_test.cc
+++ b/Tests/Forwarder/settings_page_test.cc
@@ -38,6 +38,8 @@
       value = "10.0.0.1";
     } else if (name == "bootstrap") {
       value = "true";
+    } else if (name == "contracts") {
+      value = "other,pressure";
     } else if (name.ends_with("_ms")) {
       value = "2000";
     }
