--- a/Libraries/LibForwarding/forward_session.h
+++ b/Libraries/LibForwarding/forward_session.h
@@ -57,11 +57,11 @@
   // and its limit permits it.
   void AskForPlace(const Endpoint& endpoint);
   void AskForPermit(const Endpoint& endpoint);
-  // Handles that the chosen endpoint has no place, or its limit permits no
-  // request now.
   // Goes on with another endpoint if the data centre of `endpoint` was
   // evacuated after it was chosen. Returns false, and does nothing, otherwise.
   bool WithholdIfEvacuated(const Endpoint& endpoint);
+  // Handles that the chosen endpoint has no place, or its limit permits no
+  // request now.
   void OnPermitDenied();
   void StartAttempt(const Endpoint& endpoint);
 
