The load bound counts the idle endpoints of an evacuated data centre

Change: the bound is scaled by the share of the pool that gets requests, and is at least 1.1. Test: endpoint_selector_test.

--- a/Libraries/LibForwarding/endpoint_chooser.cc
+++ b/Libraries/LibForwarding/endpoint_chooser.cc
@@ -120,12 +120,23 @@
   }
   const Selection selection = SelectEndpoint(
       Candidates(endpoints, tried, now), affinity, context_->random->Next(),
-      PolicyForReportInterval(context_->selection, interval));
+      PolicyForReportInterval(Policy(endpoints.size()), interval));
   return selection.outcome == SelectionOutcome::kChosen
              ? endpoints[selection.index]
              : nullptr;
 }
 
+SelectionPolicy EndpointChooser::Policy(size_t available) const {
+  const auto& all = context_->endpoints->all();
+  const auto evacuated =
+      std::count_if(all.begin(), all.end(), [this](const auto& it) {
+        return it.second.pool == pool_ &&
+               context_->endpoints->IsEvacuated(it.second.data_centre);
+      });
+  return PolicyForEvacuation(context_->selection, available,
+                             static_cast<size_t>(evacuated));
+}
+
 core::TimePoint EndpointChooser::ClosedUntil(
     const core::RunnerId& endpoint) const {
   return std::max({context_->monitor->PausedUntil(endpoint),
@@ -232,7 +243,7 @@
   }
   if (uses_reports) {
     EndpointShares& shares = context_->shares[pool_];
-    shares.Update(candidates, context_->selection, interval, now);
+    shares.Update(candidates, Policy(candidates.size()), interval, now);
     for (EndpointCandidate& it : candidates) {
       it.share = shares.Of(it.hash);
     }
--- a/Libraries/LibForwarding/endpoint_chooser.h
+++ b/Libraries/LibForwarding/endpoint_chooser.h
@@ -73,6 +73,9 @@
   // Returns the time until which an endpoint wants no requests, or has no
   // permit or place for them. It may have passed.
   core::TimePoint ClosedUntil(const core::RunnerId& endpoint) const;
+  // Returns the policy for a pool with `available` endpoints that accept
+  // requests.
+  SelectionPolicy Policy(size_t available) const;
   // Returns the endpoints that accept requests and can serve this one.
   std::vector<const Endpoint*> Suitable() const;
   bool IsSuitable(const Endpoint& endpoint) const;
--- a/Libraries/LibForwarding/endpoint_selector.cc
+++ b/Libraries/LibForwarding/endpoint_selector.cc
@@ -119,6 +119,8 @@
 // Bound spread at a report interval of one second, and its maximum.
 constexpr double kJitterPerSecond = 0.35;
 constexpr double kMaxJitter = 0.8;
+// A lower bound would turn requests away from endpoints with an even share.
+constexpr double kMinLoadBound = 1.1;
 
 }  // namespace
 
@@ -129,6 +131,17 @@
   return policy;
 }
 
+SelectionPolicy PolicyForEvacuation(SelectionPolicy policy,
+                                    size_t available,
+                                    size_t evacuated) {
+  if (evacuated > 0) {
+    const double share = static_cast<double>(available) /
+                         static_cast<double>(available + evacuated);
+    policy.load_bound = std::max(kMinLoadBound, policy.load_bound * share);
+  }
+  return policy;
+}
+
 Selection SelectEndpoint(std::span<const EndpointCandidate> candidates,
                          std::optional<Affinity> affinity,
                          uint64_t tie_break,
--- a/Libraries/LibForwarding/endpoint_selector.h
+++ b/Libraries/LibForwarding/endpoint_selector.h
@@ -74,6 +74,13 @@
 SelectionPolicy PolicyForReportInterval(SelectionPolicy policy,
                                         core::Duration interval);
 
+// Returns `policy` for a pool of which `evacuated` endpoints get no requests.
+// The load bound refers to the mean of all endpoints of the pool, idle ones
+// included, but the selection only sees the `available` ones.
+SelectionPolicy PolicyForEvacuation(SelectionPolicy policy,
+                                    size_t available,
+                                    size_t evacuated);
+
 // The shared part of a prompt, by which rendezvous hashing ranks the endpoints.
 struct Affinity {
   uint64_t key = 0;
--- a/Tests/LibForwarding/endpoint_selector_test.cc
+++ b/Tests/LibForwarding/endpoint_selector_test.cc
@@ -184,5 +184,22 @@
   CHECK(Choose(pool, std::nullopt) == 1);
 }
 
+// Guards against a bound on the load of single endpoints that is too high while
+// part of the pool is idle because its data centre was evacuated.
+TEST_CASE("the load bound counts evacuated endpoints") {
+  struct Row {
+    size_t available;
+    size_t evacuated;
+    double bound;
+  };
+  const auto row = GENERATE(values<Row>({
+      {90, 0, 2.0},
+      {60, 30, 2.0 * 60 / 90},
+      {10, 80, 1.1},
+  }));
+  CHECK(PolicyForEvacuation({.load_bound = 2.0}, row.available, row.evacuated)
+            .load_bound == Approx(row.bound));
+}
+
 }  // namespace
 }  // namespace wasabi::forwarding
