Streams are resumed at their version after all hosts were killed

Cause: a process that had just started trusted what it had seen since its own start. Where the endpoints of the old version had left by then, a resumed stream was joined from two versions; where both were present, every resumption was refused, as the knowledge of origins died with the hosts.

Change: a history of versions counts only if it reaches back longer than a stream lives. The pools' versions, and the origins of streams while a pool has more than one version, are recorded in a keyed topic of the fleet (keyed.origins). A restarted host that finds no host that remembers a stream reads these records, or asks a host that has read them.

stream_joined_from_two_versions_test: a stream of unknown origin at a pool with one version needs a fleet that starts for the first time, since otherwise an earlier version may have begun it.

--- a/Libraries/LibCore/event.cc
+++ b/Libraries/LibCore/event.cc
@@ -84,6 +84,13 @@
     {EventCode::kEndpointBrittle, "endpoint_brittle",
      "An endpoint said, or no longer says, that it crashes if it has to turn "
      "away too many requests."},
+    {EventCode::kVersionsRecorded, "versions_recorded",
+     "This host wrote the record of the pools' recent versions to the store."},
+    {EventCode::kStoredOriginsRead, "stored_origins_read",
+     "This host read the origins of streams from the store."},
+    {EventCode::kOriginLookedUp, "origin_looked_up",
+     "No host remembered where a resumed stream began; the recorded origins "
+     "and versions decided."},
     {EventCode::kIntentAppended, "intent_appended",
      "An intent to run a call was appended to its partition."},
     {EventCode::kIntentWon, "intent_won",
--- a/Libraries/LibCore/event.h
+++ b/Libraries/LibCore/event.h
@@ -52,6 +52,9 @@
   kPathLost = 320,
   kPathRestored = 321,
   kEndpointBrittle = 322,
+  kVersionsRecorded = 335,
+  kStoredOriginsRead = 336,
+  kOriginLookedUp = 337,
   // 4xx: the ledger of non-repeatable calls.
   kIntentAppended = 400,
   kIntentWon = 401,
--- a/Libraries/LibForwarding/adapter_set.h
+++ b/Libraries/LibForwarding/adapter_set.h
@@ -58,6 +58,8 @@
   std::string registrations;
   // Topic of the fleet itself, with the gossip address of each host.
   std::string fleet;
+  // Topic of the fleet itself, with the origins of streams.
+  std::string origins;
 };
 
 struct AdapterSet {
--- a/Libraries/LibForwarding/forward_context.h
+++ b/Libraries/LibForwarding/forward_context.h
@@ -21,6 +21,7 @@
 #include "LibForwarding/endpoint_table.h"
 #include "LibForwarding/load_table.h"
 #include "LibForwarding/origin_history.h"
+#include "LibForwarding/origin_reporter.h"
 #include "LibForwarding/path_prober.h"
 #include "LibForwarding/permit_exchange.h"
 #include "LibForwarding/place_exchange.h"
@@ -29,6 +30,7 @@
 #include "LibForwarding/protocols.h"
 #include "LibForwarding/retry_allowance.h"
 #include "LibForwarding/service_times.h"
+#include "LibForwarding/stored_origins.h"
 #include "LibForwarding/stream_origin_exchange.h"
 #include "LibForwarding/wait_queue.h"
 #include "LibHttp/origin_client.h"
@@ -53,6 +55,8 @@
   PermitExchange* permits = nullptr;
   PlaceExchange* places = nullptr;
   StreamOriginExchange* stream_origins = nullptr;
+  StoredOrigins* stored_origins = nullptr;
+  OriginReporter* origin_reporter = nullptr;
   core::RandomSource* random = nullptr;
   SelectionPolicy selection;
   RetryAllowancePolicy retry_policy;
--- a/Libraries/LibForwarding/forward_session.cc
+++ b/Libraries/LibForwarding/forward_session.cc
@@ -128,32 +128,83 @@
 }
 
 void ForwardSession::OnOriginFound(std::optional<StreamOrigin> origin) {
-  if (!origin) {
-    ++context_->metrics->Counter("streams_of_unknown_origin");
-    context_->origin_history.Observe(*context_->endpoints, Now());
-    origin = context_->origin_history.OnlyOrigin(request_.route->pools, Now());
+  if (origin) {
+    Resume(*origin);
+    return;
+  }
+  ++context_->metrics->Counter("streams_of_unknown_origin");
+  context_->origin_history.Observe(*context_->endpoints,
+                                   context_->endpoint_view_age(), Now());
+  const auto only =
+      context_->origin_history.OnlyOrigin(request_.route->pools, Now());
+  if (only) {
+    Resume(*only);
+    return;
   }
-  if (!origin) {
+  FindStoredOrigin();
+}
+
+void ForwardSession::FindStoredOrigin() {
+  context_->stored_origins->Find(
+      request_.first_attempt ? std::optional(Key()) : std::nullopt,
+      request_.route->pools, Now(),
+      [weak = weak_from_this()](std::optional<StreamOrigin> origin) {
+        const auto self = weak.lock();
+        if (self != nullptr && !self->has_ended_) {
+          self->OnStoredOrigin(origin);
+        }
+      });
+}
+
+void ForwardSession::OnStoredOrigin(std::optional<StreamOrigin> origin) {
+  const auto only =
+      context_->origin_history.OnlyOrigin(request_.route->pools, Now());
+  context_->events->Record(
+      core::EventCode::kOriginLookedUp, request_.id.value(),
+      fmt::format("is_recorded={} has_one_version={} is_complete={} "
+                  "endpoints_age_ms={} ms={}",
+                  origin.has_value(), only.has_value(),
+                  context_->origin_history.IsComplete(Now()),
+                  core::ToMilliseconds(context_->endpoint_view_age()),
+                  core::ToMilliseconds(Now() - request_.received_at)));
+  ++context_->metrics->Counter(origin || only ? "stored_origins_found"
+                                              : "stored_origins_missing");
+  if (!origin && !only) {
     Refuse(core::MakeStatus(core::ResultCode::kCannotResume,
                             "it is unknown where the stream began"));
     return;
   }
-  if (!chooser_.ContinueAt(*origin)) {
+  Resume(origin ? *origin : *only);
+}
+
+void ForwardSession::Resume(StreamOrigin origin) {
+  if (!chooser_.ContinueAt(origin)) {
     Refuse(core::MakeRefusal(core::ResultCode::kCannotResume,
                              "no endpoint can continue the stream",
                              RetryAfter()));
     return;
   }
   has_begun_ = true;
+  // The next process of this host may not find the stream in its previous
+  // place.
+  if (request_.first_attempt) {
+    RecordOrigin(origin);
+  }
   DispatchOrWait();
 }
 
+void ForwardSession::RecordOrigin(StreamOrigin origin) {
+  context_->stream_origins->Record(Key(), origin, Now());
+  context_->origin_reporter->OnStreamBegun(chooser_.pool().Hash(), Key(),
+                                           origin, Now());
+}
+
 void ForwardSession::OnStreamBegun() {
   has_begun_ = true;
   chooser_.ContinueAfter(attempt_->endpoint());
   if (request_.route->repeat == RepeatPolicy::kResumable) {
-    context_->stream_origins->Record(Key(), OriginOf(attempt_->endpoint()),
-                                     Now());
+    context_->origin_history.RecordStream(attempt_->endpoint(), Now());
+    RecordOrigin(OriginOf(attempt_->endpoint()));
   }
 }
 
--- a/Libraries/LibForwarding/forward_session.h
+++ b/Libraries/LibForwarding/forward_session.h
@@ -39,6 +39,13 @@
   // Finds out where the stream that the caller resumes began, then starts.
   void FindOrigin();
   void OnOriginFound(std::optional<StreamOrigin> origin);
+  // Handles that no host remembers where the stream began.
+  void FindStoredOrigin();
+  void OnStoredOrigin(std::optional<StreamOrigin> origin);
+  // Makes the origin of this stream known to the fleet.
+  void RecordOrigin(StreamOrigin origin);
+  // Continues the stream at endpoints of `origin`.
+  void Resume(StreamOrigin origin);
   // Starts an attempt, refuses the request or queues it.
   void DispatchOrWait();
   // Ends the request if it would crash endpoints. Returns whether it would.
--- a/Libraries/LibMembership/application_kind.h
+++ b/Libraries/LibMembership/application_kind.h
@@ -33,6 +33,11 @@
   kPlaceQuestion = 93,
   kPlaceAnswer = 94,
   kPlaceReport = 95,
+  // Used by the origins of streams that outlive the fleet.
+  kOriginsToRecord = 116,
+  kOriginsRecorded = 117,
+  kStoredOriginQuery = 118,
+  kStoredOriginAnswer = 119,
 };
 
 }  // namespace wasabi::membership
--- a/Services/Forwarder/fleet_controller.cc
+++ b/Services/Forwarder/fleet_controller.cc
@@ -91,6 +91,13 @@
             return loads->OwnLoad(endpoint);
           },
           SendFunction()),
+      origins_({.adapters = context.adapters,
+                .scheduler = context.scheduler,
+                .events = context.events,
+                .history = context.origin_history},
+               settings,
+               core::ProcessSeed(settings.host.Hash()),
+               SendFunction()),
       fleet_topic_(context.adapters,
                    context.scheduler,
                    context.events,
@@ -124,8 +131,10 @@
   });
   SetApplicationHandlers();
   gossip_->SetSeeds(fleet_topic_.addresses());
-  fleet_topic_.SetObserver(
-      [this]() { gossip_->SetSeeds(fleet_topic_.addresses()); });
+  fleet_topic_.SetObserver([this]() {
+    gossip_->SetSeeds(fleet_topic_.addresses());
+    are_roles_stale_ = true;
+  });
   ticker_ = context_.loop->NewTimer([this]() { Tick(); });
   ticker_->StartRepeating(kTick);
   return absl::OkStatus();
@@ -171,6 +180,22 @@
          [this](const Member& from, std::string_view body) {
            return stream_origins_.OnAnswer(from.id, body, context_.loop->Now());
          });
+  handle(ApplicationKind::kOriginsToRecord,
+         [this](const Member& from, std::string_view body) {
+           return origins_.recorder().OnRequest(from.id, body);
+         });
+  handle(ApplicationKind::kOriginsRecorded,
+         [this](const Member& /*from*/, std::string_view body) {
+           return origins_.reporter().OnRecorded(body);
+         });
+  handle(ApplicationKind::kStoredOriginQuery, [this](const Member& from,
+                                                     std::string_view body) {
+    return origins_.stored().OnQuery(from.id, body, context_.loop->Now());
+  });
+  handle(ApplicationKind::kStoredOriginAnswer, [this](const Member& from,
+                                                      std::string_view body) {
+    return origins_.stored().OnAnswer(from.id, body, context_.loop->Now());
+  });
   handle(ApplicationKind::kEndpointLimits,
          [this](const Member& /*from*/, std::string_view body) {
            return permits_.OnReports(body, context_.loop->Now());
@@ -207,7 +232,9 @@
   }
   are_roles_stale_ = false;
   const membership::MemberTableSnapshot table = gossip_->table();
-  topics_.SetRoles(DeriveRoles(*table, settings_.host, settings_.data_centre));
+  const FleetRoles roles =
+      DeriveRoles(*table, settings_.host, settings_.data_centre);
+  topics_.SetRoles(roles);
   const forwarding::ReportPeers peers =
       DeriveReportPeers(*table, settings_.host, settings_.data_centre);
   load_exchange_.SetPeers(peers);
@@ -217,6 +244,7 @@
   places_.SetPeers(peers);
   const std::vector<core::HostId> running = RunningHosts(*table);
   stream_origins_.SetHosts(running);
+  origins_.SetHosts(running, fleet_topic_.hosts(), roles);
   permits_.SetHosts(running, host_count());
   places_.SetHosts(running, host_count());
   context_.carriers->SetCarriers(CarriersOf(*table, settings_.host));
@@ -268,6 +296,7 @@
   crash_exchange_.Tick(context_.loop->Now());
   crash_sync_.Tick(context_.loop->Now());
   stream_origins_.Tick(context_.loop->Now());
+  origins_.Tick(topics_.LatestEpoch());
   permits_.Tick(context_.loop->Now());
   places_.Tick(context_.loop->Now());
 }
--- a/Services/Forwarder/fleet_controller.h
+++ b/Services/Forwarder/fleet_controller.h
@@ -24,6 +24,7 @@
 #include "LibMembership/gossip_node.h"
 #include "Services/Forwarder/fleet_topic_controller.h"
 #include "Services/Forwarder/forwarder_settings.h"
+#include "Services/Forwarder/origin_controller.h"
 #include "Services/Forwarder/topic_controller.h"
 
 namespace wasabi::forwarder {
@@ -38,6 +39,7 @@
   forwarding::LoadTable* loads = nullptr;
   forwarding::CrashSuspects* suspects = nullptr;
   forwarding::CarrierDirectory* carriers = nullptr;
+  forwarding::OriginHistory* origin_history = nullptr;
 };
 
 class FleetController {
@@ -70,6 +72,8 @@
     return &stream_origins_;
   }
 
+  OriginController& origins() { return origins_; }
+
   forwarding::PermitExchange* permits() { return &permits_; }
   forwarding::PlaceExchange* places() { return &places_; }
 
@@ -105,6 +109,7 @@
   forwarding::StreamOriginExchange stream_origins_;
   forwarding::PermitExchange permits_;
   forwarding::PlaceExchange places_;
+  OriginController origins_;
   FleetTopicController fleet_topic_;
   TopicController topics_;
   std::unique_ptr<core::Timer> ticker_;
--- a/Services/Forwarder/fleet_topic_controller.cc
+++ b/Services/Forwarder/fleet_topic_controller.cc
@@ -76,6 +76,10 @@
                     "topic=fleet host=" + record.key);
     return false;
   }
+  const core::HostId host(record.key);
+  if (std::find(hosts_.begin(), hosts_.end(), host) == hosts_.end()) {
+    hosts_.push_back(host);
+  }
   if (*address == own_address_ ||
       std::find(addresses_.begin(), addresses_.end(), *address) !=
           addresses_.end()) {
--- a/Services/Forwarder/fleet_topic_controller.h
+++ b/Services/Forwarder/fleet_topic_controller.h
@@ -46,6 +46,8 @@
   const std::vector<core::SocketAddress>& addresses() const {
     return addresses_;
   }
+  // Returns the hosts that were ever seen in the topic.
+  const std::vector<core::HostId>& hosts() const { return hosts_; }
   // Returns the number of attempts to register.
   uint64_t writes() const { return writes_; }
   platform::TopicView* view() const { return view_.get(); }
@@ -66,6 +68,7 @@
   const core::SocketAddress own_address_;
   core::RandomSource random_;
   std::vector<core::SocketAddress> addresses_;
+  std::vector<core::HostId> hosts_;
   forwarding::TopicRelay relay_;
   std::shared_ptr<platform::TopicView> view_;
   Observer observer_;
--- a/Services/Forwarder/forwarder_daemon.cc
+++ b/Services/Forwarder/forwarder_daemon.cc
@@ -91,15 +91,17 @@
   registrations_ = std::make_unique<RegistrationController>(
       &adapters_, &scheduler_, &events_, &endpoints_, settings_.leaving_bound,
       random_.Next());
-  TRY_ASSIGN(fleet_, FleetController::Create({.loop = loop_,
-                                              .scheduler = &scheduler_,
-                                              .events = &events_,
-                                              .client = &platform_client_,
-                                              .adapters = &adapters_,
-                                              .loads = &loads_,
-                                              .suspects = &suspects_,
-                                              .carriers = &carriers_},
-                                             settings_));
+  TRY_ASSIGN(fleet_, FleetController::Create(
+                         {.loop = loop_,
+                          .scheduler = &scheduler_,
+                          .events = &events_,
+                          .client = &platform_client_,
+                          .adapters = &adapters_,
+                          .loads = &loads_,
+                          .suspects = &suspects_,
+                          .carriers = &carriers_,
+                          .origin_history = &context_.origin_history},
+                         settings_));
   fleet_->SetTopics(
       {{.view = configuration_->view(), .relay = configuration_->relay()},
        {.view = registrations_->view(), .relay = registrations_->relay()}});
@@ -153,6 +155,8 @@
   context_.carriers = &carriers_;
   path_.SetLossObserver([this]() { monitor_.EndHoldDowns(); });
   context_.stream_origins = fleet_->stream_origins();
+  context_.stored_origins = &fleet_->origins().stored();
+  context_.origin_reporter = &fleet_->origins().reporter();
   context_.permits = fleet_->permits();
   context_.places = fleet_->places();
   context_.random = &random_;
@@ -162,7 +166,11 @@
   context_.host_count = [this]() { return fleet_->host_count(); };
   context_.max_load_age = [this]() { return fleet_->max_load_age(); };
   metrics_.Gauge("platform_calls", [this]() {
-    return static_cast<double>(fleet_->topics().platform_calls());
+    return static_cast<double>(fleet_->topics().platform_calls() +
+                               fleet_->origins().calls());
+  });
+  metrics_.Gauge("origin_calls", [this]() {
+    return static_cast<double>(fleet_->origins().calls());
   });
   metrics_.Gauge("carriers",
                  [this]() { return static_cast<double>(carriers_.size()); });
@@ -319,7 +327,8 @@
   }
   if (now >= next_origin_observation_at_) {
     next_origin_observation_at_ = now + kOriginObservationPeriod;
-    context_.origin_history.Observe(endpoints_, now);
+    context_.origin_history.Observe(endpoints_, context_.endpoint_view_age(),
+                                    now);
   }
   if (now >= next_settings_check_at_) {
     next_settings_check_at_ = now + kSettingsCheckPeriod;
--- /dev/null
+++ b/Services/Forwarder/origin_controller.cc
@@ -0,0 +1,160 @@
+#include "Services/Forwarder/origin_controller.h"
+
+#include <utility>
+
+#include "LibCore/result_code.h"
+#include "LibCore/text.h"
+
+namespace wasabi::forwarder {
+
+namespace {
+
+using forwarding::OriginHistory;
+using forwarding::VersionAction;
+using forwarding::VersionRecord;
+
+// Before, several hosts of a fleet that starts take themselves for its reader.
+constexpr core::Duration kSettleTime = core::seconds(1);
+constexpr core::Duration kFirstStartSettleTime = core::seconds(3);
+
+}  // namespace
+
+OriginController::OriginController(
+    const OriginContext& context,
+    const ForwarderSettings& settings,
+    uint64_t random_seed,
+    const forwarding::OriginRecorder::SendFunction& send)
+    : context_(context),
+      is_first_start_(settings.is_first_start),
+      started_at_(context.scheduler->Now()),
+      recorder_(settings.host,
+                send,
+                [this](const std::string& key,
+                       const std::string& value,
+                       const std::function<void(bool)>& done) {
+                  Put(key, value,
+                      [done](const auto& epoch) { done(epoch.ok()); });
+                }),
+      reporter_(settings.host, send, &recorder_, random_seed),
+      stored_(settings.host,
+              context.history,
+              random_seed,
+              send,
+              [this]() { Read(); }),
+      self_(std::make_shared<OriginController*>(this)) {
+  if (is_first_start_) {
+    context_.history->SetFirstStart();
+    recorder_.SetPosition(0);
+    stored_.SetVersions({});
+  }
+}
+
+void OriginController::SetHosts(const std::vector<core::HostId>& running,
+                                const std::vector<core::HostId>& registered,
+                                const FleetRoles& roles) {
+  reporter_.SetHosts(running);
+  stored_.SetHosts(running, registered);
+  registered_hosts_ = registered.size();
+  roles_ = roles;
+}
+
+void OriginController::Tick(platform::LogEpoch epoch) {
+  const core::TimePoint now = context_.scheduler->Now();
+  reporter_.Tick(*context_.history, now);
+  if (recorder_.NeedsPosition()) {
+    stored_.StartRead(now);
+  }
+  recorder_.Tick(now);
+  stored_.Tick(now);
+  UpdateVersions(epoch);
+}
+
+void OriginController::UpdateVersions(platform::LogEpoch epoch) {
+  const core::TimePoint now = context_.scheduler->Now();
+  const bool is_settled =
+      now - started_at_ >=
+          (is_first_start_ ? kFirstStartSettleTime : kSettleTime) &&
+      2 * (roles_.others.size() + 1) >= registered_hosts_;
+  if (is_writing_versions_) {
+    return;
+  }
+  const auto rank =
+      is_settled ? std::optional(roles_.reader_rank) : std::nullopt;
+  switch (versions_.Decide(rank, stored_.versions(), *context_.history, epoch,
+                           now)) {
+    case VersionAction::kNone:
+      return;
+    case VersionAction::kRead:
+      stored_.StartRead(now);
+      return;
+    case VersionAction::kWrite:
+      WriteVersions(epoch);
+      return;
+  }
+}
+
+void OriginController::WriteVersions(platform::LogEpoch epoch) {
+  const VersionRecord record = forwarding::VersionRecorder::NewRecord(
+      *context_.history, epoch, context_.scheduler->Now());
+  is_writing_versions_ = true;
+  Put(std::string(forwarding::kVersionsKey), core::Encode(record),
+      [this, record](const absl::StatusOr<platform::LogEpoch>& written) {
+        is_writing_versions_ = false;
+        // A record that belongs to an earlier history is written again.
+        const bool is_valid = written.ok() && *written == record.epoch;
+        if (is_valid) {
+          stored_.SetVersions(record);
+        }
+        context_.events->Record(
+            core::EventCode::kVersionsRecorded, "",
+            fmt::format("pools={} epoch={} is_valid={} rank={}",
+                        record.pools.size(), record.epoch, is_valid,
+                        roles_.reader_rank));
+      });
+}
+
+void OriginController::Put(
+    const std::string& key,
+    const std::string& value,
+    std::function<void(const absl::StatusOr<platform::LogEpoch>&)> done) {
+  ++calls_;
+  context_.adapters->topics->Put(
+      context_.adapters->names.origins, key, value,
+      [weak = std::weak_ptr(self_), done = std::move(done)](
+          const absl::StatusOr<platform::LogEpoch>& written) {
+        if (const auto self = weak.lock()) {
+          done(written);
+        }
+      });
+}
+
+void OriginController::Read() {
+  ++calls_;
+  context_.adapters->topics->ReadNewest(
+      context_.adapters->names.origins,
+      [weak = std::weak_ptr(self_)](
+          const absl::StatusOr<platform::KeyedPage>& page) {
+        if (const auto self = weak.lock()) {
+          (*self)->OnRead(page);
+        }
+      });
+}
+
+void OriginController::OnRead(const absl::StatusOr<platform::KeyedPage>& page) {
+  const core::TimePoint now = context_.scheduler->Now();
+  stored_.OnRead(page, now);
+  if (page.ok()) {
+    versions_.OnRead();
+    if (recorder_.NeedsPosition()) {
+      recorder_.SetPosition(stored_.next_slot());
+    }
+  }
+  context_.events->Record(
+      core::EventCode::kStoredOriginsRead, "",
+      page.ok() ? fmt::format("records={} streams={} epoch={} is_complete={}",
+                              page->records.size(), stored_.streams(),
+                              page->epoch, context_.history->IsComplete(now))
+                : "error=" + core::MessageOf(page.status()));
+}
+
+}  // namespace wasabi::forwarder
--- /dev/null
+++ b/Services/Forwarder/origin_controller.h
@@ -0,0 +1,87 @@
+// Keeps in the platform's store what a fleet that was killed as a whole has to
+// know about the streams of its callers (docs/design/stream-origins.md).
+
+#ifndef SERVICES_FORWARDER_ORIGIN_CONTROLLER_H_
+#define SERVICES_FORWARDER_ORIGIN_CONTROLLER_H_
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "LibCore/event_ring.h"
+#include "LibForwarding/adapter_set.h"
+#include "LibForwarding/origin_history.h"
+#include "LibForwarding/origin_recorder.h"
+#include "LibForwarding/origin_reporter.h"
+#include "LibForwarding/stored_origins.h"
+#include "LibForwarding/version_recorder.h"
+#include "LibPlatform/scheduler.h"
+#include "Services/Forwarder/fleet_roles.h"
+#include "Services/Forwarder/forwarder_settings.h"
+
+namespace wasabi::forwarder {
+
+// The dependencies of an OriginController. All of them must outlive it.
+struct OriginContext {
+  const forwarding::AdapterSet* adapters = nullptr;
+  platform::Scheduler* scheduler = nullptr;
+  core::EventRing* events = nullptr;
+  forwarding::OriginHistory* history = nullptr;
+};
+
+class OriginController {
+ public:
+  OriginController(const OriginContext& context,
+                   const ForwarderSettings& settings,
+                   uint64_t random_seed,
+                   const forwarding::OriginRecorder::SendFunction& send);
+  OriginController(const OriginController&) = delete;
+  OriginController& operator=(const OriginController&) = delete;
+
+  // Sets the running hosts, all hosts that were ever registered, and the roles
+  // of this host.
+  void SetHosts(const std::vector<core::HostId>& running,
+                const std::vector<core::HostId>& registered,
+                const FleetRoles& roles);
+
+  // Reads, writes and sends what is due. `epoch` is the present history of the
+  // platform's log. Must be called every few ten milliseconds.
+  void Tick(platform::LogEpoch epoch);
+
+  forwarding::OriginReporter& reporter() { return reporter_; }
+  forwarding::OriginRecorder& recorder() { return recorder_; }
+  forwarding::StoredOrigins& stored() { return stored_; }
+  // Returns the number of calls to the platform so far.
+  uint64_t calls() const { return calls_; }
+
+ private:
+  void Put(const std::string& key,
+           const std::string& value,
+           std::function<void(const absl::StatusOr<platform::LogEpoch>&)> done);
+  void Read();
+  void OnRead(const absl::StatusOr<platform::KeyedPage>& page);
+  void UpdateVersions(platform::LogEpoch epoch);
+  void WriteVersions(platform::LogEpoch epoch);
+
+  const OriginContext context_;
+  const bool is_first_start_;
+  const core::TimePoint started_at_;
+  forwarding::OriginRecorder recorder_;
+  forwarding::OriginReporter reporter_;
+  forwarding::StoredOrigins stored_;
+  forwarding::VersionRecorder versions_;
+  size_t registered_hosts_ = 0;
+  FleetRoles roles_;
+  bool is_writing_versions_ = false;
+  uint64_t calls_ = 0;
+  // Calls to the platform that are in flight when this object ends refer to it
+  // through this pointer.
+  const std::shared_ptr<OriginController*> self_;
+};
+
+}  // namespace wasabi::forwarder
+
+#endif  // SERVICES_FORWARDER_ORIGIN_CONTROLLER_H_
--- a/Tests/ForwardedStreams/stream_joined_from_two_versions_test.cc
+++ b/Tests/ForwardedStreams/stream_joined_from_two_versions_test.cc
@@ -110,7 +110,9 @@
   };
   for (const UnknownCase& row : cases) {
     INFO(row.what);
-    ForwarderFixture it;
+    // Only where no stream is older than the fleet, or the history is known,
+    // can the origin follow from the endpoints.
+    ForwarderFixture it(true);
     it.Register("e2", it.second, "ready", "p", row.second_version);
     it.Configure();
     AwaitRegistrations(it);
--- a/Tests/LibForwarding/stream_origin_exchange_test.cc
+++ b/Tests/LibForwarding/stream_origin_exchange_test.cc
@@ -223,28 +223,90 @@
   return endpoint;
 }
 
+constexpr core::Duration kCurrent = core::milliseconds(100);
+
 TEST_CASE("a pool has one origin only after its other versions are long gone") {
   const std::vector<WeightedPool> pools = {{.pool = core::PoolId("p")}};
   EndpointTable table;
   OriginHistory history;
+  history.SetFirstStart();
   core::TimePoint now{};
   CHECK_FALSE(history.OnlyOrigin(pools, now).has_value());
   const Endpoint first = MakeEndpoint("e1", "p", "v1");
   table.Put(first);
   table.Put(MakeEndpoint("e3", "q", "v9"));
-  history.Observe(table, now);
+  history.Observe(table, kCurrent, now);
   CHECK((history.OnlyOrigin(pools, now) == OriginOf(first)));
   const Endpoint second = MakeEndpoint("e2", "p", "v2");
   table.Put(second);
-  history.Observe(table, now);
+  history.Observe(table, kCurrent, now);
   CHECK_FALSE(history.OnlyOrigin(pools, now).has_value());
   table.Remove(first.id);
-  now += core::seconds(10);
-  history.Observe(table, now);
-  CHECK_FALSE(history.OnlyOrigin(pools, now).has_value());
-  now += core::seconds(60);
-  history.Observe(table, now);
+  for (int i = 0; i < 10; ++i) {
+    CHECK_FALSE(history.OnlyOrigin(pools, now).has_value());
+    now += core::seconds(6);
+    history.Observe(table, kCurrent, now);
+  }
   CHECK((history.OnlyOrigin(pools, now) == OriginOf(second)));
+  // A version that returns, as after a roll-back, counts again.
+  table.Put(first);
+  history.Observe(table, kCurrent, now);
+  CHECK_FALSE(history.OnlyOrigin(pools, now).has_value());
+}
+
+struct MemoryCase {
+  const char* what;
+  // Seconds between observations, and the age of the registrations.
+  int interval_s;
+  int view_age_s;
+  int observations;
+  bool is_complete;
+};
+
+// Guards against streams that are joined because a process trusts what it has
+// seen since a start, a pause or a partition that a version came before.
+TEST_CASE("a history counts once it reaches back longer than a stream lives") {
+  const MemoryCase cases[] = {
+      {"just started", 1, 0, 1, false},
+      {"nearly long enough", 1, 0, 60, false},
+      {"long enough", 1, 0, 61, true},
+      {"paused for seconds each time", 9, 0, 61, false},
+      {"cut off from the registrations", 1, 9, 61, false},
+  };
+  for (const MemoryCase& row : cases) {
+    INFO(row.what);
+    EndpointTable table;
+    table.Put(MakeEndpoint("e1", "p", "v1"));
+    OriginHistory history;
+    core::TimePoint now = core::TimePoint() + core::seconds(1000);
+    for (int i = 0; i < row.observations; ++i) {
+      now += core::seconds(row.interval_s);
+      history.Observe(table, core::seconds(row.view_age_s), now);
+    }
+    CHECK(history.IsComplete(now) == row.is_complete);
+    CHECK(history.OnlyOrigin({{.pool = core::PoolId("p")}}, now).has_value() ==
+          row.is_complete);
+  }
+}
+
+TEST_CASE("a process knows from records what it has not seen") {
+  EndpointTable table;
+  const Endpoint second = MakeEndpoint("e2", "p", "v2");
+  table.Put(second);
+  const core::PoolId pool("p");
+  const uint64_t other = OriginOf(MakeEndpoint("e1", "p", "v1")).hash;
+  core::TimePoint now{};
+  for (const bool is_same : {true, false}) {
+    OriginHistory history;
+    history.Observe(table, kCurrent, now);
+    history.AddPast({{.pool = pool.Hash(),
+                      .origins = {is_same ? OriginOf(second).hash : other}}},
+                    true, now);
+    CHECK(history.OnlyOrigin({{.pool = pool}}, now).has_value() == is_same);
+    CHECK(history.HasSeveral(pool.Hash(), now) != is_same);
+    // Nothing is known of other pools.
+    CHECK_FALSE(history.IsComplete(core::PoolId("q").Hash(), now));
+  }
 }
 
 }  // namespace
--- a/Tests/Support/ForwarderFixture/forwarder_fixture.cc
+++ b/Tests/Support/ForwarderFixture/forwarder_fixture.cc
@@ -92,11 +92,12 @@
       events);
 }
 
-ForwarderFixture::ForwarderFixture()
+ForwarderFixture::ForwarderFixture(bool is_first_start)
     : scheduler(&loop),
       first(&loop, FreeAddress(LoopbackIp(10))),
       second(&loop, FreeAddress(LoopbackIp(11))),
-      client(&loop) {
+      client(&loop),
+      is_first_start_(is_first_start) {
   for (RawServer* server : {&first, &second}) {
     server->SetResponder([this, server](const std::string& text) {
       return Respond(server, text);
@@ -153,11 +154,24 @@
 
 void ForwarderFixture::Start() {
   settings = NewSettings("h1", LoopbackIp(12));
+  settings.is_first_start = is_first_start_;
   daemon = NewDaemon(settings, &links, &store);
   Register("e1", first, "ready");
   Register("e2", second, "ready");
 }
 
+void ForwarderFixture::KillHosts() {
+  kept_log_ = store->Backup();
+  daemon.reset();
+  store = nullptr;
+}
+
+void ForwarderFixture::RestartHosts() {
+  settings.is_first_start = false;
+  daemon = NewDaemon(settings, &links, &store);
+  store->SetLog(kept_log_);
+}
+
 FixturePeer* ForwarderFixture::AddPeer(const std::string& host,
                                        const EndpointLinkMap& peer_links) {
   const auto index = static_cast<uint32_t>(peers.size());
--- a/Tests/Support/ForwarderFixture/forwarder_fixture.h
+++ b/Tests/Support/ForwarderFixture/forwarder_fixture.h
@@ -66,7 +66,13 @@
 // The endpoints "e1" and "e2" are ready and belong to the pool "p" of most
 // routes. An empty scripted response means that the endpoint does not respond.
 struct ForwarderFixture {
-  ForwarderFixture();
+  // `is_first_start` states that no request is older than the daemon.
+  explicit ForwarderFixture(bool is_first_start = false);
+
+  // Kills the daemon. Its store keeps the records.
+  void KillHosts();
+  // Starts the daemon again, with the records of its previous store.
+  void RestartHosts();
 
   // Writes the configuration and waits until the daemon is ready.
   void Configure();
@@ -132,7 +138,10 @@
                          int sequence);
   std::string Respond(RawServer* server, const std::string& text);
 
+  bool is_first_start_;
   int sequence_ = 0;
+  // The records of the store while no daemon runs.
+  KeyedLog kept_log_;
 };
 
 }  // namespace wasabi::support
--- a/Tests/Support/TopicStore/fake_topic_client.h
+++ b/Tests/Support/TopicStore/fake_topic_client.h
@@ -36,6 +36,8 @@
   void Compact(const std::string& topic) { log_.Compact(topic); }
   // Returns the current records, to be passed to RestoreFrom later.
   KeyedLog Backup() const { return log_; }
+  // Replaces the records, as of a client of the same store.
+  void SetLog(const KeyedLog& log) { log_ = log; }
   void RestoreFrom(const KeyedLog& backup) { log_.RestoreFrom(backup); }
   void TruncateTo(const std::string& topic, platform::Offset end) {
     log_.TruncateTo(topic, end);
