--- a/Libraries/LibCore/event.cc
+++ b/Libraries/LibCore/event.cc
@@ -98,6 +98,13 @@
     {EventCode::kSendWithheld, "send_withheld",
      "A request was not sent because the data centre of its endpoint was "
      "evacuated after the endpoint was chosen."},
+    {EventCode::kVersionsRecorded, "versions_recorded",
+     "This host wrote the record of the pools' recent versions to the store."},
+    {EventCode::kStoredOriginsRead, "stored_origins_read",
+     "This host read the origins of streams from the store."},
+    {EventCode::kOriginLookedUp, "origin_looked_up",
+     "No host remembered where a resumed stream began; the recorded origins "
+     "and versions decided."},
     {EventCode::kIntentAppended, "intent_appended",
      "An intent to run a call was appended to its partition."},
     {EventCode::kIntentWon, "intent_won",
--- a/Libraries/LibCore/event.h
+++ b/Libraries/LibCore/event.h
@@ -57,6 +57,9 @@
   kEvacuationRemoved = 325,
   kEvacuationRetained = 326,
   kSendWithheld = 327,
+  kVersionsRecorded = 335,
+  kStoredOriginsRead = 336,
+  kOriginLookedUp = 337,
   // 4xx: the ledger of non-repeatable calls.
   kIntentAppended = 400,
   kIntentWon = 401,
