One host grants the slots of small pools of plain calls, where load control is on

Cause: 90 hosts with 2.8 calls/s each know too little of a pool of 3 or 6 endpoints, and follow the same old load report once calls have queued.

Change: PoolSlotExchange: one question per call to one host of the fleet, which keeps exact counts and names the endpoint with the fewest requests, or the expected wait. Off by default: ForwardContext::load_control_enabled. Messages 110 to 112, event 328.

--- a/Libraries/LibCore/event.cc
+++ b/Libraries/LibCore/event.cc
@@ -98,6 +98,9 @@
     {EventCode::kSendWithheld, "send_withheld",
      "A request was not sent because the data centre of its endpoint was "
      "evacuated after the endpoint was chosen."},
+    {EventCode::kPoolSlotDenied, "pool_slot_denied",
+     "A request was refused because the fleet's requests take every slot of "
+     "its pool, and waiting for one would take too long."},
     {EventCode::kIntentAppended, "intent_appended",
      "An intent to run a call was appended to its partition."},
     {EventCode::kIntentWon, "intent_won",
--- a/Libraries/LibCore/event.h
+++ b/Libraries/LibCore/event.h
@@ -57,6 +57,7 @@
   kEvacuationRemoved = 325,
   kEvacuationRetained = 326,
   kSendWithheld = 327,
+  kPoolSlotDenied = 328,
   // 4xx: the ledger of non-repeatable calls.
   kIntentAppended = 400,
   kIntentWon = 401,
--- a/Libraries/LibForwarding/endpoint_chooser.cc
+++ b/Libraries/LibForwarding/endpoint_chooser.cc
@@ -9,6 +9,12 @@
 
 namespace {
 
+// Slots are granted in pools with at most this many slots for each host. With
+// more, the host's own requests tell it enough of the pool's load.
+constexpr size_t kMaxGrantedSlotsPerHost = 2;
+// A question must fit in a datagram.
+constexpr size_t kMaxSlotCandidates = 64;
+
 std::optional<uint64_t> AffinityKeyOf(const ForwardRequest& request) {
   if (!request.route->has_prompt_affinity || request.prompt.empty()) {
     return std::nullopt;
@@ -52,6 +58,8 @@
       affinity_key_(AffinityKeyOf(request)),
       pool_(ChoosePool(request, affinity_key_)),
       copies_prompts_(affinity_key_ && CopiesPrompts(request, pool_)),
+      is_plain_(!affinity_key_ && !request.route->is_stream &&
+                !CopiesPrompts(request, pool_)),
       prompt_share_(affinity_key_ ? context->popularity[pool_].Record(
                                         *affinity_key_,
                                         context->loop->Now())
@@ -126,6 +134,60 @@
              : nullptr;
 }
 
+bool EndpointChooser::UsesPoolSlots(
+    const std::vector<const Endpoint*>& endpoints) const {
+  if (!context_->load_control_enabled || !is_plain_ || endpoints.empty() ||
+      endpoints.size() > kMaxSlotCandidates) {
+    return false;
+  }
+  size_t slots = 0;
+  for (const Endpoint* it : endpoints) {
+    slots += it->slots;
+    // Their own grants are stricter.
+    if (context_->places->IsBrittle(it->id) ||
+        context_->permits->IsLimited(it->id)) {
+      return false;
+    }
+  }
+  return slots <= kMaxGrantedSlotsPerHost * context_->host_count();
+}
+
+std::optional<PoolSlotRequest> EndpointChooser::SlotRequest(
+    const std::set<core::RunnerId>& tried,
+    core::Duration max_wait,
+    core::TimePoint now) const {
+  const std::vector<const Endpoint*> endpoints =
+      context_->endpoints->Available(pool_);
+  if (!UsesPoolSlots(endpoints)) {
+    return std::nullopt;
+  }
+  PoolSlotRequest request{
+      .pool = pool_,
+      .service_time = context_->service_times.Mean(pool_, now),
+      .max_wait = max_wait};
+  PoolSlotRequest healthy = request;
+  for (const Endpoint* it : endpoints) {
+    if (tried.contains(it->id) || !IsSuitable(*it) ||
+        now < ClosedUntil(it->id) || context_->monitor->IsDown(it->id, now)) {
+      continue;
+    }
+    const PoolSlotRequest::Candidate candidate{
+        .endpoint = it->id.Hash(),
+        .slots = it->slots,
+        .is_near = it->data_centre == context_->data_centre};
+    request.candidates.push_back(candidate);
+    if (context_->monitor->FailureShare(it->id, now) <=
+        context_->selection.max_failure_share) {
+      healthy.candidates.push_back(candidate);
+    }
+  }
+  // As in SelectEndpoint.
+  if (healthy.candidates.size() * 2 >= endpoints.size()) {
+    return healthy;
+  }
+  return request.candidates.empty() ? std::nullopt : std::optional(request);
+}
+
 core::TimePoint EndpointChooser::ClosedUntil(
     const core::RunnerId& endpoint) const {
   return std::max({context_->monitor->PausedUntil(endpoint),
--- a/Libraries/LibForwarding/endpoint_chooser.h
+++ b/Libraries/LibForwarding/endpoint_chooser.h
@@ -14,6 +14,7 @@
 #include "LibForwarding/endpoint_selector.h"
 #include "LibForwarding/forward_context.h"
 #include "LibForwarding/forward_request.h"
+#include "LibForwarding/pool_slot_exchange.h"
 #include "LibForwarding/stream_origin.h"
 
 namespace wasabi::forwarding {
@@ -51,6 +52,16 @@
   const Endpoint* Choose(const std::set<core::RunnerId>& tried,
                          core::TimePoint now) const;
 
+  // Returns the question for a slot of the pool, if one host of the fleet
+  // grants its slots: where load control is on, for plain calls to a pool with
+  // few slots for the number of hosts. Returns nullopt otherwise, and if no
+  // endpoint can accept the request now. `max_wait` is how long the request may
+  // wait at an endpoint.
+  std::optional<PoolSlotRequest> SlotRequest(
+      const std::set<core::RunnerId>& tried,
+      core::Duration max_wait,
+      core::TimePoint now) const;
+
   // Returns the earliest time at which an endpoint accepts the request again,
   // if every endpoint that is not in `tried` has asked for a pause or has no
   // permit left. Returns nullopt if one of them accepts requests, or if there
@@ -83,6 +94,8 @@
   // the rendezvous order of the fleet, or nullptr if there is none.
   const Endpoint* PreferredSourceExcept(const Endpoint& chosen,
                                         core::TimePoint now) const;
+  // Returns whether the fleet shares the slots of `endpoints` by grants.
+  bool UsesPoolSlots(const std::vector<const Endpoint*>& endpoints) const;
   std::vector<EndpointCandidate> Candidates(
       const std::vector<const Endpoint*>& endpoints,
       const std::set<core::RunnerId>& tried,
@@ -96,6 +109,8 @@
   // Whether the pool's endpoints can copy cached prompts from each other.
   // Always false without an affinity key.
   bool copies_prompts_;
+  // Whether requests are neither streams nor share prompts.
+  const bool is_plain_;
   // Share of the pool's recent requests that have this prompt, from 0 to 1.
   const double prompt_share_;
   // The origin of the stream that the request continues, once it is known.
--- a/Libraries/LibForwarding/evacuation_set.cc
+++ b/Libraries/LibForwarding/evacuation_set.cc
@@ -35,16 +35,17 @@
   }
   for (auto it = evacuated_.begin(); it != evacuated_.end();) {
     auto& [data_centre, state] = *it;
-    if (present.contains(data_centre)) {
+    // The snapshot says nothing about records at or after its end.
+    const bool is_in_force =
+        present.contains(data_centre) ||
+        (!may_lack_records && (state.retained_until || state.offset >= next));
+    if (is_in_force) {
       ++it;
     } else if (may_lack_records) {
       state = {.offset = kBeforeAllRecords,
                .retained_until = now + kRestoredEvacuationLifetime};
       changes.push_back({data_centre, EvacuationChangeKind::kRetained});
       ++it;
-    } else if (state.retained_until || state.offset >= next) {
-      // The snapshot says nothing about records at or after its end.
-      ++it;
     } else {
       changes.push_back({data_centre, EvacuationChangeKind::kEnded});
       it = evacuated_.erase(it);
--- a/Libraries/LibForwarding/forward_attempt.cc
+++ b/Libraries/LibForwarding/forward_attempt.cc
@@ -323,6 +323,7 @@
   context_->loads->Finish(endpoint_.id);
   context_->places->OnFinished(endpoint_.id, context_->loop->Now());
   context_->service_times.Finish(endpoint_.pool, context_->loop->Now());
+  context_->pool_slots->OnFinished(endpoint_.pool, context_->loop->Now());
 }
 
 }  // namespace wasabi::forwarding
--- a/Libraries/LibForwarding/forward_context.h
+++ b/Libraries/LibForwarding/forward_context.h
@@ -24,6 +24,7 @@
 #include "LibForwarding/path_prober.h"
 #include "LibForwarding/permit_exchange.h"
 #include "LibForwarding/place_exchange.h"
+#include "LibForwarding/pool_slot_exchange.h"
 #include "LibForwarding/prompt_holders.h"
 #include "LibForwarding/prompt_popularity.h"
 #include "LibForwarding/protocols.h"
@@ -52,8 +53,11 @@
   CarrierDirectory* carriers = nullptr;
   PermitExchange* permits = nullptr;
   PlaceExchange* places = nullptr;
+  PoolSlotExchange* pool_slots = nullptr;
   StreamOriginExchange* stream_origins = nullptr;
   core::RandomSource* random = nullptr;
+  // Whether the deployment asks for admission by the load of the whole fleet.
+  bool load_control_enabled = false;
   SelectionPolicy selection;
   RetryAllowancePolicy retry_policy;
   core::DataCentreId data_centre;
--- a/Libraries/LibForwarding/forward_session.cc
+++ b/Libraries/LibForwarding/forward_session.cc
@@ -27,6 +27,9 @@
 // Maximum share of the remaining time for which a request is queued on this
 // host. The rest leaves the caller time to retry.
 constexpr double kMaxQueueTimeShare = 0.25;
+// Maximum share of the latency objective for which a request waits for a slot
+// at an endpoint. The rest is for its service.
+constexpr double kMaxSlotWaitShare = 0.5;
 // Minimum time without a byte before a connection is suspected to be lost.
 constexpr core::Duration kMinSilenceTimeout = core::milliseconds(600);
 // Range of the random delay after which a refused caller may retry.
@@ -174,9 +177,10 @@
 }
 
 bool ForwardSession::Dispatch() {
-  if (EndIfQuarantined()) {
-    return true;
-  }
+  return EndIfQuarantined() || AskForPoolSlot() || DispatchByOwnChoice();
+}
+
+bool ForwardSession::DispatchByOwnChoice() {
   const Endpoint* endpoint = chooser_.Choose(tried_, Now());
   if (endpoint == nullptr) {
     return false;
@@ -191,6 +195,66 @@
   return true;
 }
 
+bool ForwardSession::AskForPoolSlot() {
+  const core::Duration objective =
+      request_.route->latency_objective > core::Duration::zero()
+          ? request_.route->latency_objective
+          : answer_deadline_ - Now();
+  const auto slot = chooser_.SlotRequest(
+      tried_, core::FromSeconds(core::ToSeconds(objective) * kMaxSlotWaitShare),
+      Now());
+  if (!slot) {
+    return false;
+  }
+  LeaveQueue();
+  context_->pool_slots->Acquire(
+      *slot, Now(), [weak = weak_from_this()](const PoolSlotResult& result) {
+        const auto self = weak.lock();
+        if (self != nullptr && !self->has_ended_) {
+          self->OnPoolSlot(result);
+        }
+      });
+  return true;
+}
+
+void ForwardSession::OnPoolSlot(const PoolSlotResult& result) {
+  const bool may_have_run = runs_ > 0 || transaction_->is_started();
+  if (result.outcome == PoolSlotOutcome::kFull) {
+    ++context_->metrics->Counter("forward_pool_slots_denied");
+    context_->events->Record(
+        core::EventCode::kPoolSlotDenied, request_.id.value(),
+        fmt::format("pool={} wait_ms={} sends={}", chooser_.pool().value(),
+                    core::ToMilliseconds(result.wait), sends_));
+    if (may_have_run) {
+      FailAfterRun();
+      return;
+    }
+    Refuse(core::ResultCode::kOverloaded, "every slot of the pool is taken",
+           std::max(result.wait, RetryAfter()));
+    return;
+  }
+  if (result.outcome == PoolSlotOutcome::kGranted) {
+    // It may have left, or its data centre been evacuated, since the question.
+    const Endpoint* endpoint =
+        context_->endpoints->FindAvailable(result.endpoint);
+    if (endpoint != nullptr) {
+      ++context_->metrics->Counter("forward_pool_slots_granted");
+      StartAttempt(*endpoint);
+      return;
+    }
+    context_->pool_slots->OnFinished(chooser_.pool(), Now());
+  }
+  ++context_->metrics->Counter("forward_pool_slots_unknown");
+  if (DispatchByOwnChoice()) {
+    return;
+  }
+  if (may_have_run) {
+    FailAfterRun();
+  } else if (!RefuseIfClosed()) {
+    Wait();
+  }
+}
+
 void ForwardSession::AskForPlace(const Endpoint& endpoint) {
   LeaveQueue();
   context_->places->Acquire(
@@ -258,9 +322,10 @@
 }
 
 bool ForwardSession::DispatchOrRefuse() {
-  if (Dispatch()) {
-    return true;
-  }
+  return Dispatch() || RefuseIfClosed();
+}
+
+bool ForwardSession::RefuseIfClosed() {
   if (chooser_.IsEvacuated()) {
     Refuse(core::ResultCode::kNoEndpoint,
            "every endpoint is in an evacuated data centre");
--- a/Libraries/LibForwarding/forward_session.h
+++ b/Libraries/LibForwarding/forward_session.h
@@ -62,6 +62,15 @@
   // Goes on with another endpoint if the data centre of `endpoint` was
   // evacuated after it was chosen. Returns false, and does nothing, otherwise.
   bool WithholdIfEvacuated(const Endpoint& endpoint);
+  // Dispatches as this host's own choice is. Returns false if every endpoint is
+  // full.
+  bool DispatchByOwnChoice();
+  // Asks for a slot of the pool. Returns false if its slots are not granted.
+  bool AskForPoolSlot();
+  void OnPoolSlot(const PoolSlotResult& result);
+  // Refuses the request if no endpoint can accept it for now, for a reason that
+  // waiting on this host does not end.
+  bool RefuseIfClosed();
   void OnPermitDenied();
   void StartAttempt(const Endpoint& endpoint);
 
--- a/Libraries/LibForwarding/service_times.cc
+++ b/Libraries/LibForwarding/service_times.cc
@@ -26,6 +26,17 @@
   Current(pool, now).served += 1;
 }
 
+core::Duration ServiceTimes::Mean(const core::PoolId& pool,
+                                  core::TimePoint now) const {
+  const auto it = pools_.find(pool);
+  if (it == pools_.end()) {
+    return core::Duration::zero();
+  }
+  const Sums sums = At(it->second, now);
+  return sums.served <= 0 ? core::Duration::zero()
+                          : core::FromSeconds(sums.busy / sums.served);
+}
+
 bool ServiceTimes::AreReportsUseful(const core::PoolId& pool,
                                     core::Duration age,
                                     core::TimePoint now) const {
--- a/Libraries/LibForwarding/service_times.h
+++ b/Libraries/LibForwarding/service_times.h
@@ -21,6 +21,9 @@
   // Records that a request that has ended was served.
   void RecordServed(const core::PoolId& pool, core::TimePoint now);
 
+  // Returns the mean time of a request at an endpoint, zero if unknown.
+  core::Duration Mean(const core::PoolId& pool, core::TimePoint now) const;
+
   // Returns whether load reports that are up to `age` old still describe the
   // current load. They do not if requests are certain to take less time: the
   // reported requests have ended by then, and hosts that follow the same stale
--- a/Libraries/LibMembership/application_kind.h
+++ b/Libraries/LibMembership/application_kind.h
@@ -33,6 +33,9 @@
   kPlaceQuestion = 93,
   kPlaceAnswer = 94,
   kPlaceReport = 95,
+  kPoolSlotQuestion = 110,
+  kPoolSlotAnswer = 111,
+  kPoolSlotReport = 112,
 };
 
 }  // namespace wasabi::membership
--- a/Services/Forwarder/fleet_controller.cc
+++ b/Services/Forwarder/fleet_controller.cc
@@ -91,6 +91,12 @@
             return loads->OwnLoad(endpoint);
           },
           SendFunction()),
+      pool_slots_(
+          settings.host,
+          [loads = context.loads](uint64_t endpoint) {
+            return loads->OwnLoad(endpoint);
+          },
+          SendFunction()),
       fleet_topic_(context.adapters,
                    context.scheduler,
                    context.events,
@@ -199,6 +205,18 @@
          [this](const Member& from, std::string_view body) {
            return places_.OnReport(from.id, body, context_.loop->Now());
          });
+  handle(ApplicationKind::kPoolSlotQuestion,
+         [this](const Member& from, std::string_view body) {
+           return pool_slots_.OnQuestion(from.id, body, context_.loop->Now());
+         });
+  handle(ApplicationKind::kPoolSlotAnswer,
+         [this](const Member& from, std::string_view body) {
+           return pool_slots_.OnAnswer(from.id, body, context_.loop->Now());
+         });
+  handle(ApplicationKind::kPoolSlotReport,
+         [this](const Member& from, std::string_view body) {
+           return pool_slots_.OnReport(from.id, body, context_.loop->Now());
+         });
 }
 
 void FleetController::UpdateRoles() {
@@ -219,6 +237,7 @@
   stream_origins_.SetHosts(running);
   permits_.SetHosts(running, host_count());
   places_.SetHosts(running, host_count());
+  pool_slots_.SetHosts(running);
   context_.carriers->SetCarriers(CarriersOf(*table, settings_.host));
 }
 
@@ -270,6 +289,7 @@
   stream_origins_.Tick(context_.loop->Now());
   permits_.Tick(context_.loop->Now());
   places_.Tick(context_.loop->Now());
+  pool_slots_.Tick(context_.loop->Now());
 }
 
 TopicController::SendFunction FleetController::SendFunction() {
--- a/Services/Forwarder/fleet_controller.h
+++ b/Services/Forwarder/fleet_controller.h
@@ -19,6 +19,7 @@
 #include "LibForwarding/load_exchange.h"
 #include "LibForwarding/permit_exchange.h"
 #include "LibForwarding/place_exchange.h"
+#include "LibForwarding/pool_slot_exchange.h"
 #include "LibForwarding/stream_origin_exchange.h"
 #include "LibHttp/client.h"
 #include "LibMembership/gossip_node.h"
@@ -72,6 +73,7 @@
 
   forwarding::PermitExchange* permits() { return &permits_; }
   forwarding::PlaceExchange* places() { return &places_; }
+  forwarding::PoolSlotExchange* pool_slots() { return &pool_slots_; }
 
   // Returns the age that the known load of another host may reach.
   core::Duration max_load_age() const { return load_exchange_.MaxAge(); }
@@ -105,6 +107,7 @@
   forwarding::StreamOriginExchange stream_origins_;
   forwarding::PermitExchange permits_;
   forwarding::PlaceExchange places_;
+  forwarding::PoolSlotExchange pool_slots_;
   FleetTopicController fleet_topic_;
   TopicController topics_;
   std::unique_ptr<core::Timer> ticker_;
--- a/Services/Forwarder/forwarder_daemon.cc
+++ b/Services/Forwarder/forwarder_daemon.cc
@@ -159,6 +159,7 @@
   context_.stream_origins = fleet_->stream_origins();
   context_.permits = fleet_->permits();
   context_.places = fleet_->places();
+  context_.pool_slots = fleet_->pool_slots();
   context_.random = &random_;
   context_.selection.load_bound = settings_.load_bound;
   context_.retry_policy = settings_.retries;
