--- a/Libraries/LibCore/event.cc
+++ b/Libraries/LibCore/event.cc
@@ -98,6 +98,9 @@
     {EventCode::kSendWithheld, "send_withheld",
      "A request was not sent because the data centre of its endpoint was "
      "evacuated after the endpoint was chosen."},
+    {EventCode::kPoolSlotDenied, "pool_slot_denied",
+     "A request was refused because the fleet's requests take every slot of "
+     "its pool, and waiting for one would take too long."},
     {EventCode::kVersionsRecorded, "versions_recorded",
      "This host wrote the record of the pools' recent versions to the store."},
     {EventCode::kStoredOriginsRead, "stored_origins_read",
--- a/Libraries/LibCore/event.h
+++ b/Libraries/LibCore/event.h
@@ -57,6 +57,7 @@
   kEvacuationRemoved = 325,
   kEvacuationRetained = 326,
   kSendWithheld = 327,
+  kPoolSlotDenied = 328,
   kVersionsRecorded = 335,
   kStoredOriginsRead = 336,
   kOriginLookedUp = 337,
--- a/Libraries/LibForwarding/forward_context.h
+++ b/Libraries/LibForwarding/forward_context.h
@@ -25,6 +25,7 @@
 #include "LibForwarding/path_prober.h"
 #include "LibForwarding/permit_exchange.h"
 #include "LibForwarding/place_exchange.h"
+#include "LibForwarding/pool_slot_exchange.h"
 #include "LibForwarding/prompt_holders.h"
 #include "LibForwarding/prompt_popularity.h"
 #include "LibForwarding/protocols.h"
@@ -54,6 +55,7 @@
   CarrierDirectory* carriers = nullptr;
   PermitExchange* permits = nullptr;
   PlaceExchange* places = nullptr;
+  PoolSlotExchange* pool_slots = nullptr;
   StreamOriginExchange* stream_origins = nullptr;
   StoredOrigins* stored_origins = nullptr;
   OriginReporter* origin_reporter = nullptr;
--- a/Libraries/LibMembership/application_kind.h
+++ b/Libraries/LibMembership/application_kind.h
@@ -38,6 +38,9 @@
   kOriginsRecorded = 117,
   kStoredOriginQuery = 118,
   kStoredOriginAnswer = 119,
+  kPoolSlotQuestion = 110,
+  kPoolSlotAnswer = 111,
+  kPoolSlotReport = 112,
 };
 
 }  // namespace wasabi::membership
--- a/Services/Forwarder/fleet_controller.cc
+++ b/Services/Forwarder/fleet_controller.cc
@@ -98,6 +98,12 @@
                settings,
                core::ProcessSeed(settings.host.Hash()),
                SendFunction()),
+      pool_slots_(
+          settings.host,
+          [loads = context.loads](uint64_t endpoint) {
+            return loads->OwnLoad(endpoint);
+          },
+          SendFunction()),
       fleet_topic_(context.adapters,
                    context.scheduler,
                    context.events,
@@ -224,6 +230,18 @@
          [this](const Member& from, std::string_view body) {
            return places_.OnReport(from.id, body, context_.loop->Now());
          });
+  handle(ApplicationKind::kPoolSlotQuestion,
+         [this](const Member& from, std::string_view body) {
+           return pool_slots_.OnQuestion(from.id, body, context_.loop->Now());
+         });
+  handle(ApplicationKind::kPoolSlotAnswer,
+         [this](const Member& from, std::string_view body) {
+           return pool_slots_.OnAnswer(from.id, body, context_.loop->Now());
+         });
+  handle(ApplicationKind::kPoolSlotReport,
+         [this](const Member& from, std::string_view body) {
+           return pool_slots_.OnReport(from.id, body, context_.loop->Now());
+         });
 }
 
 void FleetController::UpdateRoles() {
@@ -247,6 +265,7 @@
   origins_.SetHosts(running, fleet_topic_.hosts(), roles);
   permits_.SetHosts(running, host_count());
   places_.SetHosts(running, host_count());
+  pool_slots_.SetHosts(running);
   context_.carriers->SetCarriers(CarriersOf(*table, settings_.host));
 }
 
@@ -299,6 +318,7 @@
   origins_.Tick(topics_.LatestEpoch());
   permits_.Tick(context_.loop->Now());
   places_.Tick(context_.loop->Now());
+  pool_slots_.Tick(context_.loop->Now());
 }
 
 TopicController::SendFunction FleetController::SendFunction() {
