--- a/Libraries/LibCore/event.cc
+++ b/Libraries/LibCore/event.cc
@@ -108,6 +108,9 @@
     {EventCode::kOriginLookedUp, "origin_looked_up",
      "No host remembered where a resumed stream began; the recorded origins "
      "and versions decided."},
+    {EventCode::kEndpointPaceChanged, "endpoint_pace_changed",
+     "An endpoint became slower than its pool, or returned to the usual "
+     "pace."},
     {EventCode::kIntentAppended, "intent_appended",
      "An intent to run a call was appended to its partition."},
     {EventCode::kIntentWon, "intent_won",
--- a/Libraries/LibCore/event.h
+++ b/Libraries/LibCore/event.h
@@ -61,6 +61,7 @@
   kVersionsRecorded = 335,
   kStoredOriginsRead = 336,
   kOriginLookedUp = 337,
+  kEndpointPaceChanged = 340,
   // 4xx: the ledger of non-repeatable calls.
   kIntentAppended = 400,
   kIntentWon = 401,
--- a/Libraries/LibForwarding/endpoint_chooser.h
+++ b/Libraries/LibForwarding/endpoint_chooser.h
@@ -116,6 +116,7 @@
   const bool is_plain_;
   // Share of the pool's recent requests that have this prompt, from 0 to 1.
   const double prompt_share_;
+  const core::Duration gap_objective_;
   // The origin of the stream that the request continues, once it is known.
   std::optional<StreamOrigin> origin_;
   const std::vector<WeightedPool>& pools_;
--- a/Libraries/LibForwarding/forward_context.h
+++ b/Libraries/LibForwarding/forward_context.h
@@ -16,6 +16,7 @@
 #include "LibForwarding/crash_detector.h"
 #include "LibForwarding/crash_suspects.h"
 #include "LibForwarding/endpoint_monitor.h"
+#include "LibForwarding/endpoint_pace.h"
 #include "LibForwarding/endpoint_selector.h"
 #include "LibForwarding/endpoint_shares.h"
 #include "LibForwarding/endpoint_table.h"
@@ -56,6 +57,7 @@
   PermitExchange* permits = nullptr;
   PlaceExchange* places = nullptr;
   PoolSlotExchange* pool_slots = nullptr;
+  EndpointPace* paces = nullptr;
   StreamOriginExchange* stream_origins = nullptr;
   StoredOrigins* stored_origins = nullptr;
   OriginReporter* origin_reporter = nullptr;
@@ -80,6 +82,11 @@
   PromptHolders prompt_holders;
   OriginHistory origin_history;
 
+  // Returns whether requests for the pool consider the pace of endpoints.
+  bool UsesPace(const core::PoolId& pool) const {
+    return paces != nullptr && (load_control_enabled || paces->IsStated(pool));
+  }
+
   RetryAllowance& RetryAllowanceFor(const core::PoolId& pool) {
     return retries.try_emplace(pool, retry_policy).first->second;
   }
--- a/Libraries/LibMembership/application_kind.h
+++ b/Libraries/LibMembership/application_kind.h
@@ -41,6 +41,7 @@
   kPoolSlotQuestion = 110,
   kPoolSlotAnswer = 111,
   kPoolSlotReport = 112,
+  kEndpointPaces = 120,
 };
 
 }  // namespace wasabi::membership
--- a/Services/Forwarder/fleet_controller.cc
+++ b/Services/Forwarder/fleet_controller.cc
@@ -104,6 +104,7 @@
             return loads->OwnLoad(endpoint);
           },
           SendFunction()),
+      pace_exchange_(settings.host, context.paces, SendFunction()),
       fleet_topic_(context.adapters,
                    context.scheduler,
                    context.events,
@@ -242,6 +243,10 @@
          [this](const Member& from, std::string_view body) {
            return pool_slots_.OnReport(from.id, body, context_.loop->Now());
          });
+  handle(ApplicationKind::kEndpointPaces,
+         [this](const Member& from, std::string_view body) {
+           return pace_exchange_.OnReports(from.id, body, context_.loop->Now());
+         });
 }
 
 void FleetController::UpdateRoles() {
@@ -260,6 +265,7 @@
   crash_sync_.SetHosts(peers.fleet);
   permits_.SetPeers(peers);
   places_.SetPeers(peers);
+  pace_exchange_.SetPeers(peers);
   const std::vector<core::HostId> running = RunningHosts(*table);
   stream_origins_.SetHosts(running);
   origins_.SetHosts(running, fleet_topic_.hosts(), roles);
@@ -319,6 +325,7 @@
   permits_.Tick(context_.loop->Now());
   places_.Tick(context_.loop->Now());
   pool_slots_.Tick(context_.loop->Now());
+  pace_exchange_.Tick(context_.loop->Now());
 }
 
 TopicController::SendFunction FleetController::SendFunction() {
--- a/Services/Forwarder/fleet_controller.h
+++ b/Services/Forwarder/fleet_controller.h
@@ -17,6 +17,7 @@
 #include "LibForwarding/crash_exchange.h"
 #include "LibForwarding/crash_sync.h"
 #include "LibForwarding/load_exchange.h"
+#include "LibForwarding/pace_exchange.h"
 #include "LibForwarding/permit_exchange.h"
 #include "LibForwarding/place_exchange.h"
 #include "LibForwarding/pool_slot_exchange.h"
@@ -38,6 +39,7 @@
   http::Client* client = nullptr;
   const forwarding::AdapterSet* adapters = nullptr;
   forwarding::LoadTable* loads = nullptr;
+  forwarding::EndpointPace* paces = nullptr;
   forwarding::CrashSuspects* suspects = nullptr;
   forwarding::CarrierDirectory* carriers = nullptr;
   forwarding::OriginHistory* origin_history = nullptr;
@@ -113,6 +115,7 @@
   forwarding::PlaceExchange places_;
   OriginController origins_;
   forwarding::PoolSlotExchange pool_slots_;
+  forwarding::PaceExchange pace_exchange_;
   FleetTopicController fleet_topic_;
   TopicController topics_;
   std::unique_ptr<core::Timer> ticker_;
