Requests wait in a fair order, are refused early and return at a paced time

While a pool is full, requests waited on each host by priority and arrival for a quarter of their time and were then refused, and all refused callers came back after 100 to 500 ms at random. Demand above the places was so turned into waiting without effect.

Where load control is on, WaitQueue orders a pool by FairQueue (priority, organisations by their usual demand, those that returned at their time first). routing::PoolAdmission forecasts the start of a request from places, requests and waiting requests of the fleet and refuses what can't start within half of its latency objective (event 345). Refusals name a place in the order of return; ReturnPhase lets any host recognise it without state. Waiting counts by pool and priority, and by the largest organisations, travel in the load reports under keys of their own, in ones and in units of 16 because sums saturate at 255.

--- a/Libraries/LibCore/event.cc
+++ b/Libraries/LibCore/event.cc
@@ -84,6 +84,9 @@
     {EventCode::kEndpointBrittle, "endpoint_brittle",
      "An endpoint said, or no longer says, that it crashes if it has to turn "
      "away too many requests."},
+    {EventCode::kRefusedEarly, "request_refused_early",
+     "A request was refused at once because it could not be expected to start "
+     "within its latency objective."},
     {EventCode::kIntentAppended, "intent_appended",
      "An intent to run a call was appended to its partition."},
     {EventCode::kIntentWon, "intent_won",
--- a/Libraries/LibCore/event.h
+++ b/Libraries/LibCore/event.h
@@ -52,6 +52,7 @@
   kPathLost = 320,
   kPathRestored = 321,
   kEndpointBrittle = 322,
+  kRefusedEarly = 345,
   // 4xx: the ledger of non-repeatable calls.
   kIntentAppended = 400,
   kIntentWon = 401,
--- a/Libraries/LibForwarding/forward_session.cc
+++ b/Libraries/LibForwarding/forward_session.cc
@@ -6,6 +6,9 @@
 
 #include "LibCore/result_code.h"
 #include "LibCore/text.h"
+#include "LibForwarding/pool_outlook.h"
+#include "LibForwarding/waiting_counts.h"
+#include "LibRouting/return_phase.h"
 
 namespace wasabi::forwarding {
 
@@ -32,6 +35,15 @@
 // Range of the random delay after which a refused caller may retry.
 constexpr core::Duration kMinRetryAfter = core::milliseconds(100);
 constexpr core::Duration kMaxRetryAfter = core::milliseconds(500);
+// Part of the latency objective, as a divisor, for which a request may be held
+// and then refused.
+constexpr int kMaxHeldShare = 8;
+// Share of the latency objective within which a request has to start. The rest
+// is left for the time until its first event and for errors of the forecast.
+constexpr double kStartShare = 0.5;
+// Callers honour a delay of up to one in this many parts of their remaining
+// time.
+constexpr int kReturnParts = 3;
 // An answer is due this long before the caller stops waiting.
 constexpr core::Duration kAnswerMargin = core::milliseconds(5);
 
@@ -55,6 +67,14 @@
   return "unknown";
 }
 
+// Returns an item whose place in the queue depends on its priority and arrival
+// alone.
+routing::WorkItem ItemByArrival(int priority) {
+  routing::WorkItem item;
+  item.priority = PriorityClassOf(priority);
+  return item;
+}
+
 }  // namespace
 
 void ForwardSession::Run(ForwardContext* context,
@@ -158,6 +178,12 @@
 }
 
 void ForwardSession::DispatchOrWait() {
+  if (context_->load_control_enabled) {
+    organisation_weight_ = context_->waiting->AdmissionOf(chooser_.pool())
+                               .RecordArrival(WaitingItem(), Now());
+    // Those that wait have the first choice of what is free.
+    context_->waiting->Serve(chooser_.pool());
+  }
   if (!DispatchOrRefuse()) {
     Wait();
   }
@@ -252,27 +278,121 @@
 }
 
 void ForwardSession::Wait() {
-  const auto weak = weak_from_this();
-  ticket_ =
-      context_->waiting->Join(chooser_.pool(), request_.priority, [weak]() {
+  if (context_->load_control_enabled && RefuseIfHopeless()) {
+    return;
+  }
+  const routing::WorkItem item = context_->load_control_enabled
+                                     ? WaitingItem()
+                                     : ItemByArrival(request_.priority);
+  ticket_ = context_->waiting->Join(
+      chooser_.pool(), item, [weak = weak_from_this()]() {
         const auto self = weak.lock();
         return self == nullptr || self->DispatchOrRefuse();
       });
   const core::Duration left = answer_deadline_ - Now();
-  queue_timer_ = context_->loop->NewTimer([weak]() {
-    if (const auto self = weak.lock()) {
-      self->OnQueueTimeout();
-    }
-  });
-  queue_timer_->StartOnce(
-      core::FromSeconds(core::ToSeconds(left) * kMaxQueueTimeShare));
+  const core::Duration queue_time =
+      core::FromSeconds(core::ToSeconds(left) * kMaxQueueTimeShare);
+  const core::TimePoint review_at =
+      request_.received_at + request_.route->latency_objective / kMaxHeldShare;
+  if (context_->load_control_enabled && Now() < review_at &&
+      review_at < Now() + queue_time) {
+    StartQueueTimer(review_at - Now(), [queue_time](ForwardSession* self) {
+      self->ReviewWait(queue_time);
+    });
+  } else {
+    StartQueueTimer(queue_time,
+                    [](ForwardSession* self) { self->OnQueueTimeout(); });
+  }
   ++context_->metrics->Counter("forward_waits");
   context_->events->Record(
       core::EventCode::kRequestQueued, request_.id.value(),
-      fmt::format("pool={} priority={} waiting={} left_ms={}",
+      fmt::format("pool={} priority={} waiting={} left_ms={} returned={}",
                   chooser_.pool().value(), request_.priority,
                   context_->waiting->SizeOf(chooser_.pool()),
-                  core::ToMilliseconds(left)));
+                  core::ToMilliseconds(left), item.has_returned));
+}
+
+void ForwardSession::StartQueueTimer(
+    core::Duration delay,
+    std::function<void(ForwardSession*)> handle) {
+  queue_timer_ = context_->loop->NewTimer(
+      [weak = weak_from_this(), handle = std::move(handle)]() {
+        if (const auto self = weak.lock()) {
+          // The handler may replace the timer that holds it.
+          const auto call = handle;
+          call(self.get());
+        }
+      });
+  queue_timer_->StartOnce(delay);
+}
+
+bool ForwardSession::RefuseIfHopeless() {
+  const core::Duration objective = request_.route->latency_objective;
+  if (objective <= core::Duration::zero()) {
+    return false;
+  }
+  const core::TimePoint now = Now();
+  const core::TimePoint latest_start =
+      std::min(request_.received_at +
+                   core::FromSeconds(core::ToSeconds(objective) * kStartShare),
+               answer_deadline_);
+  const routing::PoolAdmission& admission =
+      context_->waiting->AdmissionOf(chooser_.pool());
+  const routing::PoolOutlook outlook =
+      OutlookOf(*context_, chooser_.pool(), now);
+  const routing::WorkItem item = WaitingItem();
+  const auto expected =
+      ticket_ ? admission.ExpectedStart(IdOf(*ticket_), outlook, now)
+              : admission.ExpectedStart(item, outlook, now);
+  if (!expected || now + *expected <= latest_start) {
+    return false;
+  }
+  ++context_->metrics->Counter("forward_early_refusals");
+  const core::Duration retry_after = RetryAfter();
+  double elsewhere = 0;
+  for (const auto& [priority, n] : outlook.waiting_elsewhere) {
+    elsewhere += priority <= item.priority ? n : 0;
+  }
+  context_->events->Record(
+      core::EventCode::kRefusedEarly, request_.id.value(),
+      fmt::format("pool={} priority={} returned={} expected_ms={} limit_ms={} "
+                  "places={:.0f} running={:.0f} waiting={} elsewhere={:.0f} "
+                  "hosts={} counts_age_ms={} retry_after_ms={}",
+                  chooser_.pool().value(), request_.priority, item.has_returned,
+                  core::ToMilliseconds(*expected),
+                  core::ToMilliseconds(latest_start - now), outlook.places,
+                  outlook.running.requests,
+                  context_->waiting->SizeOf(chooser_.pool()), elsewhere,
+                  outlook.hosts, core::ToMilliseconds(outlook.age),
+                  core::ToMilliseconds(retry_after)));
+  Refuse(core::ResultCode::kOverloaded,
+         "the request can't start within its latency objective", retry_after);
+  return true;
+}
+
+void ForwardSession::ReviewWait(core::Duration queue_time) {
+  if (!RefuseIfHopeless()) {
+    StartQueueTimer(queue_time,
+                    [](ForwardSession* self) { self->OnQueueTimeout(); });
+  }
+}
+
+routing::WorkItem ForwardSession::WaitingItem() const {
+  const routing::ReturnPhase phase(request_.content_digest,
+                                   request_.route->latency_objective);
+  const auto hosts = static_cast<double>(context_->host_count());
+  routing::WorkItem item;
+  item.organisation = request_.organisation;
+  item.organisation_weight = organisation_weight_;
+  item.organisation_backlog =
+      WaitingElsewhere(*context_->loads, chooser_.pool(),
+                       request_.organisation) /
+      std::max(1.0, hosts);
+  item.priority = PriorityClassOf(request_.priority);
+  item.has_returned = phase.IsInPhase(request_.deadline - request_.received_at);
+  item.content_digest = request_.content_digest;
+  item.deadline = request_.deadline;
+  return item;
 }
 
 void ForwardSession::LeaveQueue() {
@@ -624,7 +744,26 @@
       .TryRetry(context_->host_count(), Now());
 }
 
+core::Duration ForwardSession::PacedRetryAfter() {
+  const core::TimePoint now = Now();
+  const core::Duration remaining = request_.deadline - now;
+  const core::Duration delay =
+      context_->waiting->AdmissionOf(chooser_.pool())
+          .TakeReturnTime(WaitingItem(),
+                          OutlookOf(*context_, chooser_.pool(), now), remaining,
+                          now, *context_->random);
+  const core::Duration aligned =
+      routing::ReturnPhase(request_.content_digest,
+                           request_.route->latency_objective)
+          .Align(delay, remaining);
+  // Callers ignore a delay that takes more of their time.
+  return aligned * kReturnParts <= remaining ? aligned : delay;
+}
+
 core::Duration ForwardSession::RetryAfter() {
+  if (context_->load_control_enabled) {
+    return PacedRetryAfter();
+  }
   const double share = context_->random->Unit();
   return kMinRetryAfter +
          core::FromSeconds(core::ToSeconds(kMaxRetryAfter - kMinRetryAfter) *
--- a/Libraries/LibForwarding/forward_session.h
+++ b/Libraries/LibForwarding/forward_session.h
@@ -6,6 +6,7 @@
 #ifndef LIBFORWARDING_FORWARD_SESSION_H_
 #define LIBFORWARDING_FORWARD_SESSION_H_
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <set>
@@ -52,6 +53,14 @@
   // that the request has to wait. Requires that no attempt may have run.
   bool DispatchOrRefuse();
   void Wait();
+  // Refuses the request if it can't be expected to start in time. Returns
+  // whether it has. Only while load control is on.
+  bool RefuseIfHopeless();
+  // Decides once more after the time for which a request may be held before it
+  // is refused.
+  void ReviewWait(core::Duration queue_time);
+  void StartQueueTimer(core::Duration delay,
+                       std::function<void(ForwardSession*)> handle);
   void LeaveQueue();
   // Starts an attempt once the endpoint has a place for it, if it is brittle,
   // and its limit permits it.
@@ -112,6 +121,9 @@
   core::TimePoint Now() const { return context_->loop->Now(); }
   core::Duration FirstByteTimeout() const;
   core::Duration RetryAfter();
+  core::Duration PacedRetryAfter();
+  // Returns what the order of waiting depends on.
+  routing::WorkItem WaitingItem() const;
 
   ForwardContext* const context_;
   const std::shared_ptr<http::Transaction> transaction_;
@@ -122,6 +134,8 @@
   std::unique_ptr<core::Timer> deadline_timer_;
   std::unique_ptr<core::Timer> queue_timer_;
   core::TimePoint answer_deadline_;
+  // The weight of the organisation in the order of waiting.
+  double organisation_weight_ = 1;
 
   std::shared_ptr<ForwardAttempt> attempt_;
   std::optional<WaitTicket> ticket_;
--- a/Libraries/LibForwarding/load_table.cc
+++ b/Libraries/LibForwarding/load_table.cc
@@ -64,14 +64,36 @@
   }
 }
 
-uint32_t LoadTable::Load(const core::RunnerId& endpoint) const {
-  const uint32_t key = EndpointKeyOf(endpoint);
-  const uint32_t own = own_counts_.Of(key);
+void LoadTable::SetOtherCounts(const EndpointCounts& counts) {
+  own_counts_.Subtract(other_counts_);
+  other_counts_ = counts;
+  own_counts_.Add(other_counts_);
+}
+
+uint32_t LoadTable::CountElsewhere(uint32_t key) const {
   if (!total_) {
-    return own + reported_counts_.Of(key);
+    return reported_counts_.Of(key);
   }
   const uint32_t total = total_->counts.Of(key);
-  return own + total - std::min(total, total_->own_counts.Of(key));
+  return total - std::min(total, total_->own_counts.Of(key));
+}
+
+std::optional<core::Duration> LoadTable::AgeOfOthers(
+    core::TimePoint now) const {
+  if (total_) {
+    return now - total_->received_at;
+  }
+  std::optional<core::Duration> age;
+  for (const auto& [host, entry] : hosts_) {
+    age =
+        std::min(age.value_or(core::Duration::max()), now - entry.received_at);
+  }
+  return age;
+}
+
+uint32_t LoadTable::Load(const core::RunnerId& endpoint) const {
+  const uint32_t key = EndpointKeyOf(endpoint);
+  return own_counts_.Of(key) + CountElsewhere(key);
 }
 
 uint32_t LoadTable::OwnLoad(uint64_t id_hash) const {
--- a/Libraries/LibForwarding/load_table.h
+++ b/Libraries/LibForwarding/load_table.h
@@ -39,6 +39,15 @@
   // Removes the total if it is older than `lifetime`.
   void ExpireTotal(core::Duration lifetime, core::TimePoint now);
 
+  // Replaces the counts of this host that are not about endpoints. They are
+  // reported and summed as those of endpoints, under keys of their own.
+  void SetOtherCounts(const EndpointCounts& counts);
+  // Returns the sum of the counts of all other hosts under a key.
+  uint32_t CountElsewhere(uint32_t key) const;
+  // Returns the age of the latest counts of other hosts, or nullopt if there
+  // are none.
+  std::optional<core::Duration> AgeOfOthers(core::TimePoint now) const;
+
   // Returns the number of requests of the whole fleet at an endpoint.
   uint32_t Load(const core::RunnerId& endpoint) const;
   // Returns the number of requests of this host alone.
@@ -71,6 +80,8 @@
   };
 
   EndpointCounts own_counts_;
+  // The part of own_counts_ that is not about endpoints.
+  EndpointCounts other_counts_;
   EndpointCounts reported_own_counts_;
   EndpointCounts reported_counts_;
   absl::flat_hash_map<core::HostId, HostEntry> hosts_;
--- a/Libraries/LibForwarding/service_times.cc
+++ b/Libraries/LibForwarding/service_times.cc
@@ -9,6 +9,9 @@
 // Time in which the sums decay to 1/e, about a third, in seconds. It covers
 // some hundred requests of a host in a large fleet.
 constexpr double kDecaySeconds = 30;
+// Requests after whose end a mean is known well enough to forecast by, with a
+// standard error of a third.
+constexpr double kMinServed = 9;
 // Number of standard errors by which the mean may be underestimated.
 constexpr double kErrorMargin = 2;
 
@@ -26,6 +29,19 @@
   Current(pool, now).served += 1;
 }
 
+std::optional<core::Duration> ServiceTimes::Mean(const core::PoolId& pool,
+                                                 core::TimePoint now) const {
+  const auto it = pools_.find(pool);
+  if (it == pools_.end()) {
+    return std::nullopt;
+  }
+  const Sums sums = At(it->second, now);
+  if (sums.served < kMinServed || sums.busy <= 0) {
+    return std::nullopt;
+  }
+  return core::FromSeconds(sums.busy / sums.served);
+}
+
 bool ServiceTimes::AreReportsUseful(const core::PoolId& pool,
                                     core::Duration age,
                                     core::TimePoint now) const {
--- a/Libraries/LibForwarding/service_times.h
+++ b/Libraries/LibForwarding/service_times.h
@@ -6,6 +6,8 @@
 #ifndef LIBFORWARDING_SERVICE_TIMES_H_
 #define LIBFORWARDING_SERVICE_TIMES_H_
 
+#include <optional>
+
 #include "LibCore/identifier.h"
 #include "LibCore/time.h"
 #include "absl/container/flat_hash_map.h"
@@ -21,6 +23,11 @@
   // Records that a request that has ended was served.
   void RecordServed(const core::PoolId& pool, core::TimePoint now);
 
+  // Returns the mean time that a request of the pool takes at an endpoint, or
+  // nullopt if too few have been served.
+  std::optional<core::Duration> Mean(const core::PoolId& pool,
+                                     core::TimePoint now) const;
+
   // Returns whether load reports that are up to `age` old still describe the
   // current load. They do not if requests are certain to take less time: the
   // reported requests have ended by then, and hosts that follow the same stale
--- a/Libraries/LibRouting/fair_queue.h
+++ b/Libraries/LibRouting/fair_queue.h
@@ -1,10 +1,10 @@
-// The queue of requests for one runner: strict priority between classes, and
-// weighted start-time fair queueing between organisations within a class.
+// A queue of requests for one runner or one pool: strict priority between
+// classes, and weighted start-time fair queueing between organisations within a
+// class.
 
 #ifndef LIBROUTING_FAIR_QUEUE_H_
 #define LIBROUTING_FAIR_QUEUE_H_
 
-#include <array>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -45,6 +45,10 @@
   // Charges the organisation for a request that starts without being queued.
   void Charge(const WorkItem& item, double tokens);
 
+  // Returns the request, or nullptr if it is not queued. The pointer is valid
+  // until that request is removed.
+  const WaitingItem* Find(const core::RequestId& request) const;
+
   // Removes and returns the request, or returns nullopt if it is not queued.
   std::optional<WaitingItem> Remove(const core::RequestId& request);
 
@@ -52,6 +56,18 @@
   std::vector<core::RequestId> Select(
       const std::function<bool(const WaitingItem&)>& predicate) const;
 
+  // Records that the queued request starts now, before it is removed.
+  void RecordStart(const core::RequestId& request);
+
+  // Returns the number of queued requests that would be served before `item` if
+  // it were queued now.
+  size_t CountAhead(const WorkItem& item) const;
+  // The same for a request that is queued already.
+  size_t CountAhead(const core::RequestId& request) const;
+
+  // Returns the number of queued requests with exactly this priority.
+  size_t SizeOf(Priority priority) const;
+
   // Returns the number of queued requests with this or a more urgent priority.
   size_t CountAhead(Priority priority) const;
 
@@ -61,8 +77,6 @@
   double tokens() const { return tokens_; }
 
  private:
-  static constexpr size_t kClasses = 3;
-
   // Service order within a class: by virtual start time, then by arrival.
   struct Position {
     double start = 0;
@@ -79,7 +93,7 @@
     absl::flat_hash_map<core::OrganisationId, double> finish_times;
   };
   struct Location {
-    size_t class_index = 0;
+    Priority priority = Priority::kNormal;
     Position position;
   };
 
@@ -88,10 +102,20 @@
   static double Reserve(PriorityClass& priority_class,
                         const WorkItem& item,
                         double tokens);
+  // Returns the virtual start time that the item would have.
+  static double StartOf(const PriorityClass& priority_class,
+                        const WorkItem& item);
   static void AdvanceVirtualTime(PriorityClass& priority_class, double start);
+  // Gives a request that has returned the place of the first new request of its
+  // organisation, and moves the new ones back by one place each. Returns the
+  // place; `last` is the place behind all of them.
+  Position TakeFirstPlace(PriorityClass& priority_class,
+                          const core::OrganisationId& organisation,
+                          Position last);
+  size_t CountBefore(Priority priority, const Position& position) const;
   WaitingItem Extract(const Location& location);
 
-  std::array<PriorityClass, kClasses> classes_;
+  std::map<Priority, PriorityClass> classes_;
   absl::flat_hash_map<core::RequestId, Location> locations_;
   uint64_t next_sequence_ = 0;
   double tokens_ = 0;
--- /dev/null
+++ b/Libraries/LibRouting/pool_admission.cc
@@ -0,0 +1,163 @@
+#include "LibRouting/pool_admission.h"
+
+#include <algorithm>
+
+namespace wasabi::routing {
+
+namespace {
+
+// The present rate of arrivals is measured over this time.
+constexpr core::Duration kArrivalTime = core::seconds(2);
+// The usual demand of an organisation is measured over this time, which is long
+// against an overload of some seconds.
+constexpr core::Duration kUsualTime = core::seconds(60);
+// Organisations whose usual demand is known, about 100 bytes each.
+constexpr size_t kMaxOrganisations = 4096;
+// Free places are no longer believed in at this age of the counts.
+constexpr core::Duration kRoomLifetime = core::seconds(2);
+// Share of the completions that are taken to be left for a priority, however
+// many more urgent requests arrive.
+constexpr double kMinRateShare = 0.05;
+// Callers honour a delay up to this share of their remaining time.
+constexpr double kReturnShare = 1.0 / 3;
+constexpr core::Duration kMinReturn = core::milliseconds(50);
+// Range of the delay while nothing is known of the pool.
+constexpr core::Duration kMinBlindReturn = core::milliseconds(100);
+constexpr core::Duration kMaxBlindReturn = core::seconds(1);
+
+}  // namespace
+
+double PoolAdmission::RecordArrival(const WorkItem& item, core::TimePoint now) {
+  arrivals_[item.priority].Add(0, kArrivalTime, now);
+  if (usual_.size() >= kMaxOrganisations &&
+      !usual_.contains(item.organisation)) {
+    ForgetOldest();
+  }
+  UsualDemand& usual = usual_[item.organisation];
+  usual.requests.Add(0, kUsualTime, now);
+  usual.last_at = now;
+  return usual.requests.Requests(kUsualTime, now);
+}
+
+void PoolAdmission::ForgetOldest() {
+  const auto oldest = std::min_element(
+      usual_.begin(), usual_.end(), [](const auto& a, const auto& b) {
+        return a.second.last_at < b.second.last_at;
+      });
+  usual_.erase(oldest);
+}
+
+double PoolAdmission::RateFor(Priority priority,
+                              const PoolOutlook& pool,
+                              core::TimePoint now) const {
+  if (!pool.service_time) {
+    return 0;
+  }
+  const double rate =
+      std::min(pool.places, std::max(1.0, pool.running.requests)) /
+      core::ToSeconds(*pool.service_time);
+  double urgent = 0;
+  for (const auto& [it, arrivals] : arrivals_) {
+    if (it < priority) {
+      urgent += arrivals.Requests(kArrivalTime, now) /
+                core::ToSeconds(kArrivalTime) * pool.hosts;
+    }
+  }
+  return std::max(rate * kMinRateShare, rate - urgent);
+}
+
+double PoolAdmission::Ahead(Priority priority,
+                            size_t here,
+                            const PoolOutlook& pool) const {
+  const auto of_class = static_cast<double>(queue_.SizeOf(priority));
+  const double more_urgent =
+      static_cast<double>(queue_.CountAhead(priority)) - of_class;
+  const double rank = static_cast<double>(here) - more_urgent;
+  // The queues of other hosts are taken to be like this one. The middle of the
+  // places between two requests of this host stands for all of them.
+  const double share = std::min(1.0, (rank + 0.5) / (of_class + 1));
+  auto ahead = static_cast<double>(here);
+  for (const auto& [it, n] : pool.waiting_elsewhere) {
+    if (it < priority) {
+      ahead += n;
+    } else if (it == priority) {
+      ahead += n * share;
+    }
+  }
+  return ahead;
+}
+
+std::optional<core::Duration> PoolAdmission::ExpectedStart(
+    const WorkItem& item,
+    const PoolOutlook& pool,
+    core::TimePoint now) const {
+  return StartAfter(Ahead(item.priority, queue_.CountAhead(item), pool),
+                    item.priority, pool, now);
+}
+
+std::optional<core::Duration> PoolAdmission::ExpectedStart(
+    const core::RequestId& request,
+    const PoolOutlook& pool,
+    core::TimePoint now) const {
+  const WaitingItem* waiting = queue_.Find(request);
+  if (waiting == nullptr) {
+    return std::nullopt;
+  }
+  const Priority priority = waiting->item.priority;
+  return StartAfter(Ahead(priority, queue_.CountAhead(request), pool), priority,
+                    pool, now);
+}
+
+std::optional<core::Duration> PoolAdmission::StartAfter(
+    double ahead,
+    Priority priority,
+    const PoolOutlook& pool,
+    core::TimePoint now) const {
+  const double freshness = std::max(
+      0.0, 1 - core::ToSeconds(pool.age) / core::ToSeconds(kRoomLifetime));
+  const double room =
+      std::max(0.0, pool.places - pool.running.requests) * freshness;
+  if (ahead < room) {
+    return core::Duration::zero();
+  }
+  const double rate = RateFor(priority, pool, now);
+  if (rate <= 0) {
+    return std::nullopt;
+  }
+  return core::FromSeconds((ahead + 1 - room) / rate);
+}
+
+core::Duration PoolAdmission::TakeReturnTime(const WorkItem& item,
+                                             const PoolOutlook& pool,
+                                             core::Duration remaining,
+                                             core::TimePoint now,
+                                             core::RandomSource& random) {
+  const core::Duration limit =
+      core::FromSeconds(core::ToSeconds(remaining) * kReturnShare);
+  const auto between = [&random](core::Duration from, core::Duration to) {
+    return from + core::FromSeconds(core::ToSeconds(to - from) * random.Unit());
+  };
+  const auto expected = ExpectedStart(item, pool, now);
+  if (limit <= kMinReturn) {
+    return std::max<core::Duration>(limit, core::milliseconds(1));
+  }
+  if (!expected) {
+    return between(std::min(kMinBlindReturn, limit / 2),
+                   std::min(kMaxBlindReturn, limit));
+  }
+  core::TimePoint place = now + std::max(*expected, kMinReturn);
+  // Less urgent requests come back after the more urgent ones.
+  for (const auto& [priority, next] : next_return_) {
+    if (priority <= item.priority) {
+      place = std::max(place, next);
+    }
+  }
+  if (place > now + limit) {
+    return between(limit / 2, limit);
+  }
+  const double rate = RateFor(item.priority, pool, now) / pool.hosts;
+  next_return_[item.priority] = place + core::FromSeconds(1 / rate);
+  return place - now;
+}
+
+}  // namespace wasabi::routing
--- a/Libraries/LibRouting/work_item.h
+++ b/Libraries/LibRouting/work_item.h
@@ -13,7 +13,8 @@
 
 namespace wasabi::routing {
 
-// Priority class of a request. Lower values are served first.
+// Priority class of a request. Lower values are served first. Callers of the
+// platform use further values, up to 255.
 enum class Priority : uint8_t { kUrgent, kNormal, kBatch };
 
 // The amount of work of a request, in tokens.
@@ -58,10 +59,17 @@
   core::OrganisationId organisation;
   // The organisation's weight in fair queueing.
   double organisation_weight = 1.0;
+  // Work of the organisation that waits on other hosts, as the share of one
+  // host, in tokens. An organisation whose requests wait elsewhere does not get
+  // ahead here.
+  double organisation_backlog = 0;
   // Empty if the request does not belong to a chat.
   core::ChatKey chat;
   Priority priority = Priority::kNormal;
   WorkSize size;
+  // Whether the request was refused before and came back at the time that it
+  // was given.
+  bool has_returned = false;
   // Digest of the request's content, which identifies it in the quarantine
   // table.
   uint64_t content_digest = 0;
--- a/Services/Forwarder/forwarder_daemon.cc
+++ b/Services/Forwarder/forwarder_daemon.cc
@@ -8,6 +8,7 @@
 #include "LibCore/text.h"
 #include "LibCore/try.h"
 #include "LibForwarding/forward_session.h"
+#include "LibForwarding/waiting_counts.h"
 #include "LibHttp/tunnel.h"
 
 namespace wasabi::forwarder {
@@ -320,6 +321,9 @@
   suspects_.Expire(now);
   LogRefusedParts();
   waiting_.Serve();
+  if (context_.load_control_enabled) {
+    loads_.SetOtherCounts(forwarding::WaitingCountsOf(waiting_, random_));
+  }
   if (IsReady() && !is_announced_) {
     is_announced_ = true;
     fleet_->AnnounceReady();
--- a/Tests/LibForwarding/wait_queue_test.cc
+++ b/Tests/LibForwarding/wait_queue_test.cc
@@ -10,6 +10,12 @@
 const core::PoolId kPool("p");
 const core::PoolId kOtherPool("q");
 
+routing::WorkItem OfPriority(int priority) {
+  routing::WorkItem item;
+  item.priority = PriorityClassOf(priority);
+  return item;
+}
+
 TEST_CASE("requests start by priority, then by arrival, while there is room") {
   WaitQueue queue;
   std::vector<std::string> started;
@@ -25,9 +31,9 @@
     };
   };
   std::vector<WaitTicket> tickets;
-  tickets.push_back(queue.Join(kPool, 2, start("late")));
-  tickets.push_back(queue.Join(kPool, 1, start("first")));
-  tickets.push_back(queue.Join(kPool, 1, start("second")));
+  tickets.push_back(queue.Join(kPool, OfPriority(2), start("late")));
+  tickets.push_back(queue.Join(kPool, OfPriority(1), start("first")));
+  tickets.push_back(queue.Join(kPool, OfPriority(1), start("second")));
   queue.Serve();
   CHECK(started == std::vector<std::string>{"first", "second"});
   queue.Leave(tickets[1]);
@@ -43,12 +49,13 @@
   int tried = 0;
   bool has_started = false;
   for (int i = 0; i < 3; ++i) {
-    queue.Join(kPool, 0, [&tried]() {
+    queue.Join(kPool, OfPriority(0), [&tried]() {
       ++tried;
       return false;
     });
   }
-  queue.Join(kOtherPool, 5, [&has_started]() { return has_started = true; });
+  queue.Join(kOtherPool, OfPriority(5),
+             [&has_started]() { return has_started = true; });
   queue.Serve();
   CHECK(tried == 1);
   CHECK(has_started);
