--- a/Libraries/LibForwarding/forward_context.h
+++ b/Libraries/LibForwarding/forward_context.h
@@ -27,6 +27,7 @@
 #include "LibForwarding/prompt_holders.h"
 #include "LibForwarding/prompt_popularity.h"
 #include "LibForwarding/protocols.h"
+#include "LibForwarding/relay_memory.h"
 #include "LibForwarding/retry_allowance.h"
 #include "LibForwarding/service_times.h"
 #include "LibForwarding/stream_origin_exchange.h"
@@ -73,6 +74,7 @@
   std::map<core::PoolId, EndpointShares> shares;
   PromptHolders prompt_holders;
   OriginHistory origin_history;
+  RelayMemory relay_memory;
 
   RetryAllowance& RetryAllowanceFor(const core::PoolId& pool) {
     return retries.try_emplace(pool, retry_policy).first->second;
--- a/Libraries/LibForwarding/forward_session.cc
+++ b/Libraries/LibForwarding/forward_session.cc
@@ -38,6 +38,10 @@
 // Part of the latency objective, as a divisor, for which a request may be held
 // and then refused.
 constexpr int kMaxHeldShare = 8;
+// The same for a request that was expected to start in time when it had waited
+// for that part. It is late if the forecast was wrong, as at the onset of an
+// overload, but a refusal would make it later still.
+constexpr double kMaxSecuredTimeShare = 0.5;
 // Share of the latency objective within which a request has to start. The rest
 // is left for the time until its first event and for errors of the forecast.
 constexpr double kStartShare = 0.5;
@@ -94,6 +98,7 @@
       request_(std::move(request)),
       fingerprint_(FingerprintOf(request_)),
       chooser_(context, request_),
+      held_(&context->relay_memory),
       answer_deadline_(
           std::min(request_.deadline - kAnswerMargin,
                    request_.received_at + request_.route->timeout)),
@@ -117,6 +122,7 @@
   deadline_timer_->StartOnce(
       std::max(answer_deadline_ - Now(), core::Duration::zero()));
   context_->RetryAllowanceFor(chooser_.pool()).RecordRequest(Now());
+  RecordHeldBytes();
   if (EndIfQuarantined()) {
     return;
   }
@@ -296,9 +302,8 @@
       request_.received_at + request_.route->latency_objective / kMaxHeldShare;
   if (context_->load_control_enabled && Now() < review_at &&
       review_at < Now() + queue_time) {
-    StartQueueTimer(review_at - Now(), [queue_time](ForwardSession* self) {
-      self->ReviewWait(queue_time);
-    });
+    StartQueueTimer(review_at - Now(),
+                    [](ForwardSession* self) { self->ReviewWait(); });
   } else {
     StartQueueTimer(queue_time,
                     [](ForwardSession* self) { self->OnQueueTimeout(); });
@@ -370,10 +375,13 @@
   return true;
 }
 
-void ForwardSession::ReviewWait(core::Duration queue_time) {
+void ForwardSession::ReviewWait() {
   if (!RefuseIfHopeless()) {
-    StartQueueTimer(queue_time,
-                    [](ForwardSession* self) { self->OnQueueTimeout(); });
+    context_->waiting->Secure(*ticket_);
+    StartQueueTimer(
+        core::FromSeconds(core::ToSeconds(answer_deadline_ - Now()) *
+                          kMaxSecuredTimeShare),
+        [](ForwardSession* self) { self->OnQueueTimeout(); });
   }
 }
 
@@ -467,7 +475,22 @@
   }
 }
 
+size_t ForwardSession::BufferLimit(size_t limit) const {
+  const bool is_scarce =
+      context_->load_control_enabled && context_->relay_memory.IsScarce();
+  return is_scarce ? std::min(limit, RelayMemory::kScarceLimit) : limit;
+}
+
+void ForwardSession::RecordHeldBytes() {
+  held_.Set(request_.body.size() + body_.size() + splitter_.remainder().size());
+}
+
 void ForwardSession::OnBody(std::string_view piece) {
+  RelayBody(piece);
+  RecordHeldBytes();
+}
+
+void ForwardSession::RelayBody(std::string_view piece) {
   if (verdict_ == AttemptVerdict::kSuccess && IsStream()) {
     RelayEvents(piece);
     return;
@@ -479,10 +502,12 @@
     return;
   }
   body_.append(piece);
-  if (body_.size() <= kMaxBufferedBytes) {
+  const bool is_success = verdict_ == AttemptVerdict::kSuccess;
+  if (body_.size() <=
+      (is_success ? BufferLimit(kMaxBufferedBytes) : kMaxBufferedBytes)) {
     return;
   }
-  if (verdict_ == AttemptVerdict::kSuccess) {
+  if (is_success) {
     BeginRelay();
     transaction_->Write(std::exchange(body_, {}));
     return;
@@ -540,7 +565,7 @@
 
 void ForwardSession::ApplyBackPressure() {
   if (is_paused_ || attempt_ == nullptr ||
-      transaction_->unsent_bytes() < kMaxUnsentBytes) {
+      transaction_->unsent_bytes() < BufferLimit(kMaxUnsentBytes)) {
     return;
   }
   is_paused_ = true;
--- a/Libraries/LibForwarding/forward_session.h
+++ b/Libraries/LibForwarding/forward_session.h
@@ -58,7 +58,7 @@
   bool RefuseIfHopeless();
   // Decides once more after the time for which a request may be held before it
   // is refused.
-  void ReviewWait(core::Duration queue_time);
+  void ReviewWait();
   void StartQueueTimer(core::Duration delay,
                        std::function<void(ForwardSession*)> handle);
   void LeaveQueue();
@@ -73,6 +73,7 @@
 
   void OnHead(AttemptVerdict verdict, const http::MessageHead& head);
   void OnBody(std::string_view piece);
+  void RelayBody(std::string_view piece);
   // Returns whether an answer that has ended as its framing says is whole.
   bool IsAnswerWhole() const;
   void OnAttemptEnd(AttemptEnd end);
@@ -94,6 +95,10 @@
   void DeliverBufferedAnswer();
   void FinishRelay();
   void ApplyBackPressure();
+  // Returns `limit`, or less while the process holds much for slow callers and
+  // endpoints.
+  size_t BufferLimit(size_t limit) const;
+  void RecordHeldBytes();
 
   bool IsRerunAllowed() const;
   // Returns whether the request could be retried if the current attempt fails
@@ -130,6 +135,8 @@
   const ForwardRequest request_;
   const RequestFingerprint fingerprint_;
   EndpointChooser chooser_;
+  // What this session holds for a slow caller or endpoint.
+  RelayMemory::Holding held_;
   std::shared_ptr<ForwardSession> self_;
   std::unique_ptr<core::Timer> deadline_timer_;
   std::unique_ptr<core::Timer> queue_timer_;
--- a/Libraries/LibForwarding/pool_outlook.cc
+++ b/Libraries/LibForwarding/pool_outlook.cc
@@ -24,6 +24,7 @@
     const uint32_t load = knows_others ? context.loads->Load(it->id)
                                        : context.loads->OwnLoad(it->id);
     ++outlook.running.runners;
+    outlook.running_here += context.loads->OwnLoad(it->id);
     outlook.running.requests += std::min(load, it->slots);
     outlook.places += it->slots;
   }
--- a/Libraries/LibForwarding/wait_queue.cc
+++ b/Libraries/LibForwarding/wait_queue.cc
@@ -27,6 +27,10 @@
   }
 }
 
+void WaitQueue::Secure(const WaitTicket& ticket) {
+  pools_[ticket.pool].queue().Secure(IdOf(ticket));
+}
+
 void WaitQueue::Serve() {
   std::vector<core::PoolId> pools;
   for (const auto& [pool, admission] : pools_) {
--- a/Libraries/LibForwarding/wait_queue.h
+++ b/Libraries/LibForwarding/wait_queue.h
@@ -36,6 +36,9 @@
                   routing::WorkItem item,
                   TryStart start);
   void Leave(const WaitTicket& ticket);
+  // Lets no request that joins later overtake this one, except more urgent
+  // ones.
+  void Secure(const WaitTicket& ticket);
 
   // Starts the queued requests that can start, in order. Skips the rest of a
   // pool after the first request that cannot start.
--- a/Libraries/LibHttp/request_connection.h
+++ b/Libraries/LibHttp/request_connection.h
@@ -65,6 +65,10 @@
   // True while a request is waiting for its response to be completed.
   bool is_answering() const { return transaction_ != nullptr; }
   size_t unsent_bytes() const { return stream_->unsent_bytes(); }
+  // Bytes received and not handed on yet, and bytes not sent yet.
+  size_t buffered_bytes() const {
+    return unsent_bytes() + input_.size() + request_.body.size();
+  }
 
   // The following functions are called by Transaction.
   bool ClosesAfterResponse() const {
--- a/Libraries/LibHttp/request_server.cc
+++ b/Libraries/LibHttp/request_server.cc
@@ -79,6 +79,14 @@
   }
 }
 
+size_t RequestServer::buffered_bytes() const {
+  size_t bytes = 0;
+  for (const auto& [key, connection] : connections_) {
+    bytes += connection->buffered_bytes();
+  }
+  return bytes;
+}
+
 size_t RequestServer::open_transactions() const {
   return static_cast<size_t>(
       std::count_if(connections_.begin(), connections_.end(),
--- a/Libraries/LibHttp/request_server.h
+++ b/Libraries/LibHttp/request_server.h
@@ -51,6 +51,8 @@
   size_t connection_count() const { return connections_.size(); }
   // Number of requests whose response is pending.
   size_t open_transactions() const;
+  // Bytes in the buffers of all connections.
+  size_t buffered_bytes() const;
 
  private:
   RequestServer(core::EventLoop* loop, Handler handler);
--- a/Libraries/LibRouting/fair_queue.cc
+++ b/Libraries/LibRouting/fair_queue.cc
@@ -14,8 +14,9 @@
 void FairQueue::Push(WaitingItem waiting) {
   const Priority priority = waiting.item.priority;
   PriorityClass& priority_class = classes_[priority];
-  Position position = {Reserve(priority_class, waiting.item, waiting.tokens),
-                       next_sequence_++};
+  Position position = {
+      .start = Reserve(priority_class, waiting.item, waiting.tokens),
+      .sequence = next_sequence_++};
   if (waiting.item.has_returned) {
     position =
         TakeFirstPlace(priority_class, waiting.item.organisation, position);
@@ -74,6 +75,18 @@
   return selected;
 }
 
+void FairQueue::Secure(const core::RequestId& request) {
+  const auto it = locations_.find(request);
+  if (it == locations_.end()) {
+    return;
+  }
+  auto& waiting = classes_.at(it->second.priority).waiting;
+  auto node = waiting.extract(it->second.position);
+  it->second.position.is_unsecured = false;
+  node.key() = it->second.position;
+  waiting.insert(std::move(node));
+}
+
 void FairQueue::RecordStart(const core::RequestId& request) {
   const auto it = locations_.find(request);
   if (it != locations_.end()) {
@@ -96,11 +109,12 @@
     return CountAhead(item.priority);
   }
   const PriorityClass& priority_class = found->second;
-  Position position = {StartOf(priority_class, item), next_sequence_};
+  Position position = {.start = StartOf(priority_class, item),
+                       .sequence = next_sequence_};
   if (item.has_returned) {
     for (const auto& [place, waiting] : priority_class.waiting) {
       if (waiting.item.organisation == item.organisation &&
-          !waiting.item.has_returned) {
+          !waiting.item.has_returned && place.is_unsecured) {
         position = std::min(position, place);
         break;
       }
@@ -136,7 +150,7 @@
   std::vector<Position> places;
   for (const auto& [place, waiting] : priority_class.waiting) {
     if (waiting.item.organisation == organisation &&
-        !waiting.item.has_returned) {
+        !waiting.item.has_returned && place.is_unsecured) {
       places.push_back(place);
     }
   }
--- a/Libraries/LibRouting/fair_queue.h
+++ b/Libraries/LibRouting/fair_queue.h
@@ -56,6 +56,10 @@
   std::vector<core::RequestId> Select(
       const std::function<bool(const WaitingItem&)>& predicate) const;
 
+  // Lets no request that arrives later overtake the queued one, except more
+  // urgent ones.
+  void Secure(const core::RequestId& request);
+
   // Records that the queued request starts now, before it is removed.
   void RecordStart(const core::RequestId& request);
 
@@ -77,8 +81,10 @@
   double tokens() const { return tokens_; }
 
  private:
-  // Service order within a class: by virtual start time, then by arrival.
+  // Service order within a class: secured ones first, then by virtual start
+  // time, then by arrival.
   struct Position {
+    bool is_unsecured = true;
     double start = 0;
     uint64_t sequence = 0;
 
--- a/Libraries/LibRouting/pool_admission.cc
+++ b/Libraries/LibRouting/pool_admission.cc
@@ -7,7 +7,7 @@
 namespace {
 
 // The present rate of arrivals is measured over this time.
-constexpr core::Duration kArrivalTime = core::seconds(2);
+constexpr core::Duration kArrivalTime = core::seconds(1);
 // The usual demand of an organisation is measured over this time, which is long
 // against an overload of some seconds.
 constexpr core::Duration kUsualTime = core::seconds(60);
@@ -18,6 +18,9 @@
 // Share of the completions that are taken to be left for a priority, however
 // many more urgent requests arrive.
 constexpr double kMinRateShare = 0.05;
+// A host without requests at the pool is taken to have this many, since it also
+// sees places that others have left.
+constexpr double kMinRunningHere = 1;
 // Callers honour a delay up to this share of their remaining time.
 constexpr double kReturnShare = 1.0 / 3;
 constexpr core::Duration kMinReturn = core::milliseconds(50);
@@ -47,23 +50,29 @@
   usual_.erase(oldest);
 }
 
-double PoolAdmission::RateFor(Priority priority,
-                              const PoolOutlook& pool,
-                              core::TimePoint now) const {
+PoolAdmission::Rates PoolAdmission::RatesFor(Priority priority,
+                                             const PoolOutlook& pool,
+                                             core::TimePoint now) const {
   if (!pool.service_time) {
-    return 0;
+    return {};
   }
-  const double rate =
-      std::min(pool.places, std::max(1.0, pool.running.requests)) /
-      core::ToSeconds(*pool.service_time);
   double urgent = 0;
   for (const auto& [it, arrivals] : arrivals_) {
     if (it < priority) {
-      urgent += arrivals.Requests(kArrivalTime, now) /
-                core::ToSeconds(kArrivalTime) * pool.hosts;
+      urgent +=
+          arrivals.Requests(kArrivalTime, now) / core::ToSeconds(kArrivalTime);
     }
   }
-  return std::max(rate * kMinRateShare, rate - urgent);
+  const auto left = [&](double running, double urgent_rate) {
+    const double rate = running / core::ToSeconds(*pool.service_time);
+    return std::max(rate * kMinRateShare, rate - urgent_rate);
+  };
+  const double running =
+      std::min(pool.places, std::max(1.0, pool.running.requests));
+  const double running_here =
+      std::min(running, std::max(kMinRunningHere, pool.running_here));
+  return {.fleet = left(running, urgent * pool.hosts),
+          .host = left(running_here, urgent)};
 }
 
 double PoolAdmission::Ahead(Priority priority,
@@ -91,8 +100,7 @@
     const WorkItem& item,
     const PoolOutlook& pool,
     core::TimePoint now) const {
-  return StartAfter(Ahead(item.priority, queue_.CountAhead(item), pool),
-                    item.priority, pool, now);
+  return StartAfter(queue_.CountAhead(item), item.priority, pool, now);
 }
 
 std::optional<core::Duration> PoolAdmission::ExpectedStart(
@@ -103,13 +111,12 @@
   if (waiting == nullptr) {
     return std::nullopt;
   }
-  const Priority priority = waiting->item.priority;
-  return StartAfter(Ahead(priority, queue_.CountAhead(request), pool), priority,
-                    pool, now);
+  return StartAfter(queue_.CountAhead(request), waiting->item.priority, pool,
+                    now);
 }
 
 std::optional<core::Duration> PoolAdmission::StartAfter(
-    double ahead,
+    size_t here,
     Priority priority,
     const PoolOutlook& pool,
     core::TimePoint now) const {
@@ -117,14 +124,20 @@
       0.0, 1 - core::ToSeconds(pool.age) / core::ToSeconds(kRoomLifetime));
   const double room =
       std::max(0.0, pool.places - pool.running.requests) * freshness;
+  const double ahead = Ahead(priority, here, pool);
   if (ahead < room) {
     return core::Duration::zero();
   }
-  const double rate = RateFor(priority, pool, now);
-  if (rate <= 0) {
+  const Rates rates = RatesFor(priority, pool, now);
+  if (rates.fleet <= 0) {
     return std::nullopt;
   }
-  return core::FromSeconds((ahead + 1 - room) / rate);
+  // While the pool is full, a place that becomes free is known first to the
+  // host whose request has ended, so that a host's queue moves at the rate at
+  // which its own requests end.
+  const double of_fleet = (ahead + 1 - room) / rates.fleet;
+  const double of_host = (static_cast<double>(here) + 1) / rates.host;
+  return core::FromSeconds(std::max(of_fleet, of_host));
 }
 
 core::Duration PoolAdmission::TakeReturnTime(const WorkItem& item,
@@ -155,7 +168,7 @@
   if (place > now + limit) {
     return between(limit / 2, limit);
   }
-  const double rate = RateFor(item.priority, pool, now) / pool.hosts;
+  const double rate = RatesFor(item.priority, pool, now).fleet / pool.hosts;
   next_return_[item.priority] = place + core::FromSeconds(1 / rate);
   return place - now;
 }
--- a/Libraries/LibRouting/pool_admission.h
+++ b/Libraries/LibRouting/pool_admission.h
@@ -31,6 +31,8 @@
   PoolDemand running;
   // Requests that these endpoints run at once.
   double places = 0;
+  // Requests of this host at them.
+  double running_here = 0;
   // Mean time that a request takes at an endpoint; nullopt if unknown.
   std::optional<core::Duration> service_time;
   // Requests that wait on other hosts.
@@ -82,15 +84,21 @@
     core::TimePoint last_at;
   };
 
-  // Returns the number of requests per second that the pool completes and that
-  // are left for this priority by more urgent arrivals; zero if unknown.
-  double RateFor(Priority priority,
+  // Requests per second that are completed and that are left for a priority by
+  // more urgent arrivals; zero if unknown.
+  struct Rates {
+    double fleet = 0;
+    // Completed by this host.
+    double host = 0;
+  };
+
+  Rates RatesFor(Priority priority,
                  const PoolOutlook& pool,
                  core::TimePoint now) const;
   // Returns the number of requests of the fleet that start before one of this
   // priority, before which `here` of this host's queue start.
   double Ahead(Priority priority, size_t here, const PoolOutlook& pool) const;
-  std::optional<core::Duration> StartAfter(double ahead,
+  std::optional<core::Duration> StartAfter(size_t here,
                                            Priority priority,
                                            const PoolOutlook& pool,
                                            core::TimePoint now) const;
--- a/Services/Forwarder/forwarder_daemon.cc
+++ b/Services/Forwarder/forwarder_daemon.cc
@@ -33,6 +33,9 @@
 // configuration.
 constexpr core::Duration kRetryWithoutConfiguration = core::milliseconds(300);
 
+// The same for lack of memory; another host is likely to have some.
+constexpr core::Duration kRetryWithoutMemory = core::milliseconds(500);
+
 constexpr int kOkStatus = 200;
 
 }  // namespace
@@ -168,6 +171,9 @@
   });
   metrics_.Gauge("carriers",
                  [this]() { return static_cast<double>(carriers_.size()); });
+  metrics_.Gauge("relay_bytes", [this]() {
+    return static_cast<double>(context_.relay_memory.total());
+  });
   metrics_.Gauge("path_lost", [this]() { return path_.is_lost() ? 1.0 : 0.0; });
   metrics_.Gauge("tunnels_open", [this]() {
     return static_cast<double>(tunnels_.open_tunnels());
@@ -201,6 +207,14 @@
             kRetryWithoutConfiguration));
     return;
   }
+  if (context_.load_control_enabled && context_.relay_memory.IsExhausted()) {
+    RespondError(transaction,
+                 core::MakeRefusal(core::ResultCode::kOverloaded,
+                                   "slow callers and endpoints hold the memory "
+                                   "of this host",
+                                   kRetryWithoutMemory));
+    return;
+  }
   auto request = adapters_.callers->Decode(transaction->request(), table);
   if (!request.ok()) {
     RespondError(transaction, StatusForCaller(request.status()));
@@ -322,6 +336,7 @@
   LogRefusedParts();
   waiting_.Serve();
   if (context_.load_control_enabled) {
+    context_.relay_memory.SetInConnections(callers_->buffered_bytes());
     loads_.SetOtherCounts(forwarding::WaitingCountsOf(waiting_, random_));
   }
   if (IsReady() && !is_announced_) {
--- a/Tests/LibRouting/pool_admission_test.cc
+++ b/Tests/LibRouting/pool_admission_test.cc
@@ -33,6 +33,7 @@
 PoolOutlook FullPool(double places) {
   PoolOutlook pool;
   pool.running = {.runners = 1, .requests = places};
+  pool.running_here = places;
   pool.places = places;
   pool.service_time = seconds(1);
   return pool;
--- a/Tests/Support/ForwarderFixture/forwarder_fixture.cc
+++ b/Tests/Support/ForwarderFixture/forwarder_fixture.cc
@@ -92,7 +92,7 @@
       events);
 }
 
-ForwarderFixture::ForwarderFixture()
+ForwarderFixture::ForwarderFixture(bool load_control_enabled)
     : scheduler(&loop),
       first(&loop, FreeAddress(LoopbackIp(10))),
       second(&loop, FreeAddress(LoopbackIp(11))),
@@ -102,7 +102,7 @@
       return Respond(server, text);
     });
   }
-  Start();
+  Start(load_control_enabled);
 }
 
 forwarder::ForwarderSettings ForwarderFixture::NewSettings(
@@ -151,8 +151,9 @@
   return *std::move(created);
 }
 
-void ForwarderFixture::Start() {
+void ForwarderFixture::Start(bool load_control_enabled) {
   settings = NewSettings("h1", LoopbackIp(12));
+  settings.load_control_enabled = load_control_enabled;
   daemon = NewDaemon(settings, &links, &store);
   Register("e1", first, "ready");
   Register("e2", second, "ready");
--- a/Tests/Support/ForwarderFixture/forwarder_fixture.h
+++ b/Tests/Support/ForwarderFixture/forwarder_fixture.h
@@ -66,7 +66,7 @@
 // The endpoints "e1" and "e2" are ready and belong to the pool "p" of most
 // routes. An empty scripted response means that the endpoint does not respond.
 struct ForwarderFixture {
-  ForwarderFixture();
+  explicit ForwarderFixture(bool load_control_enabled = false);
 
   // Writes the configuration and waits until the daemon is ready.
   void Configure();
@@ -122,7 +122,7 @@
       const forwarder::ForwarderSettings& daemon_settings,
       const EndpointLinkMap* daemon_links,
       FakeTopicClient** topics);
-  void Start();
+  void Start(bool load_control_enabled);
   void WriteRegistration(FakeTopicClient* topics,
                          const char* id,
                          const RawServer& server,
