--- a/Libraries/LibCore/event.cc
+++ b/Libraries/LibCore/event.cc
@@ -111,6 +111,9 @@
     {EventCode::kEndpointPaceChanged, "endpoint_pace_changed",
      "An endpoint became slower than its pool, or returned to the usual "
      "pace."},
+    {EventCode::kRefusedEarly, "request_refused_early",
+     "A request was refused at once because it could not be expected to start "
+     "within its latency objective."},
     {EventCode::kIntentAppended, "intent_appended",
      "An intent to run a call was appended to its partition."},
     {EventCode::kIntentWon, "intent_won",
--- a/Libraries/LibCore/event.h
+++ b/Libraries/LibCore/event.h
@@ -62,6 +62,7 @@
   kStoredOriginsRead = 336,
   kOriginLookedUp = 337,
   kEndpointPaceChanged = 340,
+  kRefusedEarly = 345,
   // 4xx: the ledger of non-repeatable calls.
   kIntentAppended = 400,
   kIntentWon = 401,
--- a/Libraries/LibForwarding/endpoint_chooser.cc
+++ b/Libraries/LibForwarding/endpoint_chooser.cc
@@ -176,7 +176,8 @@
   }
   PoolSlotRequest request{
       .pool = pool_,
-      .service_time = context_->service_times.Mean(pool_, now),
+      .service_time = context_->service_times.Mean(pool_, now)
+                          .value_or(core::Duration::zero()),
       .max_wait = max_wait};
   PoolSlotRequest healthy = request;
   for (const Endpoint* it : endpoints) {
--- a/Libraries/LibForwarding/forward_context.h
+++ b/Libraries/LibForwarding/forward_context.h
@@ -30,6 +30,7 @@
 #include "LibForwarding/prompt_holders.h"
 #include "LibForwarding/prompt_popularity.h"
 #include "LibForwarding/protocols.h"
+#include "LibForwarding/relay_memory.h"
 #include "LibForwarding/retry_allowance.h"
 #include "LibForwarding/service_times.h"
 #include "LibForwarding/stored_origins.h"
@@ -81,6 +82,7 @@
   std::map<core::PoolId, EndpointShares> shares;
   PromptHolders prompt_holders;
   OriginHistory origin_history;
+  RelayMemory relay_memory;
 
   // Returns whether requests for the pool consider the pace of endpoints.
   bool UsesPace(const core::PoolId& pool) const {
--- a/Libraries/LibForwarding/forward_session.h
+++ b/Libraries/LibForwarding/forward_session.h
@@ -6,6 +6,7 @@
 #ifndef LIBFORWARDING_FORWARD_SESSION_H_
 #define LIBFORWARDING_FORWARD_SESSION_H_
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <set>
@@ -59,6 +60,14 @@
   // that the request has to wait. Requires that no attempt may have run.
   bool DispatchOrRefuse();
   void Wait();
+  // Refuses the request if it can't be expected to start in time. Returns
+  // whether it has. Only while load control is on.
+  bool RefuseIfHopeless();
+  // Decides once more after the time for which a request may be held before it
+  // is refused.
+  void ReviewWait();
+  void StartQueueTimer(core::Duration delay,
+                       std::function<void(ForwardSession*)> handle);
   void LeaveQueue();
   // Starts an attempt once the endpoint has a place for it, if it is brittle,
   // and its limit permits it.
@@ -83,6 +92,7 @@
 
   void OnHead(AttemptVerdict verdict, const http::MessageHead& head);
   void OnBody(std::string_view piece);
+  void RelayBody(std::string_view piece);
   // Returns whether an answer that has ended as its framing says is whole.
   bool IsAnswerWhole() const;
   void OnAttemptEnd(AttemptEnd end);
@@ -106,6 +116,10 @@
   void DeliverBufferedAnswer();
   void FinishRelay();
   void ApplyBackPressure();
+  // Returns `limit`, or less while the process holds much for slow callers and
+  // endpoints.
+  size_t BufferLimit(size_t limit) const;
+  void RecordHeldBytes();
 
   bool IsRerunAllowed() const;
   // Returns whether the request could be retried if the current attempt fails
@@ -133,16 +147,23 @@
   core::TimePoint Now() const { return context_->loop->Now(); }
   core::Duration FirstByteTimeout() const;
   core::Duration RetryAfter();
+  core::Duration PacedRetryAfter();
+  // Returns what the order of waiting depends on.
+  routing::WorkItem WaitingItem() const;
 
   ForwardContext* const context_;
   const std::shared_ptr<http::Transaction> transaction_;
   const ForwardRequest request_;
   const RequestFingerprint fingerprint_;
   EndpointChooser chooser_;
+  // What this session holds for a slow caller or endpoint.
+  RelayMemory::Holding held_;
   std::shared_ptr<ForwardSession> self_;
   std::unique_ptr<core::Timer> deadline_timer_;
   std::unique_ptr<core::Timer> queue_timer_;
   core::TimePoint answer_deadline_;
+  // The weight of the organisation in the order of waiting.
+  double organisation_weight_ = 1;
 
   std::shared_ptr<ForwardAttempt> attempt_;
   std::optional<WaitTicket> ticket_;
--- a/Services/Forwarder/forwarder_daemon.cc
+++ b/Services/Forwarder/forwarder_daemon.cc
@@ -8,6 +8,7 @@
 #include "LibCore/text.h"
 #include "LibCore/try.h"
 #include "LibForwarding/forward_session.h"
+#include "LibForwarding/waiting_counts.h"
 #include "LibHttp/tunnel.h"
 
 namespace wasabi::forwarder {
@@ -32,6 +33,9 @@
 // configuration.
 constexpr core::Duration kRetryWithoutConfiguration = core::milliseconds(300);
 
+// The same for lack of memory; another host is likely to have some.
+constexpr core::Duration kRetryWithoutMemory = core::milliseconds(500);
+
 constexpr int kOkStatus = 200;
 
 }  // namespace
@@ -187,6 +191,9 @@
   metrics_.Gauge("evacuated_data_centres", [this]() {
     return static_cast<double>(endpoints_.evacuated().size());
   });
+  metrics_.Gauge("relay_bytes", [this]() {
+    return static_cast<double>(context_.relay_memory.total());
+  });
   metrics_.Gauge("path_lost", [this]() { return path_.is_lost() ? 1.0 : 0.0; });
   metrics_.Gauge("tunnels_open", [this]() {
     return static_cast<double>(tunnels_.open_tunnels());
@@ -220,6 +227,14 @@
             kRetryWithoutConfiguration));
     return;
   }
+  if (context_.load_control_enabled && context_.relay_memory.IsExhausted()) {
+    RespondError(transaction,
+                 core::MakeRefusal(core::ResultCode::kOverloaded,
+                                   "slow callers and endpoints hold the memory "
+                                   "of this host",
+                                   kRetryWithoutMemory));
+    return;
+  }
   auto request = adapters_.callers->Decode(transaction->request(), table);
   if (!request.ok()) {
     RespondError(transaction, StatusForCaller(request.status()));
@@ -342,6 +357,10 @@
   LogRefusedParts();
   LogPaceChanges();
   waiting_.Serve();
+  if (context_.load_control_enabled) {
+    context_.relay_memory.SetInConnections(callers_->buffered_bytes());
+    loads_.SetOtherCounts(forwarding::WaitingCountsOf(waiting_, random_));
+  }
   if (IsReady() && !is_announced_) {
     is_announced_ = true;
     fleet_->AnnounceReady();
--- a/Tests/ForwardedStreams/stream_joined_from_two_versions_test.cc
+++ b/Tests/ForwardedStreams/stream_joined_from_two_versions_test.cc
@@ -112,7 +112,7 @@
     INFO(row.what);
     // Only where no stream is older than the fleet, or the history is known,
     // can the origin follow from the endpoints.
-    ForwarderFixture it(true);
+    ForwarderFixture it({.is_first_start = true});
     it.Register("e2", it.second, "ready", "p", row.second_version);
     it.Configure();
     AwaitRegistrations(it);
--- a/Tests/ForwardedStreams/streams_resumed_after_all_hosts_died_test.cc
+++ b/Tests/ForwardedStreams/streams_resumed_after_all_hosts_died_test.cc
@@ -88,7 +88,7 @@
   };
   for (const ReplacedCase& row : cases) {
     INFO(row.what);
-    ForwarderFixture it(row.is_first_start);
+    ForwarderFixture it({.is_first_start = row.is_first_start});
     it.Register("e1", it.first, "ready", "p", row.before);
     it.Register("e2", it.second, "leaving", "p", row.before);
     it.Configure();
@@ -107,7 +107,7 @@
 
 TEST_CASE("streams go on at their version after all hosts were killed") {
   constexpr int kStreams = 40;
-  ForwarderFixture it(true);
+  ForwarderFixture it({.is_first_start = true});
   it.Register("e2", it.second, "ready", "p", "v2");
   it.Configure();
   RunFor(it, kRecorded);
--- a/Tests/Support/ForwarderFixture/forwarder_fixture.cc
+++ b/Tests/Support/ForwarderFixture/forwarder_fixture.cc
@@ -96,18 +96,17 @@
       events);
 }
 
-ForwarderFixture::ForwarderFixture(bool is_first_start)
+ForwarderFixture::ForwarderFixture(const FixtureOptions& options)
     : scheduler(&loop),
       first(&loop, FreeAddress(LoopbackIp(10))),
       second(&loop, FreeAddress(LoopbackIp(11))),
-      client(&loop),
-      is_first_start_(is_first_start) {
+      client(&loop) {
   for (RawServer* server : {&first, &second}) {
     server->SetResponder([this, server](const std::string& text) {
       return Respond(server, text);
     });
   }
-  Start();
+  Start(options);
 }
 
 forwarder::ForwarderSettings ForwarderFixture::NewSettings(
@@ -156,9 +155,10 @@
   return *std::move(created);
 }
 
-void ForwarderFixture::Start() {
+void ForwarderFixture::Start(const FixtureOptions& options) {
   settings = NewSettings("h1", LoopbackIp(12));
-  settings.is_first_start = is_first_start_;
+  settings.is_first_start = options.is_first_start;
+  settings.load_control_enabled = options.load_control_enabled;
   daemon = NewDaemon(settings, &links, &store);
   Register("e1", first, "ready");
   Register("e2", second, "ready");
--- a/Tests/Support/ForwarderFixture/forwarder_fixture.h
+++ b/Tests/Support/ForwarderFixture/forwarder_fixture.h
@@ -63,11 +63,16 @@
   std::unique_ptr<forwarder::ForwarderDaemon> daemon;
 };
 
+struct FixtureOptions {
+  // Whether no request is older than the daemon.
+  bool is_first_start = false;
+  bool load_control_enabled = false;
+};
+
 // The endpoints "e1" and "e2" are ready and belong to the pool "p" of most
 // routes. An empty scripted response means that the endpoint does not respond.
 struct ForwarderFixture {
-  // `is_first_start` states that no request is older than the daemon.
-  explicit ForwarderFixture(bool is_first_start = false);
+  explicit ForwarderFixture(const FixtureOptions& options = {});
 
   // Kills the daemon. Its store keeps the records.
   void KillHosts();
@@ -134,7 +139,7 @@
       const forwarder::ForwarderSettings& daemon_settings,
       const EndpointLinkMap* daemon_links,
       FakeTopicClient** topics);
-  void Start();
+  void Start(const FixtureOptions& options);
   void WriteRegistration(FakeTopicClient* topics,
                          const char* id,
                          const RawServer& server,
@@ -144,7 +149,6 @@
                          int sequence);
   std::string Respond(RawServer* server, const std::string& text);
 
-  bool is_first_start_;
   int sequence_ = 0;
   // The records of the store while no daemon runs.
   KeyedLog kept_log_;
