The soak's callers take streams up again after all hosts are back

Cause: a caller of the soak made its attempts to take a stream up at once, one after the other, so that all of them met dead hosts: no attempt reached the lookup of recorded origins.

--- a/Tests/LibForwarding/stored_origins_test.cc
+++ b/Tests/LibForwarding/stored_origins_test.cc
@@ -130,9 +130,9 @@
 
   // What the reader of the fleet does when a version appears or disappears.
   void RecordVersions() {
-    log_.Append(kTopic, std::string(kVersionsKey),
-                core::Encode(VersionRecorder::NewRecord(hosts_[0]->history,
-                                                        log_.epoch(), now_)));
+    log.Append(kTopic, std::string(kVersionsKey),
+               core::Encode(VersionRecorder::NewRecord(hosts_[0]->history,
+                                                       log.epoch(), now_)));
   }
 
   // Starts a lookup. It counts as joined if another version results.
@@ -194,7 +194,7 @@
   }
 
   EndpointTable table;
-  support::KeyedLog log_;
+  support::KeyedLog log;
   bool is_store_down = false;
   int found = 0;
   int joined = 0;
@@ -253,7 +253,7 @@
     CHECK(value.size() < 262'144);
     bytes[i] += value.size();
     if (!is_store_down) {
-      log_.Append(kTopic, key, value);
+      log.Append(kTopic, key, value);
     }
     tasks_.push_back([this, i, done, is_written = !is_store_down]() {
       if (hosts_[i] != nullptr) {
@@ -268,7 +268,7 @@
     const absl::StatusOr<platform::KeyedPage> page =
         is_store_down ? absl::StatusOr<platform::KeyedPage>(
                             absl::UnavailableError("simulated outage"))
-                      : log_.ReadNewest(kTopic);
+                      : log.ReadNewest(kTopic);
     tasks_.push_back([this, i, page]() {
       if (hosts_[i] != nullptr) {
         hosts_[i]->stored->OnRead(page, now_);
@@ -337,7 +337,7 @@
       {"the store is restored from a backup of before the release", 8, 0,
        nothing,
        [](Fleet& it) {
-         it.log_.RestoreFrom(support::KeyedLog());
+         it.log.RestoreFrom(support::KeyedLog());
          it.table.Remove(core::RunnerId("e1"));
        },
        0, 0, 8},
@@ -353,7 +353,7 @@
       // An older build writes no records.
       {"records are missing and the old version has left", 8, 0, nothing,
        [](Fleet& it) {
-         it.log_ = support::KeyedLog();
+         it.log = support::KeyedLog();
          it.table.Remove(core::RunnerId("e1"));
        },
        0, 0, 8},
--- a/Tests/Soak/caller.cc
+++ b/Tests/Soak/caller.cc
@@ -30,6 +30,9 @@
 constexpr double kHarmfulShare = 0.15;
 // Number of times that a caller takes up a stream.
 constexpr size_t kMaxTakeUps = 4;
+// Pause before a stream is taken up again, so that some attempts come after all
+// hosts were killed and are back.
+constexpr core::Duration kTakeUpPause = core::milliseconds(700);
 
 struct KindTraits {
   const char* path;
@@ -262,11 +265,23 @@
   const Call& call = *exchange->call;
   if (call.kind == CallKind::kResumableStream &&
       end != http::OriginOutcome::kComplete && LastEventIn(call) > 0) {
-    TakeUp(call);
+    if (!call.first_attempt) {
+      TakeUp(exchange->call);
+      return;
+    }
+    const auto it = pauses_.emplace(pauses_.end());
+    *it = loop_->NewTimer([this, it, failed = exchange->call]() {
+      // The timer owns this function.
+      const std::unique_ptr<core::Timer> timer = std::move(*it);
+      pauses_.erase(it);
+      TakeUp(failed);
+    });
+    (*it)->StartOnce(kTakeUpPause);
   }
 }
 
-void Caller::TakeUp(const Call& call) {
+void Caller::TakeUp(const std::shared_ptr<Call>& failed) {
+  const Call& call = *failed;
   const core::Duration left = call.sent_at + call.deadline - loop_->Now();
   if (known_hosts_.empty() || left <= core::Duration::zero() ||
       call.take_ups >= kMaxTakeUps) {
--- a/Tests/Soak/caller.h
+++ b/Tests/Soak/caller.h
@@ -4,6 +4,7 @@
 #ifndef TESTS_SOAK_CALLER_H_
 #define TESTS_SOAK_CALLER_H_
 
+#include <list>
 #include <memory>
 #include <string>
 #include <vector>
@@ -56,11 +57,13 @@
   http::OriginRequest RequestOf(const Call& call) const;
   void Send(const std::shared_ptr<Call>& call);
   void OnEnd(const ExchangePointer& exchange, http::OriginOutcome end);
-  // Takes up the stream of `call`, which was cut, at any host.
-  void TakeUp(const Call& call);
+  // Takes up the stream of `failed`, which was cut, at any host.
+  void TakeUp(const std::shared_ptr<Call>& failed);
   void Leave(const ExchangePointer& exchange);
 
   core::EventLoop* const loop_;
+  // Timers of streams that are taken up again later.
+  std::list<std::unique_ptr<core::Timer>> pauses_;
   const std::vector<HostAddresses>* const hosts_;
   History* const history_;
   const size_t number_;
