Long uncached prompts go to as many endpoints as their demand needs

Cause: an engine prefills prompts one after the other, so that prompts of 10,500 tokens delayed the first events and the gaps of short ones at every endpoint.

Change: LongPromptDemand estimates the uncached tokens of long prompts from a host's own requests. The first endpoints of a rendezvous order that all hosts share take them, as many as the demand needs, without slow ones; short prompts prefer the others. If more than half of the endpoints were needed, all take them. Active where the pace of endpoints is used.

--- a/Libraries/LibForwarding/endpoint_chooser.cc
+++ b/Libraries/LibForwarding/endpoint_chooser.cc
@@ -1,6 +1,7 @@
 #include "LibForwarding/endpoint_chooser.h"
 
 #include <algorithm>
+#include <limits>
 
 #include "LibCore/hash.h"
 #include "LibCore/rendezvous.h"
@@ -58,7 +59,34 @@
                                         context->loop->Now())
                                   : 0),
       gap_objective_(request.route->gap_objective),
-      pools_(request.route->pools) {}
+      pools_(request.route->pools) {
+  if (!context_->UsesPace(pool_)) {
+    return;
+  }
+  const core::TimePoint now = context_->loop->Now();
+  const auto tokens = static_cast<uint32_t>(
+      std::min<uint64_t>(UncachedTokens(request.prompt, now),
+                         std::numeric_limits<uint32_t>::max()));
+  is_long_ = tokens >= kLongPromptTokens;
+  if (is_long_) {
+    context_->long_prompts[pool_].Record(tokens, now);
+  }
+}
+
+uint64_t EndpointChooser::UncachedTokens(const std::vector<PromptPart>& prompt,
+                                         core::TimePoint now) const {
+  // The parts before the last one are cached where they were served, and
+  // copied elsewhere.
+  const bool is_shared_part_cached =
+      copies_prompts_ &&
+      !context_->prompt_holders.Of(*affinity_key_, now).empty();
+  uint64_t tokens = 0;
+  for (size_t i = 0; i < prompt.size(); ++i) {
+    const bool is_last = i + 1 == prompt.size();
+    tokens += is_last || !is_shared_part_cached ? prompt[i].tokens : 0;
+  }
+  return tokens;
+}
 
 bool EndpointChooser::ContinueAt(StreamOrigin origin) {
   for (const WeightedPool& pool : pools_) {
@@ -236,6 +264,9 @@
       ids.push_back(&it->id);
     }
     ApplyPaces(*context_->paces, pool_, ids, gap_objective_, now, candidates);
+    ApplyLongPrompts(context_->long_prompts[pool_].TokensPerSecond(now) *
+                         static_cast<double>(context_->host_count()),
+                     is_long_, candidates);
   }
   return candidates;
 }
--- a/Libraries/LibForwarding/endpoint_chooser.h
+++ b/Libraries/LibForwarding/endpoint_chooser.h
@@ -79,6 +79,9 @@
   // the rendezvous order of the fleet, or nullptr if there is none.
   const Endpoint* PreferredSourceExcept(const Endpoint& chosen,
                                         core::TimePoint now) const;
+  // Returns the tokens of `prompt` that no endpoint is known to have cached.
+  uint64_t UncachedTokens(const std::vector<PromptPart>& prompt,
+                          core::TimePoint now) const;
   std::vector<EndpointCandidate> Candidates(
       const std::vector<const Endpoint*>& endpoints,
       const std::set<core::RunnerId>& tried,
@@ -95,6 +98,8 @@
   // Share of the pool's recent requests that have this prompt, from 0 to 1.
   const double prompt_share_;
   const core::Duration gap_objective_;
+  // Whether a large part of the prompt has to be processed, as far as known.
+  bool is_long_ = false;
   // The origin of the stream that the request continues, once it is known.
   std::optional<StreamOrigin> origin_;
   const std::vector<WeightedPool>& pools_;
--- a/Libraries/LibForwarding/endpoint_selector.cc
+++ b/Libraries/LibForwarding/endpoint_selector.cc
@@ -155,10 +155,19 @@
     return {};
   }
   const Indices preferred = WithoutSlow(candidates, eligible);
+  const Indices matching = Filter(
+      preferred, [&](size_t i) { return !candidates[i].serves_other_prompts; });
   std::optional<size_t> chosen;
   if (affinity) {
-    chosen = FirstWithinBound(candidates, preferred, *affinity, tie_break,
-                              LoadLimit(candidates, tie_break, policy));
+    const double limit = LoadLimit(candidates, tie_break, policy);
+    chosen =
+        FirstWithinBound(candidates, matching, *affinity, tie_break, limit);
+    if (!chosen && matching.size() < preferred.size()) {
+      chosen =
+          FirstWithinBound(candidates, preferred, *affinity, tie_break, limit);
+    }
+  } else if (matching.size() < preferred.size()) {
+    chosen = LeastLoaded(candidates, matching, tie_break);
   }
   if (!chosen) {
     chosen = LeastLoaded(candidates, preferred, tie_break);
--- a/Libraries/LibForwarding/endpoint_selector.h
+++ b/Libraries/LibForwarding/endpoint_selector.h
@@ -37,6 +37,9 @@
   // The request would probably miss its latency or gap objective there because
   // the endpoint is slow.
   bool is_slow = false;
+  // The endpoint serves long prompts and the request's is short, or the other
+  // way round (see LongPromptDemand).
+  bool serves_other_prompts = false;
   // Recent share of failed requests, from 0 to 1.
   double failure_share = 0;
   // The endpoint is in hold-down because it could not be reached.
--- a/Libraries/LibForwarding/forward_context.h
+++ b/Libraries/LibForwarding/forward_context.h
@@ -21,6 +21,7 @@
 #include "LibForwarding/endpoint_shares.h"
 #include "LibForwarding/endpoint_table.h"
 #include "LibForwarding/load_table.h"
+#include "LibForwarding/long_prompts.h"
 #include "LibForwarding/origin_history.h"
 #include "LibForwarding/path_prober.h"
 #include "LibForwarding/permit_exchange.h"
@@ -71,6 +72,7 @@
   ServiceTimes service_times;
   std::map<core::PoolId, PromptPopularity> popularity;
   std::map<core::PoolId, EndpointShares> shares;
+  std::map<core::PoolId, LongPromptDemand> long_prompts;
   PromptHolders prompt_holders;
   OriginHistory origin_history;
 
--- a/Tests/LibForwarding/pace_replay.cc
+++ b/Tests/LibForwarding/pace_replay.cc
@@ -13,6 +13,7 @@
 #include "LibForwarding/endpoint_pace.h"
 #include "LibForwarding/endpoint_selector.h"
 #include "LibForwarding/endpoint_shares.h"
+#include "LibForwarding/long_prompts.h"
 #include "LibForwarding/pace_choice.h"
 #include "LibForwarding/pace_exchange.h"
 #include "LibForwarding/prompt_popularity.h"
@@ -37,8 +38,10 @@
 constexpr core::TimePoint kSlowFrom = kStart + seconds(7);
 constexpr core::TimePoint kEnd = kStart + seconds(20);
 
+// Share of the short prompts that are chats.
+constexpr double kChatShareOfShort = 2.0 / 3;
+
 struct KindOptions {
-  double share;
   core::Duration latency_objective;
   // Tokens of a prompt that others share, and that are its own.
   uint32_t shared_tokens;
@@ -48,20 +51,17 @@
 };
 
 constexpr std::array<KindOptions, kPromptKinds> kKinds = {{
-    {.share = 0.6,
-     .latency_objective = milliseconds(500),
+    {.latency_objective = milliseconds(500),
      .shared_tokens = 600,
      .own_tokens = 230,
      .output_tokens = 250,
      .prompts = 300},
-    {.share = 0.3,
-     .latency_objective = milliseconds(800),
+    {.latency_objective = milliseconds(800),
      .shared_tokens = 600,
      .own_tokens = 230,
      .output_tokens = 24,
      .prompts = 100},
-    {.share = 0.1,
-     .latency_objective = milliseconds(1000),
+    {.latency_objective = milliseconds(1000),
      .shared_tokens = 500,
      .own_tokens = 10'000,
      .output_tokens = 250,
@@ -87,6 +87,7 @@
   EndpointPace paces{0};
   std::unique_ptr<PaceExchange> exchange;
   PromptPopularity popularity;
+  LongPromptDemand long_prompts;
   std::vector<uint32_t> own;
   std::vector<uint32_t> own_then;
   uint64_t bytes = 0;
@@ -250,9 +251,10 @@
     for (int i = 0; i < n; ++i) {
       Stream stream;
       const double draw = random_.Unit();
-      stream.kind = draw < kKinds[kChat].share                         ? kChat
-                    : draw < kKinds[kChat].share + kKinds[kTags].share ? kTags
-                                                                       : kLong;
+      const double chat_share = (1 - load_.long_share) * kChatShareOfShort;
+      stream.kind = draw < chat_share             ? kChat
+                    : draw < 1 - load_.long_share ? kTags
+                                                  : kLong;
       const KindOptions& kind = kKinds[stream.kind];
       stream.host = random_.Below(hosts_.size());
       const double skew = random_.Unit();
@@ -265,6 +267,9 @@
           kind.output_tokens * std::exp2(2 * random_.Unit() - 1));
       stream.arrived_at = now_;
       stream.is_measured = now_ >= kMeasuredFrom;
+      if (stream.kind == kLong) {
+        hosts_[stream.host].long_prompts.Record(kind.own_tokens, now_);
+      }
       streams_.push_back(stream);
       if (!TrySend(streams_.size() - 1)) {
         waiting_.push_back(streams_.size() - 1);
@@ -302,6 +307,12 @@
       }
       ApplyPaces(host.paces, kPool, ids, kGapObjective, now_, candidates);
     }
+    const bool is_long = stream.kind == kLong;
+    if (load_.places_long_prompts) {
+      ApplyLongPrompts(host.long_prompts.TokensPerSecond(now_) *
+                           static_cast<double>(hosts_.size()),
+                       is_long, candidates);
+    }
     const double popularity = host.popularity.Record(stream.prompt, now_);
     const Affinity affinity{
         .key = stream.prompt,
@@ -421,8 +432,27 @@
   PaceResult result_;
 };
 
+double Quantile(std::vector<double> values, double quantile) {
+  if (values.empty()) {
+    return 0;
+  }
+  const auto it =
+      values.begin() +
+      static_cast<ptrdiff_t>(static_cast<double>(values.size() - 1) * quantile);
+  std::nth_element(values.begin(), it, values.end());
+  return *it;
+}
+
 }  // namespace
 
+double KindResult::FirstEvent(double quantile) const {
+  return Quantile(first_event_ms, quantile);
+}
+
+double KindResult::LongestGap(double quantile) const {
+  return Quantile(longest_gap_ms, quantile);
+}
+
 PaceResult ReplayPace(const PaceLoad& load, uint64_t seed) {
   return Replay(load, seed).Run();
 }
--- a/Tests/LibForwarding/pace_replay.h
+++ b/Tests/LibForwarding/pace_replay.h
@@ -31,6 +31,10 @@
   // The hosts use what they know of the endpoints' pace.
   bool uses_pace = true;
   bool states_speed = true;
+  // Share of the requests that have a long prompt.
+  double long_share = 0.1;
+  // Long prompts go to the endpoints that their demand needs.
+  bool places_long_prompts = false;
 };
 
 enum PromptKind : uint8_t { kChat, kTags, kLong };
@@ -43,6 +47,10 @@
   uint64_t late_starts = 0;
   std::vector<double> first_event_ms;
   std::vector<double> longest_gap_ms;
+
+  // Return quantiles, in milliseconds.
+  double FirstEvent(double quantile) const;
+  double LongestGap(double quantile) const;
 };
 
 struct PaceResult {
--- a/Tests/LibForwarding/pace_replay_test.cc
+++ b/Tests/LibForwarding/pace_replay_test.cc
@@ -2,7 +2,9 @@
 // slow, and what may go wrong with the estimates of their pace.
 
 #include <catch2/catch.hpp>
+#include <tuple>
 
+#include "LibForwarding/long_prompts.h"
 #include "Tests/LibForwarding/pace_replay.h"
 
 namespace wasabi::forwarding {
@@ -98,5 +100,66 @@
   CHECK(with <= without);
 }
 
+// Long uncached prompts delay the first events and the gaps of the short ones
+// beside them. Fails if each host sends them anywhere.
+TEST_CASE("long prompts delay short ones less on endpoints of their own") {
+  for (const double long_share : {0.05, 0.1, 0.2}) {
+    for (const uint64_t seed : {1, 2}) {
+      PaceLoad load{.burst = 1, .slow_share = 0, .long_share = long_share};
+      const PaceResult before = ReplayPace(load, seed);
+      load.places_long_prompts = true;
+      const PaceResult after = ReplayPace(load, seed);
+      INFO("long prompts " << long_share << ", seed " << seed);
+      for (const PromptKind kind : {kChat, kTags}) {
+        const KindResult& was = before.kinds[kind];
+        const KindResult& is = after.kinds[kind];
+        INFO("kind " << kind << ", first events p50 and p95 "
+                     << was.FirstEvent(0.5) << " and " << was.FirstEvent(0.95)
+                     << " ms, now " << is.FirstEvent(0.5) << " and "
+                     << is.FirstEvent(0.95) << " ms; longest gaps "
+                     << was.LongestGap(0.5) << " and " << was.LongestGap(0.95)
+                     << " ms, now " << is.LongestGap(0.5) << " and "
+                     << is.LongestGap(0.95));
+        CHECK(is.FirstEvent(0.95) < was.FirstEvent(0.95));
+        CHECK(is.LongestGap(0.95) <= was.LongestGap(0.95) + 1);
+      }
+      const KindResult& was = before.kinds[kLong];
+      const KindResult& is = after.kinds[kLong];
+      INFO("long, first events p50 and p95 "
+           << was.FirstEvent(0.5) << " and " << was.FirstEvent(0.95)
+           << " ms, now " << is.FirstEvent(0.5) << " and "
+           << is.FirstEvent(0.95) << " ms; longest gaps " << was.LongestGap(0.5)
+           << " and " << was.LongestGap(0.95) << " ms, now "
+           << is.LongestGap(0.5) << " and " << is.LongestGap(0.95));
+      constexpr double kLongObjectiveMs = 1000;
+      CHECK(is.FirstEvent(0.95) <= kLongObjectiveMs);
+      CHECK(after.LateShare() <= kMaxLateShare);
+      CHECK(ShareAboveBound(after) <= kMaxShareAboveBound);
+    }
+  }
+}
+
+TEST_CASE("few streams are late beside long prompts and slow endpoints") {
+  for (const uint64_t seed : {1, 2}) {
+    const PaceResult result = ReplayPace({.places_long_prompts = true}, seed);
+    CHECK(result.LateShare() <= kMaxLateShare);
+    CHECK(ShareAboveBound(result) <= kMaxShareAboveBound);
+  }
+}
+
+TEST_CASE("the number of endpoints for long prompts follows the demand") {
+  const std::tuple<double, size_t, size_t> cases[] = {
+      {0, 75, 0},
+      {1'000, 75, 1},
+      {540'000, 75, 24},
+      // More than half of the pool: every endpoint takes them.
+      {540'000, 40, 0},
+      {540'000, 0, 0},
+  };
+  for (const auto& [demand, endpoints, takers] : cases) {
+    CHECK(LongPromptEndpoints(demand, endpoints) == takers);
+  }
+}
+
 }  // namespace
 }  // namespace wasabi::forwarding
