--- a/Libraries/LibForwarding/endpoint_pace.h
+++ b/Libraries/LibForwarding/endpoint_pace.h
@@ -46,8 +46,7 @@
   explicit EndpointPace(uint64_t seed) : seed_(seed) {}
 
   // Records the time between two events of a stream at an endpoint with `load`
-  // requests. Events that arrive together count as one gap each of an equal
-  // share.
+  // requests. Events that arrive together count as one.
   void RecordGap(const core::PoolId& pool,
                  const core::RunnerId& endpoint,
                  core::Duration gap,
