Hosts report the organisations with at least three waiting requests

Each host reported its four largest organisations even with one waiting request each, so that the sums of a fleet would have contained most of its organisations. Three requests on one host are the least now.

waiting_counts_test passes (3 cases); wasabi_router builds.

--- a/Libraries/LibForwarding/waiting_counts.cc
+++ b/Libraries/LibForwarding/waiting_counts.cc
@@ -16,6 +16,9 @@
 // Organisations per pool that a host reports, those with the most waiting
 // requests.
 constexpr size_t kReportedOrganisations = 4;
+// Organisations with fewer waiting requests on a host are not reported by it.
+// Sums would otherwise contain most organisations of the fleet.
+constexpr uint32_t kMinReported = 3;
 // Up to here the count in ones is exact. Sums saturate at 255, from which this
 // host's own share may have been subtracted.
 constexpr uint32_t kMaxExactCount = 192;
@@ -81,7 +84,9 @@
     }
     std::vector<std::pair<uint32_t, core::OrganisationId>> largest;
     for (const auto& [organisation, n] : organisations) {
-      largest.emplace_back(n, organisation);
+      if (n >= kMinReported) {
+        largest.emplace_back(n, organisation);
+      }
     }
     std::sort(largest.rbegin(), largest.rend());
     largest.resize(std::min(largest.size(), kReportedOrganisations));
