Keep the rate that cold endpoints tolerate across the fleet

An endpoint that has just started crashes above a rate that its pool states (`warmup_s`, `cold_per_s`). Every host finds such an endpoint least loaded and sends to it.

- ColdNews shares this by datagram (kColdEndpoints, 113).
- PermitExchange limits a cold endpoint to the smaller of its announced limit and its pool's cold rate.
A denied host is told a time of its own at which to ask again.
- A request asks at most four other hosts in vain for each attempt, and after a denial at a cold endpoint chooses by this host's own requests.

--- a/Libraries/LibCore/event.cc
+++ b/Libraries/LibCore/event.cc
@@ -84,6 +84,12 @@
     {EventCode::kEndpointBrittle, "endpoint_brittle",
      "An endpoint said, or no longer says, that it crashes if it has to turn "
      "away too many requests."},
+    {EventCode::kEndpointCold, "endpoint_cold",
+     "An endpoint counts as cold, or for longer than known: requests to it "
+     "need "
+     "permits."},
+    {EventCode::kPermitsExhausted, "permits_exhausted",
+     "A request was denied so many permits that it no longer asks for any."},
     {EventCode::kIntentAppended, "intent_appended",
      "An intent to run a call was appended to its partition."},
     {EventCode::kIntentWon, "intent_won",
--- a/Libraries/LibCore/event.h
+++ b/Libraries/LibCore/event.h
@@ -52,6 +52,8 @@
   kPathLost = 320,
   kPathRestored = 321,
   kEndpointBrittle = 322,
+  kEndpointCold = 330,
+  kPermitsExhausted = 331,
   // 4xx: the ledger of non-repeatable calls.
   kIntentAppended = 400,
   kIntentWon = 401,
--- a/Libraries/LibForwarding/endpoint_chooser.cc
+++ b/Libraries/LibForwarding/endpoint_chooser.cc
@@ -205,6 +205,7 @@
     core::TimePoint now) const {
   const core::Duration interval = context_->max_load_age();
   const bool uses_reports =
+      !ignores_reports_ &&
       context_->service_times.AreReportsUseful(pool_, interval, now);
   std::vector<EndpointCandidate> candidates;
   candidates.reserve(endpoints.size());
@@ -216,8 +217,10 @@
          .slots = it->slots,
          .failure_share = context_->monitor->FailureShare(it->id, now),
          .is_down = context_->monitor->IsDown(it->id, now),
-         .is_excluded = tried.contains(it->id) || !IsSuitable(*it) ||
-                        now < ClosedUntil(it->id),
+         .is_excluded =
+             tried.contains(it->id) || !IsSuitable(*it) ||
+             now < ClosedUntil(it->id) ||
+             (!allows_limited_ && context_->permits->IsLimited(it->id)),
          .is_same_data_centre = it->data_centre == context_->data_centre});
   }
   if (uses_reports) {
--- a/Libraries/LibForwarding/endpoint_chooser.h
+++ b/Libraries/LibForwarding/endpoint_chooser.h
@@ -37,6 +37,14 @@
   // later.
   bool HasOther(const std::set<core::RunnerId>& tried) const;
 
+  // Sets whether endpoints may be chosen to which requests need permits.
+  void AllowLimited(bool is_allowed) { allows_limited_ = is_allowed; }
+
+  // Sets whether to choose by the requests of this host alone. All hosts find
+  // the same endpoints least loaded and ask for the same permits; after a
+  // denied one, a request is better spread over the pool.
+  void IgnoreReports(bool is_ignored) { ignores_reports_ = is_ignored; }
+
   // Records that `endpoint` served the request and is therefore likely to have
   // the prompt cached.
   void RecordServed(const core::RunnerId& endpoint, core::TimePoint now) const;
@@ -96,6 +104,8 @@
   const double prompt_share_;
   // The origin of the stream that the request continues, once it is known.
   std::optional<StreamOrigin> origin_;
+  bool allows_limited_ = true;
+  bool ignores_reports_ = false;
   const std::vector<WeightedPool>& pools_;
 };
 
--- a/Libraries/LibForwarding/endpoint_limit.h
+++ b/Libraries/LibForwarding/endpoint_limit.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "LibCore/message.h"
+#include "LibForwarding/cold_report.h"
 
 namespace wasabi::forwarding {
 
@@ -36,8 +37,11 @@
 struct PermitQuestion {
   uint64_t sequence = 0;
   LimitReport limit;
+  // What the sender knows of the endpoint's cold state. Older builds neither
+  // send nor read it.
+  ColdReport cold = {};
 
-  MSGPACK_DEFINE(sequence, limit);
+  MSGPACK_DEFINE(sequence, limit, cold);
 };
 
 struct PermitAnswer {
@@ -49,12 +53,16 @@
   int64_t wait_milliseconds = 0;
   // What the sender knows of the limit.
   LimitReport limit;
+  // What the sender knows of the endpoint's cold state. An answer of an older
+  // build lacks it, so it never grants a permit for a cold endpoint.
+  ColdReport cold = {};
 
   MSGPACK_DEFINE(sequence,
                  is_granted,
                  is_misdirected,
                  wait_milliseconds,
-                 limit);
+                 limit,
+                 cold);
 };
 
 }  // namespace wasabi::forwarding
--- a/Libraries/LibForwarding/endpoint_notices.cc
+++ b/Libraries/LibForwarding/endpoint_notices.cc
@@ -34,7 +34,7 @@
                  const Endpoint& endpoint,
                  std::optional<double> per_second,
                  const std::string& request_id) {
-  const bool was_limited = context->permits->IsLimited(endpoint.id);
+  const bool was_limited = context->permits->HasAnnouncedLimit(endpoint.id);
   context->permits->RecordLimit(endpoint.id, per_second, context->loop->Now());
   if (was_limited != per_second.has_value()) {
     context->events->Record(
@@ -74,6 +74,8 @@
   if (is_valid) {
     RecordLimit(context, endpoint, notice.max_per_second, request_id);
     RecordBrittle(context, endpoint, notice.is_brittle, request_id);
+    context->cold_endpoints->RecordAnswer(endpoint, notice.cold_left,
+                                          context->loop->Now());
   }
 }
 
--- a/Libraries/LibForwarding/endpoint_registry.cc
+++ b/Libraries/LibForwarding/endpoint_registry.cc
@@ -1,6 +1,7 @@
 #include "LibForwarding/endpoint_registry.h"
 
 #include <set>
+#include <utility>
 
 namespace wasabi::forwarding {
 
@@ -29,10 +30,14 @@
   }
   entries_[id] = {.registration = registration};
   const bool has_changed = table_->Put(registration.endpoint);
+  const bool is_cold_news =
+      cold_ != nullptr &&
+      cold_->RecordRegistration(registration, is_first_snapshot_, now);
   // Hosts that received the drop must also receive the return, even if the
   // table kept the endpoint in the meantime.
-  return has_changed || has_returned ? RegistryOutcome::kChanged
-                                     : RegistryOutcome::kUnchanged;
+  return has_changed || has_returned || is_cold_news
+             ? RegistryOutcome::kChanged
+             : RegistryOutcome::kUnchanged;
 }
 
 bool EndpointRegistry::Drop(const core::RunnerId& id,
@@ -55,11 +60,13 @@
 void EndpointRegistry::Replace(const std::vector<Registration>& registrations,
                                core::Duration grace,
                                core::TimePoint now) {
+  is_first_snapshot_ = !std::exchange(has_snapshot_, true);
   std::set<core::RunnerId> present;
   for (const Registration& it : registrations) {
     present.insert(it.endpoint.id);
     Put(it, now);
   }
+  is_first_snapshot_ = false;
   std::vector<core::RunnerId> missing;
   for (const auto& [id, entry] : entries_) {
     if (entry.is_present && !present.contains(id)) {
--- a/Libraries/LibForwarding/endpoint_registry.h
+++ b/Libraries/LibForwarding/endpoint_registry.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <vector>
 
+#include "LibForwarding/cold_endpoints.h"
 #include "LibForwarding/endpoint_table.h"
 #include "LibForwarding/registration.h"
 
@@ -24,8 +25,10 @@
 
 class EndpointRegistry {
  public:
-  // `table` must outlive the registry.
-  explicit EndpointRegistry(EndpointTable* table) : table_(table) {}
+  // `table` and `cold` must outlive the registry. `cold` is told of the
+  // registrations that count; it may be nullptr.
+  explicit EndpointRegistry(EndpointTable* table, ColdEndpoints* cold = nullptr)
+      : table_(table), cold_(cold) {}
 
   // Applies a registration. Ignores it if it was written before the current one
   // but took effect after it.
@@ -61,6 +64,10 @@
   };
 
   EndpointTable* const table_;
+  ColdEndpoints* const cold_;
+  // Whether Replace has been called, and whether its first call is running.
+  bool has_snapshot_ = false;
+  bool is_first_snapshot_ = false;
   std::map<core::RunnerId, Entry> entries_;
 };
 
--- a/Libraries/LibForwarding/forward_context.h
+++ b/Libraries/LibForwarding/forward_context.h
@@ -13,6 +13,7 @@
 #include "LibCore/metrics.h"
 #include "LibCore/random_source.h"
 #include "LibForwarding/carrier_directory.h"
+#include "LibForwarding/cold_endpoints.h"
 #include "LibForwarding/crash_detector.h"
 #include "LibForwarding/crash_suspects.h"
 #include "LibForwarding/endpoint_monitor.h"
@@ -50,6 +51,7 @@
   CrashDetector* crashes = nullptr;
   PathProber* path = nullptr;
   CarrierDirectory* carriers = nullptr;
+  ColdEndpoints* cold_endpoints = nullptr;
   PermitExchange* permits = nullptr;
   PlaceExchange* places = nullptr;
   StreamOriginExchange* stream_origins = nullptr;
--- a/Libraries/LibForwarding/forward_session.cc
+++ b/Libraries/LibForwarding/forward_session.cc
@@ -32,6 +32,14 @@
 // Range of the random delay after which a refused caller may retry.
 constexpr core::Duration kMinRetryAfter = core::milliseconds(100);
 constexpr core::Duration kMaxRetryAfter = core::milliseconds(500);
+// Permits that are asked of other hosts, and denied, before only endpoints that
+// need no permit are chosen: without this bound, a request that meets a pool
+// whose endpoints are all at their limits asks for each of them in turn. A
+// question takes 1 to 4 ms, and up to 100 ms if the other host is silent.
+constexpr uint32_t kMaxDeniedQuestions = 4;
+// The same for permits that this host denies itself, which takes no time but a
+// choice among all endpoints of the pool.
+constexpr uint32_t kMaxDenials = 32;
 // An answer is due this long before the caller stops waiting.
 constexpr core::Duration kAnswerMargin = core::milliseconds(5);
 
@@ -206,7 +214,8 @@
 
 void ForwardSession::AskForPermit(const Endpoint& endpoint) {
   LeaveQueue();
-  context_->permits->Acquire(
+  is_asking_ = false;
+  const bool is_asking = context_->permits->Acquire(
       endpoint.id, Now(), [weak = weak_from_this(), endpoint](bool is_granted) {
         const auto self = weak.lock();
         if (self == nullptr || self->has_ended_) {
@@ -218,8 +227,29 @@
         }
         // A place that was granted stays free.
         self->context_->places->OnFinished(endpoint.id, self->Now());
+        self->CountDenial(endpoint.id);
         self->OnPermitDenied();
       });
+  // A permit that is denied at once may have led to a question about another
+  // endpoint by now.
+  is_asking_ = is_asking_ || is_asking;
+}
+
+void ForwardSession::CountDenial(const core::RunnerId& endpoint) {
+  ++denials_;
+  denied_questions_ += is_asking_ ? 1 : 0;
+  is_asking_ = false;
+  chooser_.IgnoreReports(context_->permits->IsCold(endpoint));
+  if (denied_questions_ != kMaxDeniedQuestions && denials_ != kMaxDenials) {
+    return;
+  }
+  chooser_.AllowLimited(false);
+  ++context_->metrics->Counter("forward_permits_exhausted");
+  context_->events->Record(
+      core::EventCode::kPermitsExhausted, request_.id.value(),
+      fmt::format("endpoint={} denials={} denied_questions={} ms={}",
+                  endpoint.value(), denials_, denied_questions_,
+                  core::ToMilliseconds(Now() - request_.received_at)));
 }
 
 void ForwardSession::OnPermitDenied() {
@@ -292,6 +322,10 @@
   prompt_source_ = core::RunnerId();
   tried_.insert(endpoint.id);
   ++sends_;
+  denials_ = 0;
+  denied_questions_ = 0;
+  chooser_.AllowLimited(true);
+  chooser_.IgnoreReports(false);
   attempt_ = std::make_shared<ForwardAttempt>(context_, request_, endpoint);
   const auto weak = weak_from_this();
   ForwardAttempt::Callbacks callbacks;
--- a/Libraries/LibForwarding/forward_session.h
+++ b/Libraries/LibForwarding/forward_session.h
@@ -60,6 +60,9 @@
   // Handles that the chosen endpoint has no place, or its limit permits no
   // request now.
   void OnPermitDenied();
+  // Counts a denied permit. After several, only endpoints that need no permit
+  // are chosen.
+  void CountDenial(const core::RunnerId& endpoint);
   void StartAttempt(const Endpoint& endpoint);
 
   void OnHead(AttemptVerdict verdict, const http::MessageHead& head);
@@ -129,6 +132,12 @@
   // How the latest attempt ended.
   AttemptEnd last_end_ = AttemptEnd::kAnswered;
   uint32_t sends_ = 0;
+  // Permits denied since the latest attempt started, and those of them for
+  // which another host was asked.
+  uint32_t denials_ = 0;
+  uint32_t denied_questions_ = 0;
+  // Another host is being asked for a permit.
+  bool is_asking_ = false;
   // Attempts that may have run.
   uint32_t runs_ = 0;
   bool has_ended_ = false;
--- a/Libraries/LibForwarding/permit_exchange.cc
+++ b/Libraries/LibForwarding/permit_exchange.cc
@@ -23,18 +23,28 @@
 constexpr core::Duration kMaxWait = core::seconds(5);
 // The bucket of an endpoint that nobody asked for is dropped after this time.
 constexpr core::Duration kBucketLifetime = core::seconds(10);
+// In this time after a change of the hosts that this host sees, as after its
+// start, another host may still take itself for the granting host of a cold
+// endpoint. Membership settles within about 2 s.
+constexpr core::Duration kSettlingTime = core::milliseconds(2500);
+// Share of the permits of a cold endpoint that are granted in this time.
+constexpr double kUnsettledShare = 0.65;
+// A host whose question about a cold endpoint was denied asks again no sooner.
+constexpr core::Duration kMinColdWait = core::milliseconds(20);
 
 }  // namespace
 
 PermitExchange::PermitExchange(core::HostId self, SendFunction send)
     : self_(std::move(self)),
       send_(std::move(send)),
-      limits_(self_, ApplicationKind::kEndpointLimits, send_) {
+      limits_(self_, ApplicationKind::kEndpointLimits, send_),
+      cold_(self_, send_) {
   SetHosts({self_}, 1);
 }
 
 void PermitExchange::SetHosts(const std::vector<core::HostId>& running,
                               size_t fleet_size) {
+  have_hosts_changed_ = have_hosts_changed_ || running_ != running;
   running_ = running;
   candidates_.clear();
   for (const core::HostId& it : running_) {
@@ -54,6 +64,14 @@
   limits_.Record(endpoint.Hash(), per_second, now);
 }
 
+void PermitExchange::MarkCold(const core::RunnerId& endpoint,
+                              double per_second,
+                              core::Duration left,
+                              core::TimePoint now) {
+  cold_.Record(endpoint.Hash(), {.per_second = per_second, .until = now + left},
+               now);
+}
+
 void PermitExchange::Forget(const core::RunnerId& endpoint) {
   const uint64_t key = endpoint.Hash();
   limits_.Forget(key);
@@ -63,7 +81,20 @@
 }
 
 bool PermitExchange::IsLimited(const core::RunnerId& endpoint) const {
-  return limits_.Find(endpoint.Hash()).has_value();
+  return LimitOf(endpoint.Hash()).has_value();
+}
+
+std::optional<double> PermitExchange::LimitOf(uint64_t endpoint) const {
+  std::optional<double> limit = limits_.Find(endpoint);
+  if (const auto cold = cold_.Find(endpoint)) {
+    limit = std::min(limit.value_or(cold->per_second), cold->per_second);
+  }
+  return limit;
+}
+
+double PermitExchange::SeenShare() const {
+  return static_cast<double>(running_.size()) /
+         static_cast<double>(fleet_size_);
 }
 
 core::TimePoint PermitExchange::ExhaustedUntil(
@@ -73,27 +104,27 @@
   return counts ? it->second : core::TimePoint();
 }
 
-void PermitExchange::Acquire(const core::RunnerId& endpoint,
+bool PermitExchange::Acquire(const core::RunnerId& endpoint,
                              core::TimePoint now,
                              Callback callback) {
   const uint64_t key = endpoint.Hash();
-  const std::optional<double> per_second = limits_.Find(key);
+  const std::optional<double> per_second = LimitOf(key);
   if (!per_second) {
     callback(true);
-    return;
+    return false;
   }
   const core::HostId granter = GranterOf(key);
   if (granter == self_) {
     const core::Duration wait = TakeGranted(key, *per_second, now);
     Exhaust(key, wait, now);
     callback(wait == core::Duration::zero());
-    return;
+    return false;
   }
   const auto silent = silent_until_.find(granter);
   if (granter.empty() ||
       (silent != silent_until_.end() && now < silent->second)) {
     callback(TakeOwnShare(key, now));
-    return;
+    return false;
   }
   questions_[++sequence_] = {.endpoint = key,
                              .asked = granter,
@@ -101,26 +132,40 @@
                              .ends_at = now + kMaxAnswerTime};
   send_({granter}, ApplicationKind::kPermitQuestion,
         core::Encode(PermitQuestion{.sequence = sequence_,
-                                    .limit = limits_.ReportOf(key, now)}));
+                                    .limit = limits_.ReportOf(key, now),
+                                    .cold = cold_.ReportOf(key, now)}));
+  return true;
 }
 
 core::Duration PermitExchange::TakeGranted(uint64_t endpoint,
                                            double per_second,
                                            core::TimePoint now) {
-  const double seen =
-      static_cast<double>(running_.size()) / static_cast<double>(fleet_size_);
+  if (const auto cold = cold_.Find(endpoint)) {
+    const bool is_settled = now >= unsettled_until_;
+    const double granted = cold_policy_.GrantedPerSecond(per_second) *
+                           SeenShare() * (is_settled ? 1 : kUnsettledShare);
+    ColdPermits& permits =
+        cold_permits_.try_emplace(endpoint, ColdPermits(is_settled, now))
+            .first->second;
+    // What counts after the cold time is decided then.
+    return std::min(permits.Take(granted, now),
+                    std::max(cold->until - now, kMinColdWait));
+  }
   PermitBucket& bucket =
       buckets_.try_emplace(endpoint, PermitBucket(now)).first->second;
-  return bucket.Take(per_second * seen, now);
+  return bucket.Take(per_second * SeenShare(), now);
 }
 
 bool PermitExchange::TakeOwnShare(uint64_t endpoint, core::TimePoint now) {
-  const std::optional<double> per_second = limits_.Find(endpoint);
-  if (!per_second) {
+  const std::optional<double> limit = LimitOf(endpoint);
+  if (!limit) {
     return true;
   }
+  const bool is_cold = cold_.Find(endpoint).has_value();
+  const double per_second =
+      is_cold ? cold_policy_.UnaskedPerSecond(*limit) : *limit;
   // The turns of a host come every `period`; their phase is its own.
-  const double period = static_cast<double>(fleet_size_) / *per_second;
+  const double period = static_cast<double>(fleet_size_) / per_second;
   const uint64_t mixed = core::CombineHashes(self_.Hash(), endpoint);
   const double phase = static_cast<double>(mixed >> 32U) / UINT32_MAX;
   const double turns = core::ToSeconds(now.time_since_epoch()) / period + phase;
@@ -144,6 +189,9 @@
 }
 
 void PermitExchange::Tick(core::TimePoint now) {
+  if (std::exchange(have_hosts_changed_, false)) {
+    unsettled_until_ = now + kSettlingTime;
+  }
   std::vector<Question> unanswered;
   for (auto it = questions_.begin(); it != questions_.end();) {
     if (now < it->second.ends_at) {
@@ -162,9 +210,13 @@
   absl::erase_if(buckets_, [now](const auto& it) {
     return now - it.second.refilled_at() > kBucketLifetime;
   });
+  absl::erase_if(cold_permits_, [now](const auto& it) {
+    return now - it.second.last_taken_at() > kBucketLifetime;
+  });
   absl::erase_if(exhausted_until_,
                  [now](const auto& it) { return now >= it.second; });
   limits_.Tick(now);
+  cold_.Tick(now);
 }
 
 absl::Status PermitExchange::OnQuestion(const core::HostId& from,
@@ -173,9 +225,13 @@
   TRY_ASSIGN(const auto question, core::Decode<PermitQuestion>(body));
   const uint64_t endpoint = question.limit.endpoint;
   limits_.Merge(question.limit, now);
+  if (question.cold.endpoint == endpoint) {
+    cold_.Merge(question.cold, now);
+  }
   PermitAnswer answer{.sequence = question.sequence,
-                      .limit = limits_.ReportOf(endpoint, now)};
-  const std::optional<double> per_second = limits_.Find(endpoint);
+                      .limit = limits_.ReportOf(endpoint, now),
+                      .cold = cold_.ReportOf(endpoint, now)};
+  const std::optional<double> per_second = LimitOf(endpoint);
   if (GranterOf(endpoint) != self_) {
     answer.is_misdirected = true;
   } else if (!per_second) {
@@ -203,7 +259,13 @@
   const Question question = std::move(it->second);
   questions_.erase(it);
   limits_.Merge(answer.limit, now);
-  if (answer.is_misdirected) {
+  const bool knows_cold_state = answer.cold.endpoint == question.endpoint;
+  if (knows_cold_state) {
+    cold_.Merge(answer.cold, now);
+  }
+  const bool is_cold_unknown_to_granter =
+      !knows_cold_state && cold_.Find(question.endpoint).has_value();
+  if (answer.is_misdirected || is_cold_unknown_to_granter) {
     question.callback(TakeOwnShare(question.endpoint, now));
     return absl::OkStatus();
   }
--- a/Libraries/LibForwarding/permit_exchange.h
+++ b/Libraries/LibForwarding/permit_exchange.h
@@ -11,6 +11,12 @@
 //
 // Hosts tell each other of limits, so that an endpoint need not refuse each of
 // hundreds of hosts first.
+//
+// A cold endpoint has just started and tolerates only a low rate, which it does
+// not announce. While it is cold, its limit is the smaller of an announced one
+// and the rate that its pool tolerates. An endpoint without requests attracts
+// those of all hosts, so a host whose question is denied is told a time of its
+// own at which to ask again.
 
 #ifndef LIBFORWARDING_PERMIT_EXCHANGE_H_
 #define LIBFORWARDING_PERMIT_EXCHANGE_H_
@@ -25,6 +31,8 @@
 #include "LibCore/identifier.h"
 #include "LibCore/rendezvous.h"
 #include "LibCore/time.h"
+#include "LibForwarding/cold_news.h"
+#include "LibForwarding/cold_permits.h"
 #include "LibForwarding/endpoint_limit.h"
 #include "LibForwarding/limit_news.h"
 #include "LibForwarding/permit_bucket.h"
@@ -47,23 +55,47 @@
   // Sets the running hosts that this host sees, itself included, and the number
   // of hosts of the whole fleet, which may include some that it cannot reach.
   void SetHosts(const std::vector<core::HostId>& running, size_t fleet_size);
-  void SetPeers(ReportPeers peers) { limits_.SetPeers(std::move(peers)); }
+  void SetPeers(const ReportPeers& peers) {
+    limits_.SetPeers(peers);
+    cold_.SetPeers(peers);
+  }
+  void SetColdPolicy(const ColdPolicy& policy) { cold_policy_ = policy; }
+  void SetColdObserver(ColdNews::Observer observer) {
+    cold_.SetObserver(std::move(observer));
+  }
 
   // Records the limit in an answer: requests per second, or nullopt if there is
   // none.
   void RecordLimit(const core::RunnerId& endpoint,
                    std::optional<double> per_second,
                    core::TimePoint now);
-  // Discards what is known of an endpoint that was removed or has restarted.
+  // Records that an endpoint stays cold for `left` and tolerates `per_second`
+  // requests per second in this time.
+  void MarkCold(const core::RunnerId& endpoint,
+                double per_second,
+                core::Duration left,
+                core::TimePoint now);
+  // Discards what is known of an endpoint that was removed or has restarted,
+  // except that it is cold: this may be the news of the restart.
   void Forget(const core::RunnerId& endpoint);
 
+  // Returns whether requests to the endpoint need permits.
   bool IsLimited(const core::RunnerId& endpoint) const;
+  // Returns whether the endpoint has announced a limit.
+  bool HasAnnouncedLimit(const core::RunnerId& endpoint) const {
+    return limits_.Find(endpoint.Hash()).has_value();
+  }
+  bool IsCold(const core::RunnerId& endpoint) const {
+    return cold_.Find(endpoint.Hash()).has_value();
+  }
+  size_t cold_endpoints() const { return cold_.size(); }
   // Returns the time until which the endpoint has no permit, which may have
   // passed.
   core::TimePoint ExhaustedUntil(const core::RunnerId& endpoint) const;
   // Asks for a permit to send one request to an endpoint. Calls `callback`
-  // once, possibly at once.
-  void Acquire(const core::RunnerId& endpoint,
+  // once, possibly at once. Returns whether another host was asked, so that the
+  // answer takes time.
+  bool Acquire(const core::RunnerId& endpoint,
                core::TimePoint now,
                Callback callback);
 
@@ -75,6 +107,9 @@
   absl::Status OnReports(std::string_view body, core::TimePoint now) {
     return limits_.OnReports(body, now);
   }
+  absl::Status OnColdReports(std::string_view body, core::TimePoint now) {
+    return cold_.OnReports(body, now);
+  }
   absl::Status OnQuestion(const core::HostId& from,
                           std::string_view body,
                           core::TimePoint now);
@@ -98,6 +133,11 @@
   core::Duration TakeGranted(uint64_t endpoint,
                              double per_second,
                              core::TimePoint now);
+  // Returns the requests per second that the endpoint accepts; nullopt if there
+  // is no limit.
+  std::optional<double> LimitOf(uint64_t endpoint) const;
+  // Returns the share of the fleet's hosts that this host sees.
+  double SeenShare() const;
   // Takes a permit of this host's own share, without asking.
   bool TakeOwnShare(uint64_t endpoint, core::TimePoint now);
   void Exhaust(uint64_t endpoint, core::Duration wait, core::TimePoint now);
@@ -107,8 +147,15 @@
   std::vector<core::HostId> running_;
   std::vector<core::RendezvousCandidate> candidates_;
   size_t fleet_size_ = 1;
+  // The running hosts have changed since the last tick.
+  bool have_hosts_changed_ = false;
+  // Until then other hosts may know of other running hosts.
+  core::TimePoint unsettled_until_{};
 
   LimitNews limits_;
+  ColdNews cold_;
+  ColdPolicy cold_policy_;
+  absl::flat_hash_map<uint64_t, ColdPermits> cold_permits_;
   absl::flat_hash_map<uint64_t, PermitBucket> buckets_;
   absl::flat_hash_map<uint64_t, core::TimePoint> exhausted_until_;
   // The last turn in which this host used its own share of an endpoint.
--- a/Libraries/LibForwarding/protocols.h
+++ b/Libraries/LibForwarding/protocols.h
@@ -79,6 +79,8 @@
   // The endpoint crashes if it has to turn away too many requests for want of
   // room.
   bool is_brittle = false;
+  // Time for which the endpoint stays cold; zero if it states none.
+  core::Duration cold_left{};
 
   auto operator<=>(const EndpointNotice&) const = default;
 };
--- a/Libraries/LibForwarding/registration.h
+++ b/Libraries/LibForwarding/registration.h
@@ -14,6 +14,9 @@
   Endpoint endpoint;
   // Increases with each write of the endpoint until it restarts.
   int64_t sequence = 0;
+  // Time for which the endpoint still was cold when it wrote the registration;
+  // zero if it states none.
+  core::Duration cold_left{};
 
   auto operator<=>(const Registration&) const = default;
 };
--- a/Libraries/LibForwarding/route.h
+++ b/Libraries/LibForwarding/route.h
@@ -67,7 +67,15 @@
   uint32_t max_connections = 0;
   // Whether an endpoint can copy cached prompts from another one.
   bool copies_prompts = false;
+  // For this time after its start an endpoint is cold: it crashes under many
+  // more requests per second than `cold_per_second`. If either is zero, the
+  // pool's endpoints are never cold.
+  core::Duration warm_up{};
+  double cold_per_second = 0;
 
+  bool MayBeCold() const {
+    return warm_up > core::Duration::zero() && cold_per_second > 0;
+  }
   auto operator<=>(const Pool&) const = default;
 };
 
--- a/Libraries/LibMembership/application_kind.h
+++ b/Libraries/LibMembership/application_kind.h
@@ -33,6 +33,7 @@
   kPlaceQuestion = 93,
   kPlaceAnswer = 94,
   kPlaceReport = 95,
+  kColdEndpoints = 113,
 };
 
 }  // namespace wasabi::membership
--- a/Services/Forwarder/fleet_controller.cc
+++ b/Services/Forwarder/fleet_controller.cc
@@ -175,6 +175,10 @@
          [this](const Member& /*from*/, std::string_view body) {
            return permits_.OnReports(body, context_.loop->Now());
          });
+  handle(ApplicationKind::kColdEndpoints,
+         [this](const Member& /*from*/, std::string_view body) {
+           return permits_.OnColdReports(body, context_.loop->Now());
+         });
   handle(ApplicationKind::kPermitQuestion,
          [this](const Member& from, std::string_view body) {
            return permits_.OnQuestion(from.id, body, context_.loop->Now());
--- a/Services/Forwarder/forwarder_daemon.cc
+++ b/Services/Forwarder/forwarder_daemon.cc
@@ -90,7 +90,7 @@
   });
   registrations_ = std::make_unique<RegistrationController>(
       &adapters_, &scheduler_, &events_, &endpoints_, settings_.leaving_bound,
-      random_.Next());
+      random_.Next(), &cold_endpoints_);
   TRY_ASSIGN(fleet_, FleetController::Create({.loop = loop_,
                                               .scheduler = &scheduler_,
                                               .events = &events_,
@@ -104,6 +104,7 @@
       {{.view = configuration_->view(), .relay = configuration_->relay()},
        {.view = registrations_->view(), .relay = registrations_->relay()}});
   InitializeContext();
+  ConnectColdEndpoints();
   TRY(StartServers());
   ticker_ = loop_->NewTimer([this]() { Tick(); });
   ticker_->StartRepeating(kTick);
@@ -180,6 +181,35 @@
 
 void ForwarderDaemon::OnConfiguration(const forwarding::RouteTableView& table) {
   callers_->SetLimits(table->caller_limits());
+  cold_endpoints_.SetPools(table, loop_->Now());
+}
+
+void ForwarderDaemon::ConnectColdEndpoints() {
+  context_.cold_endpoints = &cold_endpoints_;
+  fleet_->permits()->SetColdPolicy(settings_.cold);
+  cold_endpoints_.SetSink([this](const core::RunnerId& id, double per_second,
+                                 core::Duration left, core::TimePoint now) {
+    fleet_->permits()->MarkCold(id, per_second, left, now);
+  });
+  fleet_->permits()->SetColdObserver(
+      [this](uint32_t key, const forwarding::ColdNews::State& state) {
+        std::string_view name = "unknown";
+        for (const auto& [id, endpoint] : endpoints_.all()) {
+          name =
+              forwarding::ColdNews::KeyOf(id.Hash()) == key ? id.value() : name;
+        }
+        events_.Record(
+            core::EventCode::kEndpointCold, "",
+            fmt::format("endpoint={} key={:x} left_ms={} max_per_second={} "
+                        "endpoints_age_ms={}",
+                        name, key,
+                        core::ToMilliseconds(state.until - loop_->Now()),
+                        state.per_second,
+                        core::ToMilliseconds(context_.endpoint_view_age())));
+      });
+  metrics_.Gauge("cold_endpoints", [this]() {
+    return static_cast<double>(fleet_->permits()->cold_endpoints());
+  });
 }
 
 void ForwarderDaemon::OnRequest(const TransactionPointer& transaction) {
@@ -357,6 +387,7 @@
   settings_ = *settings;
   context_.selection.load_bound = settings_.load_bound;
   context_.retry_policy = settings_.retries;
+  fleet_->permits()->SetColdPolicy(settings_.cold);
   fleet_->topics().UpdateBounds(settings_);
   core::SetLogLevel(settings_.log_level);
   events_.Record(core::EventCode::kSettingsReloaded, "",
--- a/Services/Forwarder/forwarder_daemon.h
+++ b/Services/Forwarder/forwarder_daemon.h
@@ -69,6 +69,7 @@
   absl::Status Start();
   absl::Status StartServers();
   void InitializeContext();
+  void ConnectColdEndpoints();
   void OnConfiguration(const forwarding::RouteTableView& table);
 
   void OnRequest(const TransactionPointer& transaction);
@@ -101,6 +102,7 @@
   const forwarding::AdapterSet adapters_;
   platform::LoopScheduler scheduler_;
   forwarding::EndpointTable endpoints_;
+  forwarding::ColdEndpoints cold_endpoints_{&endpoints_};
   forwarding::EndpointMonitor monitor_;
   forwarding::LoadTable loads_;
   forwarding::WaitQueue waiting_;
--- a/Services/Forwarder/forwarder_settings.cc
+++ b/Services/Forwarder/forwarder_settings.cc
@@ -66,6 +66,12 @@
       {"bounds", "address_lifetime_s", SettingKind::kReal, "5", 0.1,
        kHourSeconds,
        "Longest time for which callers may keep addresses, in seconds."},
+      {"bounds", "cold_factor", SettingKind::kReal, "1.5", 1, 100,
+       "Requests that a cold endpoint may get within any second, as a multiple "
+       "of the rate that it tolerates."},
+      {"bounds", "cold_slack", SettingKind::kReal, "5", 0, 1000000,
+       "Requests that a cold endpoint may get within any second besides those "
+       "of cold_factor."},
       {"retries", "ratio", SettingKind::kReal, "0.1", 0, 10,
        "Retries per request that the fleet may send to a pool."},
       {"retries", "window_s", SettingKind::kReal, "10", 1, kHourSeconds,
@@ -114,6 +120,8 @@
   it.retries = {.ratio = file.Real("retries", "ratio"),
                 .slack = file.Real("retries", "slack"),
                 .window = seconds("retries", "window_s")};
+  it.cold = {.factor = file.Real("bounds", "cold_factor"),
+             .slack = file.Real("bounds", "cold_slack")};
   it.load_bound = file.Real("placement", "load_bound");
   TRY_ASSIGN(it.log_level,
              core::ParseLogLevel(path, file.Text("log", "level")));
--- a/Services/Forwarder/forwarder_settings.h
+++ b/Services/Forwarder/forwarder_settings.h
@@ -12,6 +12,7 @@
 #include "LibCore/settings.h"
 #include "LibCore/socket_address.h"
 #include "LibCore/time.h"
+#include "LibForwarding/cold_permits.h"
 #include "LibForwarding/retry_allowance.h"
 #include "absl/status/statusor.h"
 
@@ -51,6 +52,8 @@
   forwarding::RetryAllowancePolicy retries;
   // Maximum load of one endpoint, as a multiple of the mean load in its pool.
   double load_bound = 0;
+  // What a cold endpoint may get from all hosts together within any second.
+  forwarding::ColdPolicy cold;
 
   core::LogLevel log_level = core::LogLevel::kNotice;
   // Number of events that the process keeps in memory.
--- a/Services/Forwarder/registration_controller.cc
+++ b/Services/Forwarder/registration_controller.cc
@@ -31,11 +31,12 @@
     core::EventRing* events,
     forwarding::EndpointTable* endpoints,
     core::Duration leaving_bound,
-    uint64_t random_seed)
+    uint64_t random_seed,
+    forwarding::ColdEndpoints* cold_endpoints)
     : adapters_(adapters),
       scheduler_(scheduler),
       events_(events),
-      registry_(endpoints),
+      registry_(endpoints, cold_endpoints),
       relay_(kRegistrationTopicNumber, kReportBytes) {
   platform::TopicViewHandlers handlers;
   handlers.on_snapshot =
--- a/Services/Forwarder/registration_controller.h
+++ b/Services/Forwarder/registration_controller.h
@@ -20,13 +20,15 @@
   // The objects passed by pointer must outlive the controller. `leaving_bound`
   // is the time within which a registration change reaches every host that is
   // connected to the platform, directly or through other hosts. `random_seed`
-  // seeds the jitter of the topic view's retry backoff.
+  // seeds the jitter of the topic view's retry backoff. `cold_endpoints` is
+  // told of the registrations; it may be nullptr.
   RegistrationController(const forwarding::AdapterSet* adapters,
                          platform::Scheduler* scheduler,
                          core::EventRing* events,
                          forwarding::EndpointTable* endpoints,
                          core::Duration leaving_bound,
-                         uint64_t random_seed);
+                         uint64_t random_seed,
+                         forwarding::ColdEndpoints* cold_endpoints = nullptr);
 
   // Removes endpoints whose grace period has expired. Must be called
   // periodically.
