--- a/Tests/PlatformAdapter/endpoint_codec_test.cc
+++ b/Tests/PlatformAdapter/endpoint_codec_test.cc
@@ -164,6 +164,9 @@
   const auto accepts = [](double per_second) {
     return forwarding::EndpointNotice{.max_per_second = per_second};
   };
+  const auto cold = [](const char* text) { return Fields{{"Cold-Ms", text}}; };
+  const auto is_cold =
+      forwarding::EndpointNotice{.cold_left = core::milliseconds(1500)};
   const NoticeCase cases[] = {
       {"nothing", 200, {}, nothing, false},
       {"it is leaving", 200, {leaving}, is_leaving, false},
@@ -192,6 +195,11 @@
        false},
       {"a negative limit", 200, limit("-3"), nothing, true},
       {"a limit without end", 200, limit("inf"), nothing, true},
+      {"cold", 200, cold("1500"), is_cold, false},
+      {"cold no more", 200, cold("0"), nothing, false},
+      {"cold for a negative time", 200, cold("-1"), nothing, true},
+      {"cold for hours", 200, cold("7200000"), nothing, true},
+      {"cold for a time that is no number", 200, cold("nan"), nothing, true},
       {"a limit that is no number", 200, limit("3 per s"), nothing, true},
   };
   for (const NoticeCase& row : cases) {
@@ -268,6 +276,54 @@
   CHECK(DecodeRegistration("e1", cases[1].text)->endpoint.is_leaving);
 }
 
+TEST_CASE("a registration states for how long its endpoint stays cold") {
+  // An invalid time must not make the endpoint unusable.
+  struct Row {
+    const char* field;
+    core::Duration left;
+  };
+  const Row rows[] = {{"", {}},
+                      {R"(,"cold_left_ms":0)", {}},
+                      {R"(,"cold_left_ms":2500)", core::milliseconds(2500)},
+                      {R"(,"cold_left_ms":-5)", {}},
+                      {R"(,"cold_left_ms":900000)", core::seconds(120)},
+                      {R"(,"cold_left_ms":1e300)", {}},
+                      {R"(,"cold_left_ms":"2500")", {}}};
+  for (const Row& row : rows) {
+    INFO(row.field);
+    const auto registration = DecodeRegistration(
+        "e1",
+        std::string(R"({"service":"p","address":"10.0.0.1:80","zone":"z",)") +
+            R"("slots":4,"state":"ready")" + row.field + "}");
+    REQUIRE(registration.ok());
+    CHECK(registration->cold_left == row.left);
+  }
+}
+
+TEST_CASE("a configuration states how its endpoints warm up") {
+  struct Row {
+    const char* fields;
+    core::Duration warm_up;
+    double per_second;
+  };
+  const Row rows[] = {
+      {R"(,"warmup_s":3.0,"cold_per_s":14.0)", core::seconds(3), 14},
+      {R"(,"warmup_s":0,"cold_per_s":0)", {}, 0},
+      {R"(,"warmup_s":-3,"cold_per_s":-1)", {}, 0},
+      {R"(,"warmup_s":"3","cold_per_s":[14])", {}, 0},
+      {"", {}, 0}};
+  for (const Row& row : rows) {
+    INFO(row.fields);
+    const auto table = DecodeConfiguration(
+        std::string(R"({"version":7,"routes":[],"services":[{"name":"p")") +
+        row.fields + "}]}");
+    REQUIRE(table.ok());
+    const forwarding::Pool* pool = (*table)->FindPool(core::PoolId("p"));
+    CHECK(pool->warm_up == row.warm_up);
+    CHECK(pool->cold_per_second == row.per_second);
+  }
+}
+
 TEST_CASE("a malformed configuration is an error") {
   for (const char* text :
        {"", "{", "[]", R"({"version":"7"})",
