--- a/Tests/LibForwarding/cold_replay_test.cc
+++ b/Tests/LibForwarding/cold_replay_test.cc
@@ -213,7 +213,7 @@
         own[0] = 0;
       }
     }
-    const core::Duration kUntilFault = milliseconds(400);
+    constexpr core::Duration kUntilFault = milliseconds(400);
     if (row_.fault == Fault::kGranterSlow) {
       slow_ = Granter();
     } else if (row_.fault == Fault::kGranterKilled) {
