--- a/Libraries/LibCore/event.cc
+++ b/Libraries/LibCore/event.cc
@@ -114,6 +114,12 @@
     {EventCode::kRefusedEarly, "request_refused_early",
      "A request was refused at once because it could not be expected to start "
      "within its latency objective."},
+    {EventCode::kEndpointCold, "endpoint_cold",
+     "An endpoint counts as cold, or for longer than known: requests to it "
+     "need "
+     "permits."},
+    {EventCode::kPermitsExhausted, "permits_exhausted",
+     "A request was denied so many permits that it no longer asks for any."},
     {EventCode::kIntentAppended, "intent_appended",
      "An intent to run a call was appended to its partition."},
     {EventCode::kIntentWon, "intent_won",
--- a/Libraries/LibCore/event.h
+++ b/Libraries/LibCore/event.h
@@ -63,6 +63,8 @@
   kOriginLookedUp = 337,
   kEndpointPaceChanged = 340,
   kRefusedEarly = 345,
+  kEndpointCold = 330,
+  kPermitsExhausted = 331,
   // 4xx: the ledger of non-repeatable calls.
   kIntentAppended = 400,
   kIntentWon = 401,
--- a/Libraries/LibForwarding/endpoint_chooser.h
+++ b/Libraries/LibForwarding/endpoint_chooser.h
@@ -41,6 +41,13 @@
   // Returns whether evacuations of data centres leave no endpoint that accepts
   // the request, although some are registered.
   bool IsEvacuated() const;
+  // Sets whether endpoints may be chosen to which requests need permits.
+  void AllowLimited(bool is_allowed) { allows_limited_ = is_allowed; }
+
+  // Sets whether to choose by the requests of this host alone. All hosts find
+  // the same endpoints least loaded and ask for the same permits; after a
+  // denied one, a request is better spread over the pool.
+  void IgnoreReports(bool is_ignored) { ignores_reports_ = is_ignored; }
 
   // Records that `endpoint` served the request and is therefore likely to have
   // the prompt cached.
@@ -124,6 +131,8 @@
   bool is_long_ = false;
   // The origin of the stream that the request continues, once it is known.
   std::optional<StreamOrigin> origin_;
+  bool allows_limited_ = true;
+  bool ignores_reports_ = false;
   const std::vector<WeightedPool>& pools_;
 };
 
--- a/Libraries/LibForwarding/protocols.h
+++ b/Libraries/LibForwarding/protocols.h
@@ -94,6 +94,8 @@
   bool is_brittle = false;
   // nullopt if the endpoint states no load.
   std::optional<EndpointLoadNotice> load = {};
+  // Time for which the endpoint stays cold; zero if it states none.
+  core::Duration cold_left{};
 
   auto operator<=>(const EndpointNotice&) const = default;
 };
--- a/Libraries/LibForwarding/route.h
+++ b/Libraries/LibForwarding/route.h
@@ -72,7 +72,15 @@
   // exceed its memory crashes.
   uint64_t memory_tokens = 0;
   uint32_t engine_slots = 0;
+  // For this time after its start an endpoint is cold: it crashes under many
+  // more requests per second than `cold_per_second`. If either is zero, the
+  // pool's endpoints are never cold.
+  core::Duration warm_up{};
+  double cold_per_second = 0;
 
+  bool MayBeCold() const {
+    return warm_up > core::Duration::zero() && cold_per_second > 0;
+  }
   auto operator<=>(const Pool&) const = default;
 };
 
--- a/Libraries/LibMembership/application_kind.h
+++ b/Libraries/LibMembership/application_kind.h
@@ -42,6 +42,7 @@
   kPoolSlotAnswer = 111,
   kPoolSlotReport = 112,
   kEndpointPaces = 120,
+  kColdEndpoints = 113,
 };
 
 }  // namespace wasabi::membership
--- a/Services/Forwarder/forwarder_daemon.h
+++ b/Services/Forwarder/forwarder_daemon.h
@@ -71,6 +71,7 @@
   void InitializeContext();
   // Whether the settings or the platform's contracts ask for load control.
   bool IsLoadControlEnabled() const;
+  void ConnectColdEndpoints();
   void OnConfiguration(const forwarding::RouteTableView& table);
 
   void OnRequest(const TransactionPointer& transaction);
@@ -104,6 +105,7 @@
   const forwarding::AdapterSet adapters_;
   platform::LoopScheduler scheduler_;
   forwarding::EndpointTable endpoints_;
+  forwarding::ColdEndpoints cold_endpoints_{&endpoints_};
   forwarding::EndpointMonitor monitor_;
   forwarding::LoadTable loads_;
   forwarding::EndpointPace paces_;
