--- a/Tests/Forwarder/load_control_test.cc
+++ b/Tests/Forwarder/load_control_test.cc
@@ -26,7 +26,7 @@
 // and against a change of behaviour where load control is off.
 TEST_CASE("a full pool refuses at once only with load control") {
   const bool is_enabled = GENERATE(true, false);
-  ForwarderFixture it(is_enabled);
+  ForwarderFixture it({.load_control_enabled = is_enabled});
   it.Configure();
   for (size_t i = 0; i < kServed; ++i) {
     it.script = {ScriptedSuccess("ok")};
