--- a/Libraries/LibCore/event.cc
+++ b/Libraries/LibCore/event.cc
@@ -98,6 +98,28 @@
     {EventCode::kSendWithheld, "send_withheld",
      "A request was not sent because the data centre of its endpoint was "
      "evacuated after the endpoint was chosen."},
+    {EventCode::kPoolSlotDenied, "pool_slot_denied",
+     "A request was refused because the fleet's requests take every slot of "
+     "its pool, and waiting for one would take too long."},
+    {EventCode::kVersionsRecorded, "versions_recorded",
+     "This host wrote the record of the pools' recent versions to the store."},
+    {EventCode::kStoredOriginsRead, "stored_origins_read",
+     "This host read the origins of streams from the store."},
+    {EventCode::kOriginLookedUp, "origin_looked_up",
+     "No host remembered where a resumed stream began; the recorded origins "
+     "and versions decided."},
+    {EventCode::kEndpointPaceChanged, "endpoint_pace_changed",
+     "An endpoint became slower than its pool, or returned to the usual "
+     "pace."},
+    {EventCode::kRefusedEarly, "request_refused_early",
+     "A request was refused at once because it could not be expected to start "
+     "within its latency objective."},
+    {EventCode::kEndpointCold, "endpoint_cold",
+     "An endpoint counts as cold, or for longer than known: requests to it "
+     "need "
+     "permits."},
+    {EventCode::kPermitsExhausted, "permits_exhausted",
+     "A request was denied so many permits that it no longer asks for any."},
     {EventCode::kIntentAppended, "intent_appended",
      "An intent to run a call was appended to its partition."},
     {EventCode::kIntentWon, "intent_won",
--- a/Libraries/LibForwarding/adapter_set.h
+++ b/Libraries/LibForwarding/adapter_set.h
@@ -68,6 +68,8 @@
   std::string registrations;
   // Topic of the fleet itself, with the gossip address of each host.
   std::string fleet;
+  // Topic of the fleet itself, with the origins of streams.
+  std::string origins;
 };
 
 // Behaviour that a deployment asks for.
--- a/Libraries/LibForwarding/endpoint_chooser.cc
+++ b/Libraries/LibForwarding/endpoint_chooser.cc
@@ -1,14 +1,22 @@
 #include "LibForwarding/endpoint_chooser.h"
 
 #include <algorithm>
+#include <limits>
 
 #include "LibCore/hash.h"
 #include "LibCore/rendezvous.h"
+#include "LibForwarding/pace_choice.h"
 
 namespace wasabi::forwarding {
 
 namespace {
 
+// Slots are granted in pools with at most this many slots for each host. With
+// more, the host's own requests tell it enough of the pool's load.
+constexpr size_t kMaxGrantedSlotsPerHost = 2;
+// A question must fit in a datagram.
+constexpr size_t kMaxSlotCandidates = 64;
+
 std::optional<uint64_t> AffinityKeyOf(const ForwardRequest& request) {
   if (!request.route->has_prompt_affinity || request.prompt.empty()) {
     return std::nullopt;
@@ -52,11 +60,41 @@
       affinity_key_(AffinityKeyOf(request)),
       pool_(ChoosePool(request, affinity_key_)),
       copies_prompts_(affinity_key_ && CopiesPrompts(request, pool_)),
+      is_plain_(!affinity_key_ && !request.route->is_stream &&
+                !CopiesPrompts(request, pool_)),
       prompt_share_(affinity_key_ ? context->popularity[pool_].Record(
                                         *affinity_key_,
                                         context->loop->Now())
                                   : 0),
-      pools_(request.route->pools) {}
+      gap_objective_(request.route->gap_objective),
+      pools_(request.route->pools) {
+  if (!context_->UsesPace(pool_)) {
+    return;
+  }
+  const core::TimePoint now = context_->loop->Now();
+  const auto tokens = static_cast<uint32_t>(
+      std::min<uint64_t>(UncachedTokens(request.prompt, now),
+                         std::numeric_limits<uint32_t>::max()));
+  is_long_ = tokens >= kLongPromptTokens;
+  if (is_long_) {
+    context_->long_prompts[pool_].Record(tokens, now);
+  }
+}
+
+uint64_t EndpointChooser::UncachedTokens(const std::vector<PromptPart>& prompt,
+                                         core::TimePoint now) const {
+  // The parts before the last one are cached where they were served, and
+  // copied elsewhere.
+  const bool is_shared_part_cached =
+      copies_prompts_ &&
+      !context_->prompt_holders.Of(*affinity_key_, now).empty();
+  uint64_t tokens = 0;
+  for (size_t i = 0; i < prompt.size(); ++i) {
+    const bool is_last = i + 1 == prompt.size();
+    tokens += is_last || !is_shared_part_cached ? prompt[i].tokens : 0;
+  }
+  return tokens;
+}
 
 bool EndpointChooser::ContinueAt(StreamOrigin origin) {
   for (const WeightedPool& pool : pools_) {
@@ -120,12 +158,78 @@
   }
   const Selection selection = SelectEndpoint(
       Candidates(endpoints, tried, now), affinity, context_->random->Next(),
-      PolicyForReportInterval(context_->selection, interval));
+      PolicyForReportInterval(Policy(endpoints.size()), interval));
   return selection.outcome == SelectionOutcome::kChosen
              ? endpoints[selection.index]
              : nullptr;
 }
 
+SelectionPolicy EndpointChooser::Policy(size_t available) const {
+  const auto& all = context_->endpoints->all();
+  const auto evacuated =
+      std::count_if(all.begin(), all.end(), [this](const auto& it) {
+        return it.second.pool == pool_ &&
+               context_->endpoints->IsEvacuated(it.second.data_centre);
+      });
+  return PolicyForEvacuation(context_->selection, available,
+                             static_cast<size_t>(evacuated));
+}
+
+bool EndpointChooser::UsesPoolSlots(
+    const std::vector<const Endpoint*>& endpoints) const {
+  if (!context_->load_control_enabled || !is_plain_ || endpoints.empty() ||
+      endpoints.size() > kMaxSlotCandidates) {
+    return false;
+  }
+  size_t slots = 0;
+  for (const Endpoint* it : endpoints) {
+    slots += it->slots;
+    // Their own grants are stricter.
+    if (context_->places->IsBrittle(it->id) ||
+        context_->permits->IsLimited(it->id)) {
+      return false;
+    }
+  }
+  return slots <= kMaxGrantedSlotsPerHost * context_->host_count();
+}
+
+std::optional<PoolSlotRequest> EndpointChooser::SlotRequest(
+    const std::set<core::RunnerId>& tried,
+    core::Duration max_wait,
+    core::TimePoint now) const {
+  const std::vector<const Endpoint*> endpoints =
+      context_->endpoints->Available(pool_);
+  if (!UsesPoolSlots(endpoints)) {
+    return std::nullopt;
+  }
+  PoolSlotRequest request{
+      .pool = pool_,
+      .service_time = context_->service_times.Mean(pool_, now)
+                          .value_or(core::Duration::zero()),
+      .max_wait = max_wait};
+  PoolSlotRequest healthy = request;
+  for (const Endpoint* it : endpoints) {
+    if (tried.contains(it->id) || !IsSuitable(*it) ||
+        now < ClosedUntil(it->id) || context_->monitor->IsDown(it->id, now)) {
+      continue;
+    }
+    const PoolSlotRequest::Candidate candidate{
+        .endpoint = it->id.Hash(),
+        .slots = it->slots,
+        .is_near = it->data_centre == context_->data_centre};
+    request.candidates.push_back(candidate);
+    if (context_->monitor->FailureShare(it->id, now) <=
+        context_->selection.max_failure_share) {
+      healthy.candidates.push_back(candidate);
+    }
+  }
+  // As in SelectEndpoint.
+  if (healthy.candidates.size() * 2 >= endpoints.size()) {
+    return healthy;
+  }
+  return request.candidates.empty() ? std::nullopt : std::optional(request);
+}
+
 core::TimePoint EndpointChooser::ClosedUntil(
     const core::RunnerId& endpoint) const {
   return std::max({context_->monitor->PausedUntil(endpoint),
@@ -215,6 +319,7 @@
     core::TimePoint now) const {
   const core::Duration interval = context_->max_load_age();
   const bool uses_reports =
+      !ignores_reports_ &&
       context_->service_times.AreReportsUseful(pool_, interval, now);
   std::vector<EndpointCandidate> candidates;
   candidates.reserve(endpoints.size());
@@ -226,17 +331,30 @@
          .slots = it->slots,
          .failure_share = context_->monitor->FailureShare(it->id, now),
          .is_down = context_->monitor->IsDown(it->id, now),
-         .is_excluded = tried.contains(it->id) || !IsSuitable(*it) ||
-                        now < ClosedUntil(it->id),
+         .is_excluded =
+             tried.contains(it->id) || !IsSuitable(*it) ||
+             now < ClosedUntil(it->id) ||
+             (!allows_limited_ && context_->permits->IsLimited(it->id)),
          .is_same_data_centre = it->data_centre == context_->data_centre});
   }
   if (uses_reports) {
     EndpointShares& shares = context_->shares[pool_];
-    shares.Update(candidates, context_->selection, interval, now);
+    shares.Update(candidates, Policy(candidates.size()), interval, now);
     for (EndpointCandidate& it : candidates) {
       it.share = shares.Of(it.hash);
     }
   }
+  if (context_->UsesPace(pool_)) {
+    std::vector<const core::RunnerId*> ids;
+    ids.reserve(endpoints.size());
+    for (const Endpoint* it : endpoints) {
+      ids.push_back(&it->id);
+    }
+    ApplyPaces(*context_->paces, pool_, ids, gap_objective_, now, candidates);
+    ApplyLongPrompts(context_->long_prompts[pool_].TokensPerSecond(now) *
+                         static_cast<double>(context_->host_count()),
+                     is_long_, candidates);
+  }
   return candidates;
 }
 
--- a/Libraries/LibForwarding/endpoint_chooser.h
+++ b/Libraries/LibForwarding/endpoint_chooser.h
@@ -14,6 +14,7 @@
 #include "LibForwarding/endpoint_selector.h"
 #include "LibForwarding/forward_context.h"
 #include "LibForwarding/forward_request.h"
+#include "LibForwarding/pool_slot_exchange.h"
 #include "LibForwarding/stream_origin.h"
 
 namespace wasabi::forwarding {
@@ -40,6 +41,13 @@
   // Returns whether evacuations of data centres leave no endpoint that accepts
   // the request, although some are registered.
   bool IsEvacuated() const;
+  // Sets whether endpoints may be chosen to which requests need permits.
+  void AllowLimited(bool is_allowed) { allows_limited_ = is_allowed; }
+
+  // Sets whether to choose by the requests of this host alone. All hosts find
+  // the same endpoints least loaded and ask for the same permits; after a
+  // denied one, a request is better spread over the pool.
+  void IgnoreReports(bool is_ignored) { ignores_reports_ = is_ignored; }
 
   // Records that `endpoint` served the request and is therefore likely to have
   // the prompt cached.
@@ -51,6 +59,16 @@
   const Endpoint* Choose(const std::set<core::RunnerId>& tried,
                          core::TimePoint now) const;
 
+  // Returns the question for a slot of the pool, if one host of the fleet
+  // grants its slots: where load control is on, for plain calls to a pool with
+  // few slots for the number of hosts. Returns nullopt otherwise, and if no
+  // endpoint can accept the request now. `max_wait` is how long the request may
+  // wait at an endpoint.
+  std::optional<PoolSlotRequest> SlotRequest(
+      const std::set<core::RunnerId>& tried,
+      core::Duration max_wait,
+      core::TimePoint now) const;
+
   // Returns the earliest time at which an endpoint accepts the request again,
   // if every endpoint that is not in `tried` has asked for a pause or has no
   // permit left. Returns nullopt if one of them accepts requests, or if there
@@ -73,6 +91,9 @@
   // Returns the time until which an endpoint wants no requests, or has no
   // permit or place for them. It may have passed.
   core::TimePoint ClosedUntil(const core::RunnerId& endpoint) const;
+  // Returns the policy for a pool with `available` endpoints that accept
+  // requests.
+  SelectionPolicy Policy(size_t available) const;
   // Returns the endpoints that accept requests and can serve this one.
   std::vector<const Endpoint*> Suitable() const;
   bool IsSuitable(const Endpoint& endpoint) const;
@@ -83,6 +104,11 @@
   // the rendezvous order of the fleet, or nullptr if there is none.
   const Endpoint* PreferredSourceExcept(const Endpoint& chosen,
                                         core::TimePoint now) const;
+  // Returns whether the fleet shares the slots of `endpoints` by grants.
+  bool UsesPoolSlots(const std::vector<const Endpoint*>& endpoints) const;
+  // Returns the tokens of `prompt` that no endpoint is known to have cached.
+  uint64_t UncachedTokens(const std::vector<PromptPart>& prompt,
+                          core::TimePoint now) const;
   std::vector<EndpointCandidate> Candidates(
       const std::vector<const Endpoint*>& endpoints,
       const std::set<core::RunnerId>& tried,
@@ -96,10 +122,17 @@
   // Whether the pool's endpoints can copy cached prompts from each other.
   // Always false without an affinity key.
   bool copies_prompts_;
+  // Whether requests are neither streams nor share prompts.
+  const bool is_plain_;
   // Share of the pool's recent requests that have this prompt, from 0 to 1.
   const double prompt_share_;
+  const core::Duration gap_objective_;
+  // Whether a large part of the prompt has to be processed, as far as known.
+  bool is_long_ = false;
   // The origin of the stream that the request continues, once it is known.
   std::optional<StreamOrigin> origin_;
+  bool allows_limited_ = true;
+  bool ignores_reports_ = false;
   const std::vector<WeightedPool>& pools_;
 };
 
--- a/Libraries/LibForwarding/endpoint_selector.h
+++ b/Libraries/LibForwarding/endpoint_selector.h
@@ -31,6 +31,15 @@
   // Share of the requests with affinity to the endpoint that are sent to it,
   // from 0 to 1 (see EndpointShares).
   double share = 1.0;
+  // Time that work takes at the endpoint as a multiple of the usual time; 1 or
+  // more (see EndpointPace).
+  double pace = 1.0;
+  // The request would probably miss its latency or gap objective there because
+  // the endpoint is slow.
+  bool is_slow = false;
+  // The endpoint serves long prompts and the request's is short, or the other
+  // way round (see LongPromptDemand).
+  bool serves_other_prompts = false;
   // Recent share of failed requests, from 0 to 1.
   double failure_share = 0;
   // The endpoint is in hold-down because it could not be reached.
@@ -74,6 +83,13 @@
 SelectionPolicy PolicyForReportInterval(SelectionPolicy policy,
                                         core::Duration interval);
 
+// Returns `policy` for a pool of which `evacuated` endpoints get no requests.
+// The load bound refers to the mean of all endpoints of the pool, idle ones
+// included, but the selection only sees the `available` ones.
+SelectionPolicy PolicyForEvacuation(SelectionPolicy policy,
+                                    size_t available,
+                                    size_t evacuated);
+
 // The shared part of a prompt, by which rendezvous hashing ranks the endpoints.
 struct Affinity {
   uint64_t key = 0;
--- a/Libraries/LibForwarding/forward_context.h
+++ b/Libraries/LibForwarding/forward_context.h
@@ -13,22 +13,29 @@
 #include "LibCore/metrics.h"
 #include "LibCore/random_source.h"
 #include "LibForwarding/carrier_directory.h"
+#include "LibForwarding/cold_endpoints.h"
 #include "LibForwarding/crash_detector.h"
 #include "LibForwarding/crash_suspects.h"
 #include "LibForwarding/endpoint_monitor.h"
+#include "LibForwarding/endpoint_pace.h"
 #include "LibForwarding/endpoint_selector.h"
 #include "LibForwarding/endpoint_shares.h"
 #include "LibForwarding/endpoint_table.h"
 #include "LibForwarding/load_table.h"
+#include "LibForwarding/long_prompts.h"
 #include "LibForwarding/origin_history.h"
+#include "LibForwarding/origin_reporter.h"
 #include "LibForwarding/path_prober.h"
 #include "LibForwarding/permit_exchange.h"
 #include "LibForwarding/place_exchange.h"
+#include "LibForwarding/pool_slot_exchange.h"
 #include "LibForwarding/prompt_holders.h"
 #include "LibForwarding/prompt_popularity.h"
 #include "LibForwarding/protocols.h"
+#include "LibForwarding/relay_memory.h"
 #include "LibForwarding/retry_allowance.h"
 #include "LibForwarding/service_times.h"
+#include "LibForwarding/stored_origins.h"
 #include "LibForwarding/stream_origin_exchange.h"
 #include "LibForwarding/wait_queue.h"
 #include "LibHttp/origin_client.h"
@@ -50,9 +57,14 @@
   CrashDetector* crashes = nullptr;
   PathProber* path = nullptr;
   CarrierDirectory* carriers = nullptr;
+  ColdEndpoints* cold_endpoints = nullptr;
   PermitExchange* permits = nullptr;
   PlaceExchange* places = nullptr;
+  PoolSlotExchange* pool_slots = nullptr;
+  EndpointPace* paces = nullptr;
   StreamOriginExchange* stream_origins = nullptr;
+  StoredOrigins* stored_origins = nullptr;
+  OriginReporter* origin_reporter = nullptr;
   core::RandomSource* random = nullptr;
   // Whether the deployment asks for an order of waiting that is fair among
   // organisations, early refusal and paced return. Otherwise requests wait and
@@ -71,8 +83,15 @@
   ServiceTimes service_times;
   std::map<core::PoolId, PromptPopularity> popularity;
   std::map<core::PoolId, EndpointShares> shares;
+  std::map<core::PoolId, LongPromptDemand> long_prompts;
   PromptHolders prompt_holders;
   OriginHistory origin_history;
+  RelayMemory relay_memory;
+
+  // Returns whether requests for the pool consider the pace of endpoints.
+  bool UsesPace(const core::PoolId& pool) const {
+    return paces != nullptr && (load_control_enabled || paces->IsStated(pool));
+  }
 
   RetryAllowance& RetryAllowanceFor(const core::PoolId& pool) {
     return retries.try_emplace(pool, retry_policy).first->second;
--- a/Libraries/LibForwarding/forward_session.cc
+++ b/Libraries/LibForwarding/forward_session.cc
@@ -6,6 +6,9 @@
 
 #include "LibCore/result_code.h"
 #include "LibCore/text.h"
+#include "LibForwarding/pool_outlook.h"
+#include "LibForwarding/waiting_counts.h"
+#include "LibRouting/return_phase.h"
 
 namespace wasabi::forwarding {
 
@@ -27,11 +30,35 @@
 // Maximum share of the remaining time for which a request is queued on this
 // host. The rest leaves the caller time to retry.
 constexpr double kMaxQueueTimeShare = 0.25;
+// Maximum share of the latency objective for which a request waits for a slot
+// at an endpoint. The rest is for its service.
+constexpr double kMaxSlotWaitShare = 0.5;
 // Minimum time without a byte before a connection is suspected to be lost.
 constexpr core::Duration kMinSilenceTimeout = core::milliseconds(600);
 // Range of the random delay after which a refused caller may retry.
 constexpr core::Duration kMinRetryAfter = core::milliseconds(100);
 constexpr core::Duration kMaxRetryAfter = core::milliseconds(500);
+// Part of the latency objective, as a divisor, for which a request may be held
+// and then refused.
+constexpr int kMaxHeldShare = 8;
+// The same for a request that was expected to start in time when it had waited
+// for that part. It is late if the forecast was wrong, as at the onset of an
+// overload, but a refusal would make it later still.
+constexpr double kMaxSecuredTimeShare = 0.5;
+// Share of the latency objective within which a request has to start. The rest
+// is left for the time until its first event and for errors of the forecast.
+constexpr double kStartShare = 0.5;
+// Callers honour a delay of up to one in this many parts of their remaining
+// time.
+constexpr int kReturnParts = 3;
+// Permits that are asked of other hosts, and denied, before only endpoints that
+// need no permit are chosen: without this bound, a request that meets a pool
+// whose endpoints are all at their limits asks for each of them in turn. A
+// question takes 1 to 4 ms, and up to 100 ms if the other host is silent.
+constexpr uint32_t kMaxDeniedQuestions = 4;
+// The same for permits that this host denies itself, which takes no time but a
+// choice among all endpoints of the pool.
+constexpr uint32_t kMaxDenials = 32;
 // An answer is due this long before the caller stops waiting.
 constexpr core::Duration kAnswerMargin = core::milliseconds(5);
 
@@ -55,6 +82,14 @@
   return "unknown";
 }
 
+// Returns an item whose place in the queue depends on its priority and arrival
+// alone.
+routing::WorkItem ItemByArrival(int priority) {
+  routing::WorkItem item;
+  item.priority = PriorityClassOf(priority);
+  return item;
+}
+
 }  // namespace
 
 void ForwardSession::Run(ForwardContext* context,
@@ -74,6 +109,7 @@
       request_(std::move(request)),
       fingerprint_(FingerprintOf(request_)),
       chooser_(context, request_),
+      held_(&context->relay_memory),
       answer_deadline_(
           std::min(request_.deadline - kAnswerMargin,
                    request_.received_at + request_.route->timeout)),
@@ -97,6 +133,7 @@
   deadline_timer_->StartOnce(
       std::max(answer_deadline_ - Now(), core::Duration::zero()));
   context_->RetryAllowanceFor(chooser_.pool()).RecordRequest(Now());
+  RecordHeldBytes();
   if (EndIfQuarantined()) {
     return;
   }
@@ -128,36 +165,93 @@
 }
 
 void ForwardSession::OnOriginFound(std::optional<StreamOrigin> origin) {
-  if (!origin) {
-    ++context_->metrics->Counter("streams_of_unknown_origin");
-    context_->origin_history.Observe(*context_->endpoints, Now());
-    origin = context_->origin_history.OnlyOrigin(request_.route->pools, Now());
+  if (origin) {
+    Resume(*origin);
+    return;
   }
-  if (!origin) {
+  ++context_->metrics->Counter("streams_of_unknown_origin");
+  context_->origin_history.Observe(*context_->endpoints,
+                                   context_->endpoint_view_age(), Now());
+  const auto only =
+      context_->origin_history.OnlyOrigin(request_.route->pools, Now());
+  if (only) {
+    Resume(*only);
+    return;
+  }
+  FindStoredOrigin();
+}
+
+void ForwardSession::FindStoredOrigin() {
+  context_->stored_origins->Find(
+      request_.first_attempt ? std::optional(Key()) : std::nullopt,
+      request_.route->pools, Now(),
+      [weak = weak_from_this()](std::optional<StreamOrigin> origin) {
+        const auto self = weak.lock();
+        if (self != nullptr && !self->has_ended_) {
+          self->OnStoredOrigin(origin);
+        }
+      });
+}
+
+void ForwardSession::OnStoredOrigin(std::optional<StreamOrigin> origin) {
+  const auto only =
+      context_->origin_history.OnlyOrigin(request_.route->pools, Now());
+  context_->events->Record(
+      core::EventCode::kOriginLookedUp, request_.id.value(),
+      fmt::format("is_recorded={} has_one_version={} is_complete={} "
+                  "endpoints_age_ms={} ms={}",
+                  origin.has_value(), only.has_value(),
+                  context_->origin_history.IsComplete(Now()),
+                  core::ToMilliseconds(context_->endpoint_view_age()),
+                  core::ToMilliseconds(Now() - request_.received_at)));
+  ++context_->metrics->Counter(origin || only ? "stored_origins_found"
+                                              : "stored_origins_missing");
+  if (!origin && !only) {
     Refuse(core::MakeStatus(core::ResultCode::kCannotResume,
                             "it is unknown where the stream began"));
     return;
   }
-  if (!chooser_.ContinueAt(*origin)) {
+  Resume(origin ? *origin : *only);
+}
+
+void ForwardSession::Resume(StreamOrigin origin) {
+  if (!chooser_.ContinueAt(origin)) {
     Refuse(core::MakeRefusal(core::ResultCode::kCannotResume,
                              "no endpoint can continue the stream",
                              RetryAfter()));
     return;
   }
   has_begun_ = true;
+  // The next process of this host may not find the stream in its previous
+  // place.
+  if (request_.first_attempt) {
+    RecordOrigin(origin);
+  }
   DispatchOrWait();
 }
 
+void ForwardSession::RecordOrigin(StreamOrigin origin) {
+  context_->stream_origins->Record(Key(), origin, Now());
+  context_->origin_reporter->OnStreamBegun(chooser_.pool().Hash(), Key(),
+                                           origin, Now());
+}
+
 void ForwardSession::OnStreamBegun() {
   has_begun_ = true;
   chooser_.ContinueAfter(attempt_->endpoint());
   if (request_.route->repeat == RepeatPolicy::kResumable) {
-    context_->stream_origins->Record(Key(), OriginOf(attempt_->endpoint()),
-                                     Now());
+    context_->origin_history.RecordStream(attempt_->endpoint(), Now());
+    RecordOrigin(OriginOf(attempt_->endpoint()));
   }
 }
 
 void ForwardSession::DispatchOrWait() {
+  if (context_->load_control_enabled) {
+    organisation_weight_ = context_->waiting->AdmissionOf(chooser_.pool())
+                               .RecordArrival(WaitingItem(), Now());
+    // Those that wait have the first choice of what is free.
+    context_->waiting->Serve(chooser_.pool());
+  }
   if (!DispatchOrRefuse()) {
     Wait();
   }
@@ -174,9 +268,10 @@
 }
 
 bool ForwardSession::Dispatch() {
-  if (EndIfQuarantined()) {
-    return true;
-  }
+  return EndIfQuarantined() || AskForPoolSlot() || DispatchByOwnChoice();
+}
+
+bool ForwardSession::DispatchByOwnChoice() {
   const Endpoint* endpoint = chooser_.Choose(tried_, Now());
   if (endpoint == nullptr) {
     return false;
@@ -191,6 +286,66 @@
   return true;
 }
 
+bool ForwardSession::AskForPoolSlot() {
+  const core::Duration objective =
+      request_.route->latency_objective > core::Duration::zero()
+          ? request_.route->latency_objective
+          : answer_deadline_ - Now();
+  const auto slot = chooser_.SlotRequest(
+      tried_, core::FromSeconds(core::ToSeconds(objective) * kMaxSlotWaitShare),
+      Now());
+  if (!slot) {
+    return false;
+  }
+  LeaveQueue();
+  context_->pool_slots->Acquire(
+      *slot, Now(), [weak = weak_from_this()](const PoolSlotResult& result) {
+        const auto self = weak.lock();
+        if (self != nullptr && !self->has_ended_) {
+          self->OnPoolSlot(result);
+        }
+      });
+  return true;
+}
+
+void ForwardSession::OnPoolSlot(const PoolSlotResult& result) {
+  const bool may_have_run = runs_ > 0 || transaction_->is_started();
+  if (result.outcome == PoolSlotOutcome::kFull) {
+    ++context_->metrics->Counter("forward_pool_slots_denied");
+    context_->events->Record(
+        core::EventCode::kPoolSlotDenied, request_.id.value(),
+        fmt::format("pool={} wait_ms={} sends={}", chooser_.pool().value(),
+                    core::ToMilliseconds(result.wait), sends_));
+    if (may_have_run) {
+      FailAfterRun();
+      return;
+    }
+    Refuse(core::ResultCode::kOverloaded, "every slot of the pool is taken",
+           std::max(result.wait, RetryAfter()));
+    return;
+  }
+  if (result.outcome == PoolSlotOutcome::kGranted) {
+    // It may have left, or its data centre been evacuated, since the question.
+    const Endpoint* endpoint =
+        context_->endpoints->FindAvailable(result.endpoint);
+    if (endpoint != nullptr) {
+      ++context_->metrics->Counter("forward_pool_slots_granted");
+      StartAttempt(*endpoint);
+      return;
+    }
+    context_->pool_slots->OnFinished(chooser_.pool(), Now());
+  }
+  ++context_->metrics->Counter("forward_pool_slots_unknown");
+  if (DispatchByOwnChoice()) {
+    return;
+  }
+  if (may_have_run) {
+    FailAfterRun();
+  } else if (!RefuseIfClosed()) {
+    Wait();
+  }
+}
+
 void ForwardSession::AskForPlace(const Endpoint& endpoint) {
   LeaveQueue();
   context_->places->Acquire(
@@ -206,7 +361,8 @@
 
 void ForwardSession::AskForPermit(const Endpoint& endpoint) {
   LeaveQueue();
-  context_->permits->Acquire(
+  is_asking_ = false;
+  const bool is_asking = context_->permits->Acquire(
       endpoint.id, Now(), [weak = weak_from_this(), endpoint](bool is_granted) {
         const auto self = weak.lock();
         if (self == nullptr || self->has_ended_) {
@@ -221,8 +377,29 @@
         }
         // A place that was granted stays free.
         self->context_->places->OnFinished(endpoint.id, self->Now());
+        self->CountDenial(endpoint.id);
         self->OnPermitDenied();
       });
+  // A permit that is denied at once may have led to a question about another
+  // endpoint by now.
+  is_asking_ = is_asking_ || is_asking;
+}
+
+void ForwardSession::CountDenial(const core::RunnerId& endpoint) {
+  ++denials_;
+  denied_questions_ += is_asking_ ? 1 : 0;
+  is_asking_ = false;
+  chooser_.IgnoreReports(context_->permits->IsCold(endpoint));
+  if (denied_questions_ != kMaxDeniedQuestions && denials_ != kMaxDenials) {
+    return;
+  }
+  chooser_.AllowLimited(false);
+  ++context_->metrics->Counter("forward_permits_exhausted");
+  context_->events->Record(
+      core::EventCode::kPermitsExhausted, request_.id.value(),
+      fmt::format("endpoint={} denials={} denied_questions={} ms={}",
+                  endpoint.value(), denials_, denied_questions_,
+                  core::ToMilliseconds(Now() - request_.received_at)));
 }
 
 bool ForwardSession::WithholdIfEvacuated(const Endpoint& endpoint) {
@@ -258,9 +435,10 @@
 }
 
 bool ForwardSession::DispatchOrRefuse() {
-  if (Dispatch()) {
-    return true;
-  }
+  return Dispatch() || RefuseIfClosed();
+}
+
+bool ForwardSession::RefuseIfClosed() {
   if (chooser_.IsEvacuated()) {
     Refuse(core::ResultCode::kNoEndpoint,
            "every endpoint is in an evacuated data centre");
@@ -277,27 +455,123 @@
 }
 
 void ForwardSession::Wait() {
-  const auto weak = weak_from_this();
-  ticket_ =
-      context_->waiting->Join(chooser_.pool(), request_.priority, [weak]() {
+  if (context_->load_control_enabled && RefuseIfHopeless()) {
+    return;
+  }
+  const routing::WorkItem item = context_->load_control_enabled
+                                     ? WaitingItem()
+                                     : ItemByArrival(request_.priority);
+  ticket_ = context_->waiting->Join(
+      chooser_.pool(), item, [weak = weak_from_this()]() {
         const auto self = weak.lock();
         return self == nullptr || self->DispatchOrRefuse();
       });
   const core::Duration left = answer_deadline_ - Now();
-  queue_timer_ = context_->loop->NewTimer([weak]() {
-    if (const auto self = weak.lock()) {
-      self->OnQueueTimeout();
-    }
-  });
-  queue_timer_->StartOnce(
-      core::FromSeconds(core::ToSeconds(left) * kMaxQueueTimeShare));
+  const core::Duration queue_time =
+      core::FromSeconds(core::ToSeconds(left) * kMaxQueueTimeShare);
+  const core::TimePoint review_at =
+      request_.received_at + request_.route->latency_objective / kMaxHeldShare;
+  if (context_->load_control_enabled && Now() < review_at &&
+      review_at < Now() + queue_time) {
+    StartQueueTimer(review_at - Now(),
+                    [](ForwardSession* self) { self->ReviewWait(); });
+  } else {
+    StartQueueTimer(queue_time,
+                    [](ForwardSession* self) { self->OnQueueTimeout(); });
+  }
   ++context_->metrics->Counter("forward_waits");
   context_->events->Record(
       core::EventCode::kRequestQueued, request_.id.value(),
-      fmt::format("pool={} priority={} waiting={} left_ms={}",
+      fmt::format("pool={} priority={} waiting={} left_ms={} returned={}",
                   chooser_.pool().value(), request_.priority,
                   context_->waiting->SizeOf(chooser_.pool()),
-                  core::ToMilliseconds(left)));
+                  core::ToMilliseconds(left), item.has_returned));
+}
+
+void ForwardSession::StartQueueTimer(
+    core::Duration delay,
+    std::function<void(ForwardSession*)> handle) {
+  queue_timer_ = context_->loop->NewTimer(
+      [weak = weak_from_this(), handle = std::move(handle)]() {
+        if (const auto self = weak.lock()) {
+          // The handler may replace the timer that holds it.
+          const auto call = handle;
+          call(self.get());
+        }
+      });
+  queue_timer_->StartOnce(delay);
+}
+
+bool ForwardSession::RefuseIfHopeless() {
+  const core::Duration objective = request_.route->latency_objective;
+  if (objective <= core::Duration::zero()) {
+    return false;
+  }
+  const core::TimePoint now = Now();
+  const core::TimePoint latest_start =
+      std::min(request_.received_at +
+                   core::FromSeconds(core::ToSeconds(objective) * kStartShare),
+               answer_deadline_);
+  const routing::PoolAdmission& admission =
+      context_->waiting->AdmissionOf(chooser_.pool());
+  const routing::PoolOutlook outlook =
+      OutlookOf(*context_, chooser_.pool(), now);
+  const routing::WorkItem item = WaitingItem();
+  const auto expected =
+      ticket_ ? admission.ExpectedStart(IdOf(*ticket_), outlook, now)
+              : admission.ExpectedStart(item, outlook, now);
+  if (!expected || now + *expected <= latest_start) {
+    return false;
+  }
+  ++context_->metrics->Counter("forward_early_refusals");
+  const core::Duration retry_after = RetryAfter();
+  double elsewhere = 0;
+  for (const auto& [priority, n] : outlook.waiting_elsewhere) {
+    elsewhere += priority <= item.priority ? n : 0;
+  }
+  context_->events->Record(
+      core::EventCode::kRefusedEarly, request_.id.value(),
+      fmt::format("pool={} priority={} returned={} expected_ms={} limit_ms={} "
+                  "places={:.0f} running={:.0f} waiting={} elsewhere={:.0f} "
+                  "hosts={} counts_age_ms={} retry_after_ms={}",
+                  chooser_.pool().value(), request_.priority, item.has_returned,
+                  core::ToMilliseconds(*expected),
+                  core::ToMilliseconds(latest_start - now), outlook.places,
+                  outlook.running.requests,
+                  context_->waiting->SizeOf(chooser_.pool()), elsewhere,
+                  outlook.hosts, core::ToMilliseconds(outlook.age),
+                  core::ToMilliseconds(retry_after)));
+  Refuse(core::ResultCode::kOverloaded,
+         "the request can't start within its latency objective", retry_after);
+  return true;
+}
+
+void ForwardSession::ReviewWait() {
+  if (!RefuseIfHopeless()) {
+    context_->waiting->Secure(*ticket_);
+    StartQueueTimer(
+        core::FromSeconds(core::ToSeconds(answer_deadline_ - Now()) *
+                          kMaxSecuredTimeShare),
+        [](ForwardSession* self) { self->OnQueueTimeout(); });
+  }
+}
+
+routing::WorkItem ForwardSession::WaitingItem() const {
+  const routing::ReturnPhase phase(request_.content_digest,
+                                   request_.route->latency_objective);
+  const auto hosts = static_cast<double>(context_->host_count());
+  routing::WorkItem item;
+  item.organisation = request_.organisation;
+  item.organisation_weight = organisation_weight_;
+  item.organisation_backlog =
+      WaitingElsewhere(*context_->loads, chooser_.pool(),
+                       request_.organisation) /
+      std::max(1.0, hosts);
+  item.priority = PriorityClassOf(request_.priority);
+  item.has_returned = phase.IsInPhase(request_.deadline - request_.received_at);
+  item.content_digest = request_.content_digest;
+  item.deadline = request_.deadline;
+  return item;
 }
 
 void ForwardSession::LeaveQueue() {
@@ -315,8 +589,13 @@
   body_.clear();
   splitter_ = EventSplitter(last_event_id_);
   prompt_source_ = core::RunnerId();
+  last_event_at_.reset();
   tried_.insert(endpoint.id);
   ++sends_;
+  denials_ = 0;
+  denied_questions_ = 0;
+  chooser_.AllowLimited(true);
+  chooser_.IgnoreReports(false);
   attempt_ = std::make_shared<ForwardAttempt>(context_, request_, endpoint);
   const auto weak = weak_from_this();
   ForwardAttempt::Callbacks callbacks;
@@ -372,7 +651,22 @@
   }
 }
 
+size_t ForwardSession::BufferLimit(size_t limit) const {
+  const bool is_scarce =
+      context_->load_control_enabled && context_->relay_memory.IsScarce();
+  return is_scarce ? std::min(limit, RelayMemory::kScarceLimit) : limit;
+}
+
+void ForwardSession::RecordHeldBytes() {
+  held_.Set(request_.body.size() + body_.size() + splitter_.remainder().size());
+}
+
 void ForwardSession::OnBody(std::string_view piece) {
+  RelayBody(piece);
+  RecordHeldBytes();
+}
+
+void ForwardSession::RelayBody(std::string_view piece) {
   if (verdict_ == AttemptVerdict::kSuccess && IsStream()) {
     RelayEvents(piece);
     return;
@@ -384,10 +678,12 @@
     return;
   }
   body_.append(piece);
-  if (body_.size() <= kMaxBufferedBytes) {
+  const bool is_success = verdict_ == AttemptVerdict::kSuccess;
+  if (body_.size() <=
+      (is_success ? BufferLimit(kMaxBufferedBytes) : kMaxBufferedBytes)) {
     return;
   }
-  if (verdict_ == AttemptVerdict::kSuccess) {
+  if (is_success) {
     BeginRelay();
     transaction_->Write(std::exchange(body_, {}));
     return;
@@ -428,6 +724,7 @@
 }
 
 void ForwardSession::OnStreamProgress() {
+  RecordGap();
   attempt_->RecordProgress();
   if (CanRetryIfAttemptFails()) {
     attempt_->SetSilenceTimeout(
@@ -435,6 +732,21 @@
   }
 }
 
+void ForwardSession::RecordGap() {
+  const core::PoolId& pool = attempt_->endpoint().pool;
+  if (!context_->UsesPace(pool)) {
+    return;
+  }
+  // The first event has no gap. A gap during which this host did not read says
+  // nothing of the endpoint.
+  if (last_event_at_ && !is_paused_) {
+    context_->paces->RecordGap(
+        pool, attempt_->endpoint().id, Now() - *last_event_at_,
+        context_->loads->Load(attempt_->endpoint().id), Now());
+  }
+  last_event_at_ = Now();
+}
+
 void ForwardSession::BeginRelay() {
   const bool keeps_length = !IsStream();
   transaction_->StartStream(
@@ -445,7 +757,7 @@
 
 void ForwardSession::ApplyBackPressure() {
   if (is_paused_ || attempt_ == nullptr ||
-      transaction_->unsent_bytes() < kMaxUnsentBytes) {
+      transaction_->unsent_bytes() < BufferLimit(kMaxUnsentBytes)) {
     return;
   }
   is_paused_ = true;
@@ -455,6 +767,7 @@
     const auto self = weak.lock();
     if (self != nullptr && self->is_paused_ && self->attempt_ != nullptr) {
       self->is_paused_ = false;
+      self->last_event_at_.reset();
       self->attempt_->SetReading(true);
     }
   });
@@ -649,7 +962,26 @@
       .TryRetry(context_->host_count(), Now());
 }
 
+core::Duration ForwardSession::PacedRetryAfter() {
+  const core::TimePoint now = Now();
+  const core::Duration remaining = request_.deadline - now;
+  const core::Duration delay =
+      context_->waiting->AdmissionOf(chooser_.pool())
+          .TakeReturnTime(WaitingItem(),
+                          OutlookOf(*context_, chooser_.pool(), now), remaining,
+                          now, *context_->random);
+  const core::Duration aligned =
+      routing::ReturnPhase(request_.content_digest,
+                           request_.route->latency_objective)
+          .Align(delay, remaining);
+  // Callers ignore a delay that takes more of their time.
+  return aligned * kReturnParts <= remaining ? aligned : delay;
+}
+
 core::Duration ForwardSession::RetryAfter() {
+  if (context_->load_control_enabled) {
+    return PacedRetryAfter();
+  }
   const double share = context_->random->Unit();
   return kMinRetryAfter +
          core::FromSeconds(core::ToSeconds(kMaxRetryAfter - kMinRetryAfter) *
--- a/Libraries/LibForwarding/route.h
+++ b/Libraries/LibForwarding/route.h
@@ -67,7 +67,20 @@
   uint32_t max_connections = 0;
   // Whether an endpoint can copy cached prompts from another one.
   bool copies_prompts = false;
+  // Tokens of prompts and outputs that the memory of one endpoint holds, and
+  // requests that it runs at once; 0 if unknown. An endpoint whose requests
+  // exceed its memory crashes.
+  uint64_t memory_tokens = 0;
+  uint32_t engine_slots = 0;
+  // For this time after its start an endpoint is cold: it crashes under many
+  // more requests per second than `cold_per_second`. If either is zero, the
+  // pool's endpoints are never cold.
+  core::Duration warm_up{};
+  double cold_per_second = 0;
 
+  bool MayBeCold() const {
+    return warm_up > core::Duration::zero() && cold_per_second > 0;
+  }
   auto operator<=>(const Pool&) const = default;
 };
 
--- a/Libraries/LibMembership/application_kind.h
+++ b/Libraries/LibMembership/application_kind.h
@@ -33,6 +33,16 @@
   kPlaceQuestion = 93,
   kPlaceAnswer = 94,
   kPlaceReport = 95,
+  // Used by the origins of streams that outlive the fleet.
+  kOriginsToRecord = 116,
+  kOriginsRecorded = 117,
+  kStoredOriginQuery = 118,
+  kStoredOriginAnswer = 119,
+  kPoolSlotQuestion = 110,
+  kPoolSlotAnswer = 111,
+  kPoolSlotReport = 112,
+  kEndpointPaces = 120,
+  kColdEndpoints = 113,
 };
 
 }  // namespace wasabi::membership
--- a/Services/Forwarder/fleet_controller.cc
+++ b/Services/Forwarder/fleet_controller.cc
@@ -91,6 +91,20 @@
             return loads->OwnLoad(endpoint);
           },
           SendFunction()),
+      origins_({.adapters = context.adapters,
+                .scheduler = context.scheduler,
+                .events = context.events,
+                .history = context.origin_history},
+               settings,
+               core::ProcessSeed(settings.host.Hash()),
+               SendFunction()),
+      pool_slots_(
+          settings.host,
+          [loads = context.loads](uint64_t endpoint) {
+            return loads->OwnLoad(endpoint);
+          },
+          SendFunction()),
+      pace_exchange_(settings.host, context.paces, SendFunction()),
       fleet_topic_(context.adapters,
                    context.scheduler,
                    context.events,
@@ -124,8 +138,10 @@
   });
   SetApplicationHandlers();
   gossip_->SetSeeds(fleet_topic_.addresses());
-  fleet_topic_.SetObserver(
-      [this]() { gossip_->SetSeeds(fleet_topic_.addresses()); });
+  fleet_topic_.SetObserver([this]() {
+    gossip_->SetSeeds(fleet_topic_.addresses());
+    are_roles_stale_ = true;
+  });
   ticker_ = context_.loop->NewTimer([this]() { Tick(); });
   ticker_->StartRepeating(kTick);
   return absl::OkStatus();
@@ -171,10 +187,30 @@
          [this](const Member& from, std::string_view body) {
            return stream_origins_.OnAnswer(from.id, body, context_.loop->Now());
          });
+  handle(ApplicationKind::kOriginsToRecord,
+         [this](const Member& from, std::string_view body) {
+           return origins_.recorder().OnRequest(from.id, body);
+         });
+  handle(ApplicationKind::kOriginsRecorded,
+         [this](const Member& /*from*/, std::string_view body) {
+           return origins_.reporter().OnRecorded(body);
+         });
+  handle(ApplicationKind::kStoredOriginQuery, [this](const Member& from,
+                                                     std::string_view body) {
+    return origins_.stored().OnQuery(from.id, body, context_.loop->Now());
+  });
+  handle(ApplicationKind::kStoredOriginAnswer, [this](const Member& from,
+                                                      std::string_view body) {
+    return origins_.stored().OnAnswer(from.id, body, context_.loop->Now());
+  });
   handle(ApplicationKind::kEndpointLimits,
          [this](const Member& /*from*/, std::string_view body) {
            return permits_.OnReports(body, context_.loop->Now());
          });
+  handle(ApplicationKind::kColdEndpoints,
+         [this](const Member& /*from*/, std::string_view body) {
+           return permits_.OnColdReports(body, context_.loop->Now());
+         });
   handle(ApplicationKind::kPermitQuestion,
          [this](const Member& from, std::string_view body) {
            return permits_.OnQuestion(from.id, body, context_.loop->Now());
@@ -199,6 +235,22 @@
          [this](const Member& from, std::string_view body) {
            return places_.OnReport(from.id, body, context_.loop->Now());
          });
+  handle(ApplicationKind::kPoolSlotQuestion,
+         [this](const Member& from, std::string_view body) {
+           return pool_slots_.OnQuestion(from.id, body, context_.loop->Now());
+         });
+  handle(ApplicationKind::kPoolSlotAnswer,
+         [this](const Member& from, std::string_view body) {
+           return pool_slots_.OnAnswer(from.id, body, context_.loop->Now());
+         });
+  handle(ApplicationKind::kPoolSlotReport,
+         [this](const Member& from, std::string_view body) {
+           return pool_slots_.OnReport(from.id, body, context_.loop->Now());
+         });
+  handle(ApplicationKind::kEndpointPaces,
+         [this](const Member& from, std::string_view body) {
+           return pace_exchange_.OnReports(from.id, body, context_.loop->Now());
+         });
 }
 
 void FleetController::UpdateRoles() {
@@ -207,7 +259,9 @@
   }
   are_roles_stale_ = false;
   const membership::MemberTableSnapshot table = gossip_->table();
-  topics_.SetRoles(DeriveRoles(*table, settings_.host, settings_.data_centre));
+  const FleetRoles roles =
+      DeriveRoles(*table, settings_.host, settings_.data_centre);
+  topics_.SetRoles(roles);
   const forwarding::ReportPeers peers =
       DeriveReportPeers(*table, settings_.host, settings_.data_centre);
   load_exchange_.SetPeers(peers);
@@ -215,10 +269,13 @@
   crash_sync_.SetHosts(peers.fleet);
   permits_.SetPeers(peers);
   places_.SetPeers(peers);
+  pace_exchange_.SetPeers(peers);
   const std::vector<core::HostId> running = RunningHosts(*table);
   stream_origins_.SetHosts(running);
+  origins_.SetHosts(running, fleet_topic_.hosts(), roles);
   permits_.SetHosts(running, host_count());
   places_.SetHosts(running, host_count());
+  pool_slots_.SetHosts(running);
   context_.carriers->SetCarriers(CarriersOf(*table, settings_.host));
 }
 
@@ -268,8 +325,11 @@
   crash_exchange_.Tick(context_.loop->Now());
   crash_sync_.Tick(context_.loop->Now());
   stream_origins_.Tick(context_.loop->Now());
+  origins_.Tick(topics_.LatestEpoch());
   permits_.Tick(context_.loop->Now());
   places_.Tick(context_.loop->Now());
+  pool_slots_.Tick(context_.loop->Now());
+  pace_exchange_.Tick(context_.loop->Now());
 }
 
 TopicController::SendFunction FleetController::SendFunction() {
--- a/Services/Forwarder/fleet_controller.h
+++ b/Services/Forwarder/fleet_controller.h
@@ -17,13 +17,16 @@
 #include "LibForwarding/crash_exchange.h"
 #include "LibForwarding/crash_sync.h"
 #include "LibForwarding/load_exchange.h"
+#include "LibForwarding/pace_exchange.h"
 #include "LibForwarding/permit_exchange.h"
 #include "LibForwarding/place_exchange.h"
+#include "LibForwarding/pool_slot_exchange.h"
 #include "LibForwarding/stream_origin_exchange.h"
 #include "LibHttp/client.h"
 #include "LibMembership/gossip_node.h"
 #include "Services/Forwarder/fleet_topic_controller.h"
 #include "Services/Forwarder/forwarder_settings.h"
+#include "Services/Forwarder/origin_controller.h"
 #include "Services/Forwarder/topic_controller.h"
 
 namespace wasabi::forwarder {
@@ -36,8 +39,10 @@
   http::Client* client = nullptr;
   const forwarding::AdapterSet* adapters = nullptr;
   forwarding::LoadTable* loads = nullptr;
+  forwarding::EndpointPace* paces = nullptr;
   forwarding::CrashSuspects* suspects = nullptr;
   forwarding::CarrierDirectory* carriers = nullptr;
+  forwarding::OriginHistory* origin_history = nullptr;
 };
 
 class FleetController {
@@ -70,8 +75,11 @@
     return &stream_origins_;
   }
 
+  OriginController& origins() { return origins_; }
+
   forwarding::PermitExchange* permits() { return &permits_; }
   forwarding::PlaceExchange* places() { return &places_; }
+  forwarding::PoolSlotExchange* pool_slots() { return &pool_slots_; }
 
   // Returns the age that the known load of another host may reach.
   core::Duration max_load_age() const { return load_exchange_.MaxAge(); }
@@ -105,6 +113,9 @@
   forwarding::StreamOriginExchange stream_origins_;
   forwarding::PermitExchange permits_;
   forwarding::PlaceExchange places_;
+  OriginController origins_;
+  forwarding::PoolSlotExchange pool_slots_;
+  forwarding::PaceExchange pace_exchange_;
   FleetTopicController fleet_topic_;
   TopicController topics_;
   std::unique_ptr<core::Timer> ticker_;
--- a/Services/Forwarder/forwarder_daemon.cc
+++ b/Services/Forwarder/forwarder_daemon.cc
@@ -8,6 +8,7 @@
 #include "LibCore/text.h"
 #include "LibCore/try.h"
 #include "LibForwarding/forward_session.h"
+#include "LibForwarding/waiting_counts.h"
 #include "LibHttp/tunnel.h"
 
 namespace wasabi::forwarder {
@@ -32,6 +33,9 @@
 // configuration.
 constexpr core::Duration kRetryWithoutConfiguration = core::milliseconds(300);
 
+// The same for lack of memory; another host is likely to have some.
+constexpr core::Duration kRetryWithoutMemory = core::milliseconds(500);
+
 constexpr int kOkStatus = 200;
 
 }  // namespace
@@ -62,6 +66,7 @@
                               settings.platform_address,
                               &events_)),
       scheduler_(loop),
+      paces_(core::ProcessSeed(settings.host.Hash())),
       carriers_(settings.data_centre, random_.Next()),
       path_(loop, &events_, &endpoints_, &carriers_, random_.Next()),
       crashes_(loop, &events_, &suspects_, &path_),
@@ -80,6 +85,7 @@
       fleet_->permits()->Forget(before.id);
       fleet_->places()->Forget(before.id);
     }
+    paces_.Forget(before.id, loop_->Now());
     context_.prompt_holders.ForgetEndpoint(before.id);
     origin_client_.Forget(before.address);
   });
@@ -92,22 +98,30 @@
       [this](const std::set<core::DataCentreId>& evacuated) {
         endpoints_.SetEvacuated(evacuated);
       });
+  endpoints_.SetEvacuationEndObserver(
+      [this](const core::DataCentreId& data_centre) {
+        cold_endpoints_.MarkCold(data_centre, loop_->Now());
+      });
   registrations_ = std::make_unique<RegistrationController>(
       &adapters_, &scheduler_, &events_, &endpoints_, settings_.leaving_bound,
-      random_.Next());
-  TRY_ASSIGN(fleet_, FleetController::Create({.loop = loop_,
-                                              .scheduler = &scheduler_,
-                                              .events = &events_,
-                                              .client = &platform_client_,
-                                              .adapters = &adapters_,
-                                              .loads = &loads_,
-                                              .suspects = &suspects_,
-                                              .carriers = &carriers_},
-                                             settings_));
+      random_.Next(), &cold_endpoints_);
+  TRY_ASSIGN(fleet_, FleetController::Create(
+                         {.loop = loop_,
+                          .scheduler = &scheduler_,
+                          .events = &events_,
+                          .client = &platform_client_,
+                          .adapters = &adapters_,
+                          .loads = &loads_,
+                          .paces = &paces_,
+                          .suspects = &suspects_,
+                          .carriers = &carriers_,
+                          .origin_history = &context_.origin_history},
+                         settings_));
   fleet_->SetTopics(
       {{.view = configuration_->view(), .relay = configuration_->relay()},
        {.view = registrations_->view(), .relay = registrations_->relay()}});
   InitializeContext();
+  ConnectColdEndpoints();
   TRY(StartServers());
   ticker_ = loop_->NewTimer([this]() { Tick(); });
   ticker_->StartRepeating(kTick);
@@ -157,8 +171,12 @@
   context_.carriers = &carriers_;
   path_.SetLossObserver([this]() { monitor_.EndHoldDowns(); });
   context_.stream_origins = fleet_->stream_origins();
+  context_.stored_origins = &fleet_->origins().stored();
+  context_.origin_reporter = &fleet_->origins().reporter();
   context_.permits = fleet_->permits();
   context_.places = fleet_->places();
+  context_.pool_slots = fleet_->pool_slots();
+  context_.paces = &paces_;
   context_.random = &random_;
   context_.selection.load_bound = settings_.load_bound;
   context_.retry_policy = settings_.retries;
@@ -167,13 +185,20 @@
   context_.host_count = [this]() { return fleet_->host_count(); };
   context_.max_load_age = [this]() { return fleet_->max_load_age(); };
   metrics_.Gauge("platform_calls", [this]() {
-    return static_cast<double>(fleet_->topics().platform_calls());
+    return static_cast<double>(fleet_->topics().platform_calls() +
+                               fleet_->origins().calls());
+  });
+  metrics_.Gauge("origin_calls", [this]() {
+    return static_cast<double>(fleet_->origins().calls());
   });
   metrics_.Gauge("carriers",
                  [this]() { return static_cast<double>(carriers_.size()); });
   metrics_.Gauge("evacuated_data_centres", [this]() {
     return static_cast<double>(endpoints_.evacuated().size());
   });
+  metrics_.Gauge("relay_bytes", [this]() {
+    return static_cast<double>(context_.relay_memory.total());
+  });
   metrics_.Gauge("path_lost", [this]() { return path_.is_lost() ? 1.0 : 0.0; });
   metrics_.Gauge("tunnels_open", [this]() {
     return static_cast<double>(tunnels_.open_tunnels());
@@ -194,6 +219,35 @@
 
 void ForwarderDaemon::OnConfiguration(const forwarding::RouteTableView& table) {
   callers_->SetLimits(table->caller_limits());
+  cold_endpoints_.SetPools(table, loop_->Now());
+}
+
+void ForwarderDaemon::ConnectColdEndpoints() {
+  context_.cold_endpoints = &cold_endpoints_;
+  fleet_->permits()->SetColdPolicy(settings_.cold);
+  cold_endpoints_.SetSink([this](const core::RunnerId& id, double per_second,
+                                 core::Duration left, core::TimePoint now) {
+    fleet_->permits()->MarkCold(id, per_second, left, now);
+  });
+  fleet_->permits()->SetColdObserver(
+      [this](uint32_t key, const forwarding::ColdNews::State& state) {
+        std::string_view name = "unknown";
+        for (const auto& [id, endpoint] : endpoints_.all()) {
+          name =
+              forwarding::ColdNews::KeyOf(id.Hash()) == key ? id.value() : name;
+        }
+        events_.Record(
+            core::EventCode::kEndpointCold, "",
+            fmt::format("endpoint={} key={:x} left_ms={} max_per_second={} "
+                        "endpoints_age_ms={}",
+                        name, key,
+                        core::ToMilliseconds(state.until - loop_->Now()),
+                        state.per_second,
+                        core::ToMilliseconds(context_.endpoint_view_age())));
+      });
+  metrics_.Gauge("cold_endpoints", [this]() {
+    return static_cast<double>(fleet_->permits()->cold_endpoints());
+  });
 }
 
 void ForwarderDaemon::OnRequest(const TransactionPointer& transaction) {
@@ -207,6 +261,14 @@
             kRetryWithoutConfiguration));
     return;
   }
+  if (context_.load_control_enabled && context_.relay_memory.IsExhausted()) {
+    RespondError(transaction,
+                 core::MakeRefusal(core::ResultCode::kOverloaded,
+                                   "slow callers and endpoints hold the memory "
+                                   "of this host",
+                                   kRetryWithoutMemory));
+    return;
+  }
   auto request = adapters_.callers->Decode(transaction->request(), table);
   if (!request.ok()) {
     RespondError(transaction, StatusForCaller(request.status()));
@@ -327,14 +389,20 @@
   origin_client_.Expire(now);
   suspects_.Expire(now);
   LogRefusedParts();
+  LogPaceChanges();
   waiting_.Serve();
+  if (context_.load_control_enabled) {
+    context_.relay_memory.SetInConnections(callers_->buffered_bytes());
+    loads_.SetOtherCounts(forwarding::WaitingCountsOf(waiting_, random_));
+  }
   if (IsReady() && !is_announced_) {
     is_announced_ = true;
     fleet_->AnnounceReady();
   }
   if (now >= next_origin_observation_at_) {
     next_origin_observation_at_ = now + kOriginObservationPeriod;
-    context_.origin_history.Observe(endpoints_, now);
+    context_.origin_history.Observe(endpoints_, context_.endpoint_view_age(),
+                                    now);
   }
   if (now >= next_settings_check_at_) {
     next_settings_check_at_ = now + kSettingsCheckPeriod;
@@ -345,6 +413,16 @@
   }
 }
 
+void ForwarderDaemon::LogPaceChanges() {
+  for (const forwarding::PaceChange& it : paces_.TakeChanges(loop_->Now())) {
+    ++metrics_.Counter("endpoint_pace_changes");
+    events_.Record(
+        core::EventCode::kEndpointPaceChanged, "",
+        fmt::format("endpoint_key={:06x} pace={:.2f} age_ms={}", it.endpoint,
+                    it.pace, core::ToMilliseconds(it.age)));
+  }
+}
+
 void ForwarderDaemon::LogRefusedParts() {
   std::set<std::vector<uint64_t>> refused;
   for (const forwarding::RefusedParts& it :
@@ -373,6 +451,7 @@
   context_.selection.load_bound = settings_.load_bound;
   context_.retry_policy = settings_.retries;
   context_.load_control_enabled = IsLoadControlEnabled();
+  fleet_->permits()->SetColdPolicy(settings_.cold);
   fleet_->topics().UpdateBounds(settings_);
   core::SetLogLevel(settings_.log_level);
   events_.Record(core::EventCode::kSettingsReloaded, "",
--- a/Services/Forwarder/forwarder_daemon.h
+++ b/Services/Forwarder/forwarder_daemon.h
@@ -71,6 +71,7 @@
   void InitializeContext();
   // Whether the settings or the platform's contracts ask for load control.
   bool IsLoadControlEnabled() const;
+  void ConnectColdEndpoints();
   void OnConfiguration(const forwarding::RouteTableView& table);
 
   void OnRequest(const TransactionPointer& transaction);
@@ -89,6 +90,7 @@
   void Tick();
   // Records the prompt parts that are refused since the last call.
   void LogRefusedParts();
+  void LogPaceChanges();
   void CheckShutdown();
 
   core::EventLoop* const loop_;
@@ -103,8 +105,10 @@
   const forwarding::AdapterSet adapters_;
   platform::LoopScheduler scheduler_;
   forwarding::EndpointTable endpoints_;
+  forwarding::ColdEndpoints cold_endpoints_{&endpoints_};
   forwarding::EndpointMonitor monitor_;
   forwarding::LoadTable loads_;
+  forwarding::EndpointPace paces_;
   forwarding::WaitQueue waiting_;
   forwarding::CrashSuspects suspects_;
   // The sets of prompt parts that were refused at the last tick.
--- a/Tests/Support/ForwarderFixture/forwarder_fixture.cc
+++ b/Tests/Support/ForwarderFixture/forwarder_fixture.cc
@@ -96,7 +96,7 @@
       events);
 }
 
-ForwarderFixture::ForwarderFixture()
+ForwarderFixture::ForwarderFixture(const FixtureOptions& options)
     : scheduler(&loop),
       first(&loop, FreeAddress(LoopbackIp(10))),
       second(&loop, FreeAddress(LoopbackIp(11))),
@@ -106,7 +106,7 @@
       return Respond(server, text);
     });
   }
-  Start();
+  Start(options);
 }
 
 forwarder::ForwarderSettings ForwarderFixture::NewSettings(
@@ -155,8 +155,10 @@
   return *std::move(created);
 }
 
-void ForwarderFixture::Start() {
+void ForwarderFixture::Start(const FixtureOptions& options) {
   settings = NewSettings("h1", LoopbackIp(12));
+  settings.is_first_start = options.is_first_start;
+  settings.load_control_enabled = options.load_control_enabled;
   daemon = NewDaemon(settings, &links, &store);
   Register("e1", first, "ready");
   Register("e2", second, "ready");
@@ -169,6 +171,18 @@
   store->RestoreFrom(contents);
 }
 
+void ForwarderFixture::KillHosts() {
+  kept_log_ = store->Backup();
+  daemon.reset();
+  store = nullptr;
+}
+
+void ForwarderFixture::RestartHosts() {
+  settings.is_first_start = false;
+  daemon = NewDaemon(settings, &links, &store);
+  store->SetLog(kept_log_);
+}
+
 FixturePeer* ForwarderFixture::AddPeer(const std::string& host,
                                        const EndpointLinkMap& peer_links) {
   const auto index = static_cast<uint32_t>(peers.size());
