--- a/Libraries/LibForwarding/endpoint_chooser.cc
+++ b/Libraries/LibForwarding/endpoint_chooser.cc
@@ -1,7 +1,6 @@
 #include "LibForwarding/endpoint_chooser.h"
 
 #include <algorithm>
-#include <limits>
 
 #include "LibCore/hash.h"
 #include "LibCore/rendezvous.h"
@@ -71,31 +70,18 @@
   if (!context_->UsesPace(pool_)) {
     return;
   }
-  const core::TimePoint now = context_->loop->Now();
-  const auto tokens = static_cast<uint32_t>(
-      std::min<uint64_t>(UncachedTokens(request.prompt, now),
-                         std::numeric_limits<uint32_t>::max()));
+  // The parts before the last one count as cached at the endpoint that the
+  // prompt prefers, or are copied from it. A host of a large fleet sees a
+  // prompt too rarely to know better, and prompts that leave their endpoint are
+  // read again.
+  const uint32_t tokens =
+      request.prompt.empty() ? 0 : request.prompt.back().tokens;
   is_long_ = tokens >= kLongPromptTokens;
   if (is_long_) {
-    context_->long_prompts[pool_].Record(tokens, now);
+    context_->long_prompts[pool_].Record(tokens, context_->loop->Now());
   }
 }
 
-uint64_t EndpointChooser::UncachedTokens(const std::vector<PromptPart>& prompt,
-                                         core::TimePoint now) const {
-  // The parts before the last one are cached where they were served, and
-  // copied elsewhere.
-  const bool is_shared_part_cached =
-      copies_prompts_ &&
-      !context_->prompt_holders.Of(*affinity_key_, now).empty();
-  uint64_t tokens = 0;
-  for (size_t i = 0; i < prompt.size(); ++i) {
-    const bool is_last = i + 1 == prompt.size();
-    tokens += is_last || !is_shared_part_cached ? prompt[i].tokens : 0;
-  }
-  return tokens;
-}
-
 bool EndpointChooser::ContinueAt(StreamOrigin origin) {
   for (const WeightedPool& pool : pools_) {
     for (const Endpoint* it : context_->endpoints->Available(pool.pool)) {
--- a/Libraries/LibForwarding/endpoint_chooser.h
+++ b/Libraries/LibForwarding/endpoint_chooser.h
@@ -106,9 +106,6 @@
                                         core::TimePoint now) const;
   // Returns whether the fleet shares the slots of `endpoints` by grants.
   bool UsesPoolSlots(const std::vector<const Endpoint*>& endpoints) const;
-  // Returns the tokens of `prompt` that no endpoint is known to have cached.
-  uint64_t UncachedTokens(const std::vector<PromptPart>& prompt,
-                          core::TimePoint now) const;
   std::vector<EndpointCandidate> Candidates(
       const std::vector<const Endpoint*>& endpoints,
       const std::set<core::RunnerId>& tried,
@@ -127,7 +124,8 @@
   // Share of the pool's recent requests that have this prompt, from 0 to 1.
   const double prompt_share_;
   const core::Duration gap_objective_;
-  // Whether a large part of the prompt has to be processed, as far as known.
+  // Whether a large part of the prompt is this request's own, so that no
+  // endpoint has it cached.
   bool is_long_ = false;
   // The origin of the stream that the request continues, once it is known.
   std::optional<StreamOrigin> origin_;
--- a/Tests/ForwardedStreams/streams_resumed_after_all_hosts_died_test.cc
+++ b/Tests/ForwardedStreams/streams_resumed_after_all_hosts_died_test.cc
@@ -108,7 +108,7 @@
 // Guards against calls to the platform that a day without a release does not
 // need: they are priced.
 TEST_CASE("a day with one version costs at most two calls") {
-  ForwarderFixture it(true);
+  ForwarderFixture it({.is_first_start = true});
   it.Configure();
   RunFor(it, kRecorded);
   for (int i = 0; i < 20; ++i) {
