--- a/Services/Forwarder/fleet_controller.cc
+++ b/Services/Forwarder/fleet_controller.cc
@@ -203,6 +203,13 @@
                                                       std::string_view body) {
     return origins_.stored().OnAnswer(from.id, body, context_.loop->Now());
   });
+  SetGrantHandlers();
+}
+
+void FleetController::SetGrantHandlers() {
+  const auto handle = [this](ApplicationKind kind, auto handler) {
+    gossip_->SetApplicationHandler(static_cast<uint8_t>(kind), handler);
+  };
   handle(ApplicationKind::kEndpointLimits,
          [this](const Member& /*from*/, std::string_view body) {
            return permits_.OnReports(body, context_.loop->Now());
--- a/Services/Forwarder/fleet_controller.h
+++ b/Services/Forwarder/fleet_controller.h
@@ -94,6 +94,9 @@
 
   absl::Status Start();
   void SetApplicationHandlers();
+  // Sets those of the modules in which hosts grant each other permits, places
+  // and slots, and share what they know of endpoints.
+  void SetGrantHandlers();
   // Derives this host's roles and peers from the member table if it has
   // changed.
   void UpdateRoles();
