--- a/Tests/Soak/checker_test.cc
+++ b/Tests/Soak/checker_test.cc
@@ -260,6 +260,15 @@
          Disturb(it, Disturbance::Scope::kStore, false);
        },
        ""},
+      {"a host that crashes", kIdempotent,
+       [](World& it) { it.history.crashes.emplace_back("host=0 signal 11"); },
+       "hosts exit only on a signal"},
+  };
+}
+
+std::vector<CheckerCase> EvacuationCases() {
+  using enum CallKind;
+  return {
       {"a run in a data centre that is evacuated", kIdempotent, Evacuate,
        "an evacuated data centre gets no requests"},
       {"a run just after an evacuation was ordered", kIdempotent,
@@ -280,9 +289,6 @@
          it.history.evacuations[0].data_centre = core::DataCentreId("other");
        },
        ""},
-      {"a host that crashes", kIdempotent,
-       [](World& it) { it.history.crashes.emplace_back("host=0 signal 11"); },
-       "hosts exit only on a signal"},
   };
 }
 
@@ -433,6 +439,7 @@
 TEST_CASE("the checker reports the violated guarantee") {
   CheckCases(Cases());
   CheckCases(StreamCases());
+  CheckCases(EvacuationCases());
   CheckCases(EndpointNoticeCases());
   CheckCases(HarmfulPartCases());
   CheckCases(LimitCases());
