--- a/Libraries/LibForwarding/endpoint_chooser.cc
+++ b/Libraries/LibForwarding/endpoint_chooser.cc
@@ -190,8 +190,7 @@
   }
   PoolSlotRequest request{
       .pool = pool_,
-      .service_time = context_->service_times.Mean(pool_, now)
-                          .value_or(core::Duration::zero()),
+      .service_time = context_->service_times.MeanSoFar(pool_, now),
       .max_wait = max_wait};
   PoolSlotRequest healthy = request;
   for (const Endpoint* it : endpoints) {
--- a/Libraries/LibForwarding/service_times.cc
+++ b/Libraries/LibForwarding/service_times.cc
@@ -42,6 +42,17 @@
   return core::FromSeconds(sums.busy / sums.served);
 }
 
+core::Duration ServiceTimes::MeanSoFar(const core::PoolId& pool,
+                                       core::TimePoint now) const {
+  const auto it = pools_.find(pool);
+  if (it == pools_.end()) {
+    return core::Duration::zero();
+  }
+  const Sums sums = At(it->second, now);
+  return sums.served > 0 ? core::FromSeconds(sums.busy / sums.served)
+                         : core::Duration::zero();
+}
+
 bool ServiceTimes::AreReportsUseful(const core::PoolId& pool,
                                     core::Duration age,
                                     core::TimePoint now) const {
--- a/Libraries/LibForwarding/service_times.h
+++ b/Libraries/LibForwarding/service_times.h
@@ -27,6 +27,10 @@
   // nullopt if too few have been served.
   std::optional<core::Duration> Mean(const core::PoolId& pool,
                                      core::TimePoint now) const;
+  // Returns the same from the first request that was served on; zero until
+  // then. For estimates that errors of a single request do not harm, such as
+  // those that a granting host combines.
+  core::Duration MeanSoFar(const core::PoolId& pool, core::TimePoint now) const;
 
   // Returns whether load reports that are up to `age` old still describe the
   // current load. They do not if requests are certain to take less time: the
--- a/Tests/LibForwarding/pool_slot_replay_test.cc
+++ b/Tests/LibForwarding/pool_slot_replay_test.cc
@@ -189,11 +189,9 @@
     if (!is_up_[i]) {
       return;
     }
-    PoolSlotRequest request{
-        .pool = kPool,
-        .service_time =
-            times_[i].Mean(kPool, now_).value_or(core::Duration::zero()),
-        .max_wait = kObjective / 2};
+    PoolSlotRequest request{.pool = kPool,
+                            .service_time = times_[i].MeanSoFar(kPool, now_),
+                            .max_wait = kObjective / 2};
     for (size_t k = 0; k < endpoints_.size(); ++k) {
       if (std::find(tried.begin(), tried.end(), k) == tried.end()) {
         request.candidates.push_back({.endpoint = endpoints_[k].hash,
