A starting host holds requests until it has read its configuration

Cause: after all hosts lost power, callers connect to hosts that have not read their configuration yet.

--- a/Services/Forwarder/forwarder_daemon.cc
+++ b/Services/Forwarder/forwarder_daemon.cc
@@ -17,6 +17,8 @@
 
 constexpr core::Duration kTick = core::milliseconds(50);
 constexpr core::Duration kSettingsCheckPeriod = core::seconds(3);
+// How often a starting host checks whether held requests can be served.
+constexpr core::Duration kStartupCheckPeriod = core::milliseconds(10);
 constexpr core::Duration kOriginObservationPeriod = core::milliseconds(500);
 // Time that callers may cache a discovery response, unless the settings allow
 // less. Callers stop using a host that shuts down within this time.
@@ -70,7 +72,8 @@
       carriers_(settings.data_centre, random_.Next()),
       path_(loop, &events_, &endpoints_, &carriers_, random_.Next()),
       crashes_(loop, &events_, &suspects_, &path_),
-      tunnels_(&context_) {}
+      tunnels_(&context_),
+      startup_queue_(loop->Now()) {}
 
 ForwarderDaemon::~ForwarderDaemon() = default;
 
@@ -123,6 +126,7 @@
   InitializeContext();
   ConnectColdEndpoints();
   TRY(StartServers());
+  startup_timer_ = loop_->NewTimer([this]() { ServeHeld(); });
   ticker_ = loop_->NewTimer([this]() { Tick(); });
   ticker_->StartRepeating(kTick);
   return absl::OkStatus();
@@ -250,17 +254,41 @@
   });
 }
 
+bool ForwarderDaemon::HasLoaded() const {
+  return configuration_->current() != nullptr &&
+         registrations_->view()->is_loaded();
+}
+
 void ForwarderDaemon::OnRequest(const TransactionPointer& transaction) {
-  const forwarding::RouteTableView& table = configuration_->current();
-  if (table == nullptr || !registrations_->view()->is_loaded()) {
-    RespondError(
-        transaction,
-        core::MakeRefusal(
-            core::ResultCode::kNoConfiguration,
-            "configuration or endpoint registrations have not been loaded yet",
-            kRetryWithoutConfiguration));
+  if (HasLoaded()) {
+    Serve(transaction);
     return;
   }
+  if (context_.load_control_enabled &&
+      startup_queue_.Hold(transaction, loop_->Now())) {
+    ++metrics_.Counter("forward_held_at_start");
+    startup_timer_->StartRepeating(kStartupCheckPeriod);
+    return;
+  }
+  RespondError(
+      transaction,
+      core::MakeRefusal(
+          core::ResultCode::kNoConfiguration,
+          "configuration or endpoint registrations have not been loaded yet",
+          kRetryWithoutConfiguration));
+}
+
+void ForwarderDaemon::ServeHeld() {
+  if (!HasLoaded() && !startup_queue_.IsOver(loop_->Now())) {
+    return;
+  }
+  startup_timer_->Stop();
+  for (const TransactionPointer& it : startup_queue_.TakeAll()) {
+    OnRequest(it);
+  }
+}
+
+void ForwarderDaemon::Serve(const TransactionPointer& transaction) {
   if (context_.load_control_enabled && context_.relay_memory.IsExhausted()) {
     RespondError(transaction,
                  core::MakeRefusal(core::ResultCode::kOverloaded,
@@ -269,7 +297,8 @@
                                    kRetryWithoutMemory));
     return;
   }
-  auto request = adapters_.callers->Decode(transaction->request(), table);
+  auto request = adapters_.callers->Decode(transaction->request(),
+                                           configuration_->current());
   if (!request.ok()) {
     RespondError(transaction, StatusForCaller(request.status()));
     return;
@@ -314,8 +343,7 @@
 }
 
 bool ForwarderDaemon::IsReady() const {
-  return !is_stopping_ && configuration_->current() != nullptr &&
-         registrations_->view()->is_loaded();
+  return !is_stopping_ && HasLoaded();
 }
 
 void ForwarderDaemon::OnReadinessCheck(const TransactionPointer& transaction) {
--- a/Services/Forwarder/forwarder_daemon.h
+++ b/Services/Forwarder/forwarder_daemon.h
@@ -25,6 +25,7 @@
 #include "Services/Forwarder/fleet_controller.h"
 #include "Services/Forwarder/forwarder_settings.h"
 #include "Services/Forwarder/registration_controller.h"
+#include "Services/Forwarder/startup_queue.h"
 
 namespace wasabi::forwarder {
 
@@ -75,6 +76,11 @@
   void OnConfiguration(const forwarding::RouteTableView& table);
 
   void OnRequest(const TransactionPointer& transaction);
+  // Serves a request of a host that has read its configuration.
+  void Serve(const TransactionPointer& transaction);
+  // Serves the requests that were held at the start, or refuses them if the
+  // host did not become ready in time.
+  void ServeHeld();
   void OnReadinessCheck(const TransactionPointer& transaction);
   void OnDiscovery(const TransactionPointer& transaction);
   // Serves metrics, events, copies of topics, and tunnels.
@@ -84,6 +90,8 @@
   // Returns the error to send to the caller for `status`.
   absl::Status StatusForCaller(const absl::Status& status) const;
 
+  // Returns whether configuration and registrations have been read.
+  bool HasLoaded() const;
   bool IsReady() const;
   // Returns how long callers may cache the addresses in a discovery response.
   core::Duration AddressLifetime() const;
@@ -126,6 +134,8 @@
   std::unique_ptr<http::RequestServer> discovery_;
   std::unique_ptr<http::RequestServer> internal_;
   forwarding::TunnelServer tunnels_;
+  StartupQueue startup_queue_;
+  std::unique_ptr<core::Timer> startup_timer_;
   std::unique_ptr<core::Timer> ticker_;
   bool is_announced_ = false;
   bool is_stopping_ = false;
