Split ForwardSession into classes with one job each

It looks up the origins of resumed streams, obtains slots, places and permits, waits, relays answers and refuses requests, so that it is hard to find where a decision is made.

Change: StreamResumption finds origins, SendClearance obtains clearance to send, RequestWait queues the request, ResponseRelay relays the answer, RetryRule decides on retries, retry_delay computes Retry-After, and request_events writes the events of attempts and of the end. ForwardSession keeps the order of steps. Behaviour, event texts, metrics and wire formats are the same.

--- /dev/null
+++ b/Libraries/LibForwarding/request_events.cc
@@ -0,0 +1,94 @@
+#include "LibForwarding/request_events.h"
+
+#include <string>
+
+#include "LibCore/text.h"
+
+namespace wasabi::forwarding {
+
+namespace {
+
+std::string_view NameOf(AttemptEnd end) {
+  switch (end) {
+    case AttemptEnd::kAnswered:
+      return "answered";
+    case AttemptEnd::kNotSent:
+      return "not_sent";
+    case AttemptEnd::kNoPath:
+      return "no_path";
+    case AttemptEnd::kCut:
+      return "cut";
+    case AttemptEnd::kMalformedAnswer:
+      return "improper";
+    case AttemptEnd::kOversizedAnswer:
+      return "oversized";
+    case AttemptEnd::kSilent:
+      return "silent";
+  }
+  return "unknown";
+}
+
+}  // namespace
+
+void RecordFailedAttempt(const ForwardContext& context,
+                         const ForwardRequest& request,
+                         const ForwardAttempt& attempt,
+                         const ResponseRelay& relay,
+                         AttemptEnd end,
+                         uint32_t sends) {
+  if (end == AttemptEnd::kMalformedAnswer) {
+    ++context.metrics->Counter("forward_malformed_answers");
+  } else if (end == AttemptEnd::kOversizedAnswer) {
+    ++context.metrics->Counter("forward_oversized_answers");
+  }
+  const core::TimePoint now = context.loop->Now();
+  const Endpoint& endpoint = attempt.endpoint();
+  context.events->Record(
+      core::EventCode::kAttemptFailed, request.id.value(),
+      fmt::format("endpoint={} software={} carrier={} end={} status={} "
+                  "framing={} "
+                  "partial_event_bytes={} ms={} load={} failure_share={:.2f} "
+                  "sends={} endpoints_age_ms={}",
+                  endpoint.id.value(), endpoint.software_version,
+                  attempt.carrier_name(), NameOf(end), relay.status(),
+                  relay.framing_name(), relay.partial_event_bytes(),
+                  core::ToMilliseconds(now - attempt.started_at()),
+                  context.loads->Load(endpoint.id),
+                  context.monitor->FailureShare(endpoint.id, now), sends,
+                  core::ToMilliseconds(context.endpoint_view_age())));
+}
+
+void RecordRequestEnd(const ForwardContext& context,
+                      const ForwardRequest& request,
+                      const ResponseRelay& relay,
+                      const RequestSummary& summary) {
+  const core::TimePoint now = context.loop->Now();
+  std::string endpoint = "none";
+  std::string software = "none";
+  std::string carrier = "none";
+  if (summary.attempt != nullptr) {
+    endpoint = summary.attempt->endpoint().id.value();
+    software = summary.attempt->endpoint().software_version;
+    carrier = summary.attempt->carrier_name();
+  }
+  context.events->Record(
+      core::EventCode::kRequestEnded, request.id.value(),
+      fmt::format("outcome={} endpoint={} software={} carrier={} resumed={} "
+                  "prompt_source={} framing={} "
+                  "partial_event_bytes={} sends={} runs={} ms={} version={} "
+                  "endpoints_age_ms={}",
+                  summary.outcome, endpoint, software, carrier,
+                  request.resume_after.has_value(),
+                  summary.prompt_source.empty() ? "none"
+                                                : summary.prompt_source.value(),
+                  relay.framing_name(), relay.partial_event_bytes(),
+                  summary.sends, summary.runs,
+                  core::ToMilliseconds(now - request.received_at),
+                  request.table->version(),
+                  core::ToMilliseconds(context.endpoint_view_age())));
+  ++context.metrics->Counter("forward_requests");
+  context.metrics->Timing("forward_ms")
+      .Add(core::ToSeconds(now - request.received_at) * 1000);
+}
+
+}  // namespace wasabi::forwarding
