--- a/Libraries/LibForwarding/forward_session.cc
+++ b/Libraries/LibForwarding/forward_session.cc
@@ -202,6 +202,7 @@
   prompt_source_ = core::RunnerId();
   attempt_ = std::make_shared<ForwardAttempt>(context_, request_, endpoint);
   relay_->Expect(attempt_);
+  has_event_ = false;
   AttemptOptions options;
   options.remaining = answer_deadline_ - Now();
   options.resume_after = relay_->last_event_id();
@@ -228,6 +229,10 @@
 }
 
 void ForwardSession::OnEvent() {
+  if (!has_event_) {
+    has_event_ = true;
+    RecordAnswerTime();
+  }
   resumption_->OnEvent(attempt_->endpoint());
   if (retry_rule_->CanRetryIfAttemptFails()) {
     attempt_->SetSilenceTimeout(
@@ -235,6 +240,14 @@
   }
 }
 
+void ForwardSession::RecordAnswerTime() {
+  const Endpoint& endpoint = attempt_->endpoint();
+  if (context_->UsesPace(endpoint.pool)) {
+    context_->paces->RecordAnswer(endpoint.pool, endpoint.id, chooser_.needs(),
+                                  Now() - attempt_->started_at(), Now());
+  }
+}
+
 void ForwardSession::OnAttemptEnd(AttemptEnd end) {
   last_end_ = end;
   if (end != AttemptEnd::kAnswered ||
@@ -275,6 +288,7 @@
         relay_->Finish();
         End("answered");
       } else {
+        RecordAnswerTime();
         DeliverBufferedAnswer();
       }
       return;
--- a/Libraries/LibForwarding/forward_session.h
+++ b/Libraries/LibForwarding/forward_session.h
@@ -85,6 +85,8 @@
   void OnAttemptMayHaveRun();
   // Ends a request that may have run and is not sent again.
   void FailAfterRun();
+  // Records how long the endpoint took until the first event or the answer.
+  void RecordAnswerTime();
   void DeliverBufferedAnswer();
 
   // Returns the time after which the caller may retry.
@@ -133,6 +135,8 @@
   std::shared_ptr<RequestWait> wait_;
   std::shared_ptr<ResponseRelay> relay_;
   std::shared_ptr<ForwardAttempt> attempt_;
+  // The current attempt has brought an event.
+  bool has_event_ = false;
   // How the latest attempt ended.
   AttemptEnd last_end_ = AttemptEnd::kAnswered;
   bool has_ended_ = false;
