Long prompts leave their shared part only if they have more to prefill

Prompts with 4,096 or more own tokens left the endpoint that has their shared part cached, so that 10,500 shared tokens were copied for 5,000 uncached ones. Prompts with a large shared part also left endpoints that take long prompts.

A prompt is now long if its own tokens exceed those it shares; other prompts with a shared part of 4,096 tokens or more stay where the part is cached.

--- a/Libraries/LibForwarding/endpoint_chooser.cc
+++ b/Libraries/LibForwarding/endpoint_chooser.cc
@@ -26,6 +26,19 @@
   return request.prompt[n >= 2 ? n - 2 : 0].id;
 }
 
+uint32_t OwnTokensOf(const ForwardRequest& request) {
+  return request.prompt.empty() ? 0 : request.prompt.back().tokens;
+}
+
+// Returns the tokens of the parts before the last one.
+uint32_t SharedTokensOf(const ForwardRequest& request) {
+  uint32_t tokens = 0;
+  for (const auto& it : request.prompt) {
+    tokens += it.tokens;
+  }
+  return tokens - OwnTokensOf(request);
+}
+
 // Keeps all requests for one prompt in one pool. Divides other requests among
 // the pools by request id. Both follow the weights of the pools.
 const core::PoolId& ChoosePool(const ForwardRequest& request,
@@ -74,11 +87,11 @@
   // prompt prefers, or are copied from it. A host of a large fleet sees a
   // prompt too rarely to know better, and prompts that leave their endpoint are
   // read again.
-  const uint32_t tokens =
-      request.prompt.empty() ? 0 : request.prompt.back().tokens;
-  is_long_ = tokens >= kLongPromptTokens;
-  if (is_long_) {
-    context_->long_prompts[pool_].Record(tokens, context_->loop->Now());
+  const uint32_t own_tokens = OwnTokensOf(request);
+  placement_ =
+      PlacementOf(own_tokens, affinity_key_ ? SharedTokensOf(request) : 0);
+  if (placement_ == PromptPlacement::kLong) {
+    context_->long_prompts[pool_].Record(own_tokens, context_->loop->Now());
   }
 }
 
@@ -338,7 +351,7 @@
     ApplyPaces(*context_->paces, pool_, ids, gap_objective_, now, candidates);
     ApplyLongPrompts(context_->long_prompts[pool_].TokensPerSecond(now) *
                          static_cast<double>(context_->host_count()),
-                     is_long_, candidates);
+                     placement_, candidates);
   }
   return candidates;
 }
--- a/Libraries/LibForwarding/endpoint_chooser.h
+++ b/Libraries/LibForwarding/endpoint_chooser.h
@@ -14,6 +14,7 @@
 #include "LibForwarding/endpoint_selector.h"
 #include "LibForwarding/forward_context.h"
 #include "LibForwarding/forward_request.h"
+#include "LibForwarding/long_prompts.h"
 #include "LibForwarding/pool_slot_exchange.h"
 #include "LibForwarding/stream_origin.h"
 
@@ -124,9 +125,7 @@
   // Share of the pool's recent requests that have this prompt, from 0 to 1.
   const double prompt_share_;
   const core::Duration gap_objective_;
-  // Whether a large part of the prompt is this request's own, so that no
-  // endpoint has it cached.
-  bool is_long_ = false;
+  PromptPlacement placement_ = PromptPlacement::kShort;
   // The origin of the stream that the request continues, once it is known.
   std::optional<StreamOrigin> origin_;
   bool allows_limited_ = true;
--- a/Libraries/LibForwarding/long_prompts.cc
+++ b/Libraries/LibForwarding/long_prompts.cc
@@ -24,6 +24,16 @@
 
 }  // namespace
 
+PromptPlacement PlacementOf(uint32_t own_tokens, uint32_t shared_tokens) {
+  if (own_tokens >= kLongPromptTokens && own_tokens > shared_tokens) {
+    return PromptPlacement::kLong;
+  }
+  // Copying a smaller shared part takes a few milliseconds of a link, less than
+  // the first event would wait behind a long prompt.
+  return shared_tokens >= kLongPromptTokens ? PromptPlacement::kAtSharedPart
+                                            : PromptPlacement::kShort;
+}
+
 void LongPromptDemand::Record(uint32_t uncached_tokens, core::TimePoint now) {
   tokens_ = TokensPerSecond(now) * kDemandDecaySeconds + uncached_tokens;
   updated_at_ = now;
@@ -43,8 +53,11 @@
 }
 
 void ApplyLongPrompts(double tokens_per_second,
-                      bool is_long,
+                      PromptPlacement placement,
                       std::span<EndpointCandidate> candidates) {
+  if (placement == PromptPlacement::kAtSharedPart) {
+    return;
+  }
   std::vector<size_t> usable;
   std::vector<core::RendezvousCandidate> hashes;
   for (size_t i = 0; i < candidates.size(); ++i) {
@@ -57,6 +70,7 @@
   if (takers == 0) {
     return;
   }
+  const bool is_long = placement == PromptPlacement::kLong;
   const std::vector<size_t> order = core::RendezvousOrder(kOrderKey, hashes);
   for (size_t i = 0; i < order.size(); ++i) {
     candidates[usable[order[i]]].serves_other_prompts =
--- a/Libraries/LibForwarding/long_prompts.h
+++ b/Libraries/LibForwarding/long_prompts.h
@@ -6,8 +6,10 @@
 // gaps of all streams beside it. The endpoints that take long prompts are the
 // first ones of a rendezvous order that all hosts share, as many as the demand
 // needs. Hosts estimate the demand from their own requests; estimates that
-// differ only differ by the last endpoints of the order. Performs no I/O; the
-// caller passes in the time.
+// differ only differ by the last endpoints of the order. A prompt whose shared
+// part is large stays where that part is cached unless it would have more to
+// prefill there than to copy elsewhere. Performs no I/O; the caller passes in
+// the time.
 
 #ifndef LIBFORWARDING_LONG_PROMPTS_H_
 #define LIBFORWARDING_LONG_PROMPTS_H_
@@ -25,6 +27,21 @@
 // chunks of prefill or more.
 inline constexpr uint32_t kLongPromptTokens = 4096;
 
+// Which endpoints a prompt prefers, as far as its size decides it.
+enum class PromptPlacement : uint8_t {
+  // Those that take no long prompts.
+  kShort,
+  // Those that take long prompts.
+  kLong,
+  // The one that has its shared part cached, whichever it takes.
+  kAtSharedPart,
+};
+
+// Returns the placement of a prompt with `shared_tokens` that the endpoint it
+// prefers has cached and that any other has to copy or read, and `own_tokens`
+// that every endpoint has to prefill.
+PromptPlacement PlacementOf(uint32_t own_tokens, uint32_t shared_tokens);
+
 class LongPromptDemand {
  public:
   // Counts the uncached tokens of a long prompt.
@@ -44,9 +61,10 @@
 
 // Marks the candidates that should not serve the request while others can: for
 // a long prompt all but the first ones of the shared order, for a short one
-// these. Slow endpoints (ApplyPaces) take no part.
+// these, and none for a prompt that stays at its shared part. Slow endpoints
+// (ApplyPaces) take no part.
 void ApplyLongPrompts(double tokens_per_second,
-                      bool is_long,
+                      PromptPlacement placement,
                       std::span<EndpointCandidate> candidates);
 
 }  // namespace wasabi::forwarding
--- a/Tests/LibForwarding/pace_replay.cc
+++ b/Tests/LibForwarding/pace_replay.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -18,6 +19,7 @@
 #include "LibForwarding/pace_exchange.h"
 #include "LibForwarding/prompt_popularity.h"
 #include "Tests/LibForwarding/engine_model.h"
+#include "Tests/LibForwarding/prompt_cache_model.h"
 
 namespace wasabi::forwarding {
 
@@ -67,6 +69,15 @@
      .output_tokens = 250,
      .prompts = 300},
 }};
+// With PaceLoad::copies_shared_parts.
+constexpr uint32_t kLongSharedTokens = 10'500;
+constexpr uint32_t kShortSharedTokens = 700;
+constexpr uint32_t kShortOwnTokens = 130;
+struct OwnPart {
+  double share;
+  uint32_t tokens;
+};
+constexpr OwnPart kLongOwnParts[] = {{0.6, 1300}, {0.3, 5000}, {0.1, 11'000}};
 constexpr core::Duration kGapObjective = milliseconds(300);
 
 struct Stream {
@@ -74,6 +85,8 @@
   size_t host = 0;
   size_t endpoint = 0;
   uint64_t prompt = 0;
+  uint32_t shared_tokens = 0;
+  uint32_t own_tokens = 0;
   uint32_t output_tokens = 0;
   core::TimePoint arrived_at;
   core::TimePoint last_event_at;
@@ -97,7 +110,10 @@
 class Replay {
  public:
   Replay(const PaceLoad& load, uint64_t seed)
-      : load_(load), random_(seed), hosts_(load.hosts) {
+      : load_(load),
+        random_(seed),
+        hosts_(load.hosts),
+        caches_(load.endpoints) {
     for (size_t i = 0; i < load.endpoints; ++i) {
       engines_.emplace_back(EngineOptions());
       endpoint_ids_.emplace_back(fmt::format("e{}", i));
@@ -130,6 +146,7 @@
       SetSlowness();
       Deliver();
       Arrive();
+      SubmitCopied();
       for (size_t i = 0; i < engines_.size(); ++i) {
         engines_[i].AdvanceTo(
             now_, [this](size_t id, core::TimePoint at, bool is_last) {
@@ -163,6 +180,12 @@
   }
 
  private:
+  // A request whose shared part is being copied to its endpoint.
+  struct Copying {
+    size_t id = 0;
+    uint32_t prefilled = 0;
+  };
+
   struct Datagram {
     core::TimePoint at;
     size_t from = 0;
@@ -267,8 +290,9 @@
           kind.output_tokens * std::exp2(2 * random_.Unit() - 1));
       stream.arrived_at = now_;
       stream.is_measured = now_ >= kMeasuredFrom;
-      if (stream.kind == kLong) {
-        hosts_[stream.host].long_prompts.Record(kind.own_tokens, now_);
+      SetPrompt(stream);
+      if (PlacementFor(stream) == PromptPlacement::kLong) {
+        hosts_[stream.host].long_prompts.Record(stream.own_tokens, now_);
       }
       streams_.push_back(stream);
       if (!TrySend(streams_.size() - 1)) {
@@ -277,6 +301,34 @@
     }
   }
 
+  void SetPrompt(Stream& stream) {
+    const KindOptions& kind = kKinds[stream.kind];
+    stream.shared_tokens = kind.shared_tokens;
+    stream.own_tokens = kind.own_tokens;
+    if (!load_.copies_shared_parts) {
+      return;
+    }
+    if (stream.kind != kLong) {
+      stream.shared_tokens = kShortSharedTokens;
+      stream.own_tokens = kShortOwnTokens;
+      return;
+    }
+    stream.shared_tokens = kLongSharedTokens;
+    double draw = random_.Unit();
+    for (const OwnPart& it : kLongOwnParts) {
+      stream.own_tokens = it.tokens;
+      draw -= it.share;
+      if (draw < 0) {
+        return;
+      }
+    }
+  }
+
+  PromptPlacement PlacementFor(const Stream& stream) const {
+    return PlacementOf(stream.own_tokens,
+                       load_.ignores_shared_parts ? 0 : stream.shared_tokens);
+  }
+
   void RetryWaiting() {
     std::erase_if(waiting_, [this](size_t id) { return TrySend(id); });
   }
@@ -307,11 +359,10 @@
       }
       ApplyPaces(host.paces, kPool, ids, kGapObjective, now_, candidates);
     }
-    const bool is_long = stream.kind == kLong;
     if (load_.places_long_prompts) {
       ApplyLongPrompts(host.long_prompts.TokensPerSecond(now_) *
                            static_cast<double>(hosts_.size()),
-                       is_long, candidates);
+                       PlacementFor(stream), candidates);
     }
     const double popularity = host.popularity.Record(stream.prompt, now_);
     const Affinity affinity{
@@ -328,16 +379,11 @@
 
   void Begin(size_t id, size_t endpoint) {
     Stream& stream = streams_[id];
-    const KindOptions& kind = kKinds[stream.kind];
     stream.endpoint = endpoint;
     ++hosts_[stream.host].own[endpoint];
     const uint32_t held = ++counts_[endpoint];
     ++total_;
-    // A prompt that any endpoint has is copied.
-    const bool is_cached = !known_prompts_.insert(stream.prompt).second;
-    engines_[endpoint].Submit(
-        id, kind.own_tokens + (is_cached ? 0 : kind.shared_tokens),
-        stream.output_tokens, now_);
+    Submit(id);
     const bool is_calm =
         now_ >= kMeasuredFrom &&
         (now_ < kSlowFrom || now_ > kSlowFrom + load_.slow_time + seconds(3));
@@ -353,6 +399,40 @@
     }
   }
 
+  void Submit(size_t id) {
+    const Stream& stream = streams_[id];
+    if (!load_.copies_shared_parts) {
+      // A prompt that any endpoint has is copied in no time.
+      const bool is_cached = !known_prompts_.insert(stream.prompt).second;
+      engines_[stream.endpoint].Submit(
+          id, stream.own_tokens + (is_cached ? 0 : stream.shared_tokens),
+          stream.output_tokens, now_);
+      return;
+    }
+    const PromptCacheModel::Use use = caches_.UseAt(
+        stream.endpoint, stream.prompt, stream.shared_tokens, now_);
+    if (stream.is_measured) {
+      result_.copied_tokens += use.copied_tokens;
+      result_.read_again_tokens += use.prefilled_tokens;
+      result_.leaving_tokens += PlacementFor(stream) == PromptPlacement::kLong
+                                    ? stream.own_tokens
+                                    : 0;
+    }
+    copying_.emplace(use.ready_at,
+                     Copying{.id = id, .prefilled = use.prefilled_tokens});
+  }
+
+  // Submits the requests whose shared part has been copied.
+  void SubmitCopied() {
+    while (!copying_.empty() && copying_.begin()->first <= now_) {
+      const Copying it = copying_.begin()->second;
+      const Stream& stream = streams_[it.id];
+      engines_[stream.endpoint].Submit(it.id, stream.own_tokens + it.prefilled,
+                                       stream.output_tokens, now_);
+      copying_.erase(copying_.begin());
+    }
+  }
+
   void OnEvent(Stream& stream, core::TimePoint at, bool is_last) {
     Host& host = hosts_[stream.host];
     if (!stream.has_begun) {
@@ -422,6 +502,8 @@
   std::vector<double> slowness_;
   std::vector<double> slowness_now_;
   std::set<uint64_t> known_prompts_;
+  PromptCacheModel caches_;
+  std::multimap<core::TimePoint, Copying> copying_;
   std::vector<uint32_t> counts_;
   std::vector<uint32_t> known_counts_;
   uint64_t total_ = 0;
--- a/Tests/LibForwarding/pace_replay.h
+++ b/Tests/LibForwarding/pace_replay.h
@@ -35,6 +35,12 @@
   double long_share = 0.1;
   // Long prompts go to the endpoints that their demand needs.
   bool places_long_prompts = false;
+  // Long prompts share 10,500 of their tokens and have 1,300 to 11,000 of their
+  // own, short ones share 700 of 830. Endpoints copy shared parts that others
+  // have cached.
+  bool copies_shared_parts = false;
+  // Prompts are placed by their own part alone, whatever has to be copied.
+  bool ignores_shared_parts = false;
 };
 
 enum PromptKind : uint8_t { kChat, kTags, kLong };
@@ -61,6 +67,12 @@
   // three, outside the slow phase and the burst.
   uint64_t calm_starts = 0;
   uint64_t above_bound = 0;
+  // Tokens of shared parts that endpoints copied or prefilled in the measured
+  // time.
+  uint64_t copied_tokens = 0;
+  uint64_t read_again_tokens = 0;
+  // Own tokens of the prompts that left the endpoint of their shared part.
+  uint64_t leaving_tokens = 0;
   // Bytes per second that a host sends on the average, and the most that one
   // sends, while endpoints are slow.
   double mean_bytes_per_second = 0;
