--- a/Libraries/LibForwarding/endpoint_chooser.cc
+++ b/Libraries/LibForwarding/endpoint_chooser.cc
@@ -26,6 +26,19 @@
   return request.prompt[n >= 2 ? n - 2 : 0].id;
 }
 
+uint32_t OwnTokensOf(const ForwardRequest& request) {
+  return request.prompt.empty() ? 0 : request.prompt.back().tokens;
+}
+
+// Returns the tokens of the parts before the last one.
+uint32_t SharedTokensOf(const ForwardRequest& request) {
+  uint32_t tokens = 0;
+  for (const auto& it : request.prompt) {
+    tokens += it.tokens;
+  }
+  return tokens - OwnTokensOf(request);
+}
+
 // Keeps all requests for one prompt in one pool. Divides other requests among
 // the pools by request id. Both follow the weights of the pools.
 const core::PoolId& ChoosePool(const ForwardRequest& request,
@@ -53,8 +66,7 @@
   return {.latency_objective = request.route->latency_objective,
           .gap_objective = request.route->gap_objective,
           .is_stream = request.route->is_stream,
-          .uncached_tokens =
-              request.prompt.empty() ? 0 : request.prompt.back().tokens};
+          .uncached_tokens = OwnTokensOf(request)};
 }
 
 bool CopiesPrompts(const ForwardRequest& request, const core::PoolId& pool) {
@@ -81,8 +93,9 @@
   if (!context_->UsesPace(pool_)) {
     return;
   }
-  is_long_ = needs_.uncached_tokens >= kLongPromptTokens;
-  if (is_long_) {
+  placement_ = PlacementOf(needs_.uncached_tokens,
+                           affinity_key_ ? SharedTokensOf(request) : 0);
+  if (placement_ == PromptPlacement::kLong) {
     context_->long_prompts[pool_].Record(needs_.uncached_tokens,
                                          context_->loop->Now());
   }
@@ -344,7 +357,7 @@
     ApplyPaces(*context_->paces, pool_, ids, needs_, now, candidates);
     ApplyLongPrompts(context_->long_prompts[pool_].TokensPerSecond(now) *
                          static_cast<double>(context_->host_count()),
-                     is_long_, candidates);
+                     placement_, candidates);
   }
   return candidates;
 }
