Granting hosts that have just started learn what is in flight first

A host that started, or became the granting host of a brittle endpoint, took all its places to be free until the others' reports, and took every endpoint for a usual one until an answer said otherwise. Others took places without asking for 1 s after three questions without an answer, also while the restarted host granted them.

A granting host now grants nothing at an endpoint until it has granted there for 0.5 s (GranterOrder), and a host that starts asks up to six others which endpoints are brittle (kBrittleQuestion). A granting host is taken to be away after five unanswered questions, for 0.25 s.

--- a/Libraries/LibForwarding/limit_news.cc
+++ b/Libraries/LibForwarding/limit_news.cc
@@ -1,5 +1,7 @@
 #include "LibForwarding/limit_news.h"
 
+#include <algorithm>
+
 #include "LibCore/try.h"
 
 namespace wasabi::forwarding {
@@ -47,27 +49,32 @@
     return;
   }
   next_reports_at_ = now + kReportInterval;
-  const std::vector<core::HostId> receivers = peers_.ReceiversOf(self_);
-  LimitReports reports;
-  const auto send = [&]() {
-    send_(receivers, kind_, core::Encode(reports));
-    reports.limits.clear();
-  };
+  std::vector<LimitReport> reports;
   for (PendingReport& it : pending_) {
     --it.remaining_sends;
-    reports.limits.push_back(table_.ReportOf(it.endpoint, now));
-    if (reports.limits.size() == kMaxReportsPerDatagram) {
-      send();
-    }
-  }
-  if (!reports.limits.empty()) {
-    send();
+    reports.push_back(table_.ReportOf(it.endpoint, now));
   }
+  Send(peers_.ReceiversOf(self_), reports);
   std::erase_if(pending_, [](const PendingReport& it) {
     return it.remaining_sends <= 0;
   });
 }
 
+void LimitNews::SendAll(const core::HostId& to, core::TimePoint now) {
+  Send({to}, table_.InForce(now));
+}
+
+void LimitNews::Send(const std::vector<core::HostId>& to,
+                     const std::vector<LimitReport>& reports) {
+  for (size_t i = 0; i < reports.size(); i += kMaxReportsPerDatagram) {
+    const size_t end = std::min(reports.size(), i + kMaxReportsPerDatagram);
+    LimitReports datagram;
+    datagram.limits.assign(reports.begin() + static_cast<ptrdiff_t>(i),
+                           reports.begin() + static_cast<ptrdiff_t>(end));
+    send_(to, kind_, core::Encode(datagram));
+  }
+}
+
 absl::Status LimitNews::OnReports(std::string_view body, core::TimePoint now) {
   TRY_ASSIGN(const auto reports, core::Decode<LimitReports>(body));
   for (const LimitReport& it : reports.limits) {
--- a/Libraries/LibForwarding/limit_news.h
+++ b/Libraries/LibForwarding/limit_news.h
@@ -48,6 +48,9 @@
     return table_.ReportOf(endpoint, now);
   }
 
+  // Sends all limits in force to `to`, which has just started.
+  void SendAll(const core::HostId& to, core::TimePoint now);
+
   // Sends what is due.
   void Tick(core::TimePoint now);
   // Handles a datagram of another host. Errors: kMalformedMessage.
@@ -62,6 +65,9 @@
 
   void QueueReport(uint64_t endpoint);
   void SendReports(core::TimePoint now);
+  // Sends `reports`, in as many datagrams as they need.
+  void Send(const std::vector<core::HostId>& to,
+            const std::vector<LimitReport>& reports);
 
   const core::HostId self_;
   const membership::ApplicationKind kind_;
--- a/Libraries/LibForwarding/limit_table.cc
+++ b/Libraries/LibForwarding/limit_table.cc
@@ -76,4 +76,14 @@
       .age_milliseconds = core::ToMilliseconds(now - it->second.announced_at)};
 }
 
+std::vector<LimitReport> LimitTable::InForce(core::TimePoint now) const {
+  std::vector<LimitReport> reports;
+  for (const auto& [endpoint, limit] : limits_) {
+    if (limit.per_second > 0) {
+      reports.push_back(ReportOf(endpoint, now));
+    }
+  }
+  return reports;
+}
+
 }  // namespace wasabi::forwarding
--- a/Libraries/LibForwarding/limit_table.h
+++ b/Libraries/LibForwarding/limit_table.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <vector>
 
 #include "LibCore/time.h"
 #include "LibForwarding/endpoint_limit.h"
@@ -31,6 +32,8 @@
   std::optional<double> Find(uint64_t endpoint) const;
   // Returns what is known of an endpoint, as a message.
   LimitReport ReportOf(uint64_t endpoint, core::TimePoint now) const;
+  // Returns all limits in force.
+  std::vector<LimitReport> InForce(core::TimePoint now) const;
 
  private:
   struct Limit {
--- a/Libraries/LibForwarding/place_exchange.cc
+++ b/Libraries/LibForwarding/place_exchange.cc
@@ -13,16 +13,27 @@
 
 // An answer takes a few milliseconds.
 constexpr core::Duration kMaxAnswerTime = core::milliseconds(50);
-// A host that did not answer is not asked again for this long.
-constexpr core::Duration kSilenceTime = core::seconds(1);
+// A host that is taken to be away is not asked again for this long. It must be
+// less than kSettlingTime: a host that has restarted grants all places then,
+// and the others must not take places without asking any more.
+constexpr core::Duration kSilenceTime = core::milliseconds(250);
 // A host that left this many questions in a row unanswered is taken to be away.
-// Single datagrams get lost.
-constexpr int kMaxUnanswered = 3;
+// With a tenth of the datagrams lost, one question in five goes unanswered.
+constexpr int kMaxUnanswered = 5;
 // An endpoint that had no place is not asked for again for this long.
 constexpr core::Duration kFullTime = core::milliseconds(10);
 constexpr core::Duration kReportInterval = core::milliseconds(400);
 // A host that was not heard of for this long has no requests in flight.
 constexpr core::Duration kHolderLifetime = core::seconds(2);
+// Hosts have reported what they have in flight by then: one interval, a tick,
+// and the time that a datagram and the news of the change take.
+constexpr core::Duration kSettlingTime =
+    kReportInterval + core::milliseconds(100);
+// A host that has just started asks this many others which endpoints are
+// brittle. Some of them may be down, and datagrams get lost.
+constexpr int kNewsQuestions = 6;
+constexpr int kNewsQuestionsAtOnce = 2;
+constexpr core::Duration kNewsQuestionInterval = core::milliseconds(100);
 
 }  // namespace
 
@@ -32,23 +43,16 @@
     : self_(std::move(self)),
       in_flight_(std::move(in_flight)),
       send_(std::move(send)),
+      order_(self_, kSettlingTime),
       brittle_(self_, ApplicationKind::kBrittleEndpoints, send_) {
-  SetHosts({self_}, 1);
+  order_.SetHosts({self_}, {});
 }
 
 void PlaceExchange::SetHosts(const std::vector<core::HostId>& running,
-                             size_t fleet_size) {
-  running_ = running;
-  candidates_.clear();
-  for (const core::HostId& it : running_) {
-    candidates_.push_back({.hash = it.Hash(), .weight = 1.0});
-  }
-  fleet_size_ = std::max(fleet_size, running_.size());
-}
-
-core::HostId PlaceExchange::GranterOf(uint64_t endpoint) const {
-  const size_t winner = core::RendezvousWinner(endpoint, candidates_);
-  return winner < running_.size() ? running_[winner] : core::HostId();
+                             size_t fleet_size,
+                             core::TimePoint now) {
+  order_.SetHosts(running, now);
+  fleet_size_ = std::max(fleet_size, running.size());
 }
 
 void PlaceExchange::RecordBrittle(const Endpoint& endpoint,
@@ -139,13 +143,16 @@
     return true;
   }
   Holder& holder = RecordHolder(host, report, now);
+  if (!order_.IsSettled(endpoint, now)) {
+    return false;
+  }
   uint32_t taken = 0;
   for (const auto& [other, it] : holders_[endpoint]) {
     taken += now - it.heard_at > kHolderLifetime ? 0 : it.in_flight;
   }
   // Parts of a divided fleet share the places by their sizes.
-  const double seen =
-      static_cast<double>(running_.size()) / static_cast<double>(fleet_size_);
+  const double seen = static_cast<double>(order_.running().size()) /
+                      static_cast<double>(fleet_size_);
   if (taken + 1 > std::max(1.0, *slots * seen)) {
     return false;
   }
@@ -160,13 +167,8 @@
   if (!slots) {
     return true;
   }
-  const std::vector<size_t> order =
-      core::RendezvousOrder(endpoint, candidates_);
-  const auto n = std::min(order.size(), static_cast<size_t>(*slots / 2));
-  const bool is_first =
-      std::any_of(order.begin(), order.begin() + static_cast<ptrdiff_t>(n),
-                  [this](size_t it) { return running_[it] == self_; });
-  return is_first && OwnDemand(endpoint) == 0;
+  return order_.IsAmongFirst(endpoint, static_cast<size_t>(*slots / 2)) &&
+         OwnDemand(endpoint) == 0;
 }
 
 void PlaceExchange::Deny(uint64_t endpoint, core::TimePoint now) {
@@ -222,6 +224,7 @@
     return !brittle_.Find(it.first).has_value();
   });
   brittle_.Tick(now);
+  AskForNews(now);
   // 3. What this host has in flight, once more.
   if (now < next_reports_at_) {
     return;
@@ -243,6 +246,29 @@
   }
 }
 
+void PlaceExchange::AskForNews(core::TimePoint now) {
+  const std::vector<core::HostId>& hosts = order_.running();
+  if (hosts.size() <= 1 || news_questions_ >= kNewsQuestions ||
+      now < next_news_question_at_) {
+    return;
+  }
+  next_news_question_at_ = now + kNewsQuestionInterval;
+  for (int i = 0; i < kNewsQuestionsAtOnce; ++i, ++news_questions_) {
+    const core::HostId& it =
+        hosts[(self_.Hash() + static_cast<size_t>(news_questions_)) %
+              hosts.size()];
+    if (it != self_) {
+      send_({it}, ApplicationKind::kBrittleQuestion, "");
+    }
+  }
+}
+
+absl::Status PlaceExchange::OnNewsQuestion(const core::HostId& from,
+                                           core::TimePoint now) {
+  brittle_.SendAll(from, now);
+  return absl::OkStatus();
+}
+
 absl::Status PlaceExchange::OnQuestion(const core::HostId& from,
                                        std::string_view body,
                                        core::TimePoint now) {
--- a/Libraries/LibForwarding/place_exchange.h
+++ b/Libraries/LibForwarding/place_exchange.h
@@ -6,7 +6,10 @@
 // The places of an endpoint are granted by one host, the first in the
 // rendezvous order of the endpoint. Every message to it says how many requests
 // of the sender are in flight there, so that lost messages, restarts and a new
-// granting host are made up for by the next one.
+// granting host are made up for by the next one. Until a host that has just
+// started, or has just become the granting host, has heard what the others have
+// in flight, it grants nothing. A host that has just started asks others which
+// endpoints are brittle.
 
 #ifndef LIBFORWARDING_PLACE_EXCHANGE_H_
 #define LIBFORWARDING_PLACE_EXCHANGE_H_
@@ -18,9 +21,9 @@
 #include <vector>
 
 #include "LibCore/identifier.h"
-#include "LibCore/rendezvous.h"
 #include "LibCore/time.h"
 #include "LibForwarding/endpoint.h"
+#include "LibForwarding/granter_order.h"
 #include "LibForwarding/limit_news.h"
 #include "LibForwarding/place_message.h"
 #include "LibForwarding/report_peers.h"
@@ -41,8 +44,11 @@
                 InFlightFunction in_flight,
                 SendFunction send);
 
-  // As for PermitExchange.
-  void SetHosts(const std::vector<core::HostId>& running, size_t fleet_size);
+  // Sets the hosts that run, including this one, and the number of hosts of the
+  // fleet.
+  void SetHosts(const std::vector<core::HostId>& running,
+                size_t fleet_size,
+                core::TimePoint now);
   void SetPeers(ReportPeers peers) { brittle_.SetPeers(std::move(peers)); }
 
   // Records whether an answer of the endpoint says that it is brittle.
@@ -75,6 +81,8 @@
   absl::Status OnNews(std::string_view body, core::TimePoint now) {
     return brittle_.OnReports(body, now);
   }
+  // The sender has just started.
+  absl::Status OnNewsQuestion(const core::HostId& from, core::TimePoint now);
   absl::Status OnQuestion(const core::HostId& from,
                           std::string_view body,
                           core::TimePoint now);
@@ -100,7 +108,9 @@
     core::TimePoint heard_at;
   };
 
-  core::HostId GranterOf(uint64_t endpoint) const;
+  core::HostId GranterOf(uint64_t endpoint) const {
+    return order_.GranterOf(endpoint);
+  }
   // Returns the requests in flight of this host, and those that wait for an
   // answer.
   uint32_t OwnDemand(uint64_t endpoint) const;
@@ -117,12 +127,13 @@
   void Deny(uint64_t endpoint, core::TimePoint now);
   PlaceReport MakeReport(uint64_t endpoint, core::TimePoint now);
   void SendReport(uint64_t endpoint, core::TimePoint now);
+  // Asks other hosts which endpoints are brittle, while this host is new.
+  void AskForNews(core::TimePoint now);
 
   const core::HostId self_;
   const InFlightFunction in_flight_;
   const SendFunction send_;
-  std::vector<core::HostId> running_;
-  std::vector<core::RendezvousCandidate> candidates_;
+  GranterOrder order_;
   size_t fleet_size_ = 1;
 
   // The slots of the endpoints that are brittle.
@@ -137,6 +148,8 @@
   std::map<core::HostId, int> unanswered_;
   uint64_t sequence_ = 0;
   core::TimePoint next_reports_at_{};
+  int news_questions_ = 0;
+  core::TimePoint next_news_question_at_{};
 };
 
 }  // namespace wasabi::forwarding
--- a/Libraries/LibMembership/application_kind.h
+++ b/Libraries/LibMembership/application_kind.h
@@ -33,6 +33,7 @@
   kPlaceQuestion = 93,
   kPlaceAnswer = 94,
   kPlaceReport = 95,
+  kBrittleQuestion = 126,
   // Used by the origins of streams that outlive the fleet.
   kOriginsToRecord = 116,
   kOriginsRecorded = 117,
--- a/Services/Forwarder/fleet_controller.cc
+++ b/Services/Forwarder/fleet_controller.cc
@@ -230,6 +230,10 @@
          [this](const Member& /*from*/, std::string_view body) {
            return places_.OnNews(body, context_.loop->Now());
          });
+  handle(ApplicationKind::kBrittleQuestion,
+         [this](const Member& from, std::string_view /*body*/) {
+           return places_.OnNewsQuestion(from.id, context_.loop->Now());
+         });
   handle(ApplicationKind::kPlaceQuestion,
          [this](const Member& from, std::string_view body) {
            return places_.OnQuestion(from.id, body, context_.loop->Now());
@@ -281,7 +285,7 @@
   stream_origins_.SetHosts(running);
   origins_.SetHosts(running, fleet_topic_.hosts(), roles);
   permits_.SetHosts(running, host_count());
-  places_.SetHosts(running, host_count());
+  places_.SetHosts(running, host_count(), context_.loop->Now());
   pool_slots_.SetHosts(running);
   context_.carriers->SetCarriers(CarriersOf(*table, settings_.host));
 }
