--- a/review/1/case.py
+++ b/review/1/case.py
@@ -8,7 +8,7 @@
 import fleet as f  # noqa: E402
 
 TROUBLE_S = 12.0
-# What one machine's link carries: 1,000 Mbit/s.
+# What a host's link carries: 1,000 Mbit/s. A host has one such answer at a time.
 LINK_BYTES_PER_S = 125e6
 PIECE = b"x" * (256 << 10)
 
