--- a/review/4/case.py
+++ b/review/4/case.py
@@ -9,9 +9,14 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "harness"))
 import fleet as f  # noqa: E402
 
-TROUBLE_S = 30.0
-FAIL_SHARE = 0.4  # srv_grey: x (.4)
-CUT_SHARE = 0.05  # garble: largest dose of the site
+# The site's doses: srv_grey "errors all" has share 1.0 and x 0.45, for 4 s at
+# most; garble has share 0.436 and x 0.0233, for 6.29 s. Both come more than once.
+WINDOWS = 12
+WINDOW_S = 4.0
+CALM_S = 1.0
+FAIL_SHARE = 0.45
+CUT_SHARE = 0.0233
+GARBLED = "i-llm0"  # one runner of three
 EVENTS = 20
 STATUSES = (400, 404, 409, 500)
 
@@ -30,7 +35,8 @@
             ("Content-Length", str(len(body)))]) + body)
         await writer.drain()
         return f.ANSWERED
-    if random.random() < CUT_SHARE and not f.field(fields, "Last-Event-Id"):
+    if (runner.name == GARBLED and random.random() < CUT_SHARE
+            and not f.field(fields, "Last-Event-Id")):
         last = random.randint(2, EVENTS - 2)
         await runner.stream(request, writer, last)
         runner.fleet.record.add("runner %s breaks off %s after event %d"
@@ -69,14 +75,20 @@
     await fleet.start()
     await asyncio.sleep(4)
     answers = []
-    until = fleet.record.now() + TROUBLE_S
-    if trouble:
-        # As srv_grey: a share of the runners, here one of three.
-        fleet.llm[0].trouble = grey
-        fleet.llm[1].trouble = grey
-        fleet.record.add("runners go grey")
-    await asyncio.gather(*(talk(fleet, h, until, answers)
-                           for h in fleet.hosts for _ in range(10)))
+    until = fleet.record.now() + WINDOWS * (WINDOW_S + CALM_S)
+    work = asyncio.gather(*(talk(fleet, h, until, answers)
+                            for h in fleet.hosts for _ in range(20)))
+    for _ in range(WINDOWS):
+        if trouble:
+            for runner in fleet.llm:
+                runner.trouble = grey
+            fleet.record.add("runners go grey, and %s breaks answers off" % GARBLED)
+        await asyncio.sleep(WINDOW_S)
+        for runner in fleet.llm:
+            runner.trouble = None
+        fleet.record.add("runners are sound")
+        await asyncio.sleep(CALM_S)
+    await work
     bad = []
     for out in answers:
         if out["status"] != 200 or not out["complete"]:
