A slow client gets its last answer whole

Callers saw answers cut that had been made: a connection that closes after its answer was closed one second later, whether or not the client had read all of it by then. Every answer of a stopping host closes its connection. Cause: the time for which a closing connection lingers ran from the end of the answer, not from its last byte's sending. It runs now from the last progress, bounded by the idle time-out while bytes are unsent.

--- a/Libraries/LibHttp/request_connection.cc
+++ b/Libraries/LibHttp/request_connection.cc
@@ -70,9 +70,7 @@
     return;
   }
   if (is_closing_) {
-    if (now - closing_since_ > kLingerTime) {
-      Close();
-    }
+    CheckClosing(now);
     return;
   }
   const bool is_header_overdue =
@@ -83,6 +81,17 @@
   }
 }
 
+void RequestConnection::CheckClosing(core::TimePoint now) {
+  const size_t unsent = unsent_bytes();
+  if (unsent != std::exchange(unsent_at_check_, unsent)) {
+    closing_since_ = now;
+  }
+  const core::Duration limit = unsent > 0 ? limits_.idle_timeout : kLingerTime;
+  if (now - closing_since_ > limit) {
+    Close();
+  }
+}
+
 void RequestConnection::CloseIfIdle() {
   if (!is_answering() && input_.empty() && !parser_->has_started()) {
     CloseGracefully();
@@ -210,6 +219,7 @@
 void RequestConnection::CloseGracefully() {
   is_closing_ = true;
   closing_since_ = loop_->Now();
+  unsent_at_check_ = unsent_bytes();
   stream_->ShutDownWriting();
   stream_->SetReading(true);
 }
--- a/Libraries/LibHttp/request_connection.h
+++ b/Libraries/LibHttp/request_connection.h
@@ -86,6 +86,7 @@
   void OnData(std::string_view bytes);
   void OnEnd();
   void NewParser();
+  void CheckClosing(core::TimePoint now);
   void Parse();
   void OnHead(MessageHead head);
   void StartTransaction();
@@ -109,8 +110,10 @@
   bool closes_after_response_ = false;
   bool is_closing_ = false;
   core::TimePoint last_byte_at_;
-  // When the graceful close began.
+  // Since when the connection only waits for the client to close it.
   core::TimePoint closing_since_;
+  // Bytes that a closing connection had not sent at the last check.
+  size_t unsent_at_check_ = 0;
   core::TimePoint request_started_at_;
 };
 
--- a/Tests/LibHttp/forwarding_connections_test.cc
+++ b/Tests/LibHttp/forwarding_connections_test.cc
@@ -12,6 +12,7 @@
 #include "LibHttp/origin_client.h"
 #include "LibHttp/request_server.h"
 #include "LibHttp/tcp_stream.h"
+#include "Tests/LibHttp/server_fixture.h"
 #include "Tests/Support/RawServer/raw_server.h"
 #include "Tests/Support/free_address.h"
 
@@ -20,65 +21,10 @@
 
 using support::RawServer;
 
-constexpr core::Duration kTestTimeout = core::seconds(10);
-
-// Runs the loop until `is_done` returns true or kTestTimeout has passed.
-// Returns the last result of `is_done`.
-bool RunUntil(core::EventLoop* loop, const std::function<bool()>& is_done) {
-  const core::TimePoint end = loop->Now() + kTestTimeout;
-  const auto timer = loop->NewTimer([&]() {
-    if (is_done() || loop->Now() > end) {
-      loop->Stop();
-    }
-  });
-  timer->StartRepeating(core::milliseconds(5));
-  loop->Run();
-  return is_done();
-}
-
 std::string Concatenate(std::string_view first, std::string_view second) {
   return fmt::format("{}{}", first, second);
 }
 
-// A server that records its transactions, and a raw client connection to it.
-struct ServerFixture {
-  ServerFixture()
-      : address(support::FreeAddress(support::LoopbackIp(1))),
-        server(*RequestServer::Create(
-            &loop,
-            address,
-            [this](const std::shared_ptr<Transaction>& it) {
-              transactions.push_back(it);
-            })) {}
-
-  void Connect() {
-    caller = *TcpStream::Connect(&loop, address);
-    TcpStream::Callbacks callbacks;
-    callbacks.on_connected = []() {};
-    callbacks.on_data = [this](std::string_view bytes) {
-      received.append(bytes);
-    };
-    callbacks.on_end = [this](TcpStream::End /*end*/) { has_ended = true; };
-    caller->Start(std::move(callbacks));
-  }
-
-  void AwaitRequests(size_t n) {
-    REQUIRE(RunUntil(&loop, [&]() { return transactions.size() >= n; }));
-  }
-  void AwaitText(const std::string& text) {
-    REQUIRE(RunUntil(
-        &loop, [&]() { return received.find(text) != std::string::npos; }));
-  }
-
-  core::EventLoop loop;
-  core::SocketAddress address;
-  std::vector<std::shared_ptr<Transaction>> transactions;
-  std::unique_ptr<RequestServer> server;
-  std::shared_ptr<TcpStream> caller;
-  std::string received;
-  bool has_ended = false;
-};
-
 constexpr const char* kGet = "GET /x?q=%20 HTTP/1.1\r\nHost: h\r\n\r\n";
 
 TEST_CASE("pipelined requests are dispatched one at a time") {
