A server that stops listening still serves what clients have sent

Callers saw connections that were reset or closed without an answer as their host stopped. Cause: closing the listening socket resets connections that are in its queue; a connection was closed as idle without a look at the bytes that had arrived; a connection that had just been accepted was closed before its first request could come. The server now accepts what is queued, reads once more before it takes a connection for idle, and leaves a new connection half a second for its first request. It can also refuse requests of which only a part has come (503: nothing ran), for the end of a stop.

--- a/Libraries/LibHttp/request_connection.cc
+++ b/Libraries/LibHttp/request_connection.cc
@@ -16,6 +16,10 @@
 // unread bytes would reset the connection and could destroy the last response
 // before the client has read it.
 constexpr core::Duration kLingerTime = core::seconds(1);
+// Time that a connection has for its first request while the server stops. The
+// client may have connected just before.
+constexpr core::Duration kFirstRequestTime = core::milliseconds(500);
+constexpr int kUnavailableStatus = 503;
 
 constexpr int StatusOf(ParseResult result) {
   switch (result) {
@@ -38,7 +42,8 @@
       stream_(std::move(stream)),
       limits_(limits),
       callbacks_(std::move(callbacks)),
-      last_byte_at_(loop->Now()),
+      accepted_at_(loop->Now()),
+      last_byte_at_(accepted_at_),
       request_started_at_(last_byte_at_) {}
 
 void RequestConnection::Start() {
@@ -73,6 +78,11 @@
     CheckClosing(now);
     return;
   }
+  if (closes_when_idle_ && IsIdle() &&
+      (has_had_request_ || now - accepted_at_ > kFirstRequestTime)) {
+    CloseGracefully();
+    return;
+  }
   const bool is_header_overdue =
       parser_->has_started() && !has_head_ &&
       now - request_started_at_ > limits_.header_timeout;
@@ -92,9 +102,23 @@
   }
 }
 
-void RequestConnection::CloseIfIdle() {
-  if (!is_answering() && input_.empty() && !parser_->has_started()) {
-    CloseGracefully();
+bool RequestConnection::IsIdle() const {
+  return !is_answering() && input_.empty() && !parser_->has_started();
+}
+
+void RequestConnection::CloseWhenIdle() {
+  closes_when_idle_ = true;
+  const auto self = shared_from_this();
+  // A request that has arrived already is still processed.
+  stream_->ReadNow();
+  if (is_open()) {
+    CheckTimeouts(loop_->Now());
+  }
+}
+
+void RequestConnection::RefuseUnread() {
+  if (!is_closing_ && !is_answering() && !IsIdle()) {
+    Reject(kUnavailableStatus);
   }
 }
 
@@ -181,7 +205,7 @@
   if (result == ParseResult::kComplete) {
     StartTransaction();
   } else if (result != ParseResult::kNeedMore) {
-    Reject(result);
+    Reject(StatusOf(result));
   }
 }
 
@@ -198,14 +222,14 @@
 
 void RequestConnection::StartTransaction() {
   request_.received_at = loop_->Now();
+  has_had_request_ = true;
   transaction_ =
       std::make_shared<Transaction>(weak_from_this(), std::move(request_));
   const auto self = shared_from_this();
   callbacks_.on_request(transaction_);
 }
 
-void RequestConnection::Reject(ParseResult result) {
-  const int status = StatusOf(result);
+void RequestConnection::Reject(int status) {
   if (callbacks_.on_rejected) {
     callbacks_.on_rejected(status);
   }
--- a/Libraries/LibHttp/request_connection.h
+++ b/Libraries/LibHttp/request_connection.h
@@ -58,8 +58,12 @@
   void CheckTimeouts(core::TimePoint now);
   // Makes the next response carry "Connection: close" and close the connection.
   void CloseAfterNextResponse() { closes_after_response_ = true; }
-  // Closes the connection if no request is being received or processed.
-  void CloseIfIdle();
+  // From now on closes the connection when no request is being received or
+  // processed. A new connection gets some time for its first request.
+  void CloseWhenIdle();
+  // Answers a request of which only a part has been received with 503, since it
+  // will not be processed.
+  void RefuseUnread();
 
   bool is_open() const { return stream_->is_open(); }
   // True while a request is waiting for its response to be completed.
@@ -86,11 +90,13 @@
   void OnData(std::string_view bytes);
   void OnEnd();
   void NewParser();
+  // Whether no request is being received or processed.
+  bool IsIdle() const;
   void CheckClosing(core::TimePoint now);
   void Parse();
   void OnHead(MessageHead head);
   void StartTransaction();
-  void Reject(ParseResult result);
+  void Reject(int status);
   // Half-closes the connection and keeps reading for kLingerTime.
   void CloseGracefully();
   void Close();
@@ -108,7 +114,11 @@
   bool has_head_ = false;
   bool is_keep_alive_ = true;
   bool closes_after_response_ = false;
+  bool closes_when_idle_ = false;
+  // A request was received on this connection.
+  bool has_had_request_ = false;
   bool is_closing_ = false;
+  const core::TimePoint accepted_at_;
   core::TimePoint last_byte_at_;
   // Since when the connection only waits for the client to close it.
   core::TimePoint closing_since_;
--- a/Libraries/LibHttp/request_server.cc
+++ b/Libraries/LibHttp/request_server.cc
@@ -7,7 +7,6 @@
 #include <cerrno>
 #include <cstring>
 #include <utility>
-#include <vector>
 
 #include "LibCore/result_code.h"
 #include "LibCore/try.h"
@@ -69,13 +68,21 @@
 }
 
 void RequestServer::StopListening() {
+  // Closing the socket would reset connections that have not been accepted.
+  AcceptAvailable();
   watcher_.reset();
   if (descriptor_ >= 0) {
     close(descriptor_);
     descriptor_ = -1;
   }
-  for (const auto& [key, connection] : connections_) {
-    connection->CloseIfIdle();
+  for (const auto& connection : Connections()) {
+    connection->CloseWhenIdle();
+  }
+}
+
+void RequestServer::RefuseUnread() {
+  for (const auto& connection : Connections()) {
+    connection->RefuseUnread();
   }
 }
 
@@ -123,14 +130,19 @@
 
 void RequestServer::CheckTimeouts() {
   const core::TimePoint now = loop_->Now();
+  for (const auto& connection : Connections()) {
+    connection->CheckTimeouts(now);
+  }
+}
+
+std::vector<std::shared_ptr<RequestConnection>> RequestServer::Connections()
+    const {
   std::vector<std::shared_ptr<RequestConnection>> connections;
   connections.reserve(connections_.size());
   for (const auto& [key, connection] : connections_) {
     connections.push_back(connection);
   }
-  for (const auto& connection : connections) {
-    connection->CheckTimeouts(now);
-  }
+  return connections;
 }
 
 }  // namespace wasabi::http
--- a/Libraries/LibHttp/request_server.h
+++ b/Libraries/LibHttp/request_server.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <vector>
 
 #include "LibCore/event_loop.h"
 #include "LibCore/socket_address.h"
@@ -45,8 +46,11 @@
   // From now on every response carries "Connection: close" and closes its
   // connection.
   void CloseAfterResponses();
-  // Closes the listening socket and all idle connections.
+  // Accepts the connections that clients have opened so far, closes the
+  // listening socket, and from now on closes connections when they are idle.
   void StopListening();
+  // Answers requests of which only a part has been received with 503.
+  void RefuseUnread();
 
   size_t connection_count() const { return connections_.size(); }
   // Number of requests whose response is pending.
@@ -60,6 +64,8 @@
   void AcceptAvailable();
   void AddConnection(int descriptor);
   void CheckTimeouts();
+  // Returns the connections; some of them may close while the result is used.
+  std::vector<std::shared_ptr<RequestConnection>> Connections() const;
 
   core::EventLoop* const loop_;
   const Handler handler_;
--- a/Libraries/LibHttp/tcp_stream.cc
+++ b/Libraries/LibHttp/tcp_stream.cc
@@ -111,6 +111,13 @@
   }
 }
 
+void TcpStream::ReadNow() {
+  const auto self = shared_from_this();
+  if (is_open() && is_reading_ && !is_connecting_) {
+    ReadAvailable();
+  }
+}
+
 void TcpStream::SetReading(bool is_reading) {
   is_reading_ = is_reading;
   UpdateInterest();
--- a/Libraries/LibHttp/tcp_stream.h
+++ b/Libraries/LibHttp/tcp_stream.h
@@ -61,6 +61,9 @@
   // True once the kernel has accepted at least one byte.
   bool has_sent() const { return has_sent_; }
 
+  // Reads what the kernel has received so far, without waiting for the loop.
+  // Calls back into the owner.
+  void ReadNow();
   // Pauses or resumes reading. While reading is paused, the end of the
   // connection isn't detected either.
   void SetReading(bool is_reading);
--- /dev/null
+++ b/Tests/LibHttp/stopping_server_test.cc
@@ -0,0 +1,147 @@
+// Guards against requests that end without an answer because their server
+// stops listening.
+
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <catch2/catch.hpp>
+#include <string>
+#include <string_view>
+
+#include "LibCore/text.h"
+#include "Tests/LibHttp/server_fixture.h"
+
+namespace wasabi::http {
+namespace {
+
+constexpr std::string_view kGet = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
+
+// A client whose bytes reach the kernel at once, whether or not the loop runs.
+class BlockingClient {
+ public:
+  explicit BlockingClient(ServerFixture* fixture)
+      : fixture_(fixture),
+        descriptor_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+    const sockaddr_in native = fixture->address.ToNative();
+    REQUIRE(connect(descriptor_, reinterpret_cast<const sockaddr*>(&native),
+                    sizeof(native)) == 0);
+  }
+
+  void Write(std::string_view bytes) const {
+    REQUIRE(send(descriptor_, bytes.data(), bytes.size(), 0) ==
+            static_cast<ssize_t>(bytes.size()));
+  }
+  // From now on the loop receives what the server sends.
+  void Receive() {
+    fixture_->Start(TcpStream::Adopt(&fixture_->loop, descriptor_));
+  }
+
+ private:
+  ServerFixture* const fixture_;
+  // Owned by the fixture's stream after Receive.
+  const int descriptor_;
+};
+
+void Wait(core::EventLoop* loop, core::Duration time) {
+  const core::TimePoint end = loop->Now() + time;
+  RunUntil(loop, [&]() { return loop->Now() >= end; });
+}
+
+enum class Sent : uint8_t {
+  kOnUnacceptedConnection,
+  kOnIdleConnection,
+  kAfterStopOnNewConnection,
+  kInTwoParts,
+};
+
+struct StopCase {
+  const char* what;
+  Sent sent;
+};
+
+TEST_CASE("a request that was sent before the server stopped is answered") {
+  const StopCase cases[] = {
+      {"its connection has not been accepted", Sent::kOnUnacceptedConnection},
+      {"it has not been read from an idle connection", Sent::kOnIdleConnection},
+      {"its connection is new and it follows", Sent::kAfterStopOnNewConnection},
+      {"a part of it has arrived", Sent::kInTwoParts},
+  };
+  for (const StopCase& row : cases) {
+    INFO(row.what);
+    ServerFixture it;
+    BlockingClient client(&it);
+    size_t requests = 1;
+    switch (row.sent) {
+      case Sent::kOnUnacceptedConnection:
+        client.Write(kGet);
+        it.server->StopListening();
+        client.Receive();
+        break;
+      case Sent::kOnIdleConnection:
+        client.Write(kGet);
+        client.Receive();
+        it.AwaitRequests(1);
+        it.transactions[0]->Respond({.status = 200, .body = "first"});
+        it.AwaitText("first");
+        it.received.clear();
+        it.server->CloseAfterResponses();
+        client.Write(kGet);
+        it.server->StopListening();
+        requests = 2;
+        break;
+      case Sent::kAfterStopOnNewConnection:
+        client.Receive();
+        REQUIRE(RunUntil(&it.loop,
+                         [&]() { return it.server->connection_count() == 1; }));
+        it.server->StopListening();
+        Wait(&it.loop, core::milliseconds(100));
+        client.Write(kGet);
+        break;
+      case Sent::kInTwoParts:
+        client.Write(kGet.substr(0, kGet.size() / 2));
+        client.Receive();
+        Wait(&it.loop, core::milliseconds(50));
+        it.server->StopListening();
+        client.Write(kGet.substr(kGet.size() / 2));
+        break;
+    }
+    CHECK(RunUntil(&it.loop, [&]() {
+      return it.has_ended || it.transactions.size() >= requests;
+    }));
+    CHECK(it.transactions.size() == requests);
+    if (it.transactions.size() == requests) {
+      it.transactions.back()->Respond({.status = 200, .body = "whole"});
+      CHECK(RunUntil(&it.loop, [&]() {
+        return it.received.find("whole") != std::string::npos;
+      }));
+    }
+    it.caller->Close();
+    CHECK(RunUntil(&it.loop,
+                   [&]() { return it.server->connection_count() == 0; }));
+  }
+}
+
+TEST_CASE("a stopping server closes connections that stay without a request") {
+  ServerFixture it;
+  it.Connect();
+  REQUIRE(
+      RunUntil(&it.loop, [&]() { return it.server->connection_count() == 1; }));
+  it.server->StopListening();
+  CHECK(RunUntil(&it.loop, [&]() { return it.has_ended; }));
+}
+
+TEST_CASE("a request whose rest never arrives is refused") {
+  ServerFixture it;
+  it.Connect();
+  it.caller->Write(
+      "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nab");
+  Wait(&it.loop, core::milliseconds(50));
+  it.server->StopListening();
+  it.server->RefuseUnread();
+  it.AwaitText(" 503 ");
+  CHECK(it.transactions.empty());
+  CHECK(RunUntil(&it.loop, [&]() { return it.has_ended; }));
+}
+
+}  // namespace
+}  // namespace wasabi::http
