A stopping host logs, refuses or fails what it ends; one schedule for a stop

A host that stops now ends each request itself near the end of its grace: with event 209 (endpoint, how far it was, when it was taken and ended, since the signal), refused (503) if it wasn't sent, or failed (502) or cut if it may have run. process_stopping and process_stopped tell the sessions, connections, unsent bytes and tunnels that are left. The times of a stop stand in one value, LibRouting/stop_schedule.h.

--- a/Libraries/LibCore/event.cc
+++ b/Libraries/LibCore/event.cc
@@ -35,6 +35,9 @@
      "A request was malformed or too large."},
     {EventCode::kRequestEnded, "request_ended",
      "A forwarded request ended; lists its endpoint and its attempts."},
+    {EventCode::kRequestInterrupted, "request_interrupted",
+     "A stopping host ended a request whose answer was incomplete; lists how "
+     "far it was and when it was taken."},
     {EventCode::kAttemptStarted, "attempt_started",
      "An attempt was sent to an endpoint."},
     {EventCode::kAttemptFinished, "attempt_finished",
--- a/Libraries/LibCore/event.h
+++ b/Libraries/LibCore/event.h
@@ -28,6 +28,7 @@
   kCallerReattached = 206,
   kBadInput = 207,
   kRequestEnded = 208,
+  kRequestInterrupted = 209,
   // 3xx: attempts, runners and runner ownership.
   kAttemptStarted = 300,
   kAttemptFinished = 301,
--- a/Libraries/LibForwarding/forward_context.h
+++ b/Libraries/LibForwarding/forward_context.h
@@ -12,6 +12,7 @@
 #include "LibCore/event_ring.h"
 #include "LibCore/metrics.h"
 #include "LibCore/random_source.h"
+#include "LibForwarding/active_requests.h"
 #include "LibForwarding/carrier_directory.h"
 #include "LibForwarding/cold_endpoints.h"
 #include "LibForwarding/crash_detector.h"
@@ -87,6 +88,7 @@
   PromptHolders prompt_holders;
   OriginHistory origin_history;
   RelayMemory relay_memory;
+  ActiveRequests active_requests;
 
   // Returns whether requests for the pool consider the pace of endpoints.
   bool UsesPace(const core::PoolId& pool) const {
--- a/Libraries/LibForwarding/forward_request.h
+++ b/Libraries/LibForwarding/forward_request.h
@@ -57,6 +57,10 @@
 
   // Hash of the content that repetitions of this request have in common.
   uint64_t content_digest = 0;
+
+  // Returns when the answer is due: shortly before the caller stops waiting, or
+  // at the time limit of the route.
+  core::TimePoint AnswerDue() const;
 };
 
 }  // namespace wasabi::forwarding
--- a/Libraries/LibForwarding/forward_session.cc
+++ b/Libraries/LibForwarding/forward_session.cc
@@ -14,8 +14,6 @@
 
 // Minimum time without a byte before a connection is suspected to be lost.
 constexpr core::Duration kMinSilenceTimeout = core::milliseconds(600);
-// An answer is due this long before the caller stops waiting.
-constexpr core::Duration kAnswerMargin = core::milliseconds(5);
 
 }  // namespace
 
@@ -37,9 +35,16 @@
       request_(std::move(request)),
       fingerprint_(FingerprintOf(request_)),
       chooser_(context, request_),
-      answer_deadline_(
-          std::min(request_.deadline - kAnswerMargin,
-                   request_.received_at + request_.route->timeout)) {}
+      answer_deadline_(request_.AnswerDue()) {
+  context_->active_requests.Add(this);
+}
+
+ForwardSession::~ForwardSession() {
+  // The context may be gone once the request has ended.
+  if (!has_ended_) {
+    context_->active_requests.Remove(this);
+  }
+}
 
 void ForwardSession::CreateSteps() {
   resumption_ =
@@ -421,6 +426,18 @@
          "no endpoint became free before the deadline");
 }
 
+void ForwardSession::Interrupt(core::TimePoint stop_began_at) {
+  const bool has_sent = attempt_ != nullptr && attempt_->is_active();
+  RecordInterrupted(*context_, request_, *relay_,
+                    has_sent ? attempt_.get() : nullptr, stop_began_at);
+  if (has_sent || retry_rule_->MayHaveRun()) {
+    Fail(core::ResultCode::kOutcomeUnknown, "the host shuts down");
+    return;
+  }
+  Refuse(core::ResultCode::kStopping, "the host shuts down",
+         core::Duration::zero());
+}
+
 void ForwardSession::OnQueueTimeout() {
   Refuse(core::ResultCode::kOverloaded, "every endpoint is full");
 }
@@ -434,6 +451,7 @@
     return;
   }
   has_ended_ = true;
+  context_->active_requests.Remove(this);
   resumption_->Cancel();
   clearance_->Cancel();
   LeaveQueue();
--- a/Libraries/LibForwarding/forward_session.h
+++ b/Libraries/LibForwarding/forward_session.h
@@ -18,6 +18,7 @@
 #include <memory>
 #include <string_view>
 
+#include "LibForwarding/active_requests.h"
 #include "LibForwarding/endpoint_chooser.h"
 #include "LibForwarding/forward_attempt.h"
 #include "LibForwarding/forward_context.h"
@@ -32,7 +33,8 @@
 
 namespace wasabi::forwarding {
 
-class ForwardSession : public std::enable_shared_from_this<ForwardSession> {
+class ForwardSession : public std::enable_shared_from_this<ForwardSession>,
+                       public ActiveRequest {
  public:
   // Starts a session that handles `request`. `context` must outlive the
   // session.
@@ -43,6 +45,12 @@
   ForwardSession(ForwardContext* context,
                  std::shared_ptr<http::Transaction> transaction,
                  ForwardRequest request);
+  ~ForwardSession() override;
+  ForwardSession(const ForwardSession&) = delete;
+  ForwardSession& operator=(const ForwardSession&) = delete;
+
+  // ActiveRequest:
+  void Interrupt(core::TimePoint stop_began_at) override;
 
  private:
   // Creates the objects that do the steps.
--- a/Libraries/LibForwarding/request_events.cc
+++ b/Libraries/LibForwarding/request_events.cc
@@ -58,6 +58,24 @@
                   core::ToMilliseconds(context.endpoint_view_age())));
 }
 
+void RecordInterrupted(const ForwardContext& context,
+                       const ForwardRequest& request,
+                       const ResponseRelay& relay,
+                       const ForwardAttempt* attempt,
+                       core::TimePoint stop_began_at) {
+  const core::TimePoint now = context.loop->Now();
+  context.events->Record(
+      core::EventCode::kRequestInterrupted, request.id.value(),
+      fmt::format("endpoint={} status={} last_event={} taken_after_stop_ms={} "
+                  "stop_ms={} due_ms={}",
+                  attempt == nullptr ? "none" : attempt->endpoint().id.value(),
+                  relay.status(), relay.last_event_id().value_or(0),
+                  core::ToMilliseconds(request.received_at - stop_began_at),
+                  core::ToMilliseconds(now - stop_began_at),
+                  core::ToMilliseconds(request.AnswerDue() - now)));
+  ++context.metrics->Counter("forward_interrupted");
+}
+
 void RecordRequestEnd(const ForwardContext& context,
                       const ForwardRequest& request,
                       const ResponseRelay& relay,
--- a/Libraries/LibForwarding/request_events.h
+++ b/Libraries/LibForwarding/request_events.h
@@ -23,6 +23,15 @@
                          AttemptEnd end,
                          uint32_t sends);
 
+// Records that a host that has been shutting down since `stop_began_at` ends a
+// request before its answer is complete. `attempt` is the one under way, or
+// nullptr.
+void RecordInterrupted(const ForwardContext& context,
+                       const ForwardRequest& request,
+                       const ResponseRelay& relay,
+                       const ForwardAttempt* attempt,
+                       core::TimePoint stop_began_at);
+
 // What is recorded of a request that has ended.
 struct RequestSummary {
   std::string_view outcome;
--- /dev/null
+++ b/Libraries/LibRouting/stop_schedule.h
@@ -0,0 +1,57 @@
+// When a host that shuts down takes requests, and when it ends those that are
+// left.
+//
+// Load pattern: hosts are stopped one after the other, also several at once,
+// while callers keep the addresses that they know. A request that is taken
+// after the stop began must be complete before the process ends, so it is taken
+// only if its answer is due by then. Others are refused unrun, at once, since
+// another host can still serve them in time. Decision code without I/O: the
+// caller supplies the time.
+
+#ifndef LIBROUTING_STOP_SCHEDULE_H_
+#define LIBROUTING_STOP_SCHEDULE_H_
+
+#include <compare>
+
+#include "LibCore/time.h"
+
+namespace wasabi::routing {
+
+struct StopPolicy {
+  // Time from the stop signal until the process is killed.
+  core::Duration grace{};
+  // Maximum time for which callers go on using the address of the host.
+  core::Duration address_lifetime{};
+
+  auto operator<=>(const StopPolicy&) const = default;
+};
+
+class StopSchedule {
+ public:
+  // `began_at` is when the host received the stop signal.
+  StopSchedule(const StopPolicy& policy, core::TimePoint began_at);
+
+  core::TimePoint began_at() const { return began_at_; }
+  // From this time on the host accepts no connections.
+  core::TimePoint listens_until() const { return listens_until_; }
+  // Requests that are still open at this time are ended by the host.
+  core::TimePoint interrupts_at() const { return interrupts_at_; }
+  // The process ends at this time, even if answers have not been sent.
+  core::TimePoint ends_at() const { return ends_at_; }
+
+  // Returns whether a request whose answer is due at `due` is certain to be
+  // complete before the host interrupts it.
+  bool CanComplete(core::TimePoint due) const { return due <= interrupts_at_; }
+
+  auto operator<=>(const StopSchedule&) const = default;
+
+ private:
+  core::TimePoint began_at_;
+  core::TimePoint listens_until_;
+  core::TimePoint interrupts_at_;
+  core::TimePoint ends_at_;
+};
+
+}  // namespace wasabi::routing
+
+#endif  // LIBROUTING_STOP_SCHEDULE_H_
--- a/Services/Forwarder/forwarder_daemon.cc
+++ b/Services/Forwarder/forwarder_daemon.cc
@@ -25,12 +25,6 @@
 constexpr core::Duration kAddressLifetime = core::seconds(1);
 // Some callers cache addresses for three times the advertised lifetime.
 constexpr int kAddressLifetimeFactor = 3;
-// Extra time for discovery responses that are still on their way to callers.
-constexpr core::Duration kDiscoverySlack = core::milliseconds(400);
-// Requests still in flight after this share of the shutdown grace period are
-// aborted. The rest of the period is left for the process to exit before it is
-// killed.
-constexpr double kDrainShare = 0.9;
 // Retry-After value of requests that are refused for lack of a current
 // configuration.
 constexpr core::Duration kRetryWithoutConfiguration = core::milliseconds(300);
@@ -343,7 +337,7 @@
 }
 
 bool ForwarderDaemon::IsReady() const {
-  return !is_stopping_ && HasLoaded();
+  return !stop_ && HasLoaded();
 }
 
 void ForwarderDaemon::OnReadinessCheck(const TransactionPointer& transaction) {
@@ -436,7 +430,7 @@
     next_settings_check_at_ = now + kSettingsCheckPeriod;
     Reload();
   }
-  if (is_stopping_) {
+  if (stop_) {
     CheckShutdown();
   }
 }
@@ -487,38 +481,57 @@
 }
 
 void ForwarderDaemon::BeginShutdown() {
-  if (is_stopping_) {
+  if (stop_) {
     return;
   }
-  is_stopping_ = true;
-  stopping_since_ = loop_->Now();
-  events_.Record(core::EventCode::kProcessStopping, "",
-                 fmt::format("in_flight={}", callers_->open_transactions()));
+  stop_.emplace(routing::StopPolicy{.grace = settings_.shutdown_grace,
+                                    .address_lifetime = AddressLifetime() *
+                                                        kAddressLifetimeFactor},
+                loop_->Now());
+  events_.Record(core::EventCode::kProcessStopping, "", DescribeOpenWork());
   fleet_->AnnounceLeaving();
   callers_->CloseAfterResponses();
   tunnels_.Stop();
 }
 
 void ForwarderDaemon::CheckShutdown() {
-  const core::Duration elapsed = loop_->Now() - stopping_since_;
-  const core::Duration notice =
-      std::min(AddressLifetime() * kAddressLifetimeFactor + kDiscoverySlack,
-               settings_.shutdown_grace / 2);
-  if (elapsed >= notice && !has_stopped_listening_) {
+  const core::TimePoint now = loop_->Now();
+  if (now >= stop_->listens_until() && !has_stopped_listening_) {
     has_stopped_listening_ = true;
     callers_->StopListening();
   }
-  const core::Duration drain_limit = core::FromSeconds(
-      core::ToSeconds(settings_.shutdown_grace) * kDrainShare);
-  const bool is_drained = has_stopped_listening_ &&
-                          callers_->open_transactions() == 0 &&
-                          tunnels_.open_tunnels() == 0;
-  if (!is_drained && elapsed < drain_limit) {
+  if (now >= stop_->interrupts_at() && !has_interrupted_) {
+    has_interrupted_ = true;
+    InterruptRequests();
+  }
+  if (!IsDrained() && now < stop_->ends_at()) {
     return;
   }
-  events_.Record(core::EventCode::kProcessStopped, "",
-                 fmt::format("in_flight={}", callers_->open_transactions()));
+  events_.Record(core::EventCode::kProcessStopped, "", DescribeOpenWork());
   loop_->Stop();
 }
 
+void ForwarderDaemon::InterruptRequests() {
+  for (const TransactionPointer& it : startup_queue_.TakeAll()) {
+    RespondError(
+        it, core::MakeRefusal(core::ResultCode::kStopping,
+                              "the host shuts down", core::Duration::zero()));
+  }
+  context_.active_requests.InterruptAll(stop_->began_at());
+}
+
+bool ForwarderDaemon::IsDrained() const {
+  return has_stopped_listening_ && callers_->open_transactions() == 0 &&
+         tunnels_.open_tunnels() == 0;
+}
+
+std::string ForwarderDaemon::DescribeOpenWork() const {
+  return fmt::format(
+      "in_flight={} sessions={} connections={} buffered_bytes={} tunnels={} "
+      "is_loaded={}",
+      callers_->open_transactions(), context_.active_requests.size(),
+      callers_->connection_count(), callers_->buffered_bytes(),
+      tunnels_.open_tunnels(), HasLoaded());
+}
+
 }  // namespace wasabi::forwarder
--- a/Services/Forwarder/forwarder_daemon.h
+++ b/Services/Forwarder/forwarder_daemon.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -21,6 +22,7 @@
 #include "LibHttp/origin_client.h"
 #include "LibHttp/request_server.h"
 #include "LibPlatform/loop_scheduler.h"
+#include "LibRouting/stop_schedule.h"
 #include "Services/Forwarder/configuration_controller.h"
 #include "Services/Forwarder/fleet_controller.h"
 #include "Services/Forwarder/forwarder_settings.h"
@@ -51,8 +53,8 @@
   ForwarderDaemon& operator=(const ForwarderDaemon&) = delete;
 
   // Starts a graceful shutdown: the host leaves the fleet, accepts requests
-  // until callers no longer use its cached address, completes the requests in
-  // flight and stops the event loop.
+  // that it is certain to complete until callers no longer use its cached
+  // address, completes the requests in flight and stops the event loop.
   void BeginShutdown();
 
   // Reads the settings file again. If it is invalid, the current settings stay
@@ -99,7 +101,14 @@
   // Records the prompt parts that are refused since the last call.
   void LogRefusedParts();
   void LogPaceChanges();
+  // Ends the steps of a shutdown whose time has come.
   void CheckShutdown();
+  // Ends the requests that are left near the end of the shutdown.
+  void InterruptRequests();
+  // Returns whether nothing is left that callers or other hosts wait for.
+  bool IsDrained() const;
+  // Returns what callers have sent and not been answered, for log entries.
+  std::string DescribeOpenWork() const;
 
   core::EventLoop* const loop_;
   ForwarderSettings settings_;
@@ -138,9 +147,10 @@
   std::unique_ptr<core::Timer> startup_timer_;
   std::unique_ptr<core::Timer> ticker_;
   bool is_announced_ = false;
-  bool is_stopping_ = false;
+  // Set once a graceful shutdown has begun.
+  std::optional<routing::StopSchedule> stop_;
   bool has_stopped_listening_ = false;
-  core::TimePoint stopping_since_;
+  bool has_interrupted_ = false;
   core::TimePoint next_settings_check_at_;
   core::TimePoint next_origin_observation_at_;
 };
--- /dev/null
+++ b/Tests/ForwardedStreams/stopping_host_cuts_requests_test.cc
@@ -0,0 +1,113 @@
+// Regression test: a request that a stopping host takes must be answered or
+// refused before the process ends, however late and in whatever pieces it came.
+
+#include <catch2/catch.hpp>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "LibCore/text.h"
+#include "LibHttp/tcp_stream.h"
+#include "Tests/Support/ForwarderFixture/forwarder_fixture.h"
+
+namespace wasabi::forwarder {
+namespace {
+
+using support::ChunkedStreamStart;
+using support::ForwarderFixture;
+using support::ScriptedSuccess;
+
+// With the grace period of the fixture, a stopping host listens until
+// kListening after the signal and has ended after kGrace.
+constexpr core::Duration kListening = core::milliseconds(700);
+constexpr core::Duration kGrace = core::milliseconds(2000);
+
+// A fixture whose daemon ends as its process would: when the daemon stops the
+// loop, all its connections are closed.
+class StoppingHost {
+ public:
+  StoppingHost() {
+    fixture.Configure();
+    began_at_ = fixture.loop.Now();
+  }
+
+  // Runs the loop until `time` after the signal, or after the construction.
+  void RunTo(core::Duration time) {
+    bool is_due = false;
+    const auto timer = fixture.loop.NewTimer([&]() {
+      is_due = true;
+      fixture.loop.Stop();
+    });
+    const core::Duration left = began_at_ + time - fixture.loop.Now();
+    timer->StartOnce(std::max(left, core::Duration::zero()));
+    while (!is_due) {
+      fixture.loop.Run();
+      if (!is_due) {
+        fixture.daemon.reset();
+      }
+    }
+  }
+
+  void Signal() {
+    fixture.daemon->BeginShutdown();
+    began_at_ = fixture.loop.Now();
+  }
+
+  ForwarderFixture fixture;
+
+ private:
+  core::TimePoint began_at_;
+};
+
+// A caller that sends a request in pieces.
+class PiecewiseCaller {
+ public:
+  explicit PiecewiseCaller(StoppingHost* host)
+      : stream_(
+            *http::TcpStream::Connect(&host->fixture.loop,
+                                      host->fixture.settings.callers_address)) {
+    http::TcpStream::Callbacks callbacks;
+    callbacks.on_data = [this](std::string_view bytes) {
+      received_.append(bytes);
+    };
+    callbacks.on_end = [this](http::TcpStream::End /*end*/) { Close(); };
+    stream_->Start(std::move(callbacks));
+  }
+
+  void Write(std::string_view bytes) { stream_->Write(bytes); }
+  bool HasReceived(std::string_view text) const {
+    return received_.find(text) != std::string::npos;
+  }
+  const std::string& received() const { return received_; }
+
+ private:
+  void Close() { stream_->Close(); }
+
+  const std::shared_ptr<http::TcpStream> stream_;
+  std::string received_;
+};
+
+std::string RequestHead(const std::string& target,
+                        int deadline_ms,
+                        const std::string& framing) {
+  return fmt::format(
+      "POST {} HTTP/1.1\r\nHost: a.test\r\nRequest-Id: id1\r\n"
+      "Authorization: Bearer k1\r\nDeadline-Ms: {}\r\n{}\r\n\r\n",
+      target, deadline_ms, framing);
+}
+
+TEST_CASE("a request under way when its host ends gets an error") {
+  StoppingHost host;
+  PiecewiseCaller caller(&host);
+  caller.Write(RequestHead("/unsafe/1", 1990, "Content-Length: 1") + "b");
+  host.RunTo(core::milliseconds(100));
+  REQUIRE(host.fixture.received.size() == 1);
+  host.Signal();
+  host.RunTo(kGrace);
+  // It may have run, so the status must not invite the caller to repeat it.
+  CHECK(caller.HasReceived("HTTP/1.1 502 "));
+  CHECK(host.fixture.daemon == nullptr);
+}
+
+}  // namespace
+}  // namespace wasabi::forwarder
--- /dev/null
+++ b/Tests/LibRouting/stop_schedule_test.cc
@@ -0,0 +1,46 @@
+#include "LibRouting/stop_schedule.h"
+
+#include <catch2/catch.hpp>
+
+namespace wasabi::routing {
+namespace {
+
+using core::milliseconds;
+using core::seconds;
+
+struct ScheduleCase {
+  const char* what;
+  StopPolicy policy;
+  core::Duration listens;
+  core::Duration interrupts;
+  core::Duration ends;
+};
+
+TEST_CASE("a stopping host listens while callers may use its address") {
+  const ScheduleCase cases[] = {
+      {"the usual grace",
+       {seconds(8), seconds(3)},
+       milliseconds(3400),
+       milliseconds(7200),
+       milliseconds(7600)},
+      {"addresses that outlive half of the grace",
+       {seconds(4), seconds(3)},
+       milliseconds(2000),
+       milliseconds(3600),
+       milliseconds(3800)},
+  };
+  const core::TimePoint start = core::TimePoint() + seconds(100);
+  for (const ScheduleCase& it : cases) {
+    INFO(it.what);
+    const StopSchedule schedule(it.policy, start);
+    CHECK(schedule.began_at() == start);
+    CHECK(schedule.listens_until() == start + it.listens);
+    CHECK(schedule.interrupts_at() == start + it.interrupts);
+    CHECK(schedule.ends_at() == start + it.ends);
+    CHECK(schedule.CanComplete(start + it.interrupts));
+    CHECK_FALSE(schedule.CanComplete(start + it.interrupts + milliseconds(1)));
+  }
+}
+
+}  // namespace
+}  // namespace wasabi::routing
