A stopping host ends when its connections have, not its whole requests

Callers of long bodies saw their connection end without an answer: a request of which the head or a part of the body had come when nothing else was in flight ended with the process. Cause: a host counted as drained when no complete request was open; partial requests, answers that were not all sent and connections that had yet to send did not count. It is drained now when no connection is left, and refuses what is still incomplete at the end (503).

--- a/Services/Forwarder/forwarder_daemon.cc
+++ b/Services/Forwarder/forwarder_daemon.cc
@@ -518,10 +518,11 @@
                               "the host shuts down", core::Duration::zero()));
   }
   context_.active_requests.InterruptAll(stop_->began_at());
+  callers_->RefuseUnread();
 }
 
 bool ForwarderDaemon::IsDrained() const {
-  return has_stopped_listening_ && callers_->open_transactions() == 0 &&
+  return has_stopped_listening_ && callers_->connection_count() == 0 &&
          tunnels_.open_tunnels() == 0;
 }
 
--- a/Tests/ForwardedStreams/stopping_host_cuts_requests_test.cc
+++ b/Tests/ForwardedStreams/stopping_host_cuts_requests_test.cc
@@ -96,6 +96,91 @@
       target, deadline_ms, framing);
 }
 
+struct PieceCase {
+  const char* what;
+  std::string target;
+  int deadline_ms;
+  std::string framing;
+  // The pieces of the body, and when each is sent after the signal. The head is
+  // sent with the first one.
+  std::vector<std::pair<int, std::string>> pieces;
+  // What the endpoint sends.
+  std::string answer;
+  // The status that the caller gets, and the requests that reach an endpoint.
+  int status;
+  size_t sends;
+};
+
+TEST_CASE("a stopping host answers or refuses what it takes") {
+  const std::string body(12000, 'b');
+  const std::string length = fmt::format("Content-Length: {}", body.size());
+  const std::string chunks = "Transfer-Encoding: chunked";
+  const std::string chunk = fmt::format("{:x}\r\n{}\r\n", body.size(), body);
+  const PieceCase cases[] = {
+      {"a stream that ends in time",
+       "/once/1",
+       900,
+       length,
+       {{400, body}},
+       ChunkedStreamStart("id: 1\n\n") + support::kStreamEnd,
+       200,
+       1},
+      {"a body that ends after the host has stopped listening",
+       "/unsafe/1",
+       500,
+       length,
+       {{400, body.substr(0, 5000)}, {900, body.substr(5000)}},
+       ScriptedSuccess("ok"),
+       200,
+       1},
+      {"a body in chunks that does so",
+       "/unsafe/1",
+       500,
+       chunks,
+       {{400, chunk.substr(0, 5000)}, {900, chunk.substr(5000) + "0\r\n\r\n"}},
+       ScriptedSuccess("ok"),
+       200,
+       1},
+      {"a body that never ends",
+       "/unsafe/1",
+       500,
+       length,
+       {{400, body.substr(0, 5000)}},
+       ScriptedSuccess("ok"),
+       503,
+       0},
+      {"a request that comes while the host stops",
+       "/unsafe/1",
+       500,
+       length,
+       {{400, body}},
+       ScriptedSuccess("ok"),
+       200,
+       1},
+  };
+  for (const PieceCase& row : cases) {
+    INFO(row.what);
+    StoppingHost host;
+    host.fixture.script = {row.answer};
+    PiecewiseCaller caller(&host);
+    host.Signal();
+    bool has_head = false;
+    for (const auto& [at, piece] : row.pieces) {
+      host.RunTo(core::milliseconds(at));
+      if (!has_head) {
+        caller.Write(RequestHead(row.target, row.deadline_ms, row.framing));
+        has_head = true;
+      }
+      caller.Write(piece);
+    }
+    host.RunTo(kGrace);
+    INFO(caller.received());
+    CHECK(caller.HasReceived(fmt::format("HTTP/1.1 {} ", row.status)));
+    CHECK(host.fixture.received.size() == row.sends);
+    CHECK(host.fixture.daemon == nullptr);
+  }
+}
+
 TEST_CASE("a request under way when its host ends gets an error") {
   StoppingHost host;
   PiecewiseCaller caller(&host);
@@ -109,5 +194,20 @@
   CHECK(host.fixture.daemon == nullptr);
 }
 
+TEST_CASE("further signals do not hasten the end of a stopping host") {
+  StoppingHost host;
+  host.fixture.script = {ScriptedSuccess("ok")};
+  PiecewiseCaller caller(&host);
+  host.Signal();
+  host.RunTo(kListening / 2);
+  host.fixture.daemon->BeginShutdown();
+  caller.Write(RequestHead("/unsafe/1", 500, "Content-Length: 1"));
+  host.RunTo(kListening + core::milliseconds(100));
+  host.fixture.daemon->BeginShutdown();
+  caller.Write("b");
+  host.RunTo(kGrace);
+  CHECK(caller.HasReceived("HTTP/1.1 200 "));
+}
+
 }  // namespace
 }  // namespace wasabi::forwarder
