A stopping host takes only what it is certain to complete

Cause: the time for which a stopping host takes requests (3.4 s) and the time at which it ends what is left (7.2 s of 8) were chosen apart, so that a stream could be taken that would outlast the process. After the signal a host now takes a request only if its answer is due (by the caller's deadline and the route's time limit) before the host ends requests. Others are refused at once: 503, not run, Retry-After 0, since another host still has time for them. What was in flight at the signal and outlasts the grace is still cut.

--- a/Services/Forwarder/forwarder_daemon.cc
+++ b/Services/Forwarder/forwarder_daemon.cc
@@ -297,6 +297,14 @@
     RespondError(transaction, StatusForCaller(request.status()));
     return;
   }
+  if (stop_ && !stop_->CanComplete(request->AnswerDue())) {
+    RespondError(transaction,
+                 core::MakeRefusal(core::ResultCode::kStopping,
+                                   "the host shuts down before the answer is "
+                                   "certain to be complete",
+                                   core::Duration::zero()));
+    return;
+  }
   forwarding::ForwardSession::Run(&context_, transaction, *std::move(request));
 }
 
--- a/Tests/ForwardedStreams/stopping_host_cuts_requests_test.cc
+++ b/Tests/ForwardedStreams/stopping_host_cuts_requests_test.cc
@@ -25,7 +25,7 @@
 // A fixture whose daemon ends as its process would: when the daemon stops the
 // loop, all its connections are closed.
 class StoppingHost {
- public:
+public:
   StoppingHost() {
     fixture.Configure();
     began_at_ = fixture.loop.Now();
@@ -55,17 +55,16 @@
 
   ForwarderFixture fixture;
 
- private:
+private:
   core::TimePoint began_at_;
 };
 
 // A caller that sends a request in pieces.
 class PiecewiseCaller {
- public:
-  explicit PiecewiseCaller(StoppingHost* host)
-      : stream_(
-            *http::TcpStream::Connect(&host->fixture.loop,
-                                      host->fixture.settings.callers_address)) {
+public:
+  explicit PiecewiseCaller(StoppingHost *host)
+      : stream_(*http::TcpStream::Connect(
+            &host->fixture.loop, host->fixture.settings.callers_address)) {
     http::TcpStream::Callbacks callbacks;
     callbacks.on_data = [this](std::string_view bytes) {
       received_.append(bytes);
@@ -78,18 +77,17 @@
   bool HasReceived(std::string_view text) const {
     return received_.find(text) != std::string::npos;
   }
-  const std::string& received() const { return received_; }
+  const std::string &received() const { return received_; }
 
- private:
+private:
   void Close() { stream_->Close(); }
 
   const std::shared_ptr<http::TcpStream> stream_;
   std::string received_;
 };
 
-std::string RequestHead(const std::string& target,
-                        int deadline_ms,
-                        const std::string& framing) {
+std::string RequestHead(const std::string &target, int deadline_ms,
+                        const std::string &framing) {
   return fmt::format(
       "POST {} HTTP/1.1\r\nHost: a.test\r\nRequest-Id: id1\r\n"
       "Authorization: Bearer k1\r\nDeadline-Ms: {}\r\n{}\r\n\r\n",
@@ -97,7 +95,7 @@
 }
 
 struct PieceCase {
-  const char* what;
+  const char *what;
   std::string target;
   int deadline_ms;
   std::string framing;
@@ -117,6 +115,30 @@
   const std::string chunks = "Transfer-Encoding: chunked";
   const std::string chunk = fmt::format("{:x}\r\n{}\r\n", body.size(), body);
   const PieceCase cases[] = {
+      {"a stream that may outlast the host",
+       "/once/1",
+       1500,
+       length,
+       {{400, body}},
+       ChunkedStreamStart("id: 1\n\n"),
+       503,
+       0},
+      {"a resumable one",
+       "/resumable/1",
+       1500,
+       length,
+       {{400, body}},
+       ChunkedStreamStart("id: 1\n\n"),
+       503,
+       0},
+      {"one that was sent soon after the signal",
+       "/once/1",
+       1900,
+       length,
+       {{100, body}},
+       ChunkedStreamStart("id: 1\n\n"),
+       503,
+       0},
       {"a stream that ends in time",
        "/once/1",
        900,
@@ -158,14 +180,14 @@
        200,
        1},
   };
-  for (const PieceCase& row : cases) {
+  for (const PieceCase &row : cases) {
     INFO(row.what);
     StoppingHost host;
     host.fixture.script = {row.answer};
     PiecewiseCaller caller(&host);
     host.Signal();
     bool has_head = false;
-    for (const auto& [at, piece] : row.pieces) {
+    for (const auto &[at, piece] : row.pieces) {
       host.RunTo(core::milliseconds(at));
       if (!has_head) {
         caller.Write(RequestHead(row.target, row.deadline_ms, row.framing));
@@ -209,5 +231,5 @@
   CHECK(caller.HasReceived("HTTP/1.1 200 "));
 }
 
-}  // namespace
-}  // namespace wasabi::forwarder
+} // namespace
+} // namespace wasabi::forwarder
