Prompt parts that crash endpoints stay refused after all hosts were killed

Cause: the evidence lived in the hosts' memory alone, and CrashSync asks hosts that know nothing either.

The evidence against refused parts is now a record of the fleet's own topic, keyed.crashes. The first three hosts read it when they start, and the exchange tells the others; the first host writes it when what it refuses changes. It is merged as a report, so completions clear a part and it expires as before; a restart counts as ten seconds, so that no blame lasts over any number of them. A store that is away does not stop service. Records of other writers are skipped.

Not recorded: contents of single requests.

--- a/Libraries/LibCore/event.cc
+++ b/Libraries/LibCore/event.cc
@@ -108,6 +108,12 @@
     {EventCode::kOriginLookedUp, "origin_looked_up",
      "No host remembered where a resumed stream began; the recorded origins "
      "and versions decided."},
+    {EventCode::kBlamesRecorded, "blames_recorded",
+     "This host wrote the record of prompt parts that crash endpoints to the "
+     "store."},
+    {EventCode::kStoredBlamesRead, "stored_blames_read",
+     "This host read the record of prompt parts that crash endpoints from the "
+     "store."},
     {EventCode::kEndpointPaceChanged, "endpoint_pace_changed",
      "An endpoint became slower than its pool, or returned to the usual "
      "pace."},
--- a/Libraries/LibCore/event.h
+++ b/Libraries/LibCore/event.h
@@ -61,6 +61,8 @@
   kVersionsRecorded = 335,
   kStoredOriginsRead = 336,
   kOriginLookedUp = 337,
+  kBlamesRecorded = 338,
+  kStoredBlamesRead = 339,
   kEndpointPaceChanged = 340,
   kRefusedEarly = 345,
   kEndpointCold = 330,
--- a/Libraries/LibForwarding/adapter_set.h
+++ b/Libraries/LibForwarding/adapter_set.h
@@ -70,6 +70,8 @@
   std::string fleet;
   // Topic of the fleet itself, with the origins of streams.
   std::string origins;
+  // Topic of the fleet itself, with the prompt parts that crash endpoints.
+  std::string crashes;
 };
 
 // Behaviour that a deployment asks for.
--- a/Libraries/LibForwarding/crash_report.h
+++ b/Libraries/LibForwarding/crash_report.h
@@ -61,6 +61,19 @@
   MSGPACK_DEFINE(crash_id, age_milliseconds, in_flight, cleared);
 };
 
+// Prompt parts that are refused together, and the latest crashes that speak
+// against them.
+struct PartBlame {
+  // Sorted.
+  std::vector<uint64_t> parts;
+  std::vector<uint64_t> crash_ids;
+  // Time since each crash in milliseconds, on the sender's clock.
+  std::vector<int64_t> ages_milliseconds;
+
+  auto operator<=>(const PartBlame&) const = default;
+  MSGPACK_DEFINE(parts, crash_ids, ages_milliseconds);
+};
+
 // Splits `report` into reports that fit in a datagram each.
 std::vector<CrashReport> SplitReport(const CrashReport& report);
 
--- a/Libraries/LibForwarding/crash_suspects.cc
+++ b/Libraries/LibForwarding/crash_suspects.cc
@@ -293,6 +293,33 @@
   return refused_parts_;
 }
 
+std::vector<PartBlame> CrashSuspects::PartBlames(size_t max_crashes,
+                                                 core::TimePoint now) {
+  std::vector<PartBlame> blames;
+  for (const RefusedParts& refused : refused_parts(now)) {
+    const Suspect part = {.kind = SuspectKind::kPart,
+                          .id = refused.parts.front()};
+    std::vector<std::pair<core::TimePoint, uint64_t>> crashes;
+    for (const uint64_t crash_id : open_crashes_.at(part)) {
+      crashes.emplace_back(crashes_.at(crash_id).time, crash_id);
+    }
+    std::sort(crashes.rbegin(), crashes.rend());
+    PartBlame& blame = blames.emplace_back();
+    blame.parts = refused.parts;
+    std::optional<core::TimePoint> counted_at;
+    for (const auto& [time, crash_id] : crashes) {
+      if (blame.crash_ids.size() >= max_crashes ||
+          (counted_at && *counted_at - time < policy_.min_crash_gap)) {
+        continue;
+      }
+      counted_at = time;
+      blame.crash_ids.push_back(crash_id);
+      blame.ages_milliseconds.push_back(core::ToMilliseconds(now - time));
+    }
+  }
+  return blames;
+}
+
 std::vector<CrashSuspects::Candidate> CrashSuspects::Candidates(
     core::TimePoint now) const {
   std::vector<Candidate> candidates;
--- a/Libraries/LibForwarding/crash_suspects.h
+++ b/Libraries/LibForwarding/crash_suspects.h
@@ -83,6 +83,11 @@
   // Returns the prompt parts that are refused, for log entries.
   const std::vector<RefusedParts>& refused_parts(core::TimePoint now);
 
+  // Returns the refused prompt parts with the crashes that speak against them,
+  // at most `max_crashes` each: the latest ones of those that count.
+  std::vector<PartBlame> PartBlames(size_t max_crashes, core::TimePoint now);
+  core::Duration lifetime() const { return policy_.lifetime; }
+
   // Returns what this host has found out since the last call. With `relays`,
   // MergeReport adds what it learns to these changes.
   std::vector<CrashReport> TakeChanges(core::TimePoint now);
--- a/Services/Forwarder/fleet_controller.cc
+++ b/Services/Forwarder/fleet_controller.cc
@@ -105,6 +105,11 @@
           },
           SendFunction()),
       pace_exchange_(settings.host, context.paces, SendFunction()),
+      crash_records_({.adapters = context.adapters,
+                      .scheduler = context.scheduler,
+                      .events = context.events,
+                      .suspects = context.suspects},
+                     settings.is_first_start),
       fleet_topic_(context.adapters,
                    context.scheduler,
                    context.events,
@@ -284,6 +289,7 @@
   const std::vector<core::HostId> running = RunningHosts(*table);
   stream_origins_.SetHosts(running);
   origins_.SetHosts(running, fleet_topic_.hosts(), roles);
+  crash_records_.SetHosts(fleet_topic_.hosts().size(), roles);
   permits_.SetHosts(running, host_count());
   places_.SetHosts(running, host_count(), context_.loop->Now());
   pool_slots_.SetHosts(running);
@@ -337,6 +343,7 @@
   crash_sync_.Tick(context_.loop->Now());
   stream_origins_.Tick(context_.loop->Now());
   origins_.Tick(topics_.LatestEpoch());
+  crash_records_.Tick(topics_.LatestEpoch());
   permits_.Tick(context_.loop->Now());
   places_.Tick(context_.loop->Now());
   pool_slots_.Tick(context_.loop->Now());
--- a/Services/Forwarder/fleet_controller.h
+++ b/Services/Forwarder/fleet_controller.h
@@ -24,6 +24,7 @@
 #include "LibForwarding/stream_origin_exchange.h"
 #include "LibHttp/client.h"
 #include "LibMembership/gossip_node.h"
+#include "Services/Forwarder/crash_record_controller.h"
 #include "Services/Forwarder/fleet_topic_controller.h"
 #include "Services/Forwarder/forwarder_settings.h"
 #include "Services/Forwarder/origin_controller.h"
@@ -76,6 +77,7 @@
   }
 
   OriginController& origins() { return origins_; }
+  const CrashRecordController& crash_records() const { return crash_records_; }
 
   forwarding::PermitExchange* permits() { return &permits_; }
   forwarding::PlaceExchange* places() { return &places_; }
@@ -119,6 +121,7 @@
   OriginController origins_;
   forwarding::PoolSlotExchange pool_slots_;
   forwarding::PaceExchange pace_exchange_;
+  CrashRecordController crash_records_;
   FleetTopicController fleet_topic_;
   TopicController topics_;
   std::unique_ptr<core::Timer> ticker_;
--- a/Services/Forwarder/forwarder_daemon.cc
+++ b/Services/Forwarder/forwarder_daemon.cc
@@ -190,7 +190,8 @@
   context_.max_load_age = [this]() { return fleet_->max_load_age(); };
   metrics_.Gauge("platform_calls", [this]() {
     return static_cast<double>(fleet_->topics().platform_calls() +
-                               fleet_->origins().calls());
+                               fleet_->origins().calls() +
+                               fleet_->crash_records().calls());
   });
   metrics_.Gauge("origin_calls", [this]() {
     return static_cast<double>(fleet_->origins().calls());
--- a/Tests/ForwardedStreams/prompt_part_crashes_endpoints_test.cc
+++ b/Tests/ForwardedStreams/prompt_part_crashes_endpoints_test.cc
@@ -118,5 +118,48 @@
   }
 }
 
+void Settle(ForwarderFixture& it, core::Duration duration) {
+  const core::TimePoint settled = it.loop.Now() + duration;
+  it.RunUntil([&]() { return it.loop.Now() >= settled; });
+}
+
+// Guards against hosts that forget what crashes endpoints when all of them are
+// killed.
+TEST_CASE("a refused part stays refused after all hosts were killed") {
+  constexpr int kRequests = 6;
+  // Time after a start within which the fleet reads its record.
+  constexpr core::Duration kReadTime = core::seconds(1);
+  const PromptCase cases[] = {
+      {"the first part", "bad0:90,", "a1:80,"},
+      {"behind a shared part", "a1:80,bad0:90,", "a1:80,b2:60,"},
+      {"among parts that no other request has", "a1:80,%,bad0:90,%,",
+       "a1:80,b2:60,"},
+  };
+  for (const PromptCase& row : cases) {
+    INFO(row.what);
+    ForwarderFixture it;
+    CrashingPool pool(&it);
+    it.Configure();
+    for (size_t i = 0; i < kRequests; ++i) {
+      CHECK(pool.Send(WithOwnParts(row.harmful, i)) != 200);
+      Settle(it, kDetectionTime);
+    }
+    const size_t crashes = pool.crashes();
+    CHECK(crashes <= kMaxCrashes);
+    for (int restarts = 0; restarts < 2; ++restarts) {
+      it.KillHosts();
+      it.RestartHosts();
+      REQUIRE(
+          it.RunUntil([&]() { return it.Get("/ready", true).status == 200; }));
+      Settle(it, kReadTime);
+      for (size_t i = 0; i < kRequests; ++i) {
+        CHECK(pool.Send(WithOwnParts(row.harmful, kRequests + i)) != 200);
+      }
+      CHECK(pool.crashes() == crashes);
+      CHECK(pool.Send(row.harmless) == 200);
+    }
+  }
+}
+
 }  // namespace
 }  // namespace wasabi::forwarder
