The soak sends bodies in chunks, several pieces with pauses

The 0.2 s after which a cut call counts as read go from its last byte, as the rule says; before they went from its first. Two new rows in checker_test.

--- a/Tests/Soak/caller.cc
+++ b/Tests/Soak/caller.cc
@@ -7,6 +7,7 @@
 
 #include "LibCore/text.h"
 #include "Tests/Soak/operator.h"
+#include "Tests/Soak/piecewise_call.h"
 #include "platform/wire_names.h"
 
 namespace wasabi::soak {
@@ -27,6 +28,8 @@
 // Share of the bodies that are large, and their size.
 constexpr double kLargeBodyShare = 0.3;
 constexpr size_t kLargeBodyBytes = 12'000;
+// Share of the bodies that come in pieces.
+constexpr double kPiecewiseShare = 0.3;
 // Share of the calls whose caller disconnects early, and the maximum delay
 // before it does so.
 constexpr double kDisconnectShare = 0.06;
@@ -186,6 +189,7 @@
   if (!call->body.empty() && random_.Unit() < kLargeBodyShare) {
     call->body.resize(kLargeBodyBytes, 'b');
   }
+  call->is_piecewise = !call->body.empty() && random_.Unit() < kPiecewiseShare;
   call->key_version = newest_version;
   call->deadline = traits.deadline;
   call->sent_at = loop_->Now();
@@ -263,7 +267,14 @@
   callbacks.on_end = [this, exchange](http::OriginOutcome end) {
     OnEnd(exchange, end);
   };
-  exchange->origin = client_.Send(RequestOf(*call), std::move(callbacks));
+  if (call->is_piecewise) {
+    exchange->origin = PiecewiseCall::Send(
+        loop_, RequestOf(*call), std::move(callbacks),
+        [loop = loop_, call]() { call->whole_at = loop->Now(); });
+  } else {
+    call->whole_at = call->sent_at;
+    exchange->origin = client_.Send(RequestOf(*call), std::move(callbacks));
+  }
   const bool disconnects_early = random_.Unit() < kDisconnectShare;
   const std::weak_ptr<Exchange> weak = exchange;
   exchange->disconnect_timer = loop_->NewTimer([this, weak]() {
--- a/Tests/Soak/checker_test.cc
+++ b/Tests/Soak/checker_test.cc
@@ -34,6 +34,7 @@
     call->key_version = 1;
     call->deadline = seconds(1);
     call->sent_at = sent_at;
+    call->whole_at = sent_at;
     call->status = 200;
     call->signature = "s1";
     call->answer = support::PlainAnswerOf(call->id);
@@ -463,6 +464,20 @@
          it.history.runs.clear();
        },
        cut},
+      {"cut before its last byte was sent", kLongStream,
+       [](World& it) {
+         StopHost(it, 1, 2);
+         it.history.runs.clear();
+         it.call->whole_at.reset();
+       },
+       ""},
+      {"cut 0.2 s after its last byte", kLongStream,
+       [](World& it) {
+         StopHost(it, 1, 2);
+         it.history.runs.clear();
+         it.call->whole_at = it.call->ended_at - milliseconds(201);
+       },
+       cut},
       {"cut later than 1 s after the grace", kLongStream,
        [](World& it) { StopHost(it, -1, 9.1); }, cut},
       {"cut while another host stops", kLongStream,
--- a/Tests/Soak/history.h
+++ b/Tests/Soak/history.h
@@ -55,6 +55,10 @@
   // Number of times that the stream was taken up, this one included.
   size_t take_ups = 0;
   core::TimePoint sent_at;
+  // When its last byte was sent; nullopt if it was not.
+  std::optional<core::TimePoint> whole_at;
+  // Its body comes in several pieces, as chunks.
+  bool is_piecewise = false;
 
   // The answer as received so far.
   int status = 0;
--- a/Tests/Soak/planned_work.cc
+++ b/Tests/Soak/planned_work.cc
@@ -8,8 +8,8 @@
 
 using RunPointer = std::shared_ptr<support::EndpointRun>;
 
-// A call that is cut within this time after it was sent may never have reached
-// the host.
+// A call that is cut within this time after its last byte was sent may never
+// have reached the host.
 constexpr core::Duration kMaxDeliveryTime = core::milliseconds(200);
 // A call that was sent no later than this after the SIGTERM may be cut in the
 // last one of so many parts of the grace period.
@@ -24,7 +24,8 @@
 }
 
 bool WasRead(const Call& call, const std::vector<RunPointer>& runs) {
-  return !runs.empty() || call.ended_at - call.sent_at > kMaxDeliveryTime;
+  return !runs.empty() ||
+         (call.whole_at && call.ended_at - *call.whole_at > kMaxDeliveryTime);
 }
 
 bool HasFault(const Call& call, const History& history, const Bounds& bounds) {
