An answer that names no request belongs to nobody on a kept connection

Callers saw 502 for requests that ran and were answered, and a stream that may be resumed, or a safe request, was sent to a second endpoint while the first one still worked on it: an endpoint had written an earlier refusal once more, without a Request-Id, on a kept connection.

Cause: on a kept connection an answer without an id ended the attempt as malformed, and the connection stayed in the pool with the request still running there. An answer with two different ids counted by its first one, so a refusal that bore the new and the old id sent an unsafe request to a second endpoint. PROTOCOL.md: endpoints echo the id; an extra response may arrive late, at the point where the next one is expected, and belongs to no request.

Fix: such an answer is skipped, like one with a foreign id, within the same limits; the real one follows it. An answer counts only if all its ids are the request's, or if it has none and the connection has carried nothing else. An endpoint that then sends nothing is held to the request's deadline, or to the silence check where the request may be repeated.

Not found: a refusal with an old id counted in none of the cases (it was skipped before, too). A 503 or 429 reached no caller of a request that may have run.

--- a/Libraries/LibForwarding/forward_attempt.cc
+++ b/Libraries/LibForwarding/forward_attempt.cc
@@ -62,7 +62,8 @@
   origin.is_expected = [weak](const http::MessageHead& head) {
     const auto self = weak.lock();
     return self == nullptr ||
-           self->context_->endpoint_protocol->IsAnswerTo(self->request_, head);
+           self->context_->endpoint_protocol->IsAnswerTo(
+               self->request_, head, self->call_->is_reused());
   };
   origin.on_head = [weak](const http::MessageHead& head) {
     if (const auto self = weak.lock()) {
--- a/Libraries/LibForwarding/protocols.h
+++ b/Libraries/LibForwarding/protocols.h
@@ -110,12 +110,14 @@
                                      const AttemptOptions& options) const = 0;
 
   // Returns whether an answer belongs to `request`. An answer that names no
-  // request is only trusted on a new connection.
+  // request belongs to it only on a new connection. `is_reused_connection` says
+  // whether the connection has carried an earlier request or an answer to
+  // another one.
   virtual bool IsAnswerTo(const ForwardRequest& request,
-                          const http::MessageHead& head) const = 0;
+                          const http::MessageHead& head,
+                          bool is_reused_connection) const = 0;
 
-  // Classifies an answer by its head. `is_reused_connection` says whether the
-  // connection has carried an earlier request.
+  // Classifies an answer by its head. `is_reused_connection` is as above.
   virtual AttemptVerdict Classify(const ForwardRequest& request,
                                   const http::MessageHead& head,
                                   bool is_reused_connection) const = 0;
--- a/Libraries/LibHttp/origin_client.h
+++ b/Libraries/LibHttp/origin_client.h
@@ -86,7 +86,8 @@
   virtual void Cancel() = 0;
   // Pauses or resumes reading, to apply backpressure for a slow client.
   virtual void SetReading(bool is_reading) = 0;
-  // True if the request was sent on a connection that carried a call before.
+  // True if the connection carried a call before, or a response that belongs to
+  // another one.
   virtual bool is_reused() const = 0;
   // True once the connection was established.
   virtual bool is_connected() const = 0;
--- a/Libraries/LibHttp/origin_connection.h
+++ b/Libraries/LibHttp/origin_connection.h
@@ -27,7 +27,9 @@
 
   void Cancel() override;
   void SetReading(bool is_reading) override;
-  bool is_reused() const override { return call_count_ > 1; }
+  bool is_reused() const override {
+    return call_count_ > 1 || skipped_responses_ > 0;
+  }
   bool is_connected() const override { return is_connected_; }
 
   const core::SocketAddress& address() const { return address_; }
--- a/Tests/PlatformAdapter/endpoint_codec_test.cc
+++ b/Tests/PlatformAdapter/endpoint_codec_test.cc
@@ -129,14 +129,42 @@
 }
 
 TEST_CASE("a response with another Request-Id does not match the request") {
-  Fixture it;
-  http::MessageHead head;
-  CHECK(it.codec.IsAnswerTo(it.request, head));
-  head.headers.Add("request-id", "id1");
-  CHECK(it.codec.IsAnswerTo(it.request, head));
-  http::MessageHead other;
-  other.headers.Add("Request-Id", "id2");
-  CHECK_FALSE(it.codec.IsAnswerTo(it.request, other));
+  struct Row {
+    const char* what;
+    Fields fields;
+    bool on_new_connection;
+    bool on_reused_connection;
+  };
+  const Row rows[] = {
+      {"no id", {}, true, false},
+      {"the id", {{"request-id", "id1"}}, true, true},
+      {"another id", {{"Request-Id", "id2"}}, false, false},
+      {"an empty id", {{"Request-Id", ""}}, false, false},
+      {"the id twice",
+       {{"Request-Id", "id1"}, {"request-id", "id1"}},
+       true,
+       true},
+      {"the id, then another one",
+       {{"Request-Id", "id1"}, {"Request-Id", "id2"}},
+       false,
+       false},
+      {"another id, then the id",
+       {{"Request-Id", "id2"}, {"Request-Id", "id1"}},
+       false,
+       false},
+  };
+  for (const Row& row : rows) {
+    INFO(row.what);
+    Fixture it;
+    http::MessageHead head;
+    for (const auto& [name, value] : row.fields) {
+      head.headers.Add(name, value);
+    }
+    CHECK(it.codec.IsAnswerTo(it.request, head, false) ==
+          row.on_new_connection);
+    CHECK(it.codec.IsAnswerTo(it.request, head, true) ==
+          row.on_reused_connection);
+  }
 }
 
 struct NoticeCase {
