Chunk headers and trailers of a message are bounded

Cause: the parser bounded the head and the body of a message, but not the framing between them, which stays in the input buffer until it is complete. Extensions of chunks that are consumed had no bound either.

Fix: the bytes of chunk headers and the trailer count together, those that wait in the buffer included, and may exceed what plain chunks take by no more than the limit of a head. The same parser reads requests of callers, answers of endpoints and, in carriers, heads of answers. The store's client is libcurl's and holds no such bytes.

--- a/Libraries/LibHttp/message_parser.cc
+++ b/Libraries/LibHttp/message_parser.cc
@@ -14,6 +14,10 @@
 namespace beast = boost::beast::http;
 using beast_view = boost::beast::string_view;
 
+// What the framing of a chunk may take without counting as too much: its size
+// in hexadecimal, and two line ends.
+constexpr uint64_t kBytesPerChunk = 20;
+
 std::string ToText(beast_view view) {
   return {view.data(), view.size()};
 }
@@ -75,11 +79,16 @@
   virtual size_t Put(std::string_view input, boost::beast::error_code& ec) = 0;
   virtual void PutEnd(boost::beast::error_code& ec) = 0;
   virtual bool IsDone() const = 0;
+  virtual bool HasHead() const = 0;
   virtual bool HasStarted() const = 0;
   virtual void SkipBody() = 0;
 
   Callbacks callbacks;
   MessageHead head;
+  uint64_t body_bytes = 0;
+  uint64_t chunks = 0;
+  // Bytes of chunk headers and the trailer that were parsed.
+  uint64_t framing_bytes = 0;
 };
 
 // Implements the callbacks that beast::basic_parser requires.
@@ -92,7 +101,9 @@
       : Implementation(std::move(callbacks_in)) {
     this->header_limit(limits.max_header_bytes);
     this->body_limit(limits.max_body_bytes);
-    this->eager(true);
+    // One step a call, so that the bytes of the body can be told from those of
+    // its framing.
+    this->eager(false);
   }
 
   size_t Put(std::string_view input, boost::beast::error_code& ec) override {
@@ -100,6 +111,7 @@
   }
   void PutEnd(boost::beast::error_code& ec) override { Base::put_eof(ec); }
   bool IsDone() const override { return Base::is_done(); }
+  bool HasHead() const override { return Base::is_header_done(); }
   bool HasStarted() const override { return Base::got_some(); }
   void SkipBody() override { Base::skip(true); }
 
@@ -140,24 +152,33 @@
                          boost::beast::error_code& /*ec*/) override {}
   std::size_t on_body_impl(beast_view body,
                            boost::beast::error_code& /*ec*/) override {
-    callbacks.on_body({body.data(), body.size()});
+    PassOn(body);
     return body.size();
   }
   void on_chunk_header_impl(std::uint64_t /*size*/,
                             beast_view /*extensions*/,
-                            boost::beast::error_code& /*ec*/) override {}
+                            boost::beast::error_code& /*ec*/) override {
+    ++chunks;
+  }
   std::size_t on_chunk_body_impl(std::uint64_t /*remain*/,
                                  beast_view body,
                                  boost::beast::error_code& /*ec*/) override {
-    callbacks.on_body({body.data(), body.size()});
+    PassOn(body);
     return body.size();
   }
   void on_finish_impl(boost::beast::error_code& /*ec*/) override {}
+
+ private:
+  void PassOn(beast_view body) {
+    body_bytes += body.size();
+    callbacks.on_body({body.data(), body.size()});
+  }
 };
 
 MessageParser::MessageParser(MessageKind kind,
                              const ParserLimits& limits,
-                             Callbacks callbacks) {
+                             Callbacks callbacks)
+    : max_framing_bytes_(limits.max_header_bytes) {
   if (kind == MessageKind::kRequest) {
     implementation_ = std::make_unique<TypedImplementation<true>>(
         limits, std::move(callbacks));
@@ -181,20 +202,39 @@
     if (rest.empty()) {
       break;
     }
+    const bool had_head = implementation_->HasHead();
+    const uint64_t body_before = implementation_->body_bytes;
     boost::beast::error_code ec;
     const size_t n = implementation_->Put(rest, ec);
     consumed += n;
+    if (had_head) {
+      implementation_->framing_bytes +=
+          n - (implementation_->body_bytes - body_before);
+    }
     result = ToResult(ec);
     if (result != ParseResult::kNeedMore || n == 0) {
       break;
     }
   }
   input->erase(0, consumed);
+  if (result == ParseResult::kNeedMore && HasTooMuchFraming(input->size())) {
+    return ParseResult::kHeaderTooLarge;
+  }
   const bool is_complete =
       result == ParseResult::kNeedMore && implementation_->IsDone();
   return is_complete ? ParseResult::kComplete : result;
 }
 
+bool MessageParser::HasTooMuchFraming(size_t unparsed_bytes) const {
+  if (!implementation_->HasHead()) {
+    return false;
+  }
+  // Bytes that follow the message are not its own.
+  const uint64_t pending = implementation_->IsDone() ? 0 : unparsed_bytes;
+  return implementation_->framing_bytes + pending >
+         max_framing_bytes_ + implementation_->chunks * kBytesPerChunk;
+}
+
 bool MessageParser::FinishAtEof() {
   if (implementation_->IsDone()) {
     return true;
--- a/Libraries/LibHttp/message_parser.h
+++ b/Libraries/LibHttp/message_parser.h
@@ -49,6 +49,8 @@
 
 // Size limits for one message.
 struct ParserLimits {
+  // Also the limit of a message's chunk headers and trailer together, besides
+  // what the framing of its chunks takes without extensions.
   uint32_t max_header_bytes = 16U << 10U;
   uint64_t max_body_bytes = 4U << 20U;
 };
@@ -60,7 +62,8 @@
   // The message is complete; the remaining bytes belong to the next message.
   kComplete,
   kMalformed,
-  // The header exceeds ParserLimits::max_header_bytes.
+  // The header, or the chunk headers and the trailer, exceed
+  // ParserLimits::max_header_bytes.
   kHeaderTooLarge,
   // The body exceeds ParserLimits::max_body_bytes.
   kBodyTooLarge,
@@ -88,7 +91,7 @@
   void ExpectNoBody();
 
   // Parses bytes from the front of `input` and erases the consumed ones. The
-  // bytes of an incomplete header stay in `input`.
+  // bytes of an incomplete header, chunk header or trailer stay in `input`.
   ParseResult Feed(std::string* input);
 
   // Signals that the sender closed its side of the connection. Returns true if
@@ -100,10 +103,15 @@
   bool has_started() const;
 
  private:
+  // Returns whether chunk headers and the trailer exceed their limit, with
+  // `unparsed_bytes` of an incomplete one.
+  bool HasTooMuchFraming(size_t unparsed_bytes) const;
+
   struct Implementation;
   template <bool kIsRequest>
   struct TypedImplementation;
 
+  const uint64_t max_framing_bytes_;
   std::unique_ptr<Implementation> implementation_;
 };
 
--- a/Tests/ForwardedStreams/endless_answer_test.cc
+++ b/Tests/ForwardedStreams/endless_answer_test.cc
@@ -26,6 +26,12 @@
     "HTTP/1.1 503 X\r\nRequest-Id: id1\r\nNot-Executed: 1\r\n\r\n";
 constexpr const char* kOtherHead =
     "HTTP/1.1 200 X\r\nRequest-Id: other\r\nResponse-Signature: s\r\n\r\n";
+constexpr const char* kChunkedHead =
+    "HTTP/1.1 200 X\r\nRequest-Id: id1\r\nResponse-Signature: s\r\n"
+    "Transfer-Encoding: chunked\r\n\r\n";
+constexpr const char* kOtherChunkedHead =
+    "HTTP/1.1 200 X\r\nRequest-Id: other\r\nTransfer-Encoding: chunked"
+    "\r\n\r\n";
 constexpr const char* kEvent = "id: 1\ndata: a\n\n";
 
 // More than the buffers of a loopback connection hold.
@@ -79,7 +85,7 @@
 struct EndlessCase {
   const char* what;
   const char* target;
-  const char* head;
+  std::string head;
   // Sent again and again after the head.
   std::string piece;
   // The answer to a request that the endpoint may have run.
@@ -95,12 +101,49 @@
     lines += "junk\n\n";
     comments += ": junk\n\n";
   }
+  std::string fields;
+  std::string folded;
+  std::string interim;
+  std::string blank;
+  std::string chunks;
+  while (fields.size() < junk.size()) {
+    fields += "X: y\r\n";
+    folded += "\r\n folded";
+    interim += "HTTP/1.1 102 X\r\n\r\n";
+    blank += "\r\n";
+  }
+  while (chunks.size() < junk.size()) {
+    chunks += "1;x=" + std::string(1000, 'x') + "\r\na\r\n";
+  }
+  const std::string trailer = std::string(kChunkedHead) + "0\r\n";
   const char* oversized = "forward_oversized_answers";
   const char* malformed = "forward_malformed_answers";
   return {
       {"no head", "/unsafe/1", "", junk, 502, malformed},
       {"a head without end", "/unsafe/1", "HTTP/1.1 200 X\r\nA: ", junk, 502,
        oversized},
+      {"a folded field of a head", "/unsafe/1", "HTTP/1.1 200 X\r\nA: b",
+       folded, 502, oversized},
+      {"fields of a head", "/unsafe/1", "HTTP/1.1 200 X\r\n", fields, 502,
+       oversized},
+      {"blank lines before a head", "/unsafe/1", "", blank, 502, malformed},
+      {"interim answers", "/unsafe/1", "", interim, 502, oversized},
+      {"a chunk's size", "/unsafe/1", kChunkedHead,
+       std::string(64U << 10U, '0'), 502, oversized},
+      {"a chunk's size on a stream", "/once/1", kChunkedHead,
+       std::string(64U << 10U, '0'), 502, oversized},
+      {"no chunk's header", "/unsafe/1", kChunkedHead, junk, 502, oversized},
+      {"a chunk's extension", "/unsafe/1",
+       std::string(kChunkedHead) + "1;x=", junk, 502, oversized},
+      {"chunks of a byte with extensions", "/unsafe/1", kChunkedHead, chunks,
+       502, oversized},
+      {"chunks of a byte with extensions, in an answer to another request",
+       "/unsafe/1", kOtherChunkedHead, chunks, 502, oversized},
+      {"a trailer's field", "/unsafe/1", trailer + "X: ", junk, 502, oversized},
+      {"fields of a trailer", "/unsafe/1", trailer, fields, 502, oversized},
+      {"a folded field of a trailer", "/unsafe/1", trailer + "X: y", folded,
+       502, oversized},
+      {"a trailer on a stream", "/once/1", trailer, fields, 502, oversized},
       {"no head, on a stream", "/once/1", "", junk, 502, malformed},
       {"a body without signature", "/unsafe/1", kUnsignedHead, junk, 502,
        malformed},
--- a/Tests/LibHttp/message_parser_test.cc
+++ b/Tests/LibHttp/message_parser_test.cc
@@ -64,6 +64,12 @@
   const std::string get = "GET /a%20b?x=1&x=2 HTTP/1.1\r\nHost: h\r\n\r\n";
   const std::string post = "POST / HTTP/1.1\r\nHost: h\r\n";
   const std::string ok = "HTTP/1.1 200 OK\r\n";
+  std::string fields;
+  std::string small_chunks;
+  for (int i = 0; i < 20; ++i) {
+    fields += "X: 0123456789\r\n";
+    small_chunks += "0000000000000001\r\na\r\n";
+  }
   const ParseCase cases[] = {
       {"a request without a body", Kind::kRequest, get, Result::kComplete, "",
        ""},
@@ -101,6 +107,38 @@
       {"a body above the limit", Kind::kRequest,
        post + "Content-Length: 21\r\n\r\n" + std::string(21, 'x'),
        Result::kBodyTooLarge, "", ""},
+      {"a chunk header without end", Kind::kRequest,
+       post + "Transfer-Encoding: chunked\r\n\r\n" + std::string(300, '0'),
+       Result::kHeaderTooLarge, "", ""},
+      {"a chunk size of too many digits", Kind::kRequest,
+       post + "Transfer-Encoding: chunked\r\n\r\n" + std::string(300, '0') +
+           "1\r\na\r\n0\r\n\r\n",
+       Result::kHeaderTooLarge, "", ""},
+      {"a chunk extension above the limit", Kind::kRequest,
+       post + "Transfer-Encoding: chunked\r\n\r\n1;x=" + std::string(300, 'x') +
+           "\r\na\r\n0\r\n\r\n",
+       Result::kHeaderTooLarge, "", ""},
+      {"chunk extensions that are together above the limit", Kind::kResponse,
+       ok + "Transfer-Encoding: chunked\r\n\r\n1;x=" + std::string(100, 'x') +
+           "\r\na\r\n1;x=" + std::string(100, 'x') +
+           "\r\na\r\n1;x=" + std::string(100, 'x') + "\r\na\r\n0\r\n\r\n",
+       Result::kHeaderTooLarge, "", ""},
+      {"a trailer above the limit", Kind::kResponse,
+       ok + "Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\nX: " +
+           std::string(300, 'x') + "\r\n\r\n",
+       Result::kHeaderTooLarge, "", ""},
+      {"a trailer of many fields above the limit", Kind::kResponse,
+       ok + "Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n" + fields +
+           "\r\n",
+       Result::kHeaderTooLarge, "", ""},
+      {"a chunk extension and a trailer", Kind::kResponse,
+       ok +
+           "Transfer-Encoding: chunked\r\n\r\n1;x=y\r\na\r\n0\r\nX: y\r\n\r\nZ",
+       Result::kComplete, "a", "Z"},
+      {"many chunks of one byte", Kind::kResponse,
+       ok + "Transfer-Encoding: chunked\r\n\r\n" + small_chunks + "0\r\n\r\n" +
+           std::string(300, 'Z'),
+       Result::kComplete, std::string(20, 'a'), std::string(300, 'Z')},
       {"a response delimited by the end of the connection", Kind::kResponse,
        ok + "\r\nabc", Result::kComplete, "abc", ""},
       {"a truncated response", Kind::kResponse,
