Test: the store's client takes no chunk framing without end

A chunk extension without end has no row: libcurl drops it byte by byte until the call's timeout; that was not run.

--- a/Tests/LibHttp/client_limits_test.cc
+++ b/Tests/LibHttp/client_limits_test.cc
@@ -37,6 +37,7 @@
 
 TEST_CASE("a response without a stated or reasonable end is told apart") {
   const std::string ok = "HTTP/1.1 200 OK\r\n";
+  const std::string chunked = ok + "Transfer-Encoding: chunked\r\n\r\n";
   const size_t endless = 1U << 20U;
   const LimitCase cases[] = {
       {"a length", ok + "Content-Length: 2\r\n\r\nok", false,
@@ -56,6 +57,14 @@
       {"endless interim responses",
        Repeated("HTTP/1.1 102 Processing\r\n\r\n", endless), false,
        core::ResultCode::kMalformedAnswer, false},
+      {"an endless chunk size", chunked + std::string(endless, '0'), false,
+       core::ResultCode::kAnswerTruncated, false},
+      {"an endless field of a trailer",
+       chunked + "0\r\nX: " + std::string(endless, 'x'), false,
+       core::ResultCode::kAnswerTruncated, false},
+      {"endless fields of a trailer",
+       chunked + "0\r\n" + Repeated("A: b\r\n", endless), false,
+       core::ResultCode::kMalformedAnswer, false},
       {"an endless body", ok + "\r\n" + std::string(endless, 'x'), false,
        core::ResultCode::kMalformedAnswer, false},
   };
