An answer of an endpoint without an id is no final answer

A server that is no endpoint, at an address that the host took for one's, answered 404 without a Request-Id, and the caller got it as its endpoint's last word.

Cause: on a new connection an answer without an id counted, whatever it said. PROTOCOL.md: endpoints echo the id.

--- a/Tests/PlatformAdapter/endpoint_codec_test.cc
+++ b/Tests/PlatformAdapter/endpoint_codec_test.cc
@@ -114,6 +114,16 @@
        false,
        AttemptVerdict::kFailure},
       {"a bad request", 400, {id}, false, AttemptVerdict::kFinal},
+      {"not found, from a server that is no endpoint",
+       404,
+       {},
+       false,
+       AttemptVerdict::kInvalid},
+      {"a server error without a Request-Id",
+       500,
+       {signature},
+       false,
+       AttemptVerdict::kInvalid},
       {"a redirect", 302, {id}, false, AttemptVerdict::kInvalid},
   };
   for (const VerdictCase& row : cases) {
