--- a/Tests/Forwarder/slow_peers_test.cc
+++ b/Tests/Forwarder/slow_peers_test.cc
@@ -43,7 +43,7 @@
         it.names.registrations, id,
         fmt::format(R"({{"service":"p","address":"{}","zone":"z1",)"
                     R"("version":"v1","slots":500,"state":"ready","seq":{},)"
-                    R"("born":1}})",
+                    R"("cold_left_ms":0,"born":1}})",
                     server->address().ToString(), 100));
   }
   // Each answer is below the limit up to which answers are held, and stays
--- a/Tests/Support/ForwarderFixture/forwarder_fixture.cc
+++ b/Tests/Support/ForwarderFixture/forwarder_fixture.cc
@@ -232,7 +232,7 @@
       names.registrations, id,
       fmt::format(
           R"({{"service":"{}","address":"{}","zone":"{}","version":"{}",)"
-          R"("slots":8,"state":"{}","seq":{},"born":1}})",
+          R"("slots":8,"state":"{}","cold_left_ms":0,"seq":{},"born":1}})",
           pool, server.address().ToString(),
           data_centres.contains(id) ? data_centres.at(id) : "z1",
           software_version, state, sequence));
