Store: a record that can't be read no longer hides the others

Cause: a page of /log-newest was parsed as a whole, so that one key that is no text (bytes that are no UTF-8, the escape of a lone surrogate), or one value that is missing or no Base64, failed the page. A host that starts, whose position is no longer retained, or whose store was restored reads such pages, and would have read none until the entry was gone. A page that the store repeats was read again without end. Class: one bad element fails its batch. A line break in a key or a value broke the line of the log.

Change: the store client reads a page record by record, after bytes and escapes that are no text were replaced if it can't be parsed otherwise, and lists the offsets of unreadable records, which TopicView reports once. It goes on after the last readable key, and a repeated page is an error. RegistrationController treats an odd entry as the removal of its endpoint: gone at once, also after an outage; passed on as a removal, in no copy, one line a change of content. An endpoint that still runs is back with its next heartbeat. That an odd entry takes its endpoint out of use follows from "It names no runner to use": the newest record counts, and whoever wrote it, there is no sound entry any more.

How the store writes keys that are no text into a page is not on its pages; the test covers raw bytes, escapes of lone surrogates and U+FFFD.

--- a/Libraries/LibPlatform/record_text.cc
+++ b/Libraries/LibPlatform/record_text.cc
@@ -20,4 +20,10 @@
   return bytes;
 }
 
+std::string PrintableText(std::string_view bytes) {
+  constexpr size_t kMaxLoggedBytes = 512;
+  const auto start = bytes.substr(0, kMaxLoggedBytes);
+  return absl::CHexEscape(absl::string_view(start.data(), start.size()));
+}
+
 }  // namespace wasabi::platform
--- a/Libraries/LibPlatform/record_text.h
+++ b/Libraries/LibPlatform/record_text.h
@@ -20,6 +20,10 @@
 // Base64.
 absl::StatusOr<std::string> DecodeBase64(std::string_view text);
 
+// Returns the beginning of `bytes`, which another program wrote, for a line of
+// the log: everything but visible ASCII is escaped.
+std::string PrintableText(std::string_view bytes);
+
 // Returns the record body that holds `message`.
 template <typename Message>
 std::string EncodeRecord(const Message& message) {
--- a/Libraries/LibPlatform/topic_view.cc
+++ b/Libraries/LibPlatform/topic_view.cc
@@ -131,8 +131,15 @@
   needs_snapshot_ = false;
   lacks_newer_records_ = false;
   RecordRecovery();
+  // A record that an earlier read has skipped is reported once.
+  const Offset first_unread = next_ && !IsLater(page->epoch) ? *next_ : 0;
   EnterHistory(page->epoch, page->next);
   ApplySnapshot(*page);
+  for (const Offset offset : page->unreadable) {
+    if (offset >= first_unread) {
+      ReportEvent(core::EventCode::kRecordSkipped, offset);
+    }
+  }
   Confirm(started_at);
 }
 
--- a/Libraries/LibPlatform/topic_view.h
+++ b/Libraries/LibPlatform/topic_view.h
@@ -96,6 +96,9 @@
   void ApplyCopy(const KeyedPage& copy, core::Duration age);
   // Returns this host's whole view.
   KeyedPage Copy() const;
+  // Leaves the record of `key` out of copies until it is written again. The
+  // handlers call this for a record that nobody can use.
+  void Forget(const std::string& key) { newest_.erase(key); }
 
   // Returns true once a snapshot has arrived, from the platform or from another
   // host.
--- a/Services/Forwarder/registration_controller.cc
+++ b/Services/Forwarder/registration_controller.cc
@@ -3,7 +3,9 @@
 #include <algorithm>
 #include <utility>
 
+#include "LibCore/hash.h"
 #include "LibCore/text.h"
+#include "LibPlatform/record_text.h"
 #include "Services/Forwarder/topic_numbers.h"
 
 namespace wasabi::forwarder {
@@ -73,6 +75,7 @@
 void RegistrationController::OnSnapshot(
     const std::vector<platform::KeyedRecord>& records) {
   std::vector<forwarding::Registration> registrations;
+  const auto skipped_before = std::exchange(skipped_, {});
   for (const platform::KeyedRecord& it : records) {
     if (!it.value) {
       continue;
@@ -80,7 +83,11 @@
     auto registration =
         adapters_->records->DecodeRegistration(it.key, *it.value);
     if (!registration.ok()) {
-      RecordSkippedRecord(it, registration.status());
+      const auto before = skipped_before.find(it.key);
+      if (before != skipped_before.end()) {
+        skipped_.insert(*before);
+      }
+      Skip(it, registration.status());
       continue;
     }
     registrations.push_back(*std::move(registration));
@@ -96,18 +103,25 @@
   if (!ApplyRecord(record)) {
     return;
   }
-  relay_.RecordChange(record, scheduler_->Now());
+  platform::KeyedRecord relayed = record;
+  if (skipped_.contains(record.key)) {
+    // To the other hosts, the endpoint is gone.
+    relayed.value.reset();
+  }
+  relay_.RecordChange(relayed, scheduler_->Now());
   events_->Record(
       core::EventCode::kEndpointChanged, "",
       fmt::format("endpoint={} offset={} is_dropped={} registration={}",
-                  record.key, record.offset, !record.value.has_value(),
-                  record.value.value_or("")));
+                  platform::PrintableText(record.key), record.offset,
+                  !record.value.has_value(),
+                  platform::PrintableText(record.value.value_or(""))));
 }
 
 bool RegistrationController::ApplyRecord(const platform::KeyedRecord& record) {
   const core::TimePoint now = scheduler_->Now();
   const core::RunnerId id(record.key);
   if (!record.value) {
+    skipped_.erase(record.key);
     // A removal during the grace period does not change the table yet, but
     // other hosts must receive it.
     const core::Duration grace = RemainingGrace();
@@ -116,9 +130,9 @@
   const auto registration =
       adapters_->records->DecodeRegistration(record.key, *record.value);
   if (!registration.ok()) {
-    RecordSkippedRecord(record, registration.status());
-    return registry_.Drop(id, core::Duration::zero(), now);
+    return Skip(record, registration.status());
   }
+  skipped_.erase(record.key);
   const forwarding::RegistryOutcome outcome = registry_.Put(*registration, now);
   if (outcome == forwarding::RegistryOutcome::kLate) {
     events_->Record(
@@ -141,12 +155,20 @@
   return std::max(ends_at - scheduler_->Now(), core::Duration::zero());
 }
 
-void RegistrationController::RecordSkippedRecord(
-    const platform::KeyedRecord& record,
-    const absl::Status& status) {
-  events_->Record(core::EventCode::kRecordSkipped, "",
-                  fmt::format("topic=registrations endpoint={} error={}",
-                              record.key, core::MessageOf(status)));
+bool RegistrationController::Skip(const platform::KeyedRecord& record,
+                                  const absl::Status& status) {
+  view_->Forget(record.key);
+  const uint64_t content = core::StableHash(*record.value);
+  const auto [it, is_new] = skipped_.try_emplace(record.key, content);
+  if (is_new || it->second != content) {
+    it->second = content;
+    events_->Record(core::EventCode::kRecordSkipped, "",
+                    fmt::format("topic=registrations endpoint={} error={}",
+                                platform::PrintableText(record.key),
+                                core::MessageOf(status)));
+  }
+  return registry_.Drop(core::RunnerId(record.key), core::Duration::zero(),
+                        scheduler_->Now());
 }
 
 }  // namespace wasabi::forwarder
--- a/Services/Forwarder/registration_controller.h
+++ b/Services/Forwarder/registration_controller.h
@@ -4,7 +4,9 @@
 #ifndef SERVICES_FORWARDER_REGISTRATION_CONTROLLER_H_
 #define SERVICES_FORWARDER_REGISTRATION_CONTROLLER_H_
 
+#include <map>
 #include <memory>
+#include <string>
 #include <vector>
 
 #include "LibCore/event_ring.h"
@@ -45,14 +47,18 @@
   // Returns how long an endpoint stays in the table after its registration is
   // removed now. Zero unless the view has just recovered from an outage.
   core::Duration RemainingGrace() const;
-  void RecordSkippedRecord(const platform::KeyedRecord& record,
-                           const absl::Status& status);
+  // Treats the endpoint of a record that describes none as gone, and writes a
+  // line to the log unless the last one had the same content. Returns true if
+  // other hosts need to know.
+  bool Skip(const platform::KeyedRecord& record, const absl::Status& status);
 
   const forwarding::AdapterSet* const adapters_;
   platform::Scheduler* const scheduler_;
   core::EventRing* const events_;
   forwarding::EndpointRegistry registry_;
   forwarding::TopicRelay relay_;
+  // Records that describe no endpoint, with a hash of their values.
+  std::map<std::string, uint64_t> skipped_;
   std::shared_ptr<platform::TopicView> view_;
 };
 
--- a/Tests/PlatformAdapter/store_client_test.cc
+++ b/Tests/PlatformAdapter/store_client_test.cc
@@ -104,6 +104,90 @@
                                  "GET /log-newest?topic=t&part=0&after=a"});
 }
 
+struct OddItemCase {
+  const char* what;
+  std::string item;
+};
+
+TEST_CASE("a record that can't be read does not hide the other records") {
+  const OddItemCase cases[] = {
+      {"a key that is no UTF-8", "\"key\":\"m\xff\",\"value\":\"MQ==\""},
+      {"half of a character", "\"key\":\"m\xe2\x82\",\"value\":\"MQ==\""},
+      {"an overlong character", "\"key\":\"\xc0\xaf\",\"value\":\"MQ==\""},
+      {"a surrogate in UTF-8", "\"key\":\"\xed\xa0\x80\",\"value\":\"MQ==\""},
+      {"a lone low surrogate", R"("key":"m\udcff","value":"MQ==")"},
+      {"a lone high surrogate", R"("key":"\\\ud800x","value":"MQ==")"},
+      {"a high surrogate before an escape",
+       R"("key":"\ud83d\u0041","value":"MQ==")"},
+      {"a key that the store replaced", R"("key":"m\ufffd","value":"MQ==")"},
+      {"no key", R"("value":"MQ==")"},
+      {"a key of another type", R"("key":7,"value":"MQ==")"},
+      {"no value", R"("key":"m")"},
+      {"a null value", R"("key":"m","value":null)"},
+      {"a value that is no Base64", R"("key":"m","value":"!")"},
+      {"a value of another type", R"("key":"m","value":[])"},
+  };
+  for (const OddItemCase& row : cases) {
+    INFO(row.what);
+    Fixture it;
+    it.answers = {Answer(
+        200,
+        R"({"items":[{"key":"a\ud83d\ude00","value":"MQ==","offset":3},{)" +
+            row.item + R"(,"offset":4},)" +
+            R"({"key":"z","value":"Mg==","offset":5}],"end":6})")};
+    const auto page = it.ReadNewest();
+    REQUIRE(page.ok());
+    CHECK(page->next == 6);
+    CHECK(page->unreadable == std::vector<platform::Offset>{4});
+    CHECK(page->records ==
+          std::vector<KeyedRecord>{
+              {.key = "a\xf0\x9f\x98\x80", .value = "1", .offset = 3},
+              {.key = "z", .value = "2", .offset = 5}});
+  }
+}
+
+TEST_CASE("pages that end with unreadable keys are read on") {
+  const std::string odd = "{\"key\":\"b\xff\",\"value\":\"MQ==\",\"offset\":4}";
+  Fixture it;
+  it.answers = {
+      Answer(200, R"({"items":[{"key":"a","value":"MQ==","offset":3},)" + odd +
+                      R"(],"has_more":true,"end":9})"),
+      Answer(200, R"({"items":[)" + odd + R"(],"has_more":true,"end":9})"),
+      Answer(200, R"({"items":[{"key":"c","value":"Mg==","offset":6}],
+                      "has_more":false,"end":9})")};
+  const auto page = it.ReadNewest();
+  REQUIRE(page.ok());
+  CHECK(page->records.size() == 2);
+  CHECK(page->unreadable == std::vector<platform::Offset>{4});
+  CHECK(it.requests == std::vector<std::string>{
+                           "GET /log-newest?topic=t&part=0",
+                           "GET /log-newest?topic=t&part=0&after=a",
+                           "GET /log-newest?topic=t&part=0&after=b%EF%BF%BD"});
+}
+
+TEST_CASE("a store that repeats a page is not read for ever") {
+  Fixture it;
+  const std::string page =
+      Answer(200, R"({"items":[{"key":"","value":"MQ==","offset":3}],
+               "has_more":true,"end":5})");
+  it.answers = std::vector<std::string>(3, page);
+  CHECK(core::CodeOf(it.ReadNewest().status()) ==
+        ResultCode::kPlatformUnavailable);
+  CHECK(it.requests.size() == 2);
+}
+
+TEST_CASE("records with keys of any bytes are read from an offset") {
+  const std::string key("\xff\0\r\n\"", 5);
+  Fixture it;
+  it.answers = {Answer(
+      200, Bytes(8, 8) + Bytes(2, 8) + Record(key, "x") + Record("", "y"))};
+  const auto page = it.ReadFrom(6);
+  REQUIRE(page.ok());
+  CHECK(page->records ==
+        std::vector<KeyedRecord>{{.key = key, .value = "x", .offset = 6},
+                                 {.key = "", .value = "y", .offset = 7}});
+}
+
 TEST_CASE("records read from an offset carry their offsets") {
   Fixture it;
   it.answers = {Answer(200, Bytes(9, 8) + Bytes(2, 8) + Record("a", "xyz") +
