A stream of unknown origin goes on only after a newer read of the versions

Cause: where no host remembers a stream, it goes on at the only origin that the route's pools have had for a minute. That belief went by this host's own view, which may be up to 8 s old, and older where the age of the view comes from messages that waited in the buffers of a frozen host. The stream may be younger than the view.

Change: OriginConfirmation reads the registrations that the view lacks, after the request has arrived, before such a stream goes on. An endpoint is registered before any stream begins at it, so the order of request and read suffices, and no clock is compared.

--- a/Libraries/LibForwarding/forward_context.h
+++ b/Libraries/LibForwarding/forward_context.h
@@ -23,6 +23,7 @@
 #include "LibForwarding/endpoint_table.h"
 #include "LibForwarding/load_table.h"
 #include "LibForwarding/long_prompts.h"
+#include "LibForwarding/origin_confirmation.h"
 #include "LibForwarding/origin_history.h"
 #include "LibForwarding/origin_reporter.h"
 #include "LibForwarding/path_prober.h"
@@ -64,6 +65,7 @@
   EndpointPace* paces = nullptr;
   StreamOriginExchange* stream_origins = nullptr;
   StoredOrigins* stored_origins = nullptr;
+  OriginConfirmation* origin_confirmation = nullptr;
   OriginReporter* origin_reporter = nullptr;
   core::RandomSource* random = nullptr;
   // Whether the deployment asks for an order of waiting that is fair among
--- a/Libraries/LibForwarding/stream_resumption.cc
+++ b/Libraries/LibForwarding/stream_resumption.cc
@@ -41,11 +41,36 @@
   ++context_->metrics->Counter("streams_of_unknown_origin");
   context_->origin_history.Observe(*context_->endpoints,
                                    context_->endpoint_view_age(), Now());
-  if (const auto only = OnlyOrigin()) {
+  ContinueAtOnlyOrigin(&StreamResumption::FindStoredOrigin);
+}
+
+void StreamResumption::ContinueAtOnlyOrigin(
+    void (StreamResumption::*otherwise)()) {
+  if (is_unconfirmed_ || !OnlyOrigin()) {
+    (this->*otherwise)();
+    return;
+  }
+  context_->origin_confirmation->Confirm(
+      request_.received_at, Now(),
+      [weak = weak_from_this(), otherwise](bool is_confirmed) {
+        const auto self = weak.lock();
+        if (self != nullptr && !self->is_cancelled_) {
+          self->OnConfirmed(is_confirmed, otherwise);
+        }
+      });
+}
+
+void StreamResumption::OnConfirmed(bool is_confirmed,
+                                   void (StreamResumption::*otherwise)()) {
+  ++context_->metrics->Counter(is_confirmed ? "origin_histories_confirmed"
+                                            : "origin_histories_unconfirmed");
+  is_unconfirmed_ = !is_confirmed;
+  const auto only = OnlyOrigin();
+  if (is_confirmed && only) {
     callback_(*only);
     return;
   }
-  FindStoredOrigin();
+  (this->*otherwise)();
 }
 
 void StreamResumption::FindStoredOrigin() {
@@ -72,12 +97,16 @@
                   core::ToMilliseconds(Now() - request_.received_at)));
   ++context_->metrics->Counter(origin || only ? "stored_origins_found"
                                               : "stored_origins_missing");
-  if (!origin && !only) {
-    callback_(core::MakeStatus(core::ResultCode::kCannotResume,
-                               "it is unknown where the stream began"));
+  if (origin) {
+    callback_(*origin);
     return;
   }
-  callback_(origin ? *origin : *only);
+  ContinueAtOnlyOrigin(&StreamResumption::Refuse);
+}
+
+void StreamResumption::Refuse() {
+  callback_(core::MakeStatus(core::ResultCode::kCannotResume,
+                             "it is unknown where the stream began"));
 }
 
 std::optional<StreamOrigin> StreamResumption::OnlyOrigin() const {
--- a/Libraries/LibForwarding/stream_resumption.h
+++ b/Libraries/LibForwarding/stream_resumption.h
@@ -46,9 +46,15 @@
 
  private:
   void OnOriginFound(std::optional<StreamOrigin> origin);
+  // Continues at the only origin that the stream can have, if there is just one
+  // also after a read that is newer than the request. Otherwise calls
+  // `otherwise`.
+  void ContinueAtOnlyOrigin(void (StreamResumption::*otherwise)());
+  void OnConfirmed(bool is_confirmed, void (StreamResumption::*otherwise)());
   // Handles that no host remembers where the stream began.
   void FindStoredOrigin();
   void OnStoredOrigin(std::optional<StreamOrigin> origin);
+  void Refuse();
   // Makes the origin of this stream known to the fleet.
   void RecordOrigin(StreamOrigin origin);
   // Returns the only origin that the stream can have, if there is just one.
@@ -62,6 +68,8 @@
   EndpointChooser* const chooser_;
   Callback callback_;
   bool is_cancelled_ = false;
+  // The registrations could not be read since the request arrived.
+  bool is_unconfirmed_ = false;
   // The caller has events of this stream, so that only endpoints of the same
   // origin may continue it.
   bool has_begun_ = false;
--- a/Services/Forwarder/forwarder_daemon.cc
+++ b/Services/Forwarder/forwarder_daemon.cc
@@ -177,6 +177,8 @@
   context_.stream_origins = fleet_->stream_origins();
   context_.stored_origins = &fleet_->origins().stored();
   context_.origin_reporter = &fleet_->origins().reporter();
+  context_.origin_confirmation = &fleet_->origins().confirmation();
+  fleet_->origins().SetRegistrations(registrations_->view());
   context_.permits = fleet_->permits();
   context_.places = fleet_->places();
   context_.pool_slots = fleet_->pool_slots();
--- a/Services/Forwarder/origin_controller.cc
+++ b/Services/Forwarder/origin_controller.cc
@@ -16,6 +16,9 @@
 // Before, several hosts of a fleet that starts take themselves for its reader.
 constexpr core::Duration kSettleTime = core::seconds(1);
 constexpr core::Duration kFirstStartSettleTime = core::seconds(3);
+// Endpoints whose registration expired or was lost register again within about
+// two seconds after the platform is back.
+constexpr core::Duration kReregistrationTime = core::milliseconds(2100);
 
 }  // namespace
 
@@ -41,6 +44,14 @@
               random_seed,
               send,
               [this]() { Read(); }),
+      confirmation_(
+          [this](forwarding::OriginConfirmation::ReadCallback callback) {
+            if (registrations_ == nullptr || !registrations_->is_loaded()) {
+              callback(false);
+              return;
+            }
+            ReadRegistrations(registrations_->next(), std::move(callback));
+          }),
       self_(std::make_shared<OriginController*>(this)) {
   if (is_first_start_) {
     context_.history->SetFirstStart();
@@ -66,6 +77,7 @@
   }
   recorder_.Tick(now);
   stored_.Tick(now);
+  confirmation_.Tick(now);
   UpdateVersions(epoch);
 }
 
@@ -157,4 +169,59 @@
                 : "error=" + core::MessageOf(page.status()));
 }
 
+void OriginController::ReadRegistrations(
+    platform::Offset from,
+    forwarding::OriginConfirmation::ReadCallback callback) {
+  ++calls_;
+  context_.adapters->topics->ReadFrom(
+      context_.adapters->names.registrations, from, core::Duration::zero(),
+      [weak = std::weak_ptr(self_), from, callback = std::move(callback)](
+          const absl::StatusOr<platform::KeyedPage>& page) {
+        if (const auto self = weak.lock()) {
+          (*self)->OnRegistrations(from, page, callback);
+        }
+      });
+}
+
+void OriginController::OnRegistrations(
+    platform::Offset from,
+    const absl::StatusOr<platform::KeyedPage>& page,
+    const forwarding::OriginConfirmation::ReadCallback& callback) {
+  // Offsets of another history name other records than those of the view.
+  const bool is_usable = page.ok() && page->next >= from &&
+                         page->epoch == registrations_->epoch() &&
+                         !IsRecovering();
+  if (!is_usable) {
+    context_.events->Record(
+        core::EventCode::kStoredOriginsRead, "",
+        fmt::format("registrations from={} is_usable=false error={}", from,
+                    core::MessageOf(page.status())));
+    callback(false);
+    return;
+  }
+  for (const platform::KeyedRecord& it : page->records) {
+    if (!it.value) {
+      continue;
+    }
+    const auto registration =
+        context_.adapters->records->DecodeRegistration(it.key, *it.value);
+    // The registrations' view logs the entries that can't be decoded.
+    if (registration.ok()) {
+      context_.history->RecordStream(registration->endpoint,
+                                     context_.scheduler->Now());
+    }
+  }
+  if (page->lacks_newer_records) {
+    ReadRegistrations(page->next, callback);
+    return;
+  }
+  callback(true);
+}
+
+bool OriginController::IsRecovering() const {
+  const core::TimePoint recovered_at = registrations_->recovered_at();
+  return recovered_at != core::TimePoint() &&
+         context_.scheduler->Now() - recovered_at < kReregistrationTime;
+}
+
 }  // namespace wasabi::forwarder
--- a/Services/Forwarder/origin_controller.h
+++ b/Services/Forwarder/origin_controller.h
@@ -13,12 +13,14 @@
 
 #include "LibCore/event_ring.h"
 #include "LibForwarding/adapter_set.h"
+#include "LibForwarding/origin_confirmation.h"
 #include "LibForwarding/origin_history.h"
 #include "LibForwarding/origin_recorder.h"
 #include "LibForwarding/origin_reporter.h"
 #include "LibForwarding/stored_origins.h"
 #include "LibForwarding/version_recorder.h"
 #include "LibPlatform/scheduler.h"
+#include "LibPlatform/topic_view.h"
 #include "Services/Forwarder/fleet_roles.h"
 #include "Services/Forwarder/forwarder_settings.h"
 
@@ -47,6 +49,11 @@
                 const std::vector<core::HostId>& registered,
                 const FleetRoles& roles);
 
+  // Sets this host's view of the registrations, which must outlive this object.
+  void SetRegistrations(const platform::TopicView* view) {
+    registrations_ = view;
+  }
+
   // Reads, writes and sends what is due. `epoch` is the present history of the
   // platform's log. Must be called every few ten milliseconds.
   void Tick(platform::LogEpoch epoch);
@@ -54,6 +61,7 @@
   forwarding::OriginReporter& reporter() { return reporter_; }
   forwarding::OriginRecorder& recorder() { return recorder_; }
   forwarding::StoredOrigins& stored() { return stored_; }
+  forwarding::OriginConfirmation& confirmation() { return confirmation_; }
   // Returns the number of calls to the platform so far.
   uint64_t calls() const { return calls_; }
 
@@ -63,6 +71,16 @@
            std::function<void(const absl::StatusOr<platform::LogEpoch>&)> done);
   void Read();
   void OnRead(const absl::StatusOr<platform::KeyedPage>& page);
+  // Reads the registrations at or after `from` and records their origins.
+  void ReadRegistrations(platform::Offset from,
+                         forwarding::OriginConfirmation::ReadCallback callback);
+  void OnRegistrations(
+      platform::Offset from,
+      const absl::StatusOr<platform::KeyedPage>& page,
+      const forwarding::OriginConfirmation::ReadCallback& callback);
+  // Returns whether the platform has just been restored or was away. Entries
+  // that it lost or that lapsed are missing until their writers repeat them.
+  bool IsRecovering() const;
   void UpdateVersions(platform::LogEpoch epoch);
   void WriteVersions(platform::LogEpoch epoch);
 
@@ -72,7 +90,9 @@
   forwarding::OriginRecorder recorder_;
   forwarding::OriginReporter reporter_;
   forwarding::StoredOrigins stored_;
+  forwarding::OriginConfirmation confirmation_;
   forwarding::VersionRecorder versions_;
+  const platform::TopicView* registrations_ = nullptr;
   size_t registered_hosts_ = 0;
   FleetRoles roles_;
   bool is_writing_versions_ = false;
