A version that came and left within one read stays in the history

What callers may see: a stream that began at a short-lived endpoint of a new version, and that no host remembers, goes on at the old version.

Cause: the history of origins looks at the table of endpoints twice a second. An endpoint that joined and left in one read of the registrations (a host that was frozen or cut off reads several seconds at once) is never in that table when the history looks, and the read that confirms the history starts after it.

Change: an endpoint that leaves the table, or is replaced there by its next start, is recorded in the history at that time.

--- a/Services/Forwarder/forwarder_daemon.cc
+++ b/Services/Forwarder/forwarder_daemon.cc
@@ -83,6 +83,7 @@
       fmt::format("data_centre={} callers={}", settings_.data_centre.value(),
                   settings_.callers_address.ToString()));
   endpoints_.SetRemovalObserver([this](const forwarding::Endpoint& before) {
+    context_.origin_history.RecordStream(before, loop_->Now());
     monitor_.Forget(before.id);
     if (fleet_ != nullptr) {
       fleet_->permits()->Forget(before.id);
--- a/Tests/ForwardedStreams/stream_resumed_at_stale_host_test.cc
+++ b/Tests/ForwardedStreams/stream_resumed_at_stale_host_test.cc
@@ -4,6 +4,7 @@
 
 #include <catch2/catch.hpp>
 #include <chrono>
+#include <optional>
 #include <string>
 #include <thread>
 
@@ -83,6 +84,28 @@
   }
 }
 
+// The new version comes and goes within one read of the host, so that the host
+// never sees it among the endpoints.
+TEST_CASE("a stream is not resumed after its version came and left unseen") {
+  const bool cases[] = {true, false};
+  for (const bool has_new_version : cases) {
+    INFO(has_new_version);
+    ForwarderFixture it({.is_first_start = true});
+    it.Configure();
+    RunFor(it, kOutOfStep);
+    if (has_new_version) {
+      it.Register("e3", it.second, "ready", "p", "v2");
+      it.store->Write(it.names.registrations, "e3", std::nullopt);
+    }
+    RunFor(it, kOutOfStep);
+    it.script = {ChunkedStreamStart(kEvent2) + kStreamEnd};
+    const CallerResult result = it.Get(
+        "/resumable/1", false, {{"Last-Event-Id", "1"}, {"Resumes", "idx"}});
+    CHECK(result.status == (has_new_version ? 503 : 200));
+    CHECK(it.received.size() == (has_new_version ? 0 : 1));
+  }
+}
+
 // Returns the lines of the metrics that count calls for origins.
 std::string OriginCalls(ForwarderFixture& it) {
   const std::string metrics = it.GetInternal("/metrics", it.settings);
