--- a/Services/Forwarder/forwarder_daemon.cc
+++ b/Services/Forwarder/forwarder_daemon.cc
@@ -77,6 +77,7 @@
       fmt::format("data_centre={} callers={}", settings_.data_centre.value(),
                   settings_.callers_address.ToString()));
   endpoints_.SetRemovalObserver([this](const forwarding::Endpoint& before) {
+    context_.origin_history.RecordStream(before, loop_->Now());
     monitor_.Forget(before.id);
     if (fleet_ != nullptr) {
       fleet_->permits()->Forget(before.id);
@@ -171,6 +172,8 @@
   context_.stream_origins = fleet_->stream_origins();
   context_.stored_origins = &fleet_->origins().stored();
   context_.origin_reporter = &fleet_->origins().reporter();
+  context_.origin_confirmation = &fleet_->origins().confirmation();
+  fleet_->origins().SetRegistrations(registrations_->view());
   context_.permits = fleet_->permits();
   context_.places = fleet_->places();
   context_.pool_slots = fleet_->pool_slots();
