A stopping host takes requests as before while callers may know its address

A stopping host now goes on as before for the 3 s for which callers may keep an address, less 0.3 s for what is under way, and takes only what is certain to be complete from then on.

--- a/Libraries/LibRouting/stop_schedule.cc
+++ b/Libraries/LibRouting/stop_schedule.cc
@@ -8,6 +8,9 @@
 
 // Extra time for discovery responses that are still on their way to callers.
 constexpr core::Duration kDiscoverySlack = core::milliseconds(400);
+// The host may notice the signal, and receive a request that was sent, this
+// late.
+constexpr core::Duration kReceiptSlack = core::milliseconds(300);
 // Share of the grace period for which the host listens at most.
 constexpr double kListeningShare = 0.5;
 // Requests still open after this share of the grace period are ended.
@@ -24,6 +27,7 @@
 
 StopSchedule::StopSchedule(const StopPolicy& policy, core::TimePoint began_at)
     : began_at_(began_at),
+      takes_all_until_(began_at + policy.address_lifetime - kReceiptSlack),
       listens_until_(began_at +
                      std::min(policy.address_lifetime + kDiscoverySlack,
                               ShareOf(policy.grace, kListeningShare))),
--- a/Libraries/LibRouting/stop_schedule.h
+++ b/Libraries/LibRouting/stop_schedule.h
@@ -2,9 +2,10 @@
 // left.
 //
 // Load pattern: hosts are stopped one after the other, also several at once,
-// while callers keep the addresses that they know. A request that is taken
-// after the stop began must be complete before the process ends, so it is taken
-// only if its answer is due by then. Others are refused unrun, at once, since
+// while callers keep the addresses that they know and may find no better one.
+// For that time a stopping host goes on as before; nearly all that it takes
+// then is complete before the process ends. Later it takes a request only if
+// its answer is due by that end. Others are refused unrun, at once, since
 // another host can still serve them in time. Decision code without I/O: the
 // caller supplies the time.
 
@@ -39,14 +40,17 @@
   // The process ends at this time, even if answers have not been sent.
   core::TimePoint ends_at() const { return ends_at_; }
 
-  // Returns whether a request whose answer is due at `due` is certain to be
-  // complete before the host interrupts it.
-  bool CanComplete(core::TimePoint due) const { return due <= interrupts_at_; }
+  // Returns whether the host takes a request at `now` whose answer is due at
+  // `due`.
+  bool Takes(core::TimePoint now, core::TimePoint due) const {
+    return now < takes_all_until_ || due <= interrupts_at_;
+  }
 
   auto operator<=>(const StopSchedule&) const = default;
 
  private:
   core::TimePoint began_at_;
+  core::TimePoint takes_all_until_;
   core::TimePoint listens_until_;
   core::TimePoint interrupts_at_;
   core::TimePoint ends_at_;
--- a/Services/Forwarder/forwarder_daemon.cc
+++ b/Services/Forwarder/forwarder_daemon.cc
@@ -301,7 +301,7 @@
     RespondError(transaction, StatusForCaller(request.status()));
     return;
   }
-  if (stop_ && !stop_->CanComplete(request->AnswerDue())) {
+  if (stop_ && !stop_->Takes(loop_->Now(), request->AnswerDue())) {
     RespondError(transaction,
                  core::MakeRefusal(core::ResultCode::kStopping,
                                    "the host shuts down before the answer is "
--- a/Services/Forwarder/forwarder_daemon.h
+++ b/Services/Forwarder/forwarder_daemon.h
@@ -53,8 +53,9 @@
   ForwarderDaemon& operator=(const ForwarderDaemon&) = delete;
 
   // Starts a graceful shutdown: the host leaves the fleet, accepts requests
-  // that it is certain to complete until callers no longer use its cached
-  // address, completes the requests in flight and stops the event loop.
+  // until callers no longer use its cached address, from then on only those
+  // that it is certain to complete, completes the requests in flight and stops
+  // the event loop.
   void BeginShutdown();
 
   // Reads the settings file again. If it is invalid, the current settings stay
