A 4xx to a resumed stream is no part of the stream

Cause: ForwardSession delivered an answer with a final status without asking whether the caller had a part of the stream already; its head had no effect then, and its body and end went to the stream.

Fix: once the stream has begun, such an answer counts as a run that failed: the stream is taken up at another endpoint within the route's attempts and the budget, or cut so that the caller sees it and can resume it.

--- a/Libraries/LibForwarding/forward_session.cc
+++ b/Libraries/LibForwarding/forward_session.cc
@@ -298,7 +298,12 @@
       return;
     case AttemptVerdict::kFinal:
       retry_rule_->RecordRun();
-      DeliverBufferedAnswer();
+      if (transaction_->is_started()) {
+        // It is no part of the stream that the caller has.
+        OnAttemptMayHaveRun();
+      } else {
+        DeliverBufferedAnswer();
+      }
       return;
     case AttemptVerdict::kFailure:
     case AttemptVerdict::kInvalid:
--- a/Tests/ForwardedStreams/cut_stream_looks_complete_test.cc
+++ b/Tests/ForwardedStreams/cut_stream_looks_complete_test.cc
@@ -122,5 +122,52 @@
   }
 }
 
+struct RestCase {
+  const char* what;
+  int status;
+  const char* fields;
+};
+
+TEST_CASE("no failure of the endpoint that resumes a stream is a part of it") {
+  const char* const signature = "Response-Signature: s\r\n";
+  const char* const refusal = "Not-Executed: 1\r\n";
+  const RestCase cases[] = {
+      {"a bad request", 400, ""},
+      {"a bad request, signed", 400, signature},
+      {"not found", 404, ""},
+      {"not found, signed", 404, signature},
+      {"a conflict, signed", 409, signature},
+      {"a bad request, not run", 400, refusal},
+      {"misdirected", 421, ""},
+      {"too many", 429, ""},
+      {"too many, not run", 429, refusal},
+      {"a failure", 500, ""},
+      {"a failure, signed", 500, signature},
+      {"unavailable", 503, ""},
+      {"unavailable, not run", 503, refusal},
+      {"out of time, signed", 504, signature},
+      {"a redirect", 302, ""},
+      {"a redirect, signed", 302, signature},
+      {"no content", 204, ""},
+      {"success without a signature", 200, ""},
+  };
+  const std::string event = "id: 1\ndata: a\n\n";
+  for (const RestCase& row : cases) {
+    INFO(row.what);
+    support::ForwarderFixture it;
+    it.Configure();
+    it.script = {
+        ChunkedStreamStart(event + "id: 2\nda") + kClose,
+        support::ScriptedAnswer(row.status, row.fields,
+                                row.status == 204 ? "" : "the rest failed")};
+    const support::CallerResult result = it.Get("/resumable/1");
+    REQUIRE(result.end.has_value());
+    CHECK(result.status == 200);
+    CHECK(result.body == event);
+    CHECK(result.end != http::OriginOutcome::kComplete);
+    CHECK(it.received.size() == 2);
+  }
+}
+
 }  // namespace
 }  // namespace wasabi::forwarder
