--- a/Tests/PlatformAdapter/registration_codec_test.cc
+++ b/Tests/PlatformAdapter/registration_codec_test.cc
@@ -20,7 +20,7 @@
         forwarding::Endpoint{
             .id = core::RunnerId("e1"),
             .pool = core::PoolId("p"),
-            .address = *core::SocketAddress::Parse("10.0.0.1:80"),
+            .address = *core::SocketAddress::Parse("127.0.0.1:80"),
             .data_centre = core::DataCentreId("z1"),
             .slots = 4,
             .is_leaving = false,
@@ -43,7 +43,7 @@
       {"a leaving endpoint", "state", R"("draining")"},
       {"a data centre that no host is in", "zone", R"("elsewhere")"},
       {"a service that is configured later", "service", R"("later")"},
-      {"the last port", "address", R"("10.0.0.1:65535")"},
+      {"the last port", "address", R"("127.0.0.1:65535")"},
       {"many slots", "slots", "4096"},
       {"a fraction of a millisecond", "cold_left_ms", "1.5"},
       {"a new field", "new", R"({"a":[1,{"b":null}]})"},
