Signal handlers are set before a host listens

A SIGTERM between the first listening socket and the handlers ended the process by its default action, and reset what was in the queue (found by reading; no run has shown it). The handlers run in the loop, which begins after the daemon was created.

--- a/Services/Router/main.cc
+++ b/Services/Router/main.cc
@@ -4,6 +4,8 @@
 
 #include <csignal>
 #include <iostream>
+#include <memory>
+#include <utility>
 
 #include "LibCore/log.h"
 #include "LibCore/result_code.h"
@@ -55,15 +57,20 @@
   }
   core::SetLogLevel(settings->log_level);
   core::EventLoop loop;
-  const auto daemon = forwarder::ForwarderDaemon::Create(
-      &loop, *settings, FLAGS_settings, adapter::MakeAdapters);
-  if (!daemon.ok()) {
-    return ReportError(daemon.status(), kStartExit);
-  }
-  const auto stop = [&daemon] { (*daemon)->BeginShutdown(); };
+  std::unique_ptr<forwarder::ForwarderDaemon> daemon;
+  // The handlers run in the loop, after the daemon was created. They are set
+  // before it listens, since a signal without a handler would end the process
+  // together with the connections that it has.
+  const auto stop = [&daemon] { daemon->BeginShutdown(); };
   loop.OnSignal(SIGTERM, stop);
   loop.OnSignal(SIGINT, stop);
-  loop.OnSignal(SIGHUP, [&daemon] { (*daemon)->Reload(); });
+  loop.OnSignal(SIGHUP, [&daemon] { daemon->Reload(); });
+  auto created = forwarder::ForwarderDaemon::Create(
+      &loop, *settings, FLAGS_settings, adapter::MakeAdapters);
+  if (!created.ok()) {
+    return ReportError(created.status(), kStartExit);
+  }
+  daemon = *std::move(created);
   loop.Run();
   return 0;
 }
