--- a/Tests/Support/PlatformEndpoint/platform_endpoint.cc
+++ b/Tests/Support/PlatformEndpoint/platform_endpoint.cc
@@ -125,7 +125,9 @@
   run->ended_at = loop_->Now();
   http::Answer answer = {
       .status = is_for_other_endpoint ? kMisdirected : kUnavailable,
-      .headers = {{std::string(adapter::kNotExecutedHeader), "1"}}};
+      .headers = {
+          {std::string(adapter::kRequestIdHeader), run->request.value()},
+          {std::string(adapter::kNotExecutedHeader), "1"}}};
   if (asks_for_pause && !is_for_other_endpoint) {
     run->paused_until = run->ended_at + kPause;
     answer.headers.Add(std::string(adapter::kPauseHeader),
