The end of a stop waits for the steps of the requests that it ended

Found by review: after a stall of over 0.4 s at the end of a stop, requests were ended and the loop stopped in one step, so that sessions outlived the daemon that they use. The host now ends in a later step, and the loop stops behind what was posted. With a grace of under 3 s it took everything also after requests had been ended; it takes nothing from then on.

--- a/Libraries/LibRouting/stop_schedule.cc
+++ b/Libraries/LibRouting/stop_schedule.cc
@@ -27,11 +27,13 @@
 
 StopSchedule::StopSchedule(const StopPolicy& policy, core::TimePoint began_at)
     : began_at_(began_at),
-      takes_all_until_(began_at + policy.address_lifetime - kReceiptSlack),
       listens_until_(began_at +
                      std::min(policy.address_lifetime + kDiscoverySlack,
                               ShareOf(policy.grace, kListeningShare))),
       interrupts_at_(began_at + ShareOf(policy.grace, kServingShare)),
+      takes_all_until_(
+          std::min(began_at + policy.address_lifetime - kReceiptSlack,
+                   interrupts_at_)),
       ends_at_(began_at + ShareOf(policy.grace, kRunningShare)) {}
 
 }  // namespace wasabi::routing
--- a/Libraries/LibRouting/stop_schedule.h
+++ b/Libraries/LibRouting/stop_schedule.h
@@ -43,16 +43,17 @@
   // Returns whether the host takes a request at `now` whose answer is due at
   // `due`.
   bool Takes(core::TimePoint now, core::TimePoint due) const {
-    return now < takes_all_until_ || due <= interrupts_at_;
+    return now < takes_all_until_ ||
+           (now < interrupts_at_ && due <= interrupts_at_);
   }
 
   auto operator<=>(const StopSchedule&) const = default;
 
  private:
   core::TimePoint began_at_;
-  core::TimePoint takes_all_until_;
   core::TimePoint listens_until_;
   core::TimePoint interrupts_at_;
+  core::TimePoint takes_all_until_;
   core::TimePoint ends_at_;
 };
 
--- a/Services/Forwarder/forwarder_daemon.cc
+++ b/Services/Forwarder/forwarder_daemon.cc
@@ -515,12 +515,16 @@
   if (now >= stop_->interrupts_at() && !has_interrupted_) {
     has_interrupted_ = true;
     InterruptRequests();
+    // The ended requests still have steps in the loop.
+    return;
   }
   if (!IsDrained() && now < stop_->ends_at()) {
     return;
   }
   events_.Record(core::EventCode::kProcessStopped, "", DescribeOpenWork());
-  loop_->Stop();
+  ticker_->Stop();
+  // Steps that were posted before use this daemon, so they run first.
+  loop_->Post([loop = loop_]() { loop->Stop(); });
 }
 
 void ForwarderDaemon::InterruptRequests() {
--- a/Tests/ForwardedStreams/stopping_host_cuts_requests_test.cc
+++ b/Tests/ForwardedStreams/stopping_host_cuts_requests_test.cc
@@ -25,8 +25,9 @@
 // A fixture whose daemon ends as its process would: when the daemon stops the
 // loop, all its connections are closed.
 class StoppingHost {
-public:
-  StoppingHost() {
+ public:
+  explicit StoppingHost(const support::FixtureOptions& options = {})
+      : fixture(options) {
     fixture.Configure();
     began_at_ = fixture.loop.Now();
   }
@@ -55,16 +56,17 @@
 
   ForwarderFixture fixture;
 
-private:
+ private:
   core::TimePoint began_at_;
 };
 
 // A caller that sends a request in pieces.
 class PiecewiseCaller {
-public:
-  explicit PiecewiseCaller(StoppingHost *host)
-      : stream_(*http::TcpStream::Connect(
-            &host->fixture.loop, host->fixture.settings.callers_address)) {
+ public:
+  explicit PiecewiseCaller(StoppingHost* host)
+      : stream_(
+            *http::TcpStream::Connect(&host->fixture.loop,
+                                      host->fixture.settings.callers_address)) {
     http::TcpStream::Callbacks callbacks;
     callbacks.on_data = [this](std::string_view bytes) {
       received_.append(bytes);
@@ -77,17 +79,18 @@
   bool HasReceived(std::string_view text) const {
     return received_.find(text) != std::string::npos;
   }
-  const std::string &received() const { return received_; }
+  const std::string& received() const { return received_; }
 
-private:
+ private:
   void Close() { stream_->Close(); }
 
   const std::shared_ptr<http::TcpStream> stream_;
   std::string received_;
 };
 
-std::string RequestHead(const std::string &target, int deadline_ms,
-                        const std::string &framing) {
+std::string RequestHead(const std::string& target,
+                        int deadline_ms,
+                        const std::string& framing) {
   return fmt::format(
       "POST {} HTTP/1.1\r\nHost: a.test\r\nRequest-Id: id1\r\n"
       "Authorization: Bearer k1\r\nDeadline-Ms: {}\r\n{}\r\n\r\n",
@@ -95,7 +98,7 @@
 }
 
 struct PieceCase {
-  const char *what;
+  const char* what;
   std::string target;
   int deadline_ms;
   std::string framing;
@@ -180,14 +183,14 @@
        200,
        1},
   };
-  for (const PieceCase &row : cases) {
+  for (const PieceCase& row : cases) {
     INFO(row.what);
     StoppingHost host;
     host.fixture.script = {row.answer};
     PiecewiseCaller caller(&host);
     host.Signal();
     bool has_head = false;
-    for (const auto &[at, piece] : row.pieces) {
+    for (const auto& [at, piece] : row.pieces) {
       host.RunTo(core::milliseconds(at));
       if (!has_head) {
         caller.Write(RequestHead(row.target, row.deadline_ms, row.framing));
@@ -203,6 +206,35 @@
   }
 }
 
+TEST_CASE("a stopping host serves callers that may know no other address") {
+  struct Row {
+    const char* what;
+    int sent_ms;
+    int status;
+    size_t sends;
+  };
+  // Callers keep an address for 900 ms, of which 300 ms are left for what is
+  // under way. The stream may outlast the host in both rows.
+  const Row rows[] = {
+      {"soon after the signal", 100, 200, 1},
+      {"when callers should have left", 800, 503, 0},
+  };
+  for (const Row& row : rows) {
+    INFO(row.what);
+    StoppingHost host({.max_address_lifetime = core::milliseconds(300)});
+    host.fixture.script = {ChunkedStreamStart("id: 1\n\n") +
+                           support::kStreamEnd};
+    PiecewiseCaller caller(&host);
+    host.Signal();
+    host.RunTo(core::milliseconds(row.sent_ms));
+    caller.Write(RequestHead("/once/1", 1990, "Content-Length: 1") + "b");
+    host.RunTo(kGrace);
+    CHECK(caller.HasReceived(fmt::format("HTTP/1.1 {} ", row.status)));
+    CHECK(host.fixture.received.size() == row.sends);
+    CHECK(host.fixture.daemon == nullptr);
+  }
+}
+
 TEST_CASE("a request under way when its host ends gets an error") {
   StoppingHost host;
   PiecewiseCaller caller(&host);
@@ -229,7 +261,8 @@
   caller.Write("b");
   host.RunTo(kGrace);
   CHECK(caller.HasReceived("HTTP/1.1 200 "));
+  CHECK(host.fixture.daemon == nullptr);
 }
 
-} // namespace
-} // namespace wasabi::forwarder
+}  // namespace
+}  // namespace wasabi::forwarder
--- a/Tests/LibHttp/slow_client_test.cc
+++ b/Tests/LibHttp/slow_client_test.cc
@@ -30,7 +30,9 @@
   Wait(&it.loop, kPause);
   it.caller->SetReading(true);
   CHECK(RunUntil(&it.loop, [&]() { return it.has_ended; }));
-  CHECK(it.received.size() > kBodyBytes);
+  const size_t head_end = it.received.find("\r\n\r\n");
+  REQUIRE(head_end != std::string::npos);
+  CHECK(it.received.size() - head_end - 4 == kBodyBytes);
 }
 
 }  // namespace
--- a/Tests/LibRouting/stop_schedule_test.cc
+++ b/Tests/LibRouting/stop_schedule_test.cc
@@ -31,6 +31,12 @@
        milliseconds(2000),
        milliseconds(3600),
        milliseconds(3800)},
+      {"addresses that outlive the grace",
+       {seconds(1), seconds(3)},
+       milliseconds(900),
+       milliseconds(500),
+       milliseconds(900),
+       milliseconds(950)},
   };
   const core::TimePoint start = core::TimePoint() + seconds(100);
   for (const ScheduleCase& it : cases) {
@@ -43,7 +49,10 @@
     const core::TimePoint late = start + it.interrupts + milliseconds(1);
     CHECK(schedule.Takes(start + it.takes_all - milliseconds(1), late));
     CHECK_FALSE(schedule.Takes(start + it.takes_all, late));
-    CHECK(schedule.Takes(start + it.takes_all, start + it.interrupts));
+    if (it.takes_all < it.interrupts) {
+      CHECK(schedule.Takes(start + it.takes_all, start + it.interrupts));
+    }
+    CHECK_FALSE(schedule.Takes(start + it.interrupts, start));
   }
 }
 
--- a/Tests/Support/ForwarderFixture/forwarder_fixture.cc
+++ b/Tests/Support/ForwarderFixture/forwarder_fixture.cc
@@ -159,6 +159,7 @@
   settings = NewSettings("h1", LoopbackIp(12));
   settings.is_first_start = options.is_first_start;
   settings.load_control_enabled = options.load_control_enabled;
+  settings.max_address_lifetime = options.max_address_lifetime;
   daemon = NewDaemon(settings, &links, &store);
   Register("e1", first, "ready");
   Register("e2", second, "ready");
--- a/Tests/Support/ForwarderFixture/forwarder_fixture.h
+++ b/Tests/Support/ForwarderFixture/forwarder_fixture.h
@@ -67,6 +67,8 @@
   // Whether no request is older than the daemon.
   bool is_first_start = false;
   bool load_control_enabled = false;
+  // Maximum time for which callers keep an address, unless three times as long.
+  core::Duration max_address_lifetime = core::milliseconds(100);
 };
 
 // The endpoints "e1" and "e2" are ready and belong to the pool "p" of most
