Test fixture: a constant's name that no other test of its lint group uses

server_fixture.h and client_limits_test.cc both had a kTestTimeout, so their files did not compile together and the linter took them one by one.

--- a/Tests/LibHttp/server_fixture.h
+++ b/Tests/LibHttp/server_fixture.h
@@ -16,13 +16,13 @@
 
 namespace wasabi::http {
 
-inline constexpr core::Duration kTestTimeout = core::seconds(10);
+inline constexpr core::Duration kFixtureTimeout = core::seconds(10);
 
-// Runs the loop until `is_done` returns true or kTestTimeout has passed.
+// Runs the loop until `is_done` returns true or kFixtureTimeout has passed.
 // Returns the last result of `is_done`.
 inline bool RunUntil(core::EventLoop* loop,
                      const std::function<bool()>& is_done) {
-  const core::TimePoint end = loop->Now() + kTestTimeout;
+  const core::TimePoint end = loop->Now() + kFixtureTimeout;
   const auto timer = loop->NewTimer([&]() {
     if (is_done() || loop->Now() > end) {
       loop->Stop();
