Soak: an endpoint that leaves delivers its last answer

Cause: a fault of the stand-ins. EndpointFleet removed an endpoint that had announced its departure, and its proxy, in the poll after its last run had ended; bytes that the proxy still held were lost. The check now prints the runs of the call, which shows it: the run ended as answered (end=2) in the same millisecond as the cut. Change: such an endpoint stays 250 ms longer after its last run.

--- a/Tests/Soak/checker.cc
+++ b/Tests/Soak/checker.cc
@@ -330,9 +330,15 @@
   }
 
   void CheckPlannedMaintenance(const Call& call) {
-    if (IsCutByPlannedWork(call, RunsOf(call), history_, bounds_)) {
-      Add("planned maintenance interrupts no requests", Describe(call));
+    const std::vector<RunPointer> runs = RunsOf(call);
+    if (!IsCutByPlannedWork(call, runs, history_, bounds_)) {
+      return;
+    }
+    std::string detail = Describe(call);
+    for (const RunPointer& it : runs) {
+      detail += "; " + Describe(*it);
     }
+    Add("planned maintenance interrupts no requests", detail);
   }
 
   void CheckRequest(const EndpointRun& run) {
--- a/Tests/Soak/endpoint_fleet.cc
+++ b/Tests/Soak/endpoint_fleet.cc
@@ -21,6 +21,9 @@
 // A leaving endpoint keeps serving for this long after the bound within which
 // hosts must stop sending requests to it.
 constexpr core::Duration kExtraServingTime = core::milliseconds(1500);
+// A leaving endpoint is gone this long after its last answer, so that its relay
+// has passed on all of it.
+constexpr core::Duration kLastBytesTime = core::milliseconds(250);
 // Loopback IP numbers: the first of each range, and the size of a range.
 constexpr uint32_t kFirstEndpointIp = 80;
 constexpr uint32_t kFirstProxyIp = 130;
@@ -310,13 +313,12 @@
       }
       return;
     case State::kLeaving:
-      if (now >= member->transition_at && member->endpoint->running() == 0) {
-        if (member->is_registered) {
-          Unregister(member);
-        }
-        member->state = State::kGone;
-        member->endpoint.reset();
-        member->relay.reset();
+      if (member->endpoint->running() > 0) {
+        member->transition_at =
+            std::max(member->transition_at, now + kLastBytesTime);
+      }
+      if (now >= member->transition_at) {
+        RemoveMember(member);
       }
       return;
     case State::kGone:
@@ -324,4 +326,13 @@
   }
 }
 
+void EndpointFleet::RemoveMember(Member* member) {
+  if (member->is_registered) {
+    Unregister(member);
+  }
+  member->state = State::kGone;
+  member->endpoint.reset();
+  member->relay.reset();
+}
+
 }  // namespace wasabi::soak
--- a/Tests/Soak/endpoint_fleet.h
+++ b/Tests/Soak/endpoint_fleet.h
@@ -114,6 +114,7 @@
                       core::Duration duration,
                       bool is_planned = false);
   void PollMember(Member* member);
+  void RemoveMember(Member* member);
 
   core::EventLoop* const loop_;
   const SoakOptions& options_;
