Forwarder: move the steps of a shutdown into StopController

The steps move as they were; the schedule goes to ForwardContext, where sessions can see it. Event 101 is recorded before the host announces that it leaves, as before.

--- a/Libraries/LibForwarding/forward_context.h
+++ b/Libraries/LibForwarding/forward_context.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 
 #include "LibCore/event_loop.h"
@@ -41,6 +42,7 @@
 #include "LibForwarding/stream_origin_exchange.h"
 #include "LibForwarding/wait_queue.h"
 #include "LibHttp/origin_client.h"
+#include "LibRouting/stop_schedule.h"
 
 namespace wasabi::forwarding {
 
@@ -91,6 +93,8 @@
   OriginHistory origin_history;
   RelayMemory relay_memory;
   ActiveRequests active_requests;
+  // Set once the host shuts down.
+  std::optional<routing::StopSchedule> stop;
 
   // Returns whether requests for the pool consider the pace of endpoints.
   bool UsesPace(const core::PoolId& pool) const {
--- a/Services/Forwarder/forwarder_daemon.cc
+++ b/Services/Forwarder/forwarder_daemon.cc
@@ -121,6 +121,7 @@
   InitializeContext();
   ConnectColdEndpoints();
   TRY(StartServers());
+  CreateStop();
   startup_timer_ = loop_->NewTimer([this]() { ServeHeld(); });
   ticker_ = loop_->NewTimer([this]() { Tick(); });
   ticker_->StartRepeating(kTick);
@@ -301,7 +302,8 @@
     RespondError(transaction, StatusForCaller(request.status()));
     return;
   }
-  if (stop_ && !stop_->Takes(loop_->Now(), request->AnswerDue())) {
+  if (context_.stop &&
+      !context_.stop->Takes(loop_->Now(), request->AnswerDue())) {
     RespondError(transaction,
                  core::MakeRefusal(core::ResultCode::kStopping,
                                    "the host shuts down before the answer is "
@@ -349,7 +351,7 @@
 }
 
 bool ForwarderDaemon::IsReady() const {
-  return !stop_ && HasLoaded();
+  return !context_.stop && HasLoaded();
 }
 
 void ForwarderDaemon::OnReadinessCheck(const TransactionPointer& transaction) {
@@ -442,9 +444,7 @@
     next_settings_check_at_ = now + kSettingsCheckPeriod;
     Reload();
   }
-  if (stop_) {
-    CheckShutdown();
-  }
+  stop_->Tick();
 }
 
 void ForwarderDaemon::LogPaceChanges() {
@@ -492,63 +492,33 @@
                  "applied; changed addresses take effect at the next start");
 }
 
-void ForwarderDaemon::BeginShutdown() {
-  if (stop_) {
-    return;
-  }
-  stop_.emplace(routing::StopPolicy{.grace = settings_.shutdown_grace,
-                                    .address_lifetime = AddressLifetime() *
-                                                        kAddressLifetimeFactor},
-                loop_->Now());
-  events_.Record(core::EventCode::kProcessStopping, "", DescribeOpenWork());
-  fleet_->AnnounceLeaving();
-  callers_->CloseAfterResponses();
-  tunnels_.Stop();
+void ForwarderDaemon::CreateStop() {
+  stop_ = std::make_unique<StopController>(
+      StopController::Parts{.loop = loop_,
+                            .context = &context_,
+                            .callers = callers_.get(),
+                            .tunnels = &tunnels_,
+                            .has_loaded = [this]() { return HasLoaded(); },
+                            .refuse_held = [this]() { RefuseHeld(); },
+                            .on_stopped = [this]() { ticker_->Stop(); }});
 }
 
-void ForwarderDaemon::CheckShutdown() {
-  const core::TimePoint now = loop_->Now();
-  if (now >= stop_->listens_until() && !has_stopped_listening_) {
-    has_stopped_listening_ = true;
-    callers_->StopListening();
-  }
-  if (now >= stop_->interrupts_at() && !has_interrupted_) {
-    has_interrupted_ = true;
-    InterruptRequests();
-    // The ended requests still have steps in the loop.
-    return;
-  }
-  if (!IsDrained() && now < stop_->ends_at()) {
+void ForwarderDaemon::BeginShutdown() {
+  if (stop_->has_begun()) {
     return;
   }
-  events_.Record(core::EventCode::kProcessStopped, "", DescribeOpenWork());
-  ticker_->Stop();
-  // Steps that were posted before use this daemon, so they run first.
-  loop_->Post([loop = loop_]() { loop->Stop(); });
+  stop_->Begin(
+      {.grace = settings_.shutdown_grace,
+       .address_lifetime = AddressLifetime() * kAddressLifetimeFactor});
+  fleet_->AnnounceLeaving();
 }
 
-void ForwarderDaemon::InterruptRequests() {
+void ForwarderDaemon::RefuseHeld() {
   for (const TransactionPointer& it : startup_queue_.TakeAll()) {
     RespondError(
         it, core::MakeRefusal(core::ResultCode::kStopping,
                               "the host shuts down", core::Duration::zero()));
   }
-  context_.active_requests.InterruptAll(stop_->began_at());
-  callers_->RefuseUnread();
-}
-
-bool ForwarderDaemon::IsDrained() const {
-  return has_stopped_listening_ && callers_->connection_count() == 0 &&
-         tunnels_.open_tunnels() == 0;
-}
-
-std::string ForwarderDaemon::DescribeOpenWork() const {
-  return fmt::format(
-      "in_flight={} sessions={} connections={} buffered_bytes={} tunnels={} "
-      "is_loaded={}",
-      callers_->open_transactions(), context_.active_requests.size(),
-      callers_->connection_count(), callers_->buffered_bytes(),
-      tunnels_.open_tunnels(), HasLoaded());
 }
 
 }  // namespace wasabi::forwarder
--- a/Services/Forwarder/forwarder_daemon.h
+++ b/Services/Forwarder/forwarder_daemon.h
@@ -6,7 +6,6 @@
 
 #include <functional>
 #include <memory>
-#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -22,12 +21,12 @@
 #include "LibHttp/origin_client.h"
 #include "LibHttp/request_server.h"
 #include "LibPlatform/loop_scheduler.h"
-#include "LibRouting/stop_schedule.h"
 #include "Services/Forwarder/configuration_controller.h"
 #include "Services/Forwarder/fleet_controller.h"
 #include "Services/Forwarder/forwarder_settings.h"
 #include "Services/Forwarder/registration_controller.h"
 #include "Services/Forwarder/startup_queue.h"
+#include "Services/Forwarder/stop_controller.h"
 
 namespace wasabi::forwarder {
 
@@ -102,14 +101,9 @@
   // Records the prompt parts that are refused since the last call.
   void LogRefusedParts();
   void LogPaceChanges();
-  // Ends the steps of a shutdown whose time has come.
-  void CheckShutdown();
-  // Ends the requests that are left near the end of the shutdown.
-  void InterruptRequests();
-  // Returns whether nothing is left that callers or other hosts wait for.
-  bool IsDrained() const;
-  // Returns what callers have sent and not been answered, for log entries.
-  std::string DescribeOpenWork() const;
+  void CreateStop();
+  // Refuses the requests that are held until the host is ready.
+  void RefuseHeld();
 
   core::EventLoop* const loop_;
   ForwarderSettings settings_;
@@ -148,10 +142,7 @@
   std::unique_ptr<core::Timer> startup_timer_;
   std::unique_ptr<core::Timer> ticker_;
   bool is_announced_ = false;
-  // Set once a graceful shutdown has begun.
-  std::optional<routing::StopSchedule> stop_;
-  bool has_stopped_listening_ = false;
-  bool has_interrupted_ = false;
+  std::unique_ptr<StopController> stop_;
   core::TimePoint next_settings_check_at_;
   core::TimePoint next_origin_observation_at_;
 };
