Stop: refuse what still waits near the end instead of sending it

What callers saw: a request that waited (queue, permit or place question, retry after an endpoint's refusal) while its host stopped could be sent to an endpoint shortly before the host ended it. It got 502 (outcome unknown) or a cut stream, where 503 (not run) was true until then.

Cause: the schedule was asked when a request was taken, never when it was sent.

Change: StopSchedule::Sends. From eight tenths of the grace a request that has not run is sent only if its answer is due before the host ends what is left (nine tenths). Sessions ask before each dispatch and after each granted question, and StopController refuses those that only wait. Where callers keep addresses for longer than eight tenths of the grace, nothing uncertain is taken after that either: the row of stop_schedule_test for such addresses says 800 ms where it said 900 ms (grace 1 s), and has the times of sending.

--- a/Libraries/LibForwarding/active_requests.h
+++ b/Libraries/LibForwarding/active_requests.h
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <set>
+#include <vector>
 
 #include "LibCore/time.h"
 
@@ -19,6 +20,9 @@
   // `stop_began_at`: refused if it has not been sent to an endpoint, failed or
   // cut off otherwise.
   virtual void Interrupt(core::TimePoint stop_began_at) = 0;
+  // Refuses the request if it has not been sent to an endpoint and, since the
+  // host shuts down, will not be.
+  virtual void RefuseIfTooLate() = 0;
 };
 
 class ActiveRequests {
@@ -37,6 +41,17 @@
     }
   }
 
+  // Refuses the requests that wait for something but will not be sent.
+  void RefuseTooLate() {
+    const std::vector<ActiveRequest*> requests(requests_.begin(),
+                                               requests_.end());
+    for (ActiveRequest* const request : requests) {
+      if (requests_.contains(request)) {
+        request->RefuseIfTooLate();
+      }
+    }
+  }
+
  private:
   std::set<ActiveRequest*> requests_;
 };
--- a/Libraries/LibForwarding/forward_session.cc
+++ b/Libraries/LibForwarding/forward_session.cc
@@ -121,7 +121,20 @@
 }
 
 bool ForwardSession::Dispatch() {
-  return EndIfQuarantined() || clearance_->Ask();
+  return EndIfQuarantined() || EndIfTooLate() || clearance_->Ask();
+}
+
+bool ForwardSession::EndIfTooLate() {
+  if (!context_->stop || retry_rule_->MayHaveRun() ||
+      context_->stop->Sends(Now(), answer_deadline_)) {
+    return false;
+  }
+  RecordInterrupted(*context_, request_, *relay_, nullptr,
+                    context_->stop->began_at());
+  Refuse(core::ResultCode::kStopping,
+         "the host shuts down before the answer is certain to be complete",
+         core::Duration::zero());
+  return true;
 }
 
 bool ForwardSession::DispatchOrRefuse() {
@@ -147,7 +160,7 @@
 void ForwardSession::OnClearance(const Clearance& clearance) {
   switch (clearance.outcome) {
     case ClearanceOutcome::kGranted:
-      StartAttempt(*clearance.endpoint);
+      OnGranted(*clearance.endpoint);
       return;
     case ClearanceOutcome::kPoolFull:
       OnPoolFull(clearance.wait);
@@ -164,6 +177,15 @@
   }
 }
 
+void ForwardSession::OnGranted(const Endpoint& endpoint) {
+  // The questions to other hosts take time.
+  if (EndIfTooLate()) {
+    clearance_->Return(endpoint);
+    return;
+  }
+  StartAttempt(endpoint);
+}
+
 void ForwardSession::OnPoolFull(core::Duration wait) {
   if (retry_rule_->MayHaveRun()) {
     FailAfterRun();
@@ -443,6 +465,12 @@
          core::Duration::zero());
 }
 
+void ForwardSession::RefuseIfTooLate() {
+  if (attempt_ == nullptr || !attempt_->is_active()) {
+    EndIfTooLate();
+  }
+}
+
 void ForwardSession::OnQueueTimeout() {
   Refuse(core::ResultCode::kOverloaded, "every endpoint is full");
 }
--- a/Libraries/LibForwarding/forward_session.h
+++ b/Libraries/LibForwarding/forward_session.h
@@ -51,6 +51,7 @@
 
   // ActiveRequest:
   void Interrupt(core::TimePoint stop_began_at) override;
+  void RefuseIfTooLate() override;
 
  private:
   // Creates the objects that do the steps.
@@ -62,9 +63,12 @@
   void DispatchOrWait();
   // Ends the request if it would crash endpoints. Returns whether it would.
   bool EndIfQuarantined();
+  // Refuses the request if it has not run and the host shuts down too soon to
+  // send it now. Returns whether it has.
+  bool EndIfTooLate();
   // Starts an attempt, or asks for the clearance that it needs, or ends the
-  // request if it would crash endpoints. Returns false if no endpoint can
-  // accept it now.
+  // request if it would crash endpoints or comes too late. Returns false if no
+  // endpoint can accept it now.
   bool Dispatch();
   // Does what Dispatch does, or refuses the request if every endpoint has asked
   // for a pause or has no permit left. Returns false if neither applies, so
@@ -74,6 +78,7 @@
   // waiting on this host does not end.
   bool RefuseIfClosed();
   void OnClearance(const Clearance& clearance);
+  void OnGranted(const Endpoint& endpoint);
   void OnPoolFull(core::Duration wait);
   void OnNoEndpoint();
   // Handles that the chosen endpoint has no place, or its limit permits no
--- a/Libraries/LibForwarding/send_clearance.cc
+++ b/Libraries/LibForwarding/send_clearance.cc
@@ -37,6 +37,11 @@
   return AskForPoolSlot() || AskByOwnChoice();
 }
 
+void SendClearance::Return(const Endpoint& endpoint) {
+  context_->places->OnFinished(endpoint.id, Now());
+  context_->pool_slots->OnFinished(endpoint.pool, Now());
+}
+
 bool SendClearance::AskForPoolSlot() {
   const core::Duration objective =
       request_.route->latency_objective > core::Duration::zero()
--- a/Libraries/LibForwarding/send_clearance.h
+++ b/Libraries/LibForwarding/send_clearance.h
@@ -65,6 +65,9 @@
   // Otherwise calls `on_asking` and then, possibly before this returns,
   // `on_decided`, which may ask again.
   bool Ask();
+  // Returns the slot and the place that were granted at `endpoint`, since the
+  // request isn't sent.
+  void Return(const Endpoint& endpoint);
   // Makes sure that no callback is called any more.
   void Cancel() { is_cancelled_ = true; }
 
--- a/Libraries/LibRouting/stop_schedule.h
+++ b/Libraries/LibRouting/stop_schedule.h
@@ -6,7 +6,9 @@
 // For that time a stopping host goes on as before; nearly all that it takes
 // then is complete before the process ends. Later it takes a request only if
 // its answer is due by that end. Others are refused unrun, at once, since
-// another host can still serve them in time. Decision code without I/O: the
+// another host can still serve them in time. A request that was taken and still
+// waits near that end is treated alike: sent, it would only be interrupted, and
+// its caller could not tell whether it has run. Decision code without I/O: the
 // caller supplies the time.
 
 #ifndef LIBROUTING_STOP_SCHEDULE_H_
@@ -47,12 +49,20 @@
            (now < interrupts_at_ && due <= interrupts_at_);
   }
 
+  // Returns whether a request that was taken is sent to an endpoint at `now` if
+  // its answer is due at `due`. One that isn't sent is refused.
+  bool Sends(core::TimePoint now, core::TimePoint due) const {
+    return now < sends_all_until_ ||
+           (now < interrupts_at_ && due <= interrupts_at_);
+  }
+
   auto operator<=>(const StopSchedule&) const = default;
 
  private:
   core::TimePoint began_at_;
   core::TimePoint listens_until_;
   core::TimePoint interrupts_at_;
+  core::TimePoint sends_all_until_;
   core::TimePoint takes_all_until_;
   core::TimePoint ends_at_;
 };
--- a/Services/Forwarder/stop_controller.cc
+++ b/Services/Forwarder/stop_controller.cc
@@ -24,6 +24,7 @@
     has_stopped_listening_ = true;
     parts_.callers->StopListening();
   }
+  parts_.context->active_requests.RefuseTooLate();
   if (now >= schedule().interrupts_at() && !has_interrupted_) {
     has_interrupted_ = true;
     InterruptRequests();
--- a/Tests/ForwardedStreams/stopping_host_cuts_requests_test.cc
+++ b/Tests/ForwardedStreams/stopping_host_cuts_requests_test.cc
@@ -248,6 +248,69 @@
   CHECK(host.fixture.daemon == nullptr);
 }
 
+enum class WaitsFor : uint8_t {
+  // Its pool has no endpoint until late.
+  kEndpoint,
+  // An endpoint refuses it late.
+  kRefusal,
+};
+
+struct WaitCase {
+  const char* what;
+  WaitsFor waits_for;
+  int deadline_ms;
+  int status;
+  size_t sends;
+};
+
+TEST_CASE("a request that waits is not sent shortly before its host ends") {
+  // With the grace period of the fixture, requests that are left are ended
+  // 1800 ms after the signal.
+  constexpr core::Duration kSent = core::milliseconds(1300);
+  constexpr core::Duration kWaitEnds = core::milliseconds(1680);
+  const WaitCase cases[] = {
+      {"for an endpoint", WaitsFor::kEndpoint, 1990, 503, 0},
+      {"for the answer of an endpoint that refuses it", WaitsFor::kRefusal,
+       1990, 503, 1},
+      {"for such an answer, and can be complete in time", WaitsFor::kRefusal,
+       480, 200, 2},
+  };
+  for (const WaitCase& row : cases) {
+    INFO(row.what);
+    // The host takes requests of any deadline for 1500 ms.
+    StoppingHost host({.max_address_lifetime = core::milliseconds(600)});
+    ForwarderFixture& it = host.fixture;
+    if (row.waits_for == WaitsFor::kEndpoint) {
+      it.Register("e1", it.first, "ready", "other");
+      it.Register("e2", it.second, "ready", "other");
+      host.RunTo(core::milliseconds(200));
+    } else {
+      it.script = {"", row.sends > 1 ? ScriptedSuccess("ok") : ""};
+    }
+    PiecewiseCaller caller(&host);
+    host.Signal();
+    // A request that has begun keeps its connection open.
+    caller.Write(
+        RequestHead("/unsafe/1", row.deadline_ms, "Content-Length: 1"));
+    host.RunTo(kSent);
+    caller.Write("b");
+    host.RunTo(kWaitEnds);
+    if (row.waits_for == WaitsFor::kEndpoint) {
+      it.Register("e1", it.first, "ready");
+    } else {
+      const std::string refusal =
+          support::ScriptedAnswer(503, "Not-Executed: 1\r\n", "");
+      it.first.WriteToAll(refusal);
+      it.second.WriteToAll(refusal);
+    }
+    host.RunTo(kGrace);
+    INFO(caller.received());
+    CHECK(caller.HasReceived(fmt::format("HTTP/1.1 {} ", row.status)));
+    CHECK(it.received.size() == row.sends);
+    CHECK(it.daemon == nullptr);
+  }
+}
+
 TEST_CASE("further signals do not hasten the end of a stopping host") {
   StoppingHost host;
   host.fixture.script = {ScriptedSuccess("ok")};
--- a/Tests/LibRouting/stop_schedule_test.cc
+++ b/Tests/LibRouting/stop_schedule_test.cc
@@ -13,6 +13,7 @@
   StopPolicy policy;
   core::Duration takes_all;
   core::Duration listens;
+  core::Duration sends_all;
   core::Duration interrupts;
   core::Duration ends;
 };
@@ -23,18 +24,21 @@
        {seconds(8), seconds(3)},
        milliseconds(2700),
        milliseconds(3400),
+       milliseconds(6400),
        milliseconds(7200),
        milliseconds(7600)},
       {"addresses that outlive half of the grace",
        {seconds(4), seconds(3)},
        milliseconds(2700),
        milliseconds(2000),
+       milliseconds(3200),
        milliseconds(3600),
        milliseconds(3800)},
       {"addresses that outlive the grace",
        {seconds(1), seconds(3)},
-       milliseconds(900),
+       milliseconds(800),
        milliseconds(500),
+       milliseconds(800),
        milliseconds(900),
        milliseconds(950)},
   };
@@ -53,6 +57,10 @@
       CHECK(schedule.Takes(start + it.takes_all, start + it.interrupts));
     }
     CHECK_FALSE(schedule.Takes(start + it.interrupts, start));
+    CHECK(schedule.Sends(start + it.sends_all - milliseconds(1), late));
+    CHECK_FALSE(schedule.Sends(start + it.sends_all, late));
+    CHECK(schedule.Sends(start + it.sends_all, start + it.interrupts));
+    CHECK_FALSE(schedule.Sends(start + it.interrupts, start));
   }
 }
 
