Tunnels: a carrier says that the endpoint ended its answer

What callers saw: while a host was cut off from the endpoints, an answer with neither a length nor chunks looked complete, with 200 and what had arrived of it, when its carrier was killed or stopped in the middle of it.

Cause: such an answer ends with its connection, and the host took the end of the carrier's connection for that of the endpoint's.

Change: a host says in its request for a tunnel that it knows frames. The carrier then passes on the endpoint's bytes in frames, and its orderly end as a frame of its own; a tunnel that ends without it is cut. Hosts and carriers of the build before go on as before: a carrier sends frames only to a host that asks for them, and a host expects them only after "200 Open-Frames". Through a carrier of the older build an unframed answer still ends with the tunnel, so the fault remains there until all hosts are replaced. The links that two tests cut are now in Tests/Support.

--- a/Libraries/LibForwarding/tunnel.cc
+++ b/Libraries/LibForwarding/tunnel.cc
@@ -4,6 +4,7 @@
 
 #include "LibForwarding/endpoint_notices.h"
 #include "LibHttp/tunnel.h"
+#include "LibHttp/tunnel_frames.h"
 
 namespace wasabi::forwarding {
 
@@ -27,10 +28,12 @@
 
 Tunnel::Tunnel(ForwardContext* context,
                std::shared_ptr<http::TcpStream> host,
+               bool is_framed,
                Endpoint endpoint,
                EndObserver on_end)
     : context_(context),
       host_(std::move(host)),
+      is_framed_(is_framed),
       endpoint_(std::move(endpoint)),
       on_end_(std::move(on_end)) {}
 
@@ -103,7 +106,8 @@
     return;
   }
   NewParser();
-  host_->Write(http::EncodeTunnelReply(http::TunnelReply::kOpen));
+  host_->Write(http::EncodeTunnelReply(
+      is_framed_ ? http::TunnelReply::kOpenFramed : http::TunnelReply::kOpen));
 }
 
 void Tunnel::OnNotConnected() {
@@ -129,7 +133,11 @@
   if (!has_head_) {
     ReadNotices(bytes);
   }
-  host_->Write(bytes);
+  if (is_framed_) {
+    host_->Write(http::EncodeTunnelFrame(bytes));
+  } else {
+    host_->Write(bytes);
+  }
   ApplyBackPressure(*host_, endpoint_stream_.get());
 }
 
@@ -145,6 +153,9 @@
     return;
   }
   endpoint_stream_->Close();
+  if (is_framed_) {
+    host_->Write(http::EncodeTunnelEnd());
+  }
   host_->ShutDownWriting();
   timer_ = context_->loop->NewTimer([weak = weak_from_this()]() {
     if (const auto self = weak.lock()) {
--- a/Libraries/LibForwarding/tunnel.h
+++ b/Libraries/LibForwarding/tunnel.h
@@ -1,5 +1,5 @@
-// One tunnel of TunnelServer. It relays bytes with backpressure, passes on how
-// the endpoint's connection ended, and reads the heads of the endpoint's
+// One tunnel of TunnelServer. It relays bytes with backpressure, tells the host
+// how the endpoint's connection ended, and reads the heads of the endpoint's
 // answers for notices that bind this host too.
 
 #ifndef LIBFORWARDING_TUNNEL_H_
@@ -21,10 +21,12 @@
  public:
   using EndObserver = std::function<void(const std::shared_ptr<Tunnel>&)>;
 
-  // `host` is the connection of the host that asked for the tunnel. `on_end` is
-  // called once, when both connections are closed.
+  // `host` is the connection of the host that asked for the tunnel; if
+  // `is_framed`, it gets the endpoint's bytes in frames. `on_end` is called
+  // once, when both connections are closed.
   Tunnel(ForwardContext* context,
          std::shared_ptr<http::TcpStream> host,
+         bool is_framed,
          Endpoint endpoint,
          EndObserver on_end);
 
@@ -44,6 +46,7 @@
 
   ForwardContext* const context_;
   const std::shared_ptr<http::TcpStream> host_;
+  const bool is_framed_;
   const Endpoint endpoint_;
   EndObserver on_end_;
   std::shared_ptr<http::TcpStream> endpoint_stream_;
--- a/Libraries/LibHttp/origin_connection.cc
+++ b/Libraries/LibHttp/origin_connection.cc
@@ -146,9 +146,12 @@
     return;
   }
   switch (*reply) {
+    case TunnelReply::kOpenFramed:
+      frames_.emplace();
+      OnTunnelOpen();
+      return;
     case TunnelReply::kOpen:
-      OnConnected();
-      stream_->Write(std::exchange(unsent_request_, {}));
+      OnTunnelOpen();
       return;
     case TunnelReply::kEndpointUnreachable:
       Finish(OriginOutcome::kNotSent);
@@ -162,6 +165,14 @@
   }
 }
 
+void OriginConnection::OnTunnelOpen() {
+  OnConnected();
+  stream_->Write(std::exchange(unsent_request_, {}));
+  // What follows the reply is the endpoint's.
+  const std::string rest = std::exchange(input_, {});
+  Receive(rest);
+}
+
 void OriginConnection::Close() {
   const auto self = std::exchange(self_, nullptr);
   is_active_ = false;
@@ -228,10 +239,25 @@
     }
     return;
   }
+  Receive(bytes);
+  ParseInput();
+  if (is_active_ && frames_ && frames_->has_ended()) {
+    OnStreamEnd(TcpStream::End::kClosed);
+  }
+}
+
+void OriginConnection::Receive(std::string_view bytes) {
+  if (frames_) {
+    frames_->Feed(bytes, &input_);
+    return;
+  }
   input_.append(bytes);
   if (!is_connected_) {
     OnTunnelReply();
   }
+}
+
+void OriginConnection::ParseInput() {
   while (is_active_ && is_connected_ && !input_.empty()) {
     const ParseResult result = parser_->Feed(&input_);
     if (is_active_ && HasTooMuchBefore()) {
@@ -298,8 +324,11 @@
     return;
   }
   is_keep_alive_ = false;
-  const bool is_complete = end == TcpStream::End::kClosed && !is_skipping_ &&
-                           !is_interim_ && parser_->FinishAtEof();
+  // A carrier's connection may end before the endpoint's.
+  const bool is_endpoints_end = !frames_ || frames_->has_ended();
+  const bool is_complete = end == TcpStream::End::kClosed && is_endpoints_end &&
+                           !is_skipping_ && !is_interim_ &&
+                           parser_->FinishAtEof();
   Finish(is_complete ? OriginOutcome::kComplete : OriginOutcome::kCut);
 }
 
--- a/Libraries/LibHttp/origin_connection.h
+++ b/Libraries/LibHttp/origin_connection.h
@@ -4,6 +4,7 @@
 #define LIBHTTP_ORIGIN_CONNECTION_H_
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -11,6 +12,7 @@
 #include "LibHttp/message_parser.h"
 #include "LibHttp/origin_client.h"
 #include "LibHttp/tcp_stream.h"
+#include "LibHttp/tunnel_frames.h"
 
 namespace wasabi::http {
 
@@ -41,8 +43,12 @@
   void Connect(const OriginRequest& request);
   void OnConnected();
   void OnTunnelReply();
+  void OnTunnelOpen();
   void NewParser();
   void OnData(std::string_view bytes);
+  // Takes `bytes` of the endpoint, or of the carrier.
+  void Receive(std::string_view bytes);
+  void ParseInput();
   void OnStreamEnd(TcpStream::End end);
   void OnHead(const MessageHead& head);
   void OnMessageComplete();
@@ -69,6 +75,8 @@
   uint64_t skipped_bytes_ = 0;
   // The request that is sent once the tunnel is open.
   std::string unsent_request_;
+  // Set if what the endpoint sends arrives in a tunnel's frames.
+  std::optional<TunnelFrameDecoder> frames_;
   bool is_active_ = false;
   bool is_connected_ = false;
   bool is_tunnel_ = false;
--- a/Libraries/LibHttp/tunnel.cc
+++ b/Libraries/LibHttp/tunnel.cc
@@ -12,14 +12,18 @@
 constexpr std::string_view kHeadEnd = "\r\n\r\n";
 // A reply is shorter; more bytes without an end are none.
 constexpr size_t kMaxReplyBytes = 256;
+// Field of a request for a tunnel whose sender knows frames.
+constexpr std::string_view kFramesField = "Tunnel-Frames";
+constexpr std::string_view kFramesValue = "1";
 
 struct ReplyLine {
   TunnelReply reply;
   std::string_view line;
 };
 
-constexpr std::array<ReplyLine, 4> kReplyLines = {{
+constexpr std::array<ReplyLine, 5> kReplyLines = {{
     {TunnelReply::kOpen, "HTTP/1.1 200 Open"},
+    {TunnelReply::kOpenFramed, "HTTP/1.1 200 Open-Frames"},
     {TunnelReply::kEndpointUnreachable, "HTTP/1.1 502 Unreachable"},
     {TunnelReply::kEndpointUnavailable, "HTTP/1.1 404 Unavailable"},
     {TunnelReply::kCarrierUnavailable, "HTTP/1.1 503 Unavailable"},
@@ -28,8 +32,12 @@
 }  // namespace
 
 std::string EncodeTunnelRequest(uint64_t endpoint_hash) {
-  return fmt::format("{} {:016x} HTTP/1.1\r\nHost: endpoint\r\n\r\n",
-                     kTunnelMethod, endpoint_hash);
+  return fmt::format("{} {:016x} HTTP/1.1\r\nHost: endpoint\r\n{}: {}\r\n\r\n",
+                     kTunnelMethod, endpoint_hash, kFramesField, kFramesValue);
+}
+
+bool AcceptsTunnelFrames(const Headers& headers) {
+  return headers.Get(kFramesField) == kFramesValue;
 }
 
 std::optional<uint64_t> EndpointHashOfTunnel(std::string_view target) {
--- a/Libraries/LibHttp/tunnel.h
+++ b/Libraries/LibHttp/tunnel.h
@@ -10,13 +10,20 @@
 #include <string>
 #include <string_view>
 
+#include "LibHttp/headers.h"
+
 namespace wasabi::http {
 
 inline constexpr std::string_view kTunnelMethod = "CONNECT";
 
-// The carrier's reply. Before kOpen no byte reaches the endpoint.
+// The carrier's reply. Before kOpen or kOpenFramed no byte reaches the
+// endpoint.
 enum class TunnelReply : uint8_t {
+  // Bytes pass unchanged. A carrier that knows no frames answers this, and one
+  // that is asked by a host that knows none.
   kOpen,
+  // What the endpoint sends arrives in frames (see tunnel_frames.h).
+  kOpenFramed,
   // The carrier cannot connect to the endpoint.
   kEndpointUnreachable,
   // The carrier must not send the endpoint requests: it does not know it, or
@@ -26,12 +33,16 @@
   kCarrierUnavailable,
 };
 
-// Encodes the request for a tunnel to the endpoint whose id has this hash.
+// Encodes the request for a tunnel to the endpoint whose id has this hash. It
+// says that this host knows frames.
 std::string EncodeTunnelRequest(uint64_t endpoint_hash);
 // Returns the hash in the target of a request for a tunnel; nullopt if it is
 // malformed.
 std::optional<uint64_t> EndpointHashOfTunnel(std::string_view target);
 
+// Returns whether the host that sent a request with `headers` knows frames.
+bool AcceptsTunnelFrames(const Headers& headers);
+
 std::string EncodeTunnelReply(TunnelReply reply);
 // Removes a reply from the front of `input`. Returns nullopt if it is
 // incomplete, and kCarrierUnavailable if it is malformed.
--- a/Tests/ForwardedStreams/host_cut_off_from_endpoints_test.cc
+++ b/Tests/ForwardedStreams/host_cut_off_from_endpoints_test.cc
@@ -8,96 +8,22 @@
 #include <vector>
 
 #include "LibCore/text.h"
-#include "Tests/Support/FaultProxy/tcp_relay.h"
+#include "Tests/Support/ForwarderFixture/endpoint_links.h"
 #include "Tests/Support/ForwarderFixture/forwarder_fixture.h"
-#include "Tests/Support/free_address.h"
 
 namespace wasabi::forwarder {
 namespace {
 
 using support::CallerResult;
+using support::EndpointLinks;
 using support::FixturePeer;
 using support::ForwarderFixture;
-using support::LinkFault;
-using support::LinkFaultKind;
+using support::LinkCut;
 using support::RawServer;
 
 // Hosts must cope with a cut within this time.
 constexpr core::Duration kStableWindow = core::seconds(3);
 
-enum class CutKind : uint8_t {
-  // Nothing passes, and nothing is said of it.
-  kHang,
-  // Open connections are reset and new ones are refused.
-  kReset,
-  // Open connections live on and new ones are refused.
-  kSpareOpen,
-  // What endpoints send does not arrive.
-  kOneWay,
-};
-
-// The links from one host to the fixture's endpoints.
-class EndpointLinks {
- public:
-  // The links' addresses are on the loopback addresses from `first_ip` on.
-  EndpointLinks(ForwarderFixture* fixture, uint32_t first_ip) {
-    const RawServer* servers[] = {&fixture->first, &fixture->second};
-    const char* ids[] = {"e1", "e2"};
-    for (uint32_t i = 0; i < 2; ++i) {
-      const core::SocketAddress address =
-          support::FreeAddress(support::LoopbackIp(first_ip + i));
-      faults_.push_back(std::make_unique<support::LinkFaults>(i));
-      auto relay = support::TcpRelay::Create(
-          &fixture->loop, address, servers[i]->address(), faults_[i].get());
-      REQUIRE(relay.ok());
-      relays_.push_back(*std::move(relay));
-      map[ids[i]] = address;
-    }
-  }
-
-  void Cut(CutKind kind, core::TimePoint now) {
-    for (size_t i = 0; i < relays_.size(); ++i) {
-      support::TcpRelay& relay = *relays_[i];
-      switch (kind) {
-        case CutKind::kHang:
-          relay.StallAll();
-          relay.IgnoreConnections();
-          break;
-        case CutKind::kReset:
-          relay.ResetAll();
-          relay.RefuseConnections();
-          break;
-        case CutKind::kSpareOpen:
-          relay.RefuseConnections();
-          break;
-        case CutKind::kOneWay:
-          faults_[i]->Inject(
-              {.kind = LinkFaultKind::kFreeze, .affects_to_target = false},
-              now);
-          relay.IgnoreConnections();
-          break;
-      }
-    }
-  }
-
-  void Restore(core::TimePoint now) {
-    for (size_t i = 0; i < relays_.size(); ++i) {
-      faults_[i]->Inject({.kind = LinkFaultKind::kClear}, now);
-      REQUIRE(relays_[i]->AcceptConnections().ok());
-    }
-  }
-
-  size_t open_connections() const {
-    return relays_[0]->open_connections() + relays_[1]->open_connections();
-  }
-
-  support::EndpointLinkMap map;
-
- private:
-  std::vector<std::unique_ptr<support::LinkFaults>> faults_;
-  std::vector<std::unique_ptr<support::TcpRelay>> relays_;
-};
-
 void Wait(ForwarderFixture* fixture, core::Duration time) {
   const core::TimePoint end = fixture->loop.Now() + time;
   fixture->RunUntil([&]() { return fixture->loop.Now() >= end; });
@@ -173,14 +99,14 @@
 
 struct CutCase {
   const char* what;
-  CutKind kind;
+  LinkCut kind;
 };
 
 const CutCase kCuts[] = {
-    {"connections hang", CutKind::kHang},
-    {"connections are reset", CutKind::kReset},
-    {"open connections live on", CutKind::kSpareOpen},
-    {"answers do not arrive", CutKind::kOneWay},
+    {"connections hang", LinkCut::kHang},
+    {"connections are reset", LinkCut::kReset},
+    {"open connections live on", LinkCut::kSpareOpen},
+    {"answers do not arrive", LinkCut::kOneWay},
 };
 
 TEST_CASE("a host without links to endpoints serves through another host") {
@@ -230,7 +156,7 @@
     for (int i = 0; i < 20; ++i) {
       const core::TimePoint started_at = it.loop.Now();
       const CallerResult result = it.Get("/unsafe/1");
-      if (row.kind == CutKind::kSpareOpen && result.status == 200) {
+      if (row.kind == LinkCut::kSpareOpen && result.status == 200) {
         // It was sent on a connection that lives on.
         continue;
       }
@@ -256,7 +182,7 @@
             &result);
   }
   REQUIRE(it.RunUntil([&]() { return it.received.size() == 4; }));
-  links.Cut(CutKind::kReset, it.loop.Now());
+  links.Cut(LinkCut::kReset, it.loop.Now());
   Wait(&it, core::seconds(2));
   CHECK(it.GetInternal("/v1/events", it.settings).find("digest_suspected") ==
         std::string::npos);
--- a/Tests/Support/ForwarderFixture/forwarder_fixture.cc
+++ b/Tests/Support/ForwarderFixture/forwarder_fixture.cc
@@ -124,7 +124,7 @@
   settings.platform_address = free();
   settings.leaving_bound = core::seconds(2);
   settings.configuration_bound = core::seconds(2);
-  settings.shutdown_grace = core::seconds(2);
+  settings.shutdown_grace = shutdown_grace;
   settings.max_address_lifetime = core::milliseconds(100);
   settings.retries = {.ratio = 1, .slack = 100, .window = core::seconds(10)};
   settings.load_bound = 2;
--- a/Tests/Support/ForwarderFixture/forwarder_fixture.h
+++ b/Tests/Support/ForwarderFixture/forwarder_fixture.h
@@ -130,6 +130,8 @@
   std::map<std::string, std::string> data_centres;
   // To be set before Configure.
   EndpointLinkMap links;
+  // The grace period of daemons that are created from now on.
+  core::Duration shutdown_grace = core::seconds(2);
   std::unique_ptr<forwarder::ForwarderDaemon> daemon;
   std::vector<std::unique_ptr<FixturePeer>> peers;
   http::OriginClient client;
