A request that its server received does not pass for unsent

Seen: an engine that dies with a request on a connection that was used before: the attempt ends with 501 (peer_unreachable), which ClientCallbacks defines as "nothing was sent".

Cause: libcurl takes the end of a reused connection without an answer for that of an idle one and connects again; the refused connection is its result.

Change: a refused connection after bytes of the request were sent is 401 (answer_cut).

Left alone: with a server that still listens libcurl sends the request again on the new connection.

--- a/Libraries/LibHttp/client.cc
+++ b/Libraries/LibHttp/client.cc
@@ -30,7 +30,10 @@
       return absl::OkStatus();
     case CURLE_COULDNT_CONNECT:
     case CURLE_COULDNT_RESOLVE_HOST:
-      return MakeStatus(ResultCode::kPeerUnreachable, text);
+      // A request whose reused connection ended without an answer is sent again
+      // on a new one. The server may have run it.
+      return was_sent ? MakeStatus(ResultCode::kAnswerTruncated, text)
+                      : MakeStatus(ResultCode::kPeerUnreachable, text);
     case CURLE_OPERATION_TIMEDOUT:
       return was_sent ? MakeStatus(ResultCode::kDeadlineExceeded, text)
                       : MakeStatus(ResultCode::kPeerUnreachable, text);
