A request that its dead engine never received goes to the next engine

Cause: the owner answered a request without a connection (501) with "answer cut" (401), which the entry resumes at the same engine and takes for one that may have run. It also reported the request as in flight at the crash, so that it ran alone from then on: a busy engine then refuses it where it lets others try the next, and the refusal became 401.

Change: after the probe, a request that never reached its dead engine goes back to the entry, which tries the next engine of its order; also if the engine lives but another choice is left. Only requests that may have run become suspects.

Measured: runner_owner_test, "a request that its dead engine never received": 6 checks failed before (401, and reported as a suspect), none now; "a request whose engine dies with it is a suspect", on a new and on a reused connection, passes. crash_quarantine_test passed in 10 of 10 runs, two at a time, load 12 to 13. It had failed once in many, so these runs alone prove little. All of test_router passed (16 test cases).

--- a/Services/Router/runner_owner.cc
+++ b/Services/Router/runner_owner.cc
@@ -54,6 +54,12 @@
   return EventCode::kRunnerUp;
 }
 
+// Returns whether an attempt whose connection broke with `status` may have
+// reached the engine. One that did not cannot have crashed it.
+bool MayHaveRun(const absl::Status& status) {
+  return core::CodeOf(status) != ResultCode::kPeerUnreachable;
+}
+
 // Passes an answer on to a sink.
 class SinkListener : public AnswerListener {
  public:
@@ -302,21 +308,17 @@
 void RunnerOwner::OnProbeDone(bool is_alive) {
   const auto broken = std::exchange(probed_attempts_, {});
   if (!is_alive) {
-    std::vector<uint64_t> digests;
-    digests.reserve(broken.size());
-    for (const auto& [work, status] : broken) {
-      digests.push_back(work->message.content_digest);
-    }
-    context_->report_crash(runner_, digests);
+    ReportCrash(broken);
     health_.ObserveCrash(context_->loop->Now());
     ApplyHealth();
   }
   for (const auto& [work, status] : broken) {
-    // An attempt that never reached the engine cannot have crashed it.
-    const bool was_running =
-        core::CodeOf(status) != ResultCode::kPeerUnreachable;
+    if (!MayHaveRun(status) && (!is_alive || !work->message.is_last_choice)) {
+      ReturnUnsent(work);
+      continue;
+    }
     FinishWork(work,
-               !is_alive && was_running
+               !is_alive && MayHaveRun(status)
                    ? MakeStatus(ResultCode::kEndpointFailed,
                                 "the endpoint crashed while it ran the request")
                    : MakeStatus(ResultCode::kAnswerTruncated,
@@ -324,6 +326,27 @@
   }
 }
 
+void RunnerOwner::ReportCrash(const std::vector<BrokenAttempt>& broken) {
+  std::vector<uint64_t> digests;
+  for (const auto& [work, status] : broken) {
+    if (MayHaveRun(status)) {
+      digests.push_back(work->message.content_digest);
+    }
+  }
+  if (!digests.empty()) {
+    context_->report_crash(runner_, digests);
+  }
+}
+
+void RunnerOwner::ReturnUnsent(const WorkPointer& work) {
+  if (work->phase == WorkPhase::kEnded) {
+    return;
+  }
+  const std::shared_ptr<WorkSink> sink = work->sink;
+  DropWork(work);
+  sink->OnTryNext();
+}
+
 void RunnerOwner::FinishWork(const WorkPointer& work,
                              const absl::Status& status) {
   if (work->phase == WorkPhase::kEnded) {
--- a/Services/Router/runner_owner.h
+++ b/Services/Router/runner_owner.h
@@ -115,6 +115,8 @@
  private:
   struct Work;
   using WorkPointer = std::shared_ptr<Work>;
+  // An attempt that lost its connection, and how.
+  using BrokenAttempt = std::pair<WorkPointer, absl::Status>;
 
   void Admit(const WorkPointer& work);
   void StartAttempt(const WorkPointer& work);
@@ -124,6 +126,10 @@
   // the runner crashed.
   void OnConnectionBroken(const WorkPointer& work, const absl::Status& status);
   void OnProbeDone(bool is_alive);
+  // Reports the requests that may have crashed the runner.
+  void ReportCrash(const std::vector<BrokenAttempt>& broken);
+  // Returns work that never reached the runner to its entry router.
+  void ReturnUnsent(const WorkPointer& work);
   void FinishWork(const WorkPointer& work, const absl::Status& status);
   // Removes `work` without notifying its sink.
   void DropWork(const WorkPointer& work);
@@ -154,7 +160,7 @@
   std::map<std::string, WorkPointer> work_by_key_;
   // Attempts that lost their connection and wait for the result of probing the
   // runner.
-  std::vector<std::pair<WorkPointer, absl::Status>> probed_attempts_;
+  std::vector<BrokenAttempt> probed_attempts_;
   size_t running_count_ = 0;
   routing::EndpointHealth health_;
   // State that was last recorded as an event.
