Requests of a host share the denial of a permit

But requests that come to a host at the same moment each ask before the first denial is there.

Change: a host asks one question an endpoint at a time. Others wait for it, and a denial, a silence or a misdirected question is the answer to all of them. Each grant doubles the number of questions at a time, up to 64. The messages and the granting host are as before.

--- a/Libraries/LibForwarding/permit_exchange.cc
+++ b/Libraries/LibForwarding/permit_exchange.cc
@@ -15,6 +15,8 @@
 
 // An answer takes a few milliseconds.
 constexpr core::Duration kMaxAnswerTime = core::milliseconds(50);
+// Questions about one endpoint at a time.
+constexpr size_t kMaxOpenQuestions = 64;
 // A host that did not answer is not asked again for this long.
 constexpr core::Duration kSilenceTime = core::seconds(1);
 // Time in each of its turns in which a host may use its own share. Hosts that
@@ -107,34 +109,78 @@
 bool PermitExchange::Acquire(const core::RunnerId& endpoint,
                              core::TimePoint now,
                              Callback callback) {
-  const uint64_t key = endpoint.Hash();
-  const std::optional<double> per_second = LimitOf(key);
+  return AcquireFor(endpoint.Hash(), now, std::move(callback));
+}
+
+bool PermitExchange::AcquireFor(uint64_t endpoint,
+                                core::TimePoint now,
+                                Callback callback) {
+  const std::optional<double> per_second = LimitOf(endpoint);
   if (!per_second) {
     callback(true);
     return false;
   }
-  const core::HostId granter = GranterOf(key);
+  const core::HostId granter = GranterOf(endpoint);
   if (granter == self_) {
-    const core::Duration wait = TakeGranted(key, *per_second, now);
-    Exhaust(key, wait, now);
+    const core::Duration wait = TakeGranted(endpoint, *per_second, now);
+    Exhaust(endpoint, wait, now);
     callback(wait == core::Duration::zero());
     return false;
   }
   const auto silent = silent_until_.find(granter);
   if (granter.empty() ||
       (silent != silent_until_.end() && now < silent->second)) {
-    callback(TakeOwnShare(key, now));
+    callback(TakeOwnShare(endpoint, now));
     return false;
   }
-  questions_[++sequence_] = {.endpoint = key,
+  const auto asking = asking_.find(endpoint);
+  if (asking != asking_.end() &&
+      asking->second.open >= asking->second.max_open) {
+    asking->second.waiting.push_back(std::move(callback));
+    return true;
+  }
+  Ask(endpoint, granter, now, std::move(callback));
+  return true;
+}
+
+void PermitExchange::Ask(uint64_t endpoint,
+                         const core::HostId& granter,
+                         core::TimePoint now,
+                         Callback callback) {
+  ++asking_[endpoint].open;
+  questions_[++sequence_] = {.endpoint = endpoint,
                              .asked = granter,
                              .callback = std::move(callback),
                              .ends_at = now + kMaxAnswerTime};
   send_({granter}, ApplicationKind::kPermitQuestion,
         core::Encode(PermitQuestion{.sequence = sequence_,
-                                    .limit = limits_.ReportOf(key, now),
-                                    .cold = cold_.ReportOf(key, now)}));
-  return true;
+                                    .limit = limits_.ReportOf(endpoint, now),
+                                    .cold = cold_.ReportOf(endpoint, now)}));
+}
+
+void PermitExchange::EndWithPermit(uint64_t endpoint, core::TimePoint now) {
+  Asking& ended = asking_[endpoint];
+  --ended.open;
+  ended.max_open = std::min(ended.max_open * 2, kMaxOpenQuestions);
+  // Each callback may ask too.
+  for (auto it = asking_.find(endpoint); it != asking_.end();
+       it = asking_.find(endpoint)) {
+    Asking& asking = it->second;
+    if (asking.waiting.empty() || asking.open >= asking.max_open) {
+      break;
+    }
+    Callback next = std::move(asking.waiting.front());
+    asking.waiting.pop_front();
+    AcquireFor(endpoint, now, std::move(next));
+  }
+}
+
+std::deque<PermitExchange::Callback> PermitExchange::EndWithoutPermit(
+    uint64_t endpoint) {
+  Asking& asking = asking_[endpoint];
+  --asking.open;
+  asking.max_open = 1;
+  return std::exchange(asking.waiting, {});
 }
 
 core::Duration PermitExchange::TakeGranted(uint64_t endpoint,
@@ -203,7 +249,11 @@
   }
   for (const Question& it : unanswered) {
     silent_until_[it.asked] = now + kSilenceTime;
+    const std::deque<Callback> waiting = EndWithoutPermit(it.endpoint);
     it.callback(TakeOwnShare(it.endpoint, now));
+    for (const Callback& callback : waiting) {
+      callback(TakeOwnShare(it.endpoint, now));
+    }
   }
   std::erase_if(silent_until_,
                 [now](const auto& it) { return now >= it.second; });
@@ -213,6 +263,9 @@
   absl::erase_if(cold_permits_, [now](const auto& it) {
     return now - it.second.last_taken_at() > kBucketLifetime;
   });
+  absl::erase_if(asking_, [](const auto& it) {
+    return it.second.open == 0 && it.second.waiting.empty();
+  });
   absl::erase_if(exhausted_until_,
                  [now](const auto& it) { return now >= it.second; });
   limits_.Tick(now);
@@ -266,14 +319,24 @@
   const bool is_cold_unknown_to_granter =
       !knows_cold_state && cold_.Find(question.endpoint).has_value();
   if (answer.is_misdirected || is_cold_unknown_to_granter) {
+    const std::deque<Callback> waiting = EndWithoutPermit(question.endpoint);
     question.callback(TakeOwnShare(question.endpoint, now));
+    for (const Callback& it : waiting) {
+      it(TakeOwnShare(question.endpoint, now));
+    }
+    return absl::OkStatus();
+  }
+  if (answer.is_granted) {
+    question.callback(true);
+    EndWithPermit(question.endpoint, now);
     return absl::OkStatus();
   }
-  if (!answer.is_granted) {
-    Exhaust(question.endpoint, core::milliseconds(answer.wait_milliseconds),
-            now);
+  Exhaust(question.endpoint, core::milliseconds(answer.wait_milliseconds), now);
+  const std::deque<Callback> waiting = EndWithoutPermit(question.endpoint);
+  question.callback(false);
+  for (const Callback& it : waiting) {
+    it(false);
   }
-  question.callback(answer.is_granted);
   return absl::OkStatus();
 }
 
--- a/Libraries/LibForwarding/permit_exchange.h
+++ b/Libraries/LibForwarding/permit_exchange.h
@@ -5,9 +5,10 @@
 //
 // The permits of an endpoint are granted by one host, the first in the
 // rendezvous order of the endpoint. Every other host asks it before it sends a
-// request there. Hosts that see only part of the fleet grant only that part's
-// share of the limit, so that the parts together keep it. A host that gets no
-// answer sends its own share, spread over time.
+// request there. While it asks, further requests wait for the answer: a denial
+// is the answer to all of them. Hosts that see only part of the fleet grant
+// only that part's share of the limit, so that the parts together keep it. A
+// host that gets no answer sends its own share, spread over time.
 //
 // Hosts tell each other of limits, so that an endpoint need not refuse each of
 // hundreds of hosts first.
@@ -21,6 +22,7 @@
 #ifndef LIBFORWARDING_PERMIT_EXCHANGE_H_
 #define LIBFORWARDING_PERMIT_EXCHANGE_H_
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -125,6 +127,27 @@
     Callback callback;
     core::TimePoint ends_at;
   };
+  // The questions about one endpoint, and the requests that wait for their
+  // outcome. The number of questions at a time doubles with each grant, so that
+  // requests soon have their permits where there are many, and few are asked
+  // where there are none.
+  struct Asking {
+    size_t open = 0;
+    size_t max_open = 1;
+    std::deque<Callback> waiting;
+  };
+
+  bool AcquireFor(uint64_t endpoint, core::TimePoint now, Callback callback);
+  void Ask(uint64_t endpoint,
+           const core::HostId& granter,
+           core::TimePoint now,
+           Callback callback);
+  // Counts a question about `endpoint` as ended with a permit. Asks for those
+  // that wait.
+  void EndWithPermit(uint64_t endpoint, core::TimePoint now);
+  // Counts a question about `endpoint` as ended without a permit. Returns those
+  // that wait.
+  std::deque<Callback> EndWithoutPermit(uint64_t endpoint);
   // Returns the host that grants the permits of an endpoint; empty if no host
   // is known.
   core::HostId GranterOf(uint64_t endpoint) const;
@@ -163,6 +186,7 @@
   // Hosts that did not answer, and when they are asked again.
   std::map<core::HostId, core::TimePoint> silent_until_;
   std::map<uint64_t, Question> questions_;
+  absl::flat_hash_map<uint64_t, Asking> asking_;
   uint64_t sequence_ = 0;
 };
 
