Sound prompt parts stay served while harmful ones come in succession

The harmful ones were badf50, badf2d, bad1cf, bad1d0 and bad1d1.

Cause: a part that has completed a short time before is refused after five crashes. Harmful parts that come one after the other crash all endpoints of a pool, so that a sound part is in flight at each crash and completes nowhere in between: part 17 at 7.45, 9.05 (badf2d in flight), 10.24 (bad1cf), 11.20 and 14.10 s (bad1d1). With more crashes than each harmful part it was also the first to be refused, and explained their crashes away, so that harmful parts were let through again. What is refused can't complete, so it stayed refused.

Change: a crash doesn't count against a part that completed a short time before if a part that never completed was in flight there and at the crash of another request. Requests that are sent again to another endpoint count once there, so that a part that only one request has excuses nothing.

--- a/Libraries/LibForwarding/crash_suspects.cc
+++ b/Libraries/LibForwarding/crash_suspects.cc
@@ -327,37 +327,77 @@
     if (crash_ids.size() < policy_.max_content_crashes) {
       continue;
     }
-    const bool is_known = known_.Contains(KnownKeyOf(suspect), now);
-    const bool is_part = suspect.kind == SuspectKind::kPart;
     Candidate& it = candidates.emplace_back();
     it.suspect = suspect;
-    it.joins_crashes = is_part || is_known;
-    it.threshold = is_part ? (is_known ? policy_.max_known_part_crashes
-                                       : policy_.max_part_crashes)
-                           : (is_known ? policy_.max_known_content_crashes
-                                       : policy_.max_content_crashes);
+    it.is_known = known_.Contains(KnownKeyOf(suspect), now);
+    it.threshold = Threshold(it);
     for (const uint64_t crash_id : crash_ids) {
       it.crashes.emplace_back(crashes_.at(crash_id).time, crash_id);
     }
     std::sort(it.crashes.begin(), it.crashes.end());
-    Count(it);
   }
   return candidates;
 }
 
-void CrashSuspects::Count(Candidate& candidate) const {
-  if (!candidate.joins_crashes) {
-    candidate.count = candidate.crashes.size();
-    return;
+size_t CrashSuspects::Threshold(const Candidate& candidate) const {
+  if (candidate.IsPart()) {
+    return candidate.is_known ? policy_.max_known_part_crashes
+                              : policy_.max_part_crashes;
+  }
+  return candidate.is_known ? policy_.max_known_content_crashes
+                            : policy_.max_content_crashes;
+}
+
+CrashSuspects::CrashIds CrashSuspects::RepeatedCrashes(
+    const std::vector<Candidate>& candidates) {
+  CrashIds repeated;
+  for (const Candidate& candidate : candidates) {
+    if (candidate.IsPart() || candidate.is_known) {
+      continue;
+    }
+    for (size_t i = 1; i < candidate.crashes.size(); ++i) {
+      repeated.insert(candidate.crashes[i].second);
+    }
   }
-  candidate.count = 0;
+  return repeated;
+}
+
+size_t CrashSuspects::Count(const Candidate& candidate,
+                            const CrashIds& left_out) const {
+  const bool joins_crashes = candidate.IsPart() || candidate.is_known;
+  size_t count = 0;
   core::TimePoint counted_at{};
   for (const auto& [time, crash_id] : candidate.crashes) {
-    if (candidate.count == 0 || time - counted_at >= policy_.min_crash_gap) {
-      ++candidate.count;
+    if (left_out.contains(crash_id)) {
+      continue;
+    }
+    const bool is_joined =
+        joins_crashes && count > 0 && time - counted_at < policy_.min_crash_gap;
+    if (!is_joined) {
+      ++count;
       counted_at = time;
     }
   }
+  return count;
+}
+
+void CrashSuspects::CountCrashes(std::vector<Candidate>& candidates,
+                                 const CrashIds& repeated) const {
+  CrashIds explained;
+  for (Candidate& it : candidates) {
+    it.count = Count(it, {});
+    // A part of a single request may be one that no other request has.
+    if (it.IsPart() && !it.is_known && Count(it, repeated) > 1) {
+      for (const auto& [time, crash_id] : it.crashes) {
+        explained.insert(crash_id);
+      }
+    }
+  }
+  for (Candidate& it : candidates) {
+    if (it.IsPart() && it.is_known) {
+      it.count = Count(it, explained);
+    }
+  }
 }
 
 void CrashSuspects::Judge(core::TimePoint now) {
@@ -367,19 +407,19 @@
   refused_contents_.clear();
   refused_parts_.clear();
   std::vector<Candidate> candidates = Candidates(now);
+  const CrashIds repeated = RepeatedCrashes(candidates);
   while (true) {
-    std::erase_if(candidates,
-                  [](const Candidate& it) { return it.count < it.threshold; });
+    CountCrashes(candidates, repeated);
     // A content is preferred to a part, as it is the narrower explanation.
-    const auto best =
-        std::max_element(candidates.begin(), candidates.end(),
-                         [](const Candidate& a, const Candidate& b) {
-                           return std::tuple(a.count, b.suspect.kind,
-                                             a.crashes.back(), a.suspect.id) <
-                                  std::tuple(b.count, a.suspect.kind,
-                                             b.crashes.back(), b.suspect.id);
-                         });
-    if (best == candidates.end()) {
+    const auto best = std::max_element(
+        candidates.begin(), candidates.end(),
+        [](const Candidate& a, const Candidate& b) {
+          return std::tuple(a.IsRefused(), a.count, b.suspect.kind,
+                            a.crashes.back(), a.suspect.id) <
+                 std::tuple(b.IsRefused(), b.count, a.suspect.kind,
+                            b.crashes.back(), b.suspect.id);
+        });
+    if (best == candidates.end() || !best->IsRefused()) {
       return;
     }
     const Candidate refused = *best;
@@ -389,20 +429,21 @@
         return std::binary_search(refused.crashes.begin(),
                                   refused.crashes.end(), crash);
       });
-      Count(it);
     }
+    std::erase_if(candidates,
+                  [](const Candidate& it) { return it.crashes.empty(); });
   }
 }
 
 void CrashSuspects::Refuse(const Candidate& best,
                            const std::vector<Candidate>& candidates) {
-  if (best.suspect.kind == SuspectKind::kContent) {
+  if (!best.IsPart()) {
     refused_contents_.insert(best.suspect.id);
     return;
   }
   RefusedParts refused{.parts = {}, .crashes = best.count};
   for (const Candidate& it : candidates) {
-    if (it.suspect.kind == SuspectKind::kPart && it.crashes == best.crashes) {
+    if (it.IsPart() && it.IsRefused() && it.crashes == best.crashes) {
       refused.parts.push_back(it.suspect.id);
     }
   }
--- a/Libraries/LibForwarding/crash_suspects.h
+++ b/Libraries/LibForwarding/crash_suspects.h
@@ -11,6 +11,12 @@
 // cannot be told apart; then only requests that have all of them are refused,
 // until a request with some of them completes or crashes.
 //
+// A part that callers ask for often, and that has completed a short time
+// before, is in flight at many crashes that it does not cause. Crashes do not
+// count against it if a part that never completed was in flight there and at
+// those of other requests, even if that part has too few crashes to be refused:
+// what is refused can no longer complete, so a sound part would stay refused.
+//
 // The evidence is a set of crashes, each with sets of suspects and of cleared
 // suspects. Both sets only grow and are merged by union, so the reports of
 // hosts may arrive late, repeatedly or out of order. Performs no I/O; the
@@ -122,16 +128,21 @@
     absl::flat_hash_map<Suspect, Evidence> suspects;
     bool has_changes = false;
   };
+  using CrashList = std::vector<std::pair<core::TimePoint, uint64_t>>;
   // A suspect and the crashes that no refused suspect explains, in order.
   struct Candidate {
     Suspect suspect;
-    std::vector<std::pair<core::TimePoint, uint64_t>> crashes;
+    // Whether it has completed on this host a short time ago.
+    bool is_known = false;
+    CrashList crashes;
     // The number of crashes that count, and the number at which it is refused.
     size_t count = 0;
     size_t threshold = 0;
-    // Whether crashes at the same time count as one.
-    bool joins_crashes = true;
+
+    bool IsPart() const { return suspect.kind == SuspectKind::kPart; }
+    bool IsRefused() const { return count >= threshold; }
   };
+  using CrashIds = absl::flat_hash_set<uint64_t>;
 
   // Returns the crash with this id, adding it if necessary, or nullptr if an
   // unknown crash has already expired.
@@ -150,7 +161,14 @@
   // Derives what is refused from the evidence, if that has changed.
   void Judge(core::TimePoint now);
   std::vector<Candidate> Candidates(core::TimePoint now) const;
-  void Count(Candidate& candidate) const;
+  size_t Threshold(const Candidate& candidate) const;
+  // Returns the crashes at which a content was in flight that had already been
+  // in flight at an earlier one: a request that was sent again.
+  static CrashIds RepeatedCrashes(const std::vector<Candidate>& candidates);
+  // Counts the crashes that speak against each candidate.
+  void CountCrashes(std::vector<Candidate>& candidates,
+                    const CrashIds& repeated) const;
+  size_t Count(const Candidate& candidate, const CrashIds& left_out) const;
   void Refuse(const Candidate& best, const std::vector<Candidate>& candidates);
 
   const CrashSuspectsPolicy policy_;
--- a/Tests/LibForwarding/crash_suspects_test.cc
+++ b/Tests/LibForwarding/crash_suspects_test.cc
@@ -1,6 +1,7 @@
 #include "LibForwarding/crash_suspects.h"
 
 #include <catch2/catch.hpp>
+#include <span>
 #include <vector>
 
 namespace wasabi::forwarding {
@@ -13,6 +14,7 @@
 constexpr uint64_t kHarmful = 1;
 constexpr uint64_t kShared = 2;
 constexpr uint64_t kOther = 3;
+constexpr uint64_t kKnown = 4;
 
 // Returns a request whose content no other request has.
 RequestFingerprint NewRequest(std::vector<uint64_t> parts) {
@@ -57,6 +59,23 @@
   std::vector<std::vector<uint64_t>> allowed;
 };
 
+void CheckBlame(std::span<const BlameCase> cases) {
+  for (const BlameCase& row : cases) {
+    INFO(row.what);
+    CrashSuspects suspects;
+    core::TimePoint now = kStart;
+    Play(row.steps, suspects, now);
+    for (const auto& it : row.refused) {
+      INFO("refused, parts: " << it.size());
+      CHECK(suspects.IsRefused(NewRequest(it), now));
+    }
+    for (const auto& it : row.allowed) {
+      INFO("allowed, parts: " << it.size());
+      CHECK_FALSE(suspects.IsRefused(NewRequest(it), now));
+    }
+  }
+}
+
 TEST_CASE("the part that explains the crashes is refused, and no other") {
   const std::vector<uint64_t> harmful = {kHarmful, kShared};
   const Step crash{kCrash, {harmful}};
@@ -116,19 +135,78 @@
        {},
        {{}, {kShared}}},
   };
-  for (const BlameCase& row : cases) {
-    INFO(row.what);
-    CrashSuspects suspects;
-    core::TimePoint now = kStart;
-    Play(row.steps, suspects, now);
-    for (const auto& it : row.refused) {
-      INFO("refused, parts: " << it.size());
-      CHECK(suspects.IsRefused(NewRequest(it), now));
-    }
-    for (const auto& it : row.allowed) {
-      INFO("allowed, parts: " << it.size());
-      CHECK_FALSE(suspects.IsRefused(NewRequest(it), now));
-    }
+  CheckBlame(cases);
+}
+
+// Guards against a sound part that is refused, and can no longer complete,
+// since it was in flight at the crashes of several harmful parts in succession.
+TEST_CASE("parts that never complete explain crashes before known parts") {
+  const Step known_completes{kCompletion, {{kKnown}}};
+  const auto crash_by = [](uint64_t harmful) -> Step {
+    return {kCrash, {{harmful, kShared}, {kKnown}}};
+  };
+  const auto crash_of_known = [](uint64_t own) -> Step {
+    return {kCrash, {{kKnown, own}}};
+  };
+  const BlameCase cases[] = {
+      {"three harmful parts below the threshold",
+       {known_completes,
+        crash_by(11),
+        crash_by(11),
+        crash_by(12),
+        crash_by(12),
+        {kCompletion, {{kShared}}},
+        crash_by(13),
+        crash_by(13)},
+       {},
+       {{kKnown}, {kKnown, kOther}, {11}, {12}, {13}}},
+      {"two harmful parts at the threshold",
+       {known_completes,
+        crash_by(11),
+        crash_by(11),
+        crash_by(11),
+        {kCompletion, {{kShared}}},
+        crash_by(12),
+        crash_by(12),
+        crash_by(12),
+        {kCompletion, {{kShared}}}},
+       {{11}, {12}, {11, kKnown}},
+       {{kKnown}, {kKnown, kShared}}},
+      {"harmful parts at and below the threshold, and crashes by others",
+       {known_completes,
+        crash_by(11),
+        crash_by(11),
+        crash_by(11),
+        {kCompletion, {{kShared}}},
+        crash_by(12),
+        crash_by(12),
+        {kCompletion, {{kShared}}},
+        {kCrash, {{kKnown}}},
+        {kCrash, {{kKnown}}},
+        {kCrash, {{kKnown}}}},
+       {{11}},
+       {{kKnown}, {12}}},
+      {"a known part that became harmful, with parts of no other request",
+       {known_completes, crash_of_known(21), crash_of_known(22),
+        crash_of_known(23), crash_of_known(24), crash_of_known(25)},
+       {{kKnown}, {kKnown, kOther}},
+       {{21}, {25}}},
+  };
+  CheckBlame(cases);
+}
+
+TEST_CASE("a request that is sent again does not excuse a known part") {
+  CrashSuspects suspects;
+  core::TimePoint now = kStart;
+  Play({{kCompletion, {{kKnown}}}}, suspects, now);
+  for (size_t i = 1; i <= 5; ++i) {
+    // The second part is that of one request, which is sent twice.
+    const RequestFingerprint request = {.content = (i + 1) / 2,
+                                        .parts = {kKnown, 20 + (i + 1) / 2}};
+    now += seconds(1);
+    suspects.RecordCrash(i, {request}, now);
+    INFO(i << " crashes");
+    CHECK(suspects.IsRefused(NewRequest({kKnown}), now) == (i >= 5));
   }
 }
 
--- a/Tests/LibForwarding/prompt_part_replay_test.cc
+++ b/Tests/LibForwarding/prompt_part_replay_test.cc
@@ -29,6 +29,7 @@
 constexpr core::Duration kTimeToCrash = milliseconds(60);
 constexpr core::Duration kDetectionTime = milliseconds(50);
 constexpr core::Duration kRestartTime = seconds(4);
+// The first harmful part; the others follow.
 constexpr uint64_t kHarmful = 0xbad;
 
 struct Load {
@@ -47,6 +48,15 @@
   core::Duration disturbed_for = seconds(0);
   double disturbed_share = 0;
   bool restarts = false;
+  // Harmful parts in succession, and how long requests come with each.
+  uint64_t harmful_parts = 1;
+  core::Duration harmful_time = seconds(1000);
+  // Time from the start to the first of them.
+  core::Duration harmful_after = seconds(0);
+  // Number of different second parts of harmless requests, and the duration of
+  // the longest of these requests.
+  uint64_t second_parts = 70;
+  double max_seconds = 2.8;
 };
 
 class Replay {
@@ -76,9 +86,16 @@
   }
 
   size_t crashes() const { return crashes_; }
-  // Harmful requests that were sent to endpoints at least three seconds after
-  // the fifth crash, by hosts that were undisturbed for as long.
-  size_t late_harmful() const { return late_harmful_; }
+  // Requests with one harmful part that were sent to endpoints at least three
+  // seconds after its fifth crash, by hosts that were undisturbed for as long;
+  // of the part that has most of them.
+  size_t late_harmful() const {
+    size_t most = 0;
+    for (const auto& [part, it] : parts_) {
+      most = std::max(most, it.late);
+    }
+    return most;
+  }
   // Share of the harmless requests, from six seconds after the last crash, that
   // were not refused.
   double served() const {
@@ -91,9 +108,15 @@
   struct Request {
     size_t host = 0;
     RequestFingerprint fingerprint;
-    bool is_harmful = false;
+    // 0 if the request is harmless.
+    uint64_t harmful_part = 0;
     core::TimePoint ends_at;
   };
+  struct HarmfulPart {
+    size_t crashes = 0;
+    core::TimePoint fifth_crash_at;
+    size_t late = 0;
+  };
   struct Endpoint {
     std::vector<Request> running;
     core::TimePoint back_at{};
@@ -210,7 +233,8 @@
     if (is_due(load_.harmless_per_second)) {
       Route(NewRequest(false));
     }
-    if (is_due(load_.harmful_per_second)) {
+    if (now_ >= kStart + load_.harmful_after &&
+        is_due(load_.harmful_per_second)) {
       Route(NewRequest(true));
     }
   }
@@ -218,23 +242,32 @@
   Request NewRequest(bool is_harmful) {
     Request request;
     request.host = random_.Below(hosts_.size());
-    request.is_harmful = is_harmful;
+    request.harmful_part = is_harmful ? HarmfulPartNow() : 0;
     const uint64_t first = 1 + random_.Below(load_.first_parts);
-    const uint64_t second = is_harmful ? kHarmful : 100 + random_.Below(70);
+    const uint64_t second = is_harmful
+                                ? request.harmful_part
+                                : 100 + random_.Below(load_.second_parts);
     request.fingerprint = {.content = ++contents_, .parts = {first, second}};
     std::sort(request.fingerprint.parts.begin(),
               request.fingerprint.parts.end());
     request.ends_at =
         now_ + (is_harmful ? kTimeToCrash
-                           : core::FromSeconds(0.3 + 2.5 * random_.Unit()));
+                           : core::FromSeconds(0.3 + (load_.max_seconds - 0.3) *
+                                                         random_.Unit()));
     return request;
   }
 
+  uint64_t HarmfulPartNow() const {
+    const auto turn = static_cast<uint64_t>(
+        (now_ - kStart - load_.harmful_after) / load_.harmful_time);
+    return kHarmful + std::min(turn, load_.harmful_parts - 1);
+  }
+
   void Route(Request request) {
     Host& host = hosts_[request.host];
     const bool is_refused = host.suspects->IsRefused(request.fingerprint, now_);
     const bool is_late = crashes_ > 0 && now_ >= fifth_crash_at_ + seconds(6);
-    if (!request.is_harmful && is_late) {
+    if (request.harmful_part == 0 && is_late) {
       ++harmless_;
       refused_ += is_refused ? 1 : 0;
     }
@@ -242,9 +275,11 @@
       return;
     }
     const bool is_in_touch = now_ >= host.disturbed_until + seconds(3);
-    if (request.is_harmful && is_in_touch && crashes_ >= 5 &&
-        now_ >= fifth_crash_at_ + seconds(3)) {
-      ++late_harmful_;
+    if (request.harmful_part != 0 && is_in_touch) {
+      HarmfulPart& part = parts_[request.harmful_part];
+      const bool is_late_part =
+          part.crashes >= 5 && now_ >= part.fifth_crash_at + seconds(3);
+      part.late += is_late_part ? 1 : 0;
     }
     for (int tries = 0; tries < 20; ++tries) {
       Endpoint& endpoint = endpoints_[random_.Below(endpoints_.size())];
@@ -259,32 +294,35 @@
     for (size_t i = 0; i < endpoints_.size(); ++i) {
       Endpoint& endpoint = endpoints_[i];
       std::vector<Request> running;
-      bool crashes = false;
+      uint64_t crashed_by = 0;
       for (Request& it : std::exchange(endpoint.running, {})) {
         if (it.ends_at > now_) {
           running.push_back(std::move(it));
-        } else if (it.is_harmful) {
-          crashes = true;
+        } else if (it.harmful_part != 0) {
+          crashed_by = it.harmful_part;
           running.push_back(std::move(it));
         } else {
           hosts_[it.host].suspects->RecordCompletion(it.fingerprint, now_);
         }
       }
-      if (crashes) {
-        Crash(i, running);
+      if (crashed_by != 0) {
+        Crash(i, crashed_by, running);
       } else {
         endpoint.running = std::move(running);
       }
     }
   }
 
-  void Crash(size_t i, const std::vector<Request>& running) {
+  void Crash(size_t i, uint64_t part, const std::vector<Request>& running) {
     Endpoint& endpoint = endpoints_[i];
     endpoint.back_at = now_ + kRestartTime;
     ++endpoint.starts;
     if (++crashes_ <= 5) {
       fifth_crash_at_ = now_;
     }
+    if (++parts_[part].crashes <= 5) {
+      parts_[part].fifth_crash_at = now_;
+    }
     const uint64_t crash_id = i * 1000 + endpoint.starts;
     std::map<size_t, std::vector<RequestFingerprint>> lost;
     for (const Request& it : running) {
@@ -326,7 +364,7 @@
   uint64_t contents_ = 0;
   size_t crashes_ = 0;
   core::TimePoint fifth_crash_at_ = kStart;
-  size_t late_harmful_ = 0;
+  std::map<uint64_t, HarmfulPart> parts_;
   size_t harmless_ = 0;
   size_t refused_ = 0;
   uint64_t bytes_ = 0;
@@ -365,5 +403,23 @@
   }
 }
 
+// Guards against sound parts that stay refused after several harmful parts came
+// in succession.
+TEST_CASE("harmless requests flow after harmful parts in succession") {
+  Load load = {"5 hosts", 5, 5, 20, 4, 1};
+  load.harmful_parts = 6;
+  load.harmful_time = milliseconds(1500);
+  load.second_parts = 12;
+  load.max_seconds = 8;
+  load.harmful_after = seconds(15);
+  for (uint64_t seed = 1; seed <= 40; ++seed) {
+    INFO("seed " << seed);
+    Replay replay(load, seed);
+    replay.RunFor(seconds(40));
+    CHECK(replay.late_harmful() <= 3);
+    CHECK(replay.served() >= 0.95);
+  }
+}
+
 }  // namespace
 }  // namespace wasabi::forwarding
