Bursts with a harmful part don't pass because their crashes count as one

Cause: crashes within 0.15 s count as one for a part, as endpoints may have been lost together. A burst of three requests crashes one to three endpoints, each request is sent again, and crashes as many more 0.1 s later: up to six crashes that counted as one, so that two more bursts came through.

Change: a crash counts apart if a request was in flight there that had been in flight at an earlier crash: it was sent again after that crash, so that the endpoints were not lost at once. Parts that completed a short time before still count such crashes as one. The store's record keeps these crashes apart by their ages, as its readers know no contents.

Limit: requests that are not sent again and crash several endpoints within 0.15 s still count as one crash, like endpoints lost together.

--- a/Libraries/LibForwarding/crash_suspects.cc
+++ b/Libraries/LibForwarding/crash_suspects.cc
@@ -299,22 +299,24 @@
   for (const RefusedParts& refused : refused_parts(now)) {
     const Suspect part = {.kind = SuspectKind::kPart,
                           .id = refused.parts.front()};
-    std::vector<std::pair<core::TimePoint, uint64_t>> crashes;
+    CrashList crashes;
     for (const uint64_t crash_id : open_crashes_.at(part)) {
       crashes.emplace_back(crashes_.at(crash_id).time, crash_id);
     }
-    std::sort(crashes.rbegin(), crashes.rend());
+    std::sort(crashes.begin(), crashes.end());
+    crashes = CountedCrashes(crashes, {}, repeated_crashes_);
     PartBlame& blame = blames.emplace_back();
     blame.parts = refused.parts;
-    std::optional<core::TimePoint> counted_at;
-    for (const auto& [time, crash_id] : crashes) {
-      if (blame.crash_ids.size() >= max_crashes ||
-          (counted_at && *counted_at - time < policy_.min_crash_gap)) {
-        continue;
-      }
-      counted_at = time;
-      blame.crash_ids.push_back(crash_id);
-      blame.ages_milliseconds.push_back(core::ToMilliseconds(now - time));
+    // The reader knows no contents, so ages must keep the crashes apart.
+    const int64_t gap = core::ToMilliseconds(policy_.min_crash_gap);
+    int64_t min_age = 0;
+    for (auto it = crashes.rbegin();
+         it != crashes.rend() && blame.crash_ids.size() < max_crashes; ++it) {
+      const int64_t age =
+          std::max(min_age, core::ToMilliseconds(now - it->first));
+      blame.crash_ids.push_back(it->second);
+      blame.ages_milliseconds.push_back(age);
+      min_age = age + gap;
     }
   }
   return blames;
@@ -362,40 +364,48 @@
   return repeated;
 }
 
-size_t CrashSuspects::Count(const Candidate& candidate,
-                            const CrashIds& left_out) const {
-  const bool joins_crashes = candidate.IsPart() || candidate.is_known;
-  size_t count = 0;
-  core::TimePoint counted_at{};
-  for (const auto& [time, crash_id] : candidate.crashes) {
+CrashSuspects::CrashList CrashSuspects::CountedCrashes(
+    const CrashList& crashes,
+    const CrashIds& left_out,
+    const CrashIds& apart) const {
+  CrashList counted;
+  for (const auto& [time, crash_id] : crashes) {
     if (left_out.contains(crash_id)) {
       continue;
     }
     const bool is_joined =
-        joins_crashes && count > 0 && time - counted_at < policy_.min_crash_gap;
+        !counted.empty() &&
+        time - counted.back().first < policy_.min_crash_gap &&
+        !apart.contains(crash_id);
     if (!is_joined) {
-      ++count;
-      counted_at = time;
+      counted.emplace_back(time, crash_id);
     }
   }
-  return count;
+  return counted;
 }
 
-void CrashSuspects::CountCrashes(std::vector<Candidate>& candidates,
-                                 const CrashIds& repeated) const {
+void CrashSuspects::CountCrashes(std::vector<Candidate>& candidates) const {
   CrashIds explained;
   for (Candidate& it : candidates) {
-    it.count = Count(it, {});
+    if (it.is_known) {
+      continue;
+    }
+    it.count = it.IsPart()
+                   ? CountedCrashes(it.crashes, {}, repeated_crashes_).size()
+                   : it.crashes.size();
     // A part of a single request may be one that no other request has.
-    if (it.IsPart() && !it.is_known && Count(it, repeated) > 1) {
+    if (it.IsPart() &&
+        CountedCrashes(it.crashes, repeated_crashes_, {}).size() > 1) {
       for (const auto& [time, crash_id] : it.crashes) {
         explained.insert(crash_id);
       }
     }
   }
+  const CrashIds none;
   for (Candidate& it : candidates) {
-    if (it.IsPart() && it.is_known) {
-      it.count = Count(it, explained);
+    if (it.is_known) {
+      const CrashIds& left_out = it.IsPart() ? explained : none;
+      it.count = CountedCrashes(it.crashes, left_out, none).size();
     }
   }
 }
@@ -407,9 +417,9 @@
   refused_contents_.clear();
   refused_parts_.clear();
   std::vector<Candidate> candidates = Candidates(now);
-  const CrashIds repeated = RepeatedCrashes(candidates);
+  repeated_crashes_ = RepeatedCrashes(candidates);
   while (true) {
-    CountCrashes(candidates, repeated);
+    CountCrashes(candidates);
     // A content is preferred to a part, as it is the narrower explanation.
     const auto best = std::max_element(
         candidates.begin(), candidates.end(),
--- a/Libraries/LibForwarding/crash_suspects.h
+++ b/Libraries/LibForwarding/crash_suspects.h
@@ -58,7 +58,8 @@
   core::Duration known_lifetime = core::seconds(30);
   // Endpoints that crash within this time may have been lost together. They
   // count as one crash for a suspect, unless it is a content that this host has
-  // never seen complete.
+  // never seen complete, or a part of that kind and a request was sent again
+  // from one of these endpoints to the other.
   core::Duration min_crash_gap = core::milliseconds(150);
 
   auto operator<=>(const CrashSuspectsPolicy&) const = default;
@@ -166,9 +167,12 @@
   // in flight at an earlier one: a request that was sent again.
   static CrashIds RepeatedCrashes(const std::vector<Candidate>& candidates);
   // Counts the crashes that speak against each candidate.
-  void CountCrashes(std::vector<Candidate>& candidates,
-                    const CrashIds& repeated) const;
-  size_t Count(const Candidate& candidate, const CrashIds& left_out) const;
+  void CountCrashes(std::vector<Candidate>& candidates) const;
+  // Returns the crashes that count, in order: not those that are `left_out`,
+  // nor those a short time after another unless they are to be kept `apart`.
+  CrashList CountedCrashes(const CrashList& crashes,
+                           const CrashIds& left_out,
+                           const CrashIds& apart) const;
   void Refuse(const Candidate& best, const std::vector<Candidate>& candidates);
 
   const CrashSuspectsPolicy policy_;
@@ -180,6 +184,7 @@
   RecentSet known_;
 
   bool is_stale_ = false;
+  CrashIds repeated_crashes_;
   absl::flat_hash_set<uint64_t> refused_contents_;
   std::vector<RefusedParts> refused_parts_;
 };
--- a/Tests/LibForwarding/crash_suspects_test.cc
+++ b/Tests/LibForwarding/crash_suspects_test.cc
@@ -1,5 +1,6 @@
 #include "LibForwarding/crash_suspects.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <span>
 #include <vector>
@@ -231,6 +232,89 @@
   CHECK_FALSE(suspects.IsRefused(NewRequest({kShared}), kStart + seconds(1)));
 }
 
+// Bursts of requests with one harmful part, no two alike.
+struct BurstCase {
+  const char* what;
+  size_t requests;
+  // Endpoints that the requests of a burst are spread over.
+  size_t endpoints;
+  // Time in which a request crashes its endpoint, after which it is sent again.
+  core::Duration time_to_crash;
+};
+
+class BurstPlay {
+ public:
+  explicit BurstPlay(const BurstCase& row) : row_(row) {}
+
+  // Sends each request once, and again when its endpoint has crashed.
+  void SendBurst(core::TimePoint now) {
+    std::vector<RequestFingerprint> requests;
+    for (size_t i = 0; i < row_.requests; ++i) {
+      requests.push_back(NewRequest({kHarmful, kShared}));
+    }
+    Send(requests, now);
+    Send(requests, now + row_.time_to_crash);
+  }
+
+  // Returns the number of requests that were sent later than three seconds
+  // after the fifth crash.
+  size_t late_arrivals() const {
+    return std::count_if(
+        arrivals_.begin(), arrivals_.end(), [this](core::TimePoint it) {
+          return crashes_.size() >= 5 && it > crashes_[4] + seconds(3);
+        });
+  }
+  CrashSuspects& suspects() { return suspects_; }
+
+ private:
+  void Send(const std::vector<RequestFingerprint>& requests,
+            core::TimePoint now) {
+    std::vector<std::vector<RequestFingerprint>> in_flight(row_.endpoints);
+    for (size_t i = 0; i < requests.size(); ++i) {
+      if (!suspects_.IsRefused(requests[i], now)) {
+        arrivals_.push_back(now);
+        in_flight[i % row_.endpoints].push_back(requests[i]);
+      }
+    }
+    for (const auto& it : in_flight) {
+      if (!it.empty()) {
+        crashes_.push_back(now + row_.time_to_crash);
+        suspects_.RecordCrash(crashes_.size(), it, crashes_.back());
+      }
+    }
+  }
+
+  const BurstCase row_;
+  CrashSuspects suspects_;
+  std::vector<core::TimePoint> crashes_;
+  std::vector<core::TimePoint> arrivals_;
+};
+
+// Guards against bursts whose crashes count as one and which therefore come
+// through again and again.
+TEST_CASE("requests of a burst that are sent again crash endpoints apart") {
+  const BurstCase cases[] = {
+      {"one request", 1, 1, milliseconds(100)},
+      {"three at one endpoint", 3, 1, milliseconds(100)},
+      {"three at two endpoints", 3, 2, milliseconds(100)},
+      {"three at three endpoints", 3, 3, milliseconds(100)},
+      {"six at three endpoints, at once", 6, 3, milliseconds(20)},
+  };
+  for (const BurstCase& row : cases) {
+    INFO(row.what);
+    BurstPlay play(row);
+    core::TimePoint now = kStart;
+    for (int burst = 0; burst < 4; ++burst) {
+      play.SendBurst(now);
+      play.suspects().RecordCompletion(NewRequest({kShared}), now + seconds(2));
+      now += seconds(5);
+    }
+    CHECK(play.late_arrivals() <= 3);
+    CHECK(play.suspects().IsRefused(NewRequest({kHarmful}), now));
+    CHECK_FALSE(play.suspects().IsRefused(NewRequest({kShared, kOther}), now));
+  }
+}
+
 TEST_CASE("a content is refused after two crashes, and its parts are not") {
   CrashSuspects suspects;
   const RequestFingerprint repeated = NewRequest({kShared, kOther});
--- a/Tests/LibForwarding/stored_crashes_test.cc
+++ b/Tests/LibForwarding/stored_crashes_test.cc
@@ -110,6 +110,24 @@
   }
 }
 
+// Guards against a record whose reader counts crashes as one that its writer
+// counted apart.
+TEST_CASE(
+    "crashes by a request that was sent again count apart in the record") {
+  Store store;
+  core::TimePoint now{seconds(100)};
+  Host writer(&store, &now, true);
+  for (uint64_t i = 0; i < 4; ++i) {
+    writer.suspects.RecordCrash(i, {writer.Harmful(100 + i / 2)}, now);
+    now += milliseconds(60);
+  }
+  CHECK(writer.Refuses());
+  RunFor(writer, 0, seconds(3));
+  Host reader(&store, &now);
+  RunFor(reader, 0, seconds(1));
+  CHECK(reader.Refuses());
+}
+
 struct RestartCase {
   const char* what;
   // The rank of the host that saw the crashes, and of the one that reads.
