--- a/Libraries/LibForwarding/crash_suspects.cc
+++ b/Libraries/LibForwarding/crash_suspects.cc
@@ -299,22 +299,24 @@
   for (const RefusedParts& refused : refused_parts(now)) {
     const Suspect part = {.kind = SuspectKind::kPart,
                           .id = refused.parts.front()};
-    std::vector<std::pair<core::TimePoint, uint64_t>> crashes;
+    CrashList crashes;
     for (const uint64_t crash_id : open_crashes_.at(part)) {
       crashes.emplace_back(crashes_.at(crash_id).time, crash_id);
     }
-    std::sort(crashes.rbegin(), crashes.rend());
+    std::sort(crashes.begin(), crashes.end());
+    crashes = CountedCrashes(crashes, {}, repeated_crashes_);
     PartBlame& blame = blames.emplace_back();
     blame.parts = refused.parts;
-    std::optional<core::TimePoint> counted_at;
-    for (const auto& [time, crash_id] : crashes) {
-      if (blame.crash_ids.size() >= max_crashes ||
-          (counted_at && *counted_at - time < policy_.min_crash_gap)) {
-        continue;
-      }
-      counted_at = time;
-      blame.crash_ids.push_back(crash_id);
-      blame.ages_milliseconds.push_back(core::ToMilliseconds(now - time));
+    // The reader knows no contents, so ages must keep the crashes apart.
+    const int64_t gap = core::ToMilliseconds(policy_.min_crash_gap);
+    int64_t min_age = 0;
+    for (auto it = crashes.rbegin();
+         it != crashes.rend() && blame.crash_ids.size() < max_crashes; ++it) {
+      const int64_t age =
+          std::max(min_age, core::ToMilliseconds(now - it->first));
+      blame.crash_ids.push_back(it->second);
+      blame.ages_milliseconds.push_back(age);
+      min_age = age + gap;
     }
   }
   return blames;
@@ -327,35 +329,83 @@
     if (crash_ids.size() < policy_.max_content_crashes) {
       continue;
     }
-    const bool is_known = known_.Contains(KnownKeyOf(suspect), now);
-    const bool is_part = suspect.kind == SuspectKind::kPart;
     Candidate& it = candidates.emplace_back();
     it.suspect = suspect;
-    it.joins_crashes = is_part || is_known;
-    it.threshold = is_part ? (is_known ? policy_.max_known_part_crashes
-                                       : policy_.max_part_crashes)
-                           : (is_known ? policy_.max_known_content_crashes
-                                       : policy_.max_content_crashes);
+    it.is_known = known_.Contains(KnownKeyOf(suspect), now);
+    it.threshold = Threshold(it);
     for (const uint64_t crash_id : crash_ids) {
       it.crashes.emplace_back(crashes_.at(crash_id).time, crash_id);
     }
     std::sort(it.crashes.begin(), it.crashes.end());
-    Count(it);
   }
   return candidates;
 }
 
-void CrashSuspects::Count(Candidate& candidate) const {
-  if (!candidate.joins_crashes) {
-    candidate.count = candidate.crashes.size();
-    return;
+size_t CrashSuspects::Threshold(const Candidate& candidate) const {
+  if (candidate.IsPart()) {
+    return candidate.is_known ? policy_.max_known_part_crashes
+                              : policy_.max_part_crashes;
+  }
+  return candidate.is_known ? policy_.max_known_content_crashes
+                            : policy_.max_content_crashes;
+}
+
+CrashSuspects::CrashIds CrashSuspects::RepeatedCrashes(
+    const std::vector<Candidate>& candidates) {
+  CrashIds repeated;
+  for (const Candidate& candidate : candidates) {
+    if (candidate.IsPart() || candidate.is_known) {
+      continue;
+    }
+    for (size_t i = 1; i < candidate.crashes.size(); ++i) {
+      repeated.insert(candidate.crashes[i].second);
+    }
+  }
+  return repeated;
+}
+
+CrashSuspects::CrashList CrashSuspects::CountedCrashes(
+    const CrashList& crashes,
+    const CrashIds& left_out,
+    const CrashIds& apart) const {
+  CrashList counted;
+  for (const auto& [time, crash_id] : crashes) {
+    if (left_out.contains(crash_id)) {
+      continue;
+    }
+    const bool is_joined =
+        !counted.empty() &&
+        time - counted.back().first < policy_.min_crash_gap &&
+        !apart.contains(crash_id);
+    if (!is_joined) {
+      counted.emplace_back(time, crash_id);
+    }
+  }
+  return counted;
+}
+
+void CrashSuspects::CountCrashes(std::vector<Candidate>& candidates) const {
+  CrashIds explained;
+  for (Candidate& it : candidates) {
+    if (it.is_known) {
+      continue;
+    }
+    it.count = it.IsPart()
+                   ? CountedCrashes(it.crashes, {}, repeated_crashes_).size()
+                   : it.crashes.size();
+    // A part of a single request may be one that no other request has.
+    if (it.IsPart() &&
+        CountedCrashes(it.crashes, repeated_crashes_, {}).size() > 1) {
+      for (const auto& [time, crash_id] : it.crashes) {
+        explained.insert(crash_id);
+      }
+    }
   }
-  candidate.count = 0;
-  core::TimePoint counted_at{};
-  for (const auto& [time, crash_id] : candidate.crashes) {
-    if (candidate.count == 0 || time - counted_at >= policy_.min_crash_gap) {
-      ++candidate.count;
-      counted_at = time;
+  const CrashIds none;
+  for (Candidate& it : candidates) {
+    if (it.is_known) {
+      const CrashIds& left_out = it.IsPart() ? explained : none;
+      it.count = CountedCrashes(it.crashes, left_out, none).size();
     }
   }
 }
@@ -367,19 +417,19 @@
   refused_contents_.clear();
   refused_parts_.clear();
   std::vector<Candidate> candidates = Candidates(now);
+  repeated_crashes_ = RepeatedCrashes(candidates);
   while (true) {
-    std::erase_if(candidates,
-                  [](const Candidate& it) { return it.count < it.threshold; });
+    CountCrashes(candidates);
     // A content is preferred to a part, as it is the narrower explanation.
-    const auto best =
-        std::max_element(candidates.begin(), candidates.end(),
-                         [](const Candidate& a, const Candidate& b) {
-                           return std::tuple(a.count, b.suspect.kind,
-                                             a.crashes.back(), a.suspect.id) <
-                                  std::tuple(b.count, a.suspect.kind,
-                                             b.crashes.back(), b.suspect.id);
-                         });
-    if (best == candidates.end()) {
+    const auto best = std::max_element(
+        candidates.begin(), candidates.end(),
+        [](const Candidate& a, const Candidate& b) {
+          return std::tuple(a.IsRefused(), a.count, b.suspect.kind,
+                            a.crashes.back(), a.suspect.id) <
+                 std::tuple(b.IsRefused(), b.count, a.suspect.kind,
+                            b.crashes.back(), b.suspect.id);
+        });
+    if (best == candidates.end() || !best->IsRefused()) {
       return;
     }
     const Candidate refused = *best;
@@ -389,20 +439,21 @@
         return std::binary_search(refused.crashes.begin(),
                                   refused.crashes.end(), crash);
       });
-      Count(it);
     }
+    std::erase_if(candidates,
+                  [](const Candidate& it) { return it.crashes.empty(); });
   }
 }
 
 void CrashSuspects::Refuse(const Candidate& best,
                            const std::vector<Candidate>& candidates) {
-  if (best.suspect.kind == SuspectKind::kContent) {
+  if (!best.IsPart()) {
     refused_contents_.insert(best.suspect.id);
     return;
   }
   RefusedParts refused{.parts = {}, .crashes = best.count};
   for (const Candidate& it : candidates) {
-    if (it.suspect.kind == SuspectKind::kPart && it.crashes == best.crashes) {
+    if (it.IsPart() && it.IsRefused() && it.crashes == best.crashes) {
       refused.parts.push_back(it.suspect.id);
     }
   }
--- a/Tests/LibForwarding/crash_suspects_test.cc
+++ b/Tests/LibForwarding/crash_suspects_test.cc
@@ -1,6 +1,8 @@
 #include "LibForwarding/crash_suspects.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <span>
 #include <vector>
 
 namespace wasabi::forwarding {
@@ -13,6 +15,7 @@
 constexpr uint64_t kHarmful = 1;
 constexpr uint64_t kShared = 2;
 constexpr uint64_t kOther = 3;
+constexpr uint64_t kKnown = 4;
 
 // Returns a request whose content no other request has.
 RequestFingerprint NewRequest(std::vector<uint64_t> parts) {
@@ -57,6 +60,23 @@
   std::vector<std::vector<uint64_t>> allowed;
 };
 
+void CheckBlame(std::span<const BlameCase> cases) {
+  for (const BlameCase& row : cases) {
+    INFO(row.what);
+    CrashSuspects suspects;
+    core::TimePoint now = kStart;
+    Play(row.steps, suspects, now);
+    for (const auto& it : row.refused) {
+      INFO("refused, parts: " << it.size());
+      CHECK(suspects.IsRefused(NewRequest(it), now));
+    }
+    for (const auto& it : row.allowed) {
+      INFO("allowed, parts: " << it.size());
+      CHECK_FALSE(suspects.IsRefused(NewRequest(it), now));
+    }
+  }
+}
+
 TEST_CASE("the part that explains the crashes is refused, and no other") {
   const std::vector<uint64_t> harmful = {kHarmful, kShared};
   const Step crash{kCrash, {harmful}};
@@ -116,19 +136,78 @@
        {},
        {{}, {kShared}}},
   };
-  for (const BlameCase& row : cases) {
-    INFO(row.what);
-    CrashSuspects suspects;
-    core::TimePoint now = kStart;
-    Play(row.steps, suspects, now);
-    for (const auto& it : row.refused) {
-      INFO("refused, parts: " << it.size());
-      CHECK(suspects.IsRefused(NewRequest(it), now));
-    }
-    for (const auto& it : row.allowed) {
-      INFO("allowed, parts: " << it.size());
-      CHECK_FALSE(suspects.IsRefused(NewRequest(it), now));
-    }
+  CheckBlame(cases);
+}
+
+// Guards against a sound part that is refused, and can no longer complete,
+// since it was in flight at the crashes of several harmful parts in succession.
+TEST_CASE("parts that never complete explain crashes before known parts") {
+  const Step known_completes{kCompletion, {{kKnown}}};
+  const auto crash_by = [](uint64_t harmful) -> Step {
+    return {kCrash, {{harmful, kShared}, {kKnown}}};
+  };
+  const auto crash_of_known = [](uint64_t own) -> Step {
+    return {kCrash, {{kKnown, own}}};
+  };
+  const BlameCase cases[] = {
+      {"three harmful parts below the threshold",
+       {known_completes,
+        crash_by(11),
+        crash_by(11),
+        crash_by(12),
+        crash_by(12),
+        {kCompletion, {{kShared}}},
+        crash_by(13),
+        crash_by(13)},
+       {},
+       {{kKnown}, {kKnown, kOther}, {11}, {12}, {13}}},
+      {"two harmful parts at the threshold",
+       {known_completes,
+        crash_by(11),
+        crash_by(11),
+        crash_by(11),
+        {kCompletion, {{kShared}}},
+        crash_by(12),
+        crash_by(12),
+        crash_by(12),
+        {kCompletion, {{kShared}}}},
+       {{11}, {12}, {11, kKnown}},
+       {{kKnown}, {kKnown, kShared}}},
+      {"harmful parts at and below the threshold, and crashes by others",
+       {known_completes,
+        crash_by(11),
+        crash_by(11),
+        crash_by(11),
+        {kCompletion, {{kShared}}},
+        crash_by(12),
+        crash_by(12),
+        {kCompletion, {{kShared}}},
+        {kCrash, {{kKnown}}},
+        {kCrash, {{kKnown}}},
+        {kCrash, {{kKnown}}}},
+       {{11}},
+       {{kKnown}, {12}}},
+      {"a known part that became harmful, with parts of no other request",
+       {known_completes, crash_of_known(21), crash_of_known(22),
+        crash_of_known(23), crash_of_known(24), crash_of_known(25)},
+       {{kKnown}, {kKnown, kOther}},
+       {{21}, {25}}},
+  };
+  CheckBlame(cases);
+}
+
+TEST_CASE("a request that is sent again does not excuse a known part") {
+  CrashSuspects suspects;
+  core::TimePoint now = kStart;
+  Play({{kCompletion, {{kKnown}}}}, suspects, now);
+  for (size_t i = 1; i <= 5; ++i) {
+    // The second part is that of one request, which is sent twice.
+    const RequestFingerprint request = {.content = (i + 1) / 2,
+                                        .parts = {kKnown, 20 + (i + 1) / 2}};
+    now += seconds(1);
+    suspects.RecordCrash(i, {request}, now);
+    INFO(i << " crashes");
+    CHECK(suspects.IsRefused(NewRequest({kKnown}), now) == (i >= 5));
   }
 }
 
@@ -153,6 +232,89 @@
   CHECK_FALSE(suspects.IsRefused(NewRequest({kShared}), kStart + seconds(1)));
 }
 
+// Bursts of requests with one harmful part, no two alike.
+struct BurstCase {
+  const char* what;
+  size_t requests;
+  // Endpoints that the requests of a burst are spread over.
+  size_t endpoints;
+  // Time in which a request crashes its endpoint, after which it is sent again.
+  core::Duration time_to_crash;
+};
+
+class BurstPlay {
+ public:
+  explicit BurstPlay(const BurstCase& row) : row_(row) {}
+
+  // Sends each request once, and again when its endpoint has crashed.
+  void SendBurst(core::TimePoint now) {
+    std::vector<RequestFingerprint> requests;
+    for (size_t i = 0; i < row_.requests; ++i) {
+      requests.push_back(NewRequest({kHarmful, kShared}));
+    }
+    Send(requests, now);
+    Send(requests, now + row_.time_to_crash);
+  }
+
+  // Returns the number of requests that were sent later than three seconds
+  // after the fifth crash.
+  size_t late_arrivals() const {
+    return std::count_if(
+        arrivals_.begin(), arrivals_.end(), [this](core::TimePoint it) {
+          return crashes_.size() >= 5 && it > crashes_[4] + seconds(3);
+        });
+  }
+  CrashSuspects& suspects() { return suspects_; }
+
+ private:
+  void Send(const std::vector<RequestFingerprint>& requests,
+            core::TimePoint now) {
+    std::vector<std::vector<RequestFingerprint>> in_flight(row_.endpoints);
+    for (size_t i = 0; i < requests.size(); ++i) {
+      if (!suspects_.IsRefused(requests[i], now)) {
+        arrivals_.push_back(now);
+        in_flight[i % row_.endpoints].push_back(requests[i]);
+      }
+    }
+    for (const auto& it : in_flight) {
+      if (!it.empty()) {
+        crashes_.push_back(now + row_.time_to_crash);
+        suspects_.RecordCrash(crashes_.size(), it, crashes_.back());
+      }
+    }
+  }
+
+  const BurstCase row_;
+  CrashSuspects suspects_;
+  std::vector<core::TimePoint> crashes_;
+  std::vector<core::TimePoint> arrivals_;
+};
+
+// Guards against bursts whose crashes count as one and which therefore come
+// through again and again.
+TEST_CASE("requests of a burst that are sent again crash endpoints apart") {
+  const BurstCase cases[] = {
+      {"one request", 1, 1, milliseconds(100)},
+      {"three at one endpoint", 3, 1, milliseconds(100)},
+      {"three at two endpoints", 3, 2, milliseconds(100)},
+      {"three at three endpoints", 3, 3, milliseconds(100)},
+      {"six at three endpoints, at once", 6, 3, milliseconds(20)},
+  };
+  for (const BurstCase& row : cases) {
+    INFO(row.what);
+    BurstPlay play(row);
+    core::TimePoint now = kStart;
+    for (int burst = 0; burst < 4; ++burst) {
+      play.SendBurst(now);
+      play.suspects().RecordCompletion(NewRequest({kShared}), now + seconds(2));
+      now += seconds(5);
+    }
+    CHECK(play.late_arrivals() <= 3);
+    CHECK(play.suspects().IsRefused(NewRequest({kHarmful}), now));
+    CHECK_FALSE(play.suspects().IsRefused(NewRequest({kShared, kOther}), now));
+  }
+}
+
 TEST_CASE("a content is refused after two crashes, and its parts are not") {
   CrashSuspects suspects;
   const RequestFingerprint repeated = NewRequest({kShared, kOther});
