Stop: count from when the process may have had the signal

What callers saw: a host that stood still (busy, paused, starved) around SIGTERM counted its stop from when its loop handled the signal. For over 0.3 s it took uncertain streams later than 3 s after the real signal, and it ended its grace later than the platform, whose SIGKILL then cut what was left without an answer.

Cause: BeginShutdown counted from Now().

Change: SignalClock keeps when the loop began its last two waits for events. A signal that is handled now had not come before the wait before the last one began, and the stop is counted from there: at most one turn of the loop earlier than the signal, 50 ms where the host is idle. A signal that is noticed late shortens the stop, but 200 ms are left to deliver what has been received. stop_schedule_test and the calls of BeginShutdown pass the new argument.

--- a/Libraries/LibRouting/stop_schedule.h
+++ b/Libraries/LibRouting/stop_schedule.h
@@ -31,9 +31,14 @@
 
 class StopSchedule {
  public:
-  // `began_at` is when the host received the stop signal.
-  StopSchedule(const StopPolicy& policy, core::TimePoint began_at);
+  // The host noticed the stop signal at `noticed_at`, and may have had it since
+  // `signalled_after`: a process that stands still notices it late, while its
+  // grace period goes on.
+  StopSchedule(const StopPolicy& policy,
+               core::TimePoint signalled_after,
+               core::TimePoint noticed_at);
 
+  // Since when the host counts its stop.
   core::TimePoint began_at() const { return began_at_; }
   // From this time on the host accepts no connections.
   core::TimePoint listens_until() const { return listens_until_; }
@@ -59,6 +64,8 @@
   auto operator<=>(const StopSchedule&) const = default;
 
  private:
+  StopSchedule(const StopPolicy& policy, core::TimePoint began_at);
+
   core::TimePoint began_at_;
   core::TimePoint listens_until_;
   core::TimePoint interrupts_at_;
--- a/Services/Forwarder/forwarder_daemon.cc
+++ b/Services/Forwarder/forwarder_daemon.cc
@@ -503,13 +503,13 @@
                             .on_stopped = [this]() { ticker_->Stop(); }});
 }
 
-void ForwarderDaemon::BeginShutdown() {
+void ForwarderDaemon::BeginShutdown(core::TimePoint signalled_after) {
   if (stop_->has_begun()) {
     return;
   }
-  stop_->Begin(
-      {.grace = settings_.shutdown_grace,
-       .address_lifetime = AddressLifetime() * kAddressLifetimeFactor});
+  stop_->Begin({.grace = settings_.shutdown_grace,
+                .address_lifetime = AddressLifetime() * kAddressLifetimeFactor},
+               signalled_after);
   fleet_->AnnounceLeaving();
 }
 
--- a/Services/Forwarder/forwarder_daemon.h
+++ b/Services/Forwarder/forwarder_daemon.h
@@ -54,8 +54,9 @@
   // Starts a graceful shutdown: the host leaves the fleet, accepts requests
   // until callers no longer use its cached address, from then on only those
   // that it is certain to complete, completes the requests in flight and stops
-  // the event loop.
-  void BeginShutdown();
+  // the event loop. `signalled_after` is a time before which the process did
+  // not have the stop signal.
+  void BeginShutdown(core::TimePoint signalled_after);
 
   // Reads the settings file again. If it is invalid, the current settings stay
   // in effect.
--- a/Services/Forwarder/stop_controller.cc
+++ b/Services/Forwarder/stop_controller.cc
@@ -4,11 +4,12 @@
 
 namespace wasabi::forwarder {
 
-void StopController::Begin(const routing::StopPolicy& policy) {
+void StopController::Begin(const routing::StopPolicy& policy,
+                           core::TimePoint signalled_after) {
   if (has_begun()) {
     return;
   }
-  parts_.context->stop.emplace(policy, parts_.loop->Now());
+  parts_.context->stop.emplace(policy, signalled_after, parts_.loop->Now());
   parts_.context->events->Record(core::EventCode::kProcessStopping, "",
                                  DescribeOpenWork());
   parts_.callers->CloseAfterResponses();
--- a/Services/Forwarder/stop_controller.h
+++ b/Services/Forwarder/stop_controller.h
@@ -37,7 +37,10 @@
   explicit StopController(Parts parts) : parts_(std::move(parts)) {}
 
   // Begins the shutdown. Does nothing if it has begun already.
-  void Begin(const routing::StopPolicy& policy);
+  // `signalled_after` is a time before which the process did not have the stop
+  // signal.
+  void Begin(const routing::StopPolicy& policy,
+             core::TimePoint signalled_after);
   bool has_begun() const { return parts_.context->stop.has_value(); }
   // Does the steps whose time has come. To be called periodically.
   void Tick();
--- a/Services/Router/main.cc
+++ b/Services/Router/main.cc
@@ -10,6 +10,7 @@
 #include "LibCore/log.h"
 #include "LibCore/result_code.h"
 #include "LibCore/settings.h"
+#include "LibCore/signal_clock.h"
 #include "LibCore/text.h"
 #include "Services/Forwarder/forwarder_daemon.h"
 #include "Services/Router/router.h"
@@ -61,7 +62,10 @@
   // The handlers run in the loop, after the daemon was created. They are set
   // before it listens, since a signal without a handler would end the process
   // together with the connections that it has.
-  const auto stop = [&daemon] { daemon->BeginShutdown(); };
+  const core::SignalClock signal_clock(&loop);
+  const auto stop = [&daemon, &signal_clock] {
+    daemon->BeginShutdown(signal_clock.received_after());
+  };
   loop.OnSignal(SIGTERM, stop);
   loop.OnSignal(SIGINT, stop);
   loop.OnSignal(SIGHUP, [&daemon] { daemon->Reload(); });
--- a/Tests/ForwardedStreams/stopping_host_cuts_requests_test.cc
+++ b/Tests/ForwardedStreams/stopping_host_cuts_requests_test.cc
@@ -1,11 +1,15 @@
 // Regression test: a request that a stopping host takes must be answered or
 // refused before the process ends, however late and in whatever pieces it came.
 
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <csignal>
 #include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
+#include "LibCore/signal_clock.h"
 #include "LibCore/text.h"
 #include "LibHttp/tcp_stream.h"
 #include "Tests/Support/ForwarderFixture/forwarder_fixture.h"
@@ -50,8 +54,23 @@
   }
 
   void Signal() {
-    fixture.daemon->BeginShutdown();
     began_at_ = fixture.loop.Now();
+    fixture.daemon->BeginShutdown(began_at_);
+  }
+
+  // Does what Signal does with a signal that the loop handles only after it has
+  // stood still for `standstill`.
+  void SignalWhileStandingStill(core::Duration standstill) {
+    const core::SignalClock clock(&fixture.loop);
+    fixture.loop.OnSignal(SIGUSR1, [this, clock]() {
+      fixture.daemon->BeginShutdown(clock.received_after());
+    });
+    fixture.loop.Post([this, standstill]() {
+      began_at_ = fixture.loop.Now();
+      raise(SIGUSR1);
+      std::this_thread::sleep_for(standstill);
+    });
+    RunTo(standstill);
   }
 
   ForwarderFixture fixture;
@@ -311,16 +330,35 @@
   }
 }
 
+TEST_CASE("a host that stood still when it was stopped ends in time") {
+  // Callers keep an address for 900 ms, of which 300 ms are left for what is
+  // under way.
+  StoppingHost host({.max_address_lifetime = core::milliseconds(300)});
+  PiecewiseCaller waiting(&host);
+  waiting.Write(RequestHead("/unsafe/1", 1990, "Content-Length: 1") + "b");
+  PiecewiseCaller late(&host);
+  host.RunTo(core::milliseconds(100));
+  REQUIRE(host.fixture.received.size() == 1);
+  host.SignalWhileStandingStill(core::milliseconds(500));
+  host.RunTo(core::milliseconds(750));
+  late.Write(RequestHead("/once/1", 1990, "Content-Length: 1") + "b");
+  host.RunTo(kGrace);
+  CHECK(late.HasReceived("HTTP/1.1 503 "));
+  CHECK(host.fixture.received.size() == 1);
+  CHECK(waiting.HasReceived("HTTP/1.1 502 "));
+  CHECK(host.fixture.daemon == nullptr);
+}
+
 TEST_CASE("further signals do not hasten the end of a stopping host") {
   StoppingHost host;
   host.fixture.script = {ScriptedSuccess("ok")};
   PiecewiseCaller caller(&host);
   host.Signal();
   host.RunTo(kListening / 2);
-  host.fixture.daemon->BeginShutdown();
+  host.fixture.daemon->BeginShutdown(host.fixture.loop.Now());
   caller.Write(RequestHead("/unsafe/1", 500, "Content-Length: 1"));
   host.RunTo(kListening + core::milliseconds(100));
-  host.fixture.daemon->BeginShutdown();
+  host.fixture.daemon->BeginShutdown(host.fixture.loop.Now());
   caller.Write("b");
   host.RunTo(kGrace);
   CHECK(caller.HasReceived("HTTP/1.1 200 "));
--- a/Tests/Forwarder/forwarder_daemon_test.cc
+++ b/Tests/Forwarder/forwarder_daemon_test.cc
@@ -431,7 +431,7 @@
   CallerResult result;
   it.Send("/once/1", {{"Authorization", "Bearer k1"}}, false, &result);
   REQUIRE(it.RunUntil([&]() { return result.body == "id: 1\n\n"; }));
-  it.daemon->BeginShutdown();
+  it.daemon->BeginShutdown(it.loop.Now());
   CHECK(it.Get("/ready", true).status == 503);
   // The endpoint completes its stream while the daemon shuts down.
   it.first.WriteToAll(kStreamEnd);
--- a/Tests/LibRouting/stop_schedule_test.cc
+++ b/Tests/LibRouting/stop_schedule_test.cc
@@ -45,7 +45,7 @@
   const core::TimePoint start = core::TimePoint() + seconds(100);
   for (const ScheduleCase& it : cases) {
     INFO(it.what);
-    const StopSchedule schedule(it.policy, start);
+    const StopSchedule schedule(it.policy, start, start);
     CHECK(schedule.began_at() == start);
     CHECK(schedule.listens_until() == start + it.listens);
     CHECK(schedule.interrupts_at() == start + it.interrupts);
@@ -64,5 +64,32 @@
   }
 }
 
+TEST_CASE("a stop counts from when the host may have had the signal") {
+  struct NoticeCase {
+    const char* what;
+    core::Duration delay;
+    core::Duration began;
+  };
+  const NoticeCase cases[] = {
+      {"at once", milliseconds(0), milliseconds(0)},
+      {"late", milliseconds(4000), milliseconds(0)},
+      {"so late that 200 ms are left to serve", milliseconds(7000),
+       milliseconds(0)},
+      {"later still", milliseconds(9000), milliseconds(2000)},
+  };
+  const core::TimePoint start = core::TimePoint() + seconds(100);
+  for (const NoticeCase& it : cases) {
+    INFO(it.what);
+    const StopPolicy policy = {seconds(8), seconds(3)};
+    const core::TimePoint began = start + it.began;
+    CHECK(StopSchedule(policy, start, start + it.delay) ==
+          StopSchedule(policy, began, began));
+  }
+  // A grace period that is too short for that begins when it is noticed.
+  const core::TimePoint late = start + seconds(1);
+  const StopPolicy policy = {milliseconds(100), seconds(3)};
+  CHECK(StopSchedule(policy, start, late).began_at() == late);
+}
+
 }  // namespace
 }  // namespace wasabi::routing
