Request server: name half-received requests that it rejects

What operators saw: a stopping host refuses half-received requests at the end (503), and event 207 didn't say which.

Cause: the observer of rejected requests got a status only.

--- a/Libraries/LibHttp/request_connection.cc
+++ b/Libraries/LibHttp/request_connection.cc
@@ -231,7 +231,7 @@
 
 void RequestConnection::Reject(int status) {
   if (callbacks_.on_rejected) {
-    callbacks_.on_rejected(status);
+    callbacks_.on_rejected(status, request_);
   }
   stream_->Write(
       fmt::format("HTTP/1.1 {} Rejected\r\nContent-Length: 0\r\nConnection: "
--- a/Libraries/LibHttp/request_connection.h
+++ b/Libraries/LibHttp/request_connection.h
@@ -42,9 +42,10 @@
         on_request;
     // The connection is closed; this is the last callback.
     std::function<void(RequestConnection* connection)> on_closed;
-    // A malformed or too large request was rejected with this HTTP status, and
-    // is not passed to `on_request`.
-    std::function<void(int status)> on_rejected;
+    // A malformed, too large or incomplete request was rejected with this HTTP
+    // status, and is not passed to `on_request`. `request` is what has been
+    // read of it; its headers are empty if they were not read to the end.
+    std::function<void(int status, const InboundRequest& request)> on_rejected;
   };
 
   RequestConnection(core::EventLoop* loop,
--- a/Libraries/LibHttp/request_server.h
+++ b/Libraries/LibHttp/request_server.h
@@ -24,8 +24,10 @@
   // Called once for each complete request.
   using Handler = std::function<void(const std::shared_ptr<Transaction>&)>;
   // Called with the HTTP status of each request that was rejected before it
-  // reached the handler.
-  using RejectObserver = std::function<void(int status)>;
+  // reached the handler, and with what has been read of it. Its headers are
+  // empty if they were not read to the end.
+  using RejectObserver =
+      std::function<void(int status, const InboundRequest& request)>;
 
   // Starts to listen at `address`. Returns ResultCode::kCannotListen if that
   // fails, for example because the address is in use.
--- a/Services/Forwarder/forwarder_daemon.cc
+++ b/Services/Forwarder/forwarder_daemon.cc
@@ -138,10 +138,12 @@
   TRY_ASSIGN(callers_,
              http::RequestServer::Create(loop_, settings_.callers_address,
                                          handler(&ForwarderDaemon::OnRequest)));
-  callers_->SetRejectObserver([this](int status) {
-    events_.Record(core::EventCode::kBadInput, "",
-                   fmt::format("status={}", status));
-  });
+  callers_->SetRejectObserver(
+      [this](int status, const http::InboundRequest& request) {
+        events_.Record(core::EventCode::kBadInput,
+                       adapters_.callers->RequestIdOf(request),
+                       fmt::format("status={}", status));
+      });
   TRY_ASSIGN(ready_, http::RequestServer::Create(
                          loop_, settings_.ready_address,
                          handler(&ForwarderDaemon::OnReadinessCheck)));
--- a/Tests/Forwarder/forwarder_daemon_test.cc
+++ b/Tests/Forwarder/forwarder_daemon_test.cc
@@ -440,6 +440,43 @@
   CHECK(result.end == http::OriginOutcome::kComplete);
 }
 
+TEST_CASE("a rejected request is recorded with its id if that was read") {
+  struct Row {
+    const char* what;
+    const char* text;
+    const char* recorded;
+  };
+  const Row rows[] = {
+      {"a malformed body",
+       "POST /unsafe/1 HTTP/1.1\r\nHost: a.test\r\nRequest-Id: id7\r\n"
+       "Transfer-Encoding: chunked\r\n\r\nx\r\n",
+       R"("request_id":"id7")"},
+      {"a malformed head", "nonsense\r\nRequest-Id: id7\r\n\r\n",
+       R"("request_id":"")"},
+  };
+  for (const Row& row : rows) {
+    INFO(row.what);
+    ForwarderFixture it;
+    it.Configure();
+    const auto stream =
+        *http::TcpStream::Connect(&it.loop, it.settings.callers_address);
+    std::string received;
+    http::TcpStream::Callbacks callbacks;
+    callbacks.on_data = [&](std::string_view bytes) { received.append(bytes); };
+    stream->Start(std::move(callbacks));
+    stream->Write(row.text);
+    REQUIRE(
+        it.RunUntil([&]() { return received.starts_with("HTTP/1.1 400"); }));
+    const std::string events = it.GetInternal("/v1/events", it.settings);
+    const size_t at = events.find("bad_input");
+    REQUIRE(at != std::string::npos);
+    const std::string event = events.substr(
+        events.rfind('{', at), events.find('}', at) - events.rfind('{', at));
+    INFO(event);
+    CHECK(event.find(row.recorded) != std::string::npos);
+  }
+}
+
 TEST_CASE("a reload of unreadable settings keeps the current settings") {
   ForwarderFixture it;
   it.Configure();
--- a/Tests/LibHttp/stopping_server_test.cc
+++ b/Tests/LibHttp/stopping_server_test.cc
@@ -143,5 +143,36 @@
   CHECK(RunUntil(&it.loop, [&]() { return it.has_ended; }));
 }
 
+TEST_CASE("a half-received request that is refused is reported with its head") {
+  struct Row {
+    const char* what;
+    std::string_view sent;
+    const char* id;
+  };
+  const Row rows[] = {
+      {"its body is not complete",
+       "POST /x HTTP/1.1\r\nRequest-Id: id7\r\nContent-Length: 9\r\n\r\nab",
+       "id7"},
+      {"its head is not complete", "POST /x HTTP/1.1\r\nRequest-Id: id7\r\n",
+       ""},
+  };
+  for (const Row& row : rows) {
+    INFO(row.what);
+    ServerFixture it;
+    std::vector<std::string> ids;
+    it.server->SetRejectObserver(
+        [&](int /*status*/, const InboundRequest& request) {
+          ids.push_back(request.headers.Get("Request-Id"));
+        });
+    it.Connect();
+    it.caller->Write(row.sent);
+    Wait(&it.loop, core::milliseconds(50));
+    it.server->StopListening();
+    it.server->RefuseUnread();
+    it.AwaitText(" 503 ");
+    CHECK(ids == std::vector<std::string>{row.id});
+  }
+}
+
 }  // namespace
 }  // namespace wasabi::http
