Server: accept what is queued before the listening socket is closed

What callers saw: when the stand-alone router or wasabi_control stopped, requests in the kernel's queue of the listening socket, on connections that were just accepted, or half received got a reset or a close instead of an answer.

Cause: StopListening closed the socket at once, and open_exchanges counted a request only once its head was complete, so the process ended before.

Change: AcceptWaiting, which RequestServer now uses too, empties the queue first; libmicrohttpd gets these connections in the next turn of the loop, as the call may come from a handler. For half a second after that, connections without a request count as open (RequestServer gives as long). A stop without requests lasts up to half a second longer if connections are open.

stopping_server_test uses the client of blocking_client.h, which was moved there from it; its checks are the same.

Not begun: a response that is lost because its connection is closed with bytes unread (a pipelined request behind it).

--- a/Libraries/LibHttp/request_server.cc
+++ b/Libraries/LibHttp/request_server.cc
@@ -10,6 +10,7 @@
 
 #include "LibCore/result_code.h"
 #include "LibCore/try.h"
+#include "LibHttp/accept.h"
 
 namespace wasabi::http {
 
@@ -101,13 +102,11 @@
 }
 
 void RequestServer::AcceptAvailable() {
-  while (descriptor_ >= 0) {
-    const int descriptor =
-        accept4(descriptor_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
-    if (descriptor < 0) {
-      return;
-    }
-    AddConnection(descriptor);
+  if (descriptor_ < 0) {
+    return;
+  }
+  for (const AcceptedSocket& it : AcceptWaiting(descriptor_)) {
+    AddConnection(it.descriptor);
   }
 }
 
--- a/Libraries/LibHttp/server.cc
+++ b/Libraries/LibHttp/server.cc
@@ -17,7 +17,11 @@
 
 namespace {
 
+// Time for requests that clients have sent before the server stopped listening
+// and that have not arrived, or have not been read.
+constexpr core::Duration kLastRequestTime = core::milliseconds(500);
 constexpr int kPayloadTooLarge = 413;
+constexpr int kUnavailable = 503;
 // Buffer size for reads from the body of a streamed response.
 constexpr size_t kStreamBlockBytes = 16U << 10U;
 
@@ -159,6 +163,9 @@
   *alive_ = false;
   watcher_.reset();
   timer_.reset();
+  for (const AcceptedSocket& it : accepted_) {
+    close(it.descriptor);
+  }
   if (daemon_ == nullptr) {
     return;
   }
@@ -199,10 +206,45 @@
     return;
   }
   is_stopped_listening_ = true;
+  awaits_requests_until_ = loop_->Now() + kLastRequestTime;
   const MHD_socket listener = MHD_quiesce_daemon(daemon_);
-  if (listener != MHD_INVALID_SOCKET) {
-    close(listener);
+  if (listener == MHD_INVALID_SOCKET) {
+    return;
+  }
+  accepted_ = AcceptWaiting(listener);
+  close(listener);
+  // A handler may be running, in which libmicrohttpd can't be called.
+  loop_->Post([this, alive = alive_] {
+    if (*alive) {
+      AddAccepted();
+    }
+  });
+}
+
+void Server::AddAccepted() {
+  for (const AcceptedSocket& it : std::exchange(accepted_, {})) {
+    // Closes the socket if it fails.
+    if (MHD_add_connection(daemon_, it.descriptor,
+                           reinterpret_cast<const sockaddr*>(&it.peer),
+                           sizeof(it.peer)) != MHD_YES &&
+        reject_observer_) {
+      reject_observer_(kUnavailable);
+    }
+  }
+  RunDaemon();
+}
+
+size_t Server::connection_count() const {
+  const MHD_DaemonInfo* info =
+      MHD_get_daemon_info(daemon_, MHD_DAEMON_INFO_CURRENT_CONNECTIONS);
+  return info == nullptr ? 0 : info->num_connections;
+}
+
+size_t Server::open_exchanges() const {
+  if (loop_->Now() >= awaits_requests_until_) {
+    return open_exchanges_;
   }
+  return std::max(open_exchanges_, accepted_.size() + connection_count());
 }
 
 void Server::RunDaemon() {
--- a/Libraries/LibHttp/server.h
+++ b/Libraries/LibHttp/server.h
@@ -6,9 +6,11 @@
 #include <functional>
 #include <memory>
 #include <set>
+#include <vector>
 
 #include "LibCore/event_loop.h"
 #include "LibCore/socket_address.h"
+#include "LibHttp/accept.h"
 #include "LibHttp/exchange.h"
 #include "absl/status/statusor.h"
 
@@ -47,12 +49,14 @@
   // Aborts the connections that are still open.
   ~Server();
 
-  // Closes the listening socket. Requests in flight are not affected; answers
-  // from then on close their connection.
+  // Accepts the connections that clients have opened so far and closes the
+  // listening socket. Requests in flight are not affected; answers from then on
+  // close their connection.
   void StopListening();
   // Number of requests in flight, including those that are still being
-  // received.
-  size_t open_exchanges() const { return open_exchanges_; }
+  // received. For half a second after StopListening, connections without a
+  // request count as well, since their clients may have sent one before.
+  size_t open_exchanges() const;
   void set_reject_observer(RejectObserver observer) {
     reject_observer_ = std::move(observer);
   }
@@ -66,6 +70,10 @@
   absl::Status Start();
   // Lets libmicrohttpd process its sockets and timeouts.
   void RunDaemon();
+  // Hands the connections in `accepted_` to libmicrohttpd.
+  void AddAccepted();
+  // Number of connections that libmicrohttpd has.
+  size_t connection_count() const;
   // Calls RunDaemon in a later turn of the loop.
   void ScheduleRun();
   int QueueResponse(Exchange* exchange);
@@ -89,6 +97,11 @@
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   bool run_scheduled_ = false;
   bool is_stopped_listening_ = false;
+  // Until when connections without a request count as open.
+  core::TimePoint awaits_requests_until_;
+  // Accepted when the server stopped listening; libmicrohttpd has not got them
+  // yet.
+  std::vector<AcceptedSocket> accepted_;
   size_t open_exchanges_ = 0;
   // The exchanges of requests that have not ended.
   std::set<std::shared_ptr<Exchange>> exchanges_;
--- a/Tests/LibHttp/stopping_server_test.cc
+++ b/Tests/LibHttp/stopping_server_test.cc
@@ -1,14 +1,13 @@
 // Guards against requests that end without an answer because their server
 // stops listening.
 
-#include <sys/socket.h>
-#include <unistd.h>
-
 #include <catch2/catch.hpp>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "LibCore/text.h"
+#include "Tests/LibHttp/blocking_client.h"
 #include "Tests/LibHttp/server_fixture.h"
 
 namespace wasabi::http {
@@ -16,32 +15,6 @@
 
 constexpr std::string_view kGet = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
 
-// A client whose bytes reach the kernel at once, whether or not the loop runs.
-class BlockingClient {
- public:
-  explicit BlockingClient(ServerFixture* fixture)
-      : fixture_(fixture),
-        descriptor_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
-    const sockaddr_in native = fixture->address.ToNative();
-    REQUIRE(connect(descriptor_, reinterpret_cast<const sockaddr*>(&native),
-                    sizeof(native)) == 0);
-  }
-
-  void Write(std::string_view bytes) const {
-    REQUIRE(send(descriptor_, bytes.data(), bytes.size(), 0) ==
-            static_cast<ssize_t>(bytes.size()));
-  }
-  // From now on the loop receives what the server sends.
-  void Receive() {
-    fixture_->Start(TcpStream::Adopt(&fixture_->loop, descriptor_));
-  }
-
- private:
-  ServerFixture* const fixture_;
-  // Owned by the fixture's stream after Receive.
-  const int descriptor_;
-};
-
 void Wait(core::EventLoop* loop, core::Duration time) {
   const core::TimePoint end = loop->Now() + time;
   RunUntil(loop, [&]() { return loop->Now() >= end; });
@@ -69,17 +42,17 @@
   for (const StopCase& row : cases) {
     INFO(row.what);
     ServerFixture it;
-    BlockingClient client(&it);
+    BlockingClient client(it.address);
     size_t requests = 1;
     switch (row.sent) {
       case Sent::kOnUnacceptedConnection:
         client.Write(kGet);
         it.server->StopListening();
-        client.Receive();
+        it.Start(client.ToStream(&it.loop));
         break;
       case Sent::kOnIdleConnection:
         client.Write(kGet);
-        client.Receive();
+        it.Start(client.ToStream(&it.loop));
         it.AwaitRequests(1);
         it.transactions[0]->Respond({.status = 200, .body = "first"});
         it.AwaitText("first");
@@ -90,7 +63,7 @@
         requests = 2;
         break;
       case Sent::kAfterStopOnNewConnection:
-        client.Receive();
+        it.Start(client.ToStream(&it.loop));
         REQUIRE(RunUntil(&it.loop,
                          [&]() { return it.server->connection_count() == 1; }));
         it.server->StopListening();
@@ -99,7 +72,7 @@
         break;
       case Sent::kInTwoParts:
         client.Write(kGet.substr(0, kGet.size() / 2));
-        client.Receive();
+        it.Start(client.ToStream(&it.loop));
         Wait(&it.loop, core::milliseconds(50));
         it.server->StopListening();
         client.Write(kGet.substr(kGet.size() / 2));
