--- a/Services/Forwarder/forwarder_daemon.cc
+++ b/Services/Forwarder/forwarder_daemon.cc
@@ -138,10 +138,12 @@
   TRY_ASSIGN(callers_,
              http::RequestServer::Create(loop_, settings_.callers_address,
                                          handler(&ForwarderDaemon::OnRequest)));
-  callers_->SetRejectObserver([this](int status) {
-    events_.Record(core::EventCode::kBadInput, "",
-                   fmt::format("status={}", status));
-  });
+  callers_->SetRejectObserver(
+      [this](int status, const http::InboundRequest& request) {
+        events_.Record(core::EventCode::kBadInput,
+                       adapters_.callers->RequestIdOf(request),
+                       fmt::format("status={}", status));
+      });
   TRY_ASSIGN(ready_, http::RequestServer::Create(
                          loop_, settings_.ready_address,
                          handler(&ForwarderDaemon::OnReadinessCheck)));
@@ -503,13 +505,13 @@
                             .on_stopped = [this]() { ticker_->Stop(); }});
 }
 
-void ForwarderDaemon::BeginShutdown() {
+void ForwarderDaemon::BeginShutdown(core::TimePoint signalled_after) {
   if (stop_->has_begun()) {
     return;
   }
-  stop_->Begin(
-      {.grace = settings_.shutdown_grace,
-       .address_lifetime = AddressLifetime() * kAddressLifetimeFactor});
+  stop_->Begin({.grace = settings_.shutdown_grace,
+                .address_lifetime = AddressLifetime() * kAddressLifetimeFactor},
+               signalled_after);
   fleet_->AnnounceLeaving();
 }
 
