Tunnels: a stopping carrier ends and counts what it carries

What callers saw: a request in a tunnel ended with the carrier's process, at the end of its grace period. Nothing was logged or counted, and a host of the build before frames took the orderly close of the socket for the end of an answer with neither a length nor chunks.

Cause: the carrier's stop interrupted its own requests only.

Change: when a stopping host interrupts its requests it also ends the tunnels that it carries, by a reset, each with a line (329 tunnel_interrupted) and in the counter tunnels_interrupted. As before, it opens no tunnel from the signal on. The other host takes the end for a cut and sends again what may repeat.

--- a/Libraries/LibCore/event.cc
+++ b/Libraries/LibCore/event.cc
@@ -104,6 +104,8 @@
     {EventCode::kPoolSlotDenied, "pool_slot_denied",
      "A request was refused because the fleet's requests take every slot of "
      "its pool, and waiting for one would take too long."},
+    {EventCode::kTunnelInterrupted, "tunnel_interrupted",
+     "A stopping host ended a tunnel that it carried for another host."},
     {EventCode::kVersionsRecorded, "versions_recorded",
      "This host wrote the record of the pools' recent versions to the store."},
     {EventCode::kStoredOriginsRead, "stored_origins_read",
--- a/Libraries/LibCore/event.h
+++ b/Libraries/LibCore/event.h
@@ -59,6 +59,7 @@
   kEvacuationRetained = 326,
   kSendWithheld = 327,
   kPoolSlotDenied = 328,
+  kTunnelInterrupted = 329,
   kVersionsRecorded = 335,
   kStoredOriginsRead = 336,
   kOriginLookedUp = 337,
--- a/Libraries/LibForwarding/tunnel.cc
+++ b/Libraries/LibForwarding/tunnel.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "LibCore/text.h"
 #include "LibForwarding/endpoint_notices.h"
 #include "LibHttp/tunnel.h"
 #include "LibHttp/tunnel_frames.h"
@@ -38,6 +39,7 @@
       on_end_(std::move(on_end)) {}
 
 void Tunnel::Start() {
+  started_at_ = context_->loop->Now();
   const auto weak = weak_from_this();
   // 1. The host's side is watched from the start: it may give up.
   http::TcpStream::Callbacks host;
@@ -95,6 +97,19 @@
   timer_->StartOnce(kConnectTimeout);
 }
 
+void Tunnel::Interrupt() {
+  const core::Duration age = context_->loop->Now() - started_at_;
+  context_->events->Record(
+      core::EventCode::kTunnelInterrupted, "",
+      fmt::format("endpoint={} is_connected={} has_head={} ms={}",
+                  endpoint_.id.value(), is_connected_, has_head_,
+                  core::ToMilliseconds(age)));
+  ++context_->metrics->Counter("tunnels_interrupted");
+  // A host that knows no frames takes an orderly end for the endpoint's.
+  host_->Abort();
+  End();
+}
+
 void Tunnel::OnConnected() {
   is_connected_ = true;
   timer_.reset();
--- a/Libraries/LibForwarding/tunnel.h
+++ b/Libraries/LibForwarding/tunnel.h
@@ -32,6 +32,9 @@
 
   // Connects to the endpoint.
   void Start();
+  // Ends the tunnel because this host stops. The other host takes a request in
+  // it for cut.
+  void Interrupt();
 
  private:
   void OnConnected();
@@ -53,6 +56,7 @@
   // Limits the time for connecting, and that for the end of the host's side
   // after the endpoint has closed its own.
   std::unique_ptr<core::Timer> timer_;
+  core::TimePoint started_at_{};
   std::unique_ptr<http::MessageParser> parser_;
   std::string unparsed_;
   bool is_connected_ = false;
--- a/Libraries/LibForwarding/tunnel_server.cc
+++ b/Libraries/LibForwarding/tunnel_server.cc
@@ -59,4 +59,12 @@
   tunnel->Start();
 }
 
+void TunnelServer::InterruptAll() {
+  // A tunnel that ends removes itself.
+  const std::set<std::shared_ptr<Tunnel>> open = tunnels_;
+  for (const std::shared_ptr<Tunnel>& it : open) {
+    it->Interrupt();
+  }
+}
+
 }  // namespace wasabi::forwarding
--- a/Libraries/LibForwarding/tunnel_server.h
+++ b/Libraries/LibForwarding/tunnel_server.h
@@ -30,6 +30,8 @@
   void Open(const std::shared_ptr<http::Transaction>& transaction);
   // From now on refuses new tunnels. Open ones go on.
   void Stop() { is_stopping_ = true; }
+  // Ends the open tunnels, each with a log entry.
+  void InterruptAll();
   size_t open_tunnels() const { return tunnels_.size(); }
 
  private:
--- a/Services/Forwarder/forwarder_daemon.cc
+++ b/Services/Forwarder/forwarder_daemon.cc
@@ -535,6 +535,7 @@
   }
   context_.active_requests.InterruptAll(stop_->began_at());
   callers_->RefuseUnread();
+  tunnels_.InterruptAll();
 }
 
 bool ForwarderDaemon::IsDrained() const {
--- a/Tests/ForwardedStreams/cut_tunnel_looks_complete_test.cc
+++ b/Tests/ForwardedStreams/cut_tunnel_looks_complete_test.cc
@@ -31,6 +31,15 @@
 // The host relays an answer of this size before it is complete.
 constexpr size_t kLargeBytes = 300'000;
 
+// The reply of a carrier that passes bytes on unchanged.
+constexpr std::string_view kOpen = "HTTP/1.1 200 Open\r\n\r\n";
+constexpr std::string_view kUnavailable = "HTTP/1.1 503 Unavailable\r\n\r\n";
+
+void RunFor(ForwarderFixture* fixture, core::Duration time) {
+  const core::TimePoint end = fixture->loop.Now() + time;
+  fixture->RunUntil([&]() { return fixture->loop.Now() >= end; });
+}
+
 // A host that has lost its links to the endpoints, and its only carrier.
 class CutHost {
  public:
@@ -58,8 +67,7 @@
                  {{"Authorization", "Bearer k1"}, {"Deadline-Ms", kDeadlineMs}},
                  false, result);
     REQUIRE(fixture.RunUntil([&]() { return fixture.received.size() == 1; }));
-    const core::TimePoint end = fixture.loop.Now() + kSettleTime;
-    fixture.RunUntil([&]() { return fixture.loop.Now() >= end; });
+    RunFor(&fixture, kSettleTime);
     REQUIRE_FALSE(result->end.has_value());
   }
 
@@ -200,33 +208,99 @@
   }
 }
 
-// The old host is a connection that sends the request for a tunnel of the build
-// before frames, and checks every byte that comes.
+// A host of the build before frames: it sends that build's request for a
+// tunnel to "e1", and every byte that comes is kept.
+struct RawHost {
+  RawHost(ForwarderFixture* fixture,
+          const core::SocketAddress& carrier,
+          std::string_view reply = kOpen)
+      : stream(*http::TcpStream::Connect(&fixture->loop, carrier)) {
+    http::TcpStream::Callbacks callbacks;
+    callbacks.on_data = [this](std::string_view bytes) {
+      received.append(bytes);
+    };
+    callbacks.on_end = [this](http::TcpStream::End it) { end = it; };
+    stream->Start(std::move(callbacks));
+    stream->Write(
+        fmt::format("CONNECT {:016x} HTTP/1.1\r\nHost: endpoint\r\n\r\n",
+                    core::RunnerId("e1").Hash()));
+    REQUIRE(fixture->RunUntil([&]() { return received == reply; }));
+  }
+  ~RawHost() { stream->Close(); }
+  RawHost(const RawHost&) = delete;
+  RawHost& operator=(const RawHost&) = delete;
+
+  const std::shared_ptr<http::TcpStream> stream;
+  std::string received;
+  std::optional<http::TcpStream::End> end;
+};
+
 TEST_CASE("a host of an older build gets the endpoint's bytes unchanged") {
   for (const WholeCase& row : kWholeAnswers) {
     INFO(row.what);
     ForwarderFixture it;
     it.Configure();
-    it.first.SetAnswer(row.answer, true);
     it.first.SetResponder(nullptr);
-    auto host =
-        *http::TcpStream::Connect(&it.loop, it.settings.internal_address);
-    std::string received;
-    std::optional<http::TcpStream::End> end;
-    http::TcpStream::Callbacks callbacks;
-    callbacks.on_data = [&](std::string_view bytes) { received.append(bytes); };
-    callbacks.on_end = [&](http::TcpStream::End it) { end = it; };
-    host->Start(std::move(callbacks));
-    const std::string open = "HTTP/1.1 200 Open\r\n\r\n";
-    host->Write(
-        fmt::format("CONNECT {:016x} HTTP/1.1\r\nHost: endpoint\r\n\r\n",
-                    core::RunnerId("e1").Hash()));
-    REQUIRE(it.RunUntil([&]() { return received == open; }));
-    host->Write("GET / HTTP/1.1\r\nHost: a.test\r\n\r\n");
-    REQUIRE(it.RunUntil([&]() { return end.has_value(); }));
-    CHECK(received == fmt::format("{}{}", open, row.answer));
-    CHECK(end == http::TcpStream::End::kClosed);
+    it.first.SetAnswer(row.answer, true);
+    RawHost host(&it, it.settings.internal_address);
+    host.stream->Write("GET / HTTP/1.1\r\nHost: a.test\r\n\r\n");
+    REQUIRE(it.RunUntil([&]() { return host.end.has_value(); }));
+    CHECK(host.received == fmt::format("{}{}", kOpen, row.answer));
+    CHECK(host.end == http::TcpStream::End::kClosed);
+  }
+}
+
+// A host of an older build can tell only by a reset that its answer is cut.
+TEST_CASE("a stopping carrier ends its tunnels before its process ends") {
+  ForwarderFixture it;
+  it.Configure();
+  const FixturePeer* carrier = it.AddPeer("h2");
+  it.script = {"HTTP/1.1 200 X\r\n\r\nhalf"};
+  RawHost host(&it, carrier->settings.internal_address);
+  host.stream->Write("GET / HTTP/1.1\r\nHost: a.test\r\n\r\n");
+  REQUIRE(it.RunUntil([&]() { return host.received.ends_with("half"); }));
+  const core::TimePoint began_at = it.loop.Now();
+  carrier->daemon->BeginShutdown();
+  // 1. No new tunnel is opened.
+  RawHost late(&it, carrier->settings.internal_address, kUnavailable);
+  // 2. The open one lasts until the carrier interrupts its own requests.
+  REQUIRE(it.RunUntil([&]() {
+    return host.end.has_value() || it.loop.Now() - began_at > it.shutdown_grace;
+  }));
+  CHECK(host.end == http::TcpStream::End::kBroken);
+  CHECK(it.loop.Now() - began_at > it.shutdown_grace / 2);
+  // 3. It is counted, and logged with its endpoint.
+  const std::string events = it.GetInternal("/v1/events", carrier->settings);
+  const std::string metrics = it.GetInternal("/metrics", carrier->settings);
+  CHECK(events.find("tunnel_interrupted") != std::string::npos);
+  CHECK(events.find("endpoint=e1") != std::string::npos);
+  CHECK(metrics.find("wasabi_tunnels_interrupted 1\n") != std::string::npos);
+}
+
+TEST_CASE("a request that may repeat is sent again when its carrier stops") {
+  CutHost it;
+  it.fixture.AddPeer("h3");
+  CallerResult result;
+  it.Begin("/safe/1",
+           "HTTP/1.1 200 X\r\nRequest-Id: id1\r\nResponse-Signature: s\r\n"
+           "\r\nhalf",
+           &result);
+  it.fixture.script = {support::ScriptedSuccess("whole")};
+  int stopped = 0;
+  for (const auto& peer : it.fixture.peers) {
+    const bool is_carrier =
+        it.fixture.GetInternal("/metrics", peer->settings)
+            .find("wasabi_tunnels_open 1\n") != std::string::npos;
+    if (is_carrier) {
+      ++stopped;
+      peer->daemon->BeginShutdown();
+    }
   }
+  REQUIRE(stopped == 1);
+  it.RunUntilEnd(result);
+  CHECK(result.status == 200);
+  CHECK(result.body == "whole");
+  CHECK(it.fixture.received.size() == 2);
 }
 
 }  // namespace
