Odd records: numbers of a configuration and host addresses out of range

What another writer could do: a configuration with a number such as 1e300 or -1 was accepted, and the number was converted where the conversion is undefined or wraps: "max_body_bytes": -1 took the limit away, "timeout_ms": -1 ended each request at once. In the fleet topic a port 0, an address 0.0.0.0 and a text with more after a zero byte were taken for hosts, and the key of an odd record went into the log unescaped.

A host's address counts only as hosts write it, as that of an endpoint does already. Keys are escaped in the log. Ports above 65535 were refused before.

--- a/Services/Forwarder/fleet_topic_controller.cc
+++ b/Services/Forwarder/fleet_topic_controller.cc
@@ -1,9 +1,11 @@
 #include "Services/Forwarder/fleet_topic_controller.h"
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 #include "LibCore/text.h"
+#include "LibPlatform/record_text.h"
 #include "Services/Forwarder/topic_numbers.h"
 
 namespace wasabi::forwarder {
@@ -20,6 +22,15 @@
 // datagram.
 constexpr size_t kReportBytes = 1100;
 
+// Returns the address in a record, or nullopt if it is not written as hosts
+// write it or nobody can listen there.
+std::optional<core::SocketAddress> AddressOf(const std::string& text) {
+  const auto address = core::SocketAddress::Parse(text);
+  const bool is_usable = address.ok() && address->ip() != 0 &&
+                         address->port() != 0 && address->ToString() == text;
+  return is_usable ? std::optional(*address) : std::nullopt;
+}
+
 }  // namespace
 
 FleetTopicController::FleetTopicController(
@@ -70,10 +81,10 @@
 }
 
 bool FleetTopicController::AddAddress(const platform::KeyedRecord& record) {
-  const auto address = core::SocketAddress::Parse(record.value.value_or(""));
-  if (!address.ok()) {
+  const auto address = AddressOf(record.value.value_or(""));
+  if (!address) {
     events_->Record(core::EventCode::kRecordSkipped, "",
-                    "topic=fleet host=" + record.key);
+                    "topic=fleet host=" + platform::PrintableText(record.key));
     return false;
   }
   const core::HostId host(record.key);
--- a/Tests/PlatformAdapter/registration_codec_test.cc
+++ b/Tests/PlatformAdapter/registration_codec_test.cc
@@ -143,5 +143,62 @@
   CHECK(valid < kMutations);
 }
 
+// Returns a configuration with a field at each place that has numbers: in its
+// route, its service, the service's engine and the limits of callers.
+std::string ConfigurationWith(const std::string& field) {
+  return fmt::format(
+      R"({{"version":7,"routes":[{{"name":"r","hostname":"h",)"
+      R"("path_prefix":"/","kind":"safe","service":"p"{0}}}],)"
+      R"("services":[{{"name":"p","engine":{{"new":1{0}}}{0}}}],)"
+      R"("limits":{{"new":1{0}}},"tenants":[{{"name":"t","api_keys":["k"]{0}}}]}})",
+      field);
+}
+
+TEST_CASE("a number of a configuration that is out of range is left out") {
+  const auto usual = *DecodeConfiguration(ConfigurationWith(""));
+  const std::string values[] = {"-1",   "-1e300", "1e300",
+                                "1e18", "-1e18",  "18446744073709551615",
+                                "-0.5", "1e17",   std::string(300, '9')};
+  for (const char* key :
+       {"timeout_ms", "target_latency_ms", "gap_aim_ms", "attempts",
+        "max_conns", "warmup_s", "cold_per_s", "kv_tokens", "slots",
+        "max_header_bytes", "max_body_bytes", "header_timeout_ms",
+        "idle_timeout_ms"}) {
+    for (const std::string& value : values) {
+      INFO(key << " = " << value.substr(0, 40));
+      const auto decoded = DecodeConfiguration(
+          ConfigurationWith(fmt::format(R"(,"{}":{})", key, value)));
+      REQUIRE(decoded.ok());
+      const forwarding::RouteTable& table = **decoded;
+      CHECK((table.routes() == usual->routes()));
+      CHECK((*table.FindPool(core::PoolId("p")) ==
+             *usual->FindPool(core::PoolId("p"))));
+      CHECK((table.caller_limits() == usual->caller_limits()));
+    }
+  }
+}
+
+TEST_CASE("a configuration whose version is no whole number is an error") {
+  for (const char* version :
+       {"-1", "1e300", "1.5", "null", "true", R"("7")", "NaN", "1e400",
+        "18446744073709551615", "9223372036854775807", "[7]"}) {
+    INFO(version);
+    const auto decoded = DecodeConfiguration(
+        fmt::format(R"({{"version":{},"routes":[],"services":[]}})", version));
+    CHECK(core::CodeOf(decoded.status()) == core::ResultCode::kMalformedRecord);
+  }
+}
+
+TEST_CASE("a priority that is out of range is left out") {
+  for (const char* value : {"-1e300", "1e300", "4294967296", "-2147483649"}) {
+    INFO(value);
+    const auto decoded = DecodeConfiguration(
+        ConfigurationWith(fmt::format(R"(,"priority":{})", value)));
+    REQUIRE(decoded.ok());
+    CHECK((*decoded)->routes().front().priority == 0);
+    CHECK_FALSE((*decoded)->FindOrganisation("k")->priority.has_value());
+  }
+}
+
 }  // namespace
 }  // namespace wasabi::adapter
