Topic view: a response read after a pause of the process is as old as the pause

What could happen: a host that stood still for seconds while a read of a topic was in flight (SIGSTOP, or a machine that stalls) found the response in its socket and took it for at most 250 ms old. It served with a configuration or registrations that had been replaced meanwhile, sure that they were current.

Cause: TopicView::OnTail counted the delay of a response back from the moment at which the process read it.

Change: the view notes when it last ran before a gap of more than 250 ms; a response that comes after the gap counts from there, whether a refresh or the response runs first. The next read makes the view current.

Measured (arm64): "a response that waited for a paused process is as old as the pause", in virtual time with a pause of 5 s, before: both rows fail (2 of 15663 checks of test_platform); after: test_platform passes (15663). test_forwarder passes (2739). No run with SIGSTOP was made.

--- a/Libraries/LibPlatform/topic_view.cc
+++ b/Libraries/LibPlatform/topic_view.cc
@@ -13,6 +13,8 @@
 // A response reflects the platform's state at the time of sending, which is at
 // most this long ago.
 constexpr core::Duration kMaxResponseDelay = core::milliseconds(250);
+// With a longer time between two refreshes, the process may have stood still.
+constexpr core::Duration kMaxTurn = core::milliseconds(250);
 // Ages in reports are rounded, so a smaller gain in freshness does not count.
 constexpr core::Duration kMinFreshnessGain = core::milliseconds(50);
 
@@ -32,6 +34,7 @@
 
 void TopicView::RefreshIfStale(core::Duration age, core::Duration wait) {
   const core::TimePoint now = scheduler_->Now();
+  DetectPause();
   const bool is_due =
       needs_snapshot_ || lacks_newer_records_ || now - confirmed_at_ >= age;
   if (is_reading_ || !is_due || now < next_attempt_at_) {
@@ -39,6 +42,7 @@
   }
   is_reading_ = true;
   next_attempt_at_ = now + options_.minimum_interval;
+  paused_at_.reset();
   if (needs_snapshot_) {
     ReadSnapshot();
   } else {
@@ -146,6 +150,7 @@
 void TopicView::OnTail(core::TimePoint started_at,
                        absl::StatusOr<KeyedPage> page) {
   is_reading_ = false;
+  DetectPause();
   if (!page.ok()) {
     OnFailure(page.status());
     return;
@@ -179,7 +184,17 @@
     next_attempt_at_ = scheduler_->Now();
     return;
   }
-  Confirm(std::max(started_at, scheduler_->Now() - kMaxResponseDelay));
+  // The response may have arrived at any time while the process stood still.
+  const core::TimePoint arrived_at = paused_at_.value_or(scheduler_->Now());
+  Confirm(std::max(started_at, arrived_at - kMaxResponseDelay));
+}
+
+void TopicView::DetectPause() {
+  const core::TimePoint now = scheduler_->Now();
+  if (now - running_at_ > kMaxTurn && !paused_at_) {
+    paused_at_ = running_at_;
+  }
+  running_at_ = now;
 }
 
 void TopicView::ApplySnapshot(const KeyedPage& page) {
--- a/Libraries/LibPlatform/topic_view.h
+++ b/Libraries/LibPlatform/topic_view.h
@@ -136,6 +136,8 @@
   // Must be called before an update is applied.
   void RecordRecovery();
   void Confirm(core::TimePoint at);
+  // Notes whether the process may have stood still since the last call.
+  void DetectPause();
   void OnFailure(const absl::Status& status);
   void SetReachable(bool is_reachable);
   void ReportEvent(core::EventCode code, Offset offset);
@@ -156,6 +158,11 @@
   core::TimePoint confirmed_at_{};
   core::TimePoint read_at_{};
   core::TimePoint next_attempt_at_{};
+  // When the view was last refreshed or answered.
+  core::TimePoint running_at_{};
+  // When the process last ran before it stood still during the read in flight;
+  // nullopt if it did not.
+  std::optional<core::TimePoint> paused_at_;
   core::TimePoint recovered_at_{};
   bool is_reading_ = false;
   bool is_reachable_ = true;
--- a/Tests/LibPlatform/topic_view_test.cc
+++ b/Tests/LibPlatform/topic_view_test.cc
@@ -325,5 +325,43 @@
   }
 }
 
+struct PauseCase {
+  const char* what;
+  // Whether the view is refreshed before it gets the response.
+  bool is_refreshed_first;
+};
+
+TEST_CASE(
+    "a response that waited for a paused process is as old as the pause") {
+  const PauseCase cases[] = {
+      {"the response comes first", false},
+      {"a refresh comes first", true},
+  };
+  for (const PauseCase& row : cases) {
+    INFO(row.what);
+    Fixture it;
+    it.client.Write("t", "a", "1");
+    it.RunFor(seconds(1));
+    const int calls = it.client.calls();
+    while (it.client.calls() == calls) {
+      it.scheduler.RunFor(milliseconds(50));
+      it.view->RefreshIfStale(milliseconds(100), kNoWait);
+    }
+    const core::TimePoint paused_at = it.scheduler.Now();
+    it.scheduler.StandStill(seconds(5));
+    it.client.Write("t", "a", "2");
+    if (row.is_refreshed_first) {
+      it.view->RefreshIfStale(milliseconds(100), kNoWait);
+    }
+    it.scheduler.RunFor(milliseconds(1));
+    CHECK((it.view->confirmed_at() <= paused_at));
+    // The next read makes the view current.
+    const core::TimePoint resumed_at = it.scheduler.Now();
+    it.RunFor(milliseconds(300));
+    CHECK(it.heard.back() == "a=2@1");
+    CHECK((it.view->confirmed_at() >= resumed_at));
+  }
+}
+
 }  // namespace
 }  // namespace wasabi::platform
--- a/Tests/Support/FakeLog/virtual_scheduler.cc
+++ b/Tests/Support/FakeLog/virtual_scheduler.cc
@@ -14,7 +14,7 @@
   const core::TimePoint end = now_ + duration;
   while (!tasks_.empty() && tasks_.begin()->first.first <= end) {
     auto node = tasks_.extract(tasks_.begin());
-    now_ = node.key().first;
+    now_ = std::max(now_, node.key().first);
     node.mapped()();
   }
   now_ = end;
--- a/Tests/Support/FakeLog/virtual_scheduler.h
+++ b/Tests/Support/FakeLog/virtual_scheduler.h
@@ -21,6 +21,9 @@
   // Runs the tasks that become due within `duration` and advances the clock by
   // `duration`.
   void RunFor(core::Duration duration);
+  // Advances the clock by `duration` as if the process stood still: tasks that
+  // become due are late.
+  void StandStill(core::Duration duration) { now_ += duration; }
 
  private:
   // Due time, then the order of the CallAfter calls, which makes runs
