--- a/Services/Forwarder/stop_controller.cc
+++ b/Services/Forwarder/stop_controller.cc
@@ -46,6 +46,7 @@
   parts_.refuse_held();
   parts_.context->active_requests.InterruptAll(schedule().began_at());
   parts_.callers->RefuseUnread();
+  parts_.tunnels->InterruptAll();
 }
 
 bool StopController::IsDrained() const {
