A caller that reads nothing for some seconds gets its whole answer

What callers saw: a caller that paused reading for longer than three seconds got the first 128,000 bytes of its answer and a reset, whether the rest was still with the host (32 MB) or with the kernel (1 MB). Cause: TCP_USER_TIMEOUT (3 s) also ends a connection whose peer acknowledges probes and has no room for more bytes. Change: connections of callers get the idle timeout (60 s) instead; one that is handed over to a tunnel gets the three seconds back. Connections to endpoints, other hosts and the store keep them. A caller that is gone without a reset is noticed that much later; its requests end with their deadlines.

--- a/Libraries/LibHttp/request_connection.cc
+++ b/Libraries/LibHttp/request_connection.cc
@@ -68,6 +68,8 @@
     }
   };
   stream_->Start(std::move(callbacks));
+  // A client that reads slowly is no reason to cut its response.
+  stream_->SetMaxStall(limits_.idle_timeout);
 }
 
 void RequestConnection::CheckTimeouts(core::TimePoint now) {
@@ -159,6 +161,7 @@
   TcpStream::Callbacks callbacks;
   callbacks.on_data = [](std::string_view /*bytes*/) {};
   stream_->SetCallbacks(std::move(callbacks));
+  stream_->SetMaxStall(kDeadPeerTime);
   if (callbacks_.on_closed) {
     callbacks_.on_closed(this);
   }
--- a/Libraries/LibHttp/tcp_stream.cc
+++ b/Libraries/LibHttp/tcp_stream.cc
@@ -22,9 +22,6 @@
 constexpr int kKeepAliveIdleSeconds = 1;
 constexpr int kKeepAliveIntervalSeconds = 1;
 constexpr int kKeepAliveProbes = 2;
-// The kernel closes the connection if sent bytes stay unacknowledged for this
-// long.
-constexpr unsigned kUserTimeoutMs = 3000;
 
 template <typename Value>
 void SetOption(int descriptor, int level, int name, Value value) {
@@ -39,7 +36,8 @@
   SetOption(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, kKeepAliveIdleSeconds);
   SetOption(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, kKeepAliveIntervalSeconds);
   SetOption(descriptor, IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
-  SetOption(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, kUserTimeoutMs);
+  SetOption(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT,
+            static_cast<unsigned>(core::ToMilliseconds(kDeadPeerTime)));
 }
 
 bool IsTransient(int error) {
@@ -118,6 +116,11 @@
   }
 }
 
+void TcpStream::SetMaxStall(core::Duration max_stall) {
+  SetOption(descriptor_, IPPROTO_TCP, TCP_USER_TIMEOUT,
+            static_cast<unsigned>(core::ToMilliseconds(max_stall)));
+}
+
 void TcpStream::SetReading(bool is_reading) {
   is_reading_ = is_reading;
   UpdateInterest();
--- a/Libraries/LibHttp/tcp_stream.h
+++ b/Libraries/LibHttp/tcp_stream.h
@@ -10,10 +10,15 @@
 
 #include "LibCore/event_loop.h"
 #include "LibCore/socket_address.h"
+#include "LibCore/time.h"
 #include "absl/status/statusor.h"
 
 namespace wasabi::http {
 
+// A connection breaks if its peer has been silent for this long while bytes are
+// unacknowledged, or while keep-alive probes are.
+inline constexpr core::Duration kDeadPeerTime = core::milliseconds(3000);
+
 // Its callbacks run on the event loop, which must outlive the stream.
 class TcpStream : public std::enable_shared_from_this<TcpStream> {
  public:
@@ -64,6 +69,9 @@
   // Reads what the kernel has received so far, without waiting for the loop.
   // Calls back into the owner.
   void ReadNow();
+  // Sets for how long a peer may accept no bytes, kDeadPeerTime by default. The
+  // kernel doesn't distinguish a peer that is gone from one that doesn't read.
+  void SetMaxStall(core::Duration max_stall);
   // Pauses or resumes reading. While reading is paused, the end of the
   // connection isn't detected either.
   void SetReading(bool is_reading);
