--- a/Tests/ForwardedStreams/cut_tunnel_looks_complete_test.cc
+++ b/Tests/ForwardedStreams/cut_tunnel_looks_complete_test.cc
@@ -81,7 +81,7 @@
   void ResetCarrierLinks() {
     carrier_links_.Cut(LinkCut::kReset, fixture.loop.Now());
   }
-  void StopCarrier() { carrier_->daemon->BeginShutdown(); }
+  void StopCarrier() { carrier_->daemon->BeginShutdown(fixture.loop.Now()); }
 
   // Runs until the caller's result has ended. A carrier that has stopped is
   // destroyed, as its process would end.
@@ -260,7 +260,7 @@
   host.stream->Write("GET / HTTP/1.1\r\nHost: a.test\r\n\r\n");
   REQUIRE(it.RunUntil([&]() { return host.received.ends_with("half"); }));
   const core::TimePoint began_at = it.loop.Now();
-  carrier->daemon->BeginShutdown();
+  carrier->daemon->BeginShutdown(began_at);
   // 1. No new tunnel is opened.
   RawHost late(&it, carrier->settings.internal_address, kUnavailable);
   // 2. The open one lasts until the carrier interrupts its own requests.
@@ -293,7 +293,7 @@
             .find("wasabi_tunnels_open 1\n") != std::string::npos;
     if (is_carrier) {
       ++stopped;
-      peer->daemon->BeginShutdown();
+      peer->daemon->BeginShutdown(it.fixture.loop.Now());
     }
   }
   REQUIRE(stopped == 1);
