Request server: answer pipelined requests when the server stops

What callers saw: a request that was sent behind another one on the same connection got no answer when the server began to stop meanwhile. If the head of the first answer had been sent before, nothing told the client that it would not be served.

Cause: the head said "Connection: close", or not, by the state at its time, but the connection was closed by the state at the end of the answer; bytes that were buffered by then were dropped.

Change: the connection closes after an answer whose head said so. The head doesn't say so while bytes of another request are buffered. A connection whose answer didn't say so serves the next request or is closed when it is idle after StopListening, as other idle connections are.

Not handled: requests behind a stream that the host cuts, and those that arrive after a head that says "Connection: close". They are not passed on.

--- a/Libraries/LibHttp/request_connection.cc
+++ b/Libraries/LibHttp/request_connection.cc
@@ -127,10 +127,9 @@
 }
 
 void RequestConnection::OnAnswered() {
-  const bool closes = ClosesAfterResponse();
   transaction_.reset();
   last_byte_at_ = loop_->Now();
-  if (closes) {
+  if (closes_after_current_) {
     CloseGracefully();
     return;
   }
--- a/Libraries/LibHttp/request_connection.h
+++ b/Libraries/LibHttp/request_connection.h
@@ -57,7 +57,8 @@
   // Closes the connection if a timeout has expired. The server calls this
   // periodically.
   void CheckTimeouts(core::TimePoint now);
-  // Makes the next response carry "Connection: close" and close the connection.
+  // Makes the next response that starts carry "Connection: close" and close the
+  // connection, unless another request is being received already.
   void CloseAfterNextResponse() { closes_after_response_ = true; }
   // From now on closes the connection when no request is being received or
   // processed. A new connection gets some time for its first request.
@@ -76,8 +77,13 @@
   }
 
   // The following functions are called by Transaction.
-  bool ClosesAfterResponse() const {
-    return closes_after_response_ || !is_keep_alive_;
+  // Decides, as the response starts, whether the connection closes after it.
+  // Bytes of another request, which was sent before its client could know that,
+  // keep the connection open.
+  bool DecideClosing() {
+    closes_after_current_ =
+        !is_keep_alive_ || (closes_after_response_ && input_.empty());
+    return closes_after_current_;
   }
   void Send(std::string_view bytes);
   // Called when the response is complete.
@@ -115,6 +121,8 @@
   bool has_head_ = false;
   bool is_keep_alive_ = true;
   bool closes_after_response_ = false;
+  // The response that is being sent says that the connection closes.
+  bool closes_after_current_ = false;
   bool closes_when_idle_ = false;
   // A request was received on this connection.
   bool has_had_request_ = false;
--- a/Libraries/LibHttp/request_server.h
+++ b/Libraries/LibHttp/request_server.h
@@ -45,8 +45,8 @@
     reject_observer_ = std::move(observer);
   }
 
-  // From now on every response carries "Connection: close" and closes its
-  // connection.
+  // Responses that start from now on carry "Connection: close" and close their
+  // connection, unless another request is being received on it already.
   void CloseAfterResponses();
   // Accepts the connections that clients have opened so far, closes the
   // listening socket, and from now on closes connections when they are idle.
--- a/Libraries/LibHttp/transaction.cc
+++ b/Libraries/LibHttp/transaction.cc
@@ -54,7 +54,7 @@
   is_chunked_ = !content_length;
   remaining_bytes_ = content_length.value_or(0);
   std::string head = SerialiseHead(status, headers);
-  if (connection->ClosesAfterResponse()) {
+  if (connection->DecideClosing()) {
     head.append("Connection: close\r\n");
   }
   if (is_chunked_) {
