--- a/Libraries/LibHttp/origin_connection.h
+++ b/Libraries/LibHttp/origin_connection.h
@@ -44,6 +44,11 @@
   void OnConnected();
   void OnTunnelReply();
   void OnTunnelOpen();
+  // Tell the client that this direct connection is gone, that it broke without
+  // the doing of this host, or that it was not established.
+  void NoteClosed();
+  void NoteBroken();
+  void NoteRefused();
   void NewParser();
   void OnData(std::string_view bytes);
   // Takes `bytes` of the endpoint, or of the carrier.
@@ -87,6 +92,8 @@
   bool is_interim_ = false;
   bool is_keep_alive_ = false;
   core::TimePoint idle_since_;
+  // When the direct connection was established, while it is open.
+  std::optional<core::TimePoint> connected_at_;
   core::Duration idle_timeout_{};
 };
 
--- a/Libraries/LibPlatform/topic_view.cc
+++ b/Libraries/LibPlatform/topic_view.cc
@@ -144,6 +144,7 @@
       ReportEvent(core::EventCode::kRecordSkipped, offset);
     }
   }
+  own_read_started_at_ = started_at;
   Confirm(started_at);
 }
 
@@ -184,6 +185,7 @@
     next_attempt_at_ = scheduler_->Now();
     return;
   }
+  own_read_started_at_ = started_at;
   // The response may have arrived at any time while the process stood still.
   const core::TimePoint arrived_at = paused_at_.value_or(scheduler_->Now());
   Confirm(std::max(started_at, arrived_at - kMaxResponseDelay));
