A stream cut inside an event isn't complete without that event

Callers got a stream as complete whose last event was missing: its endpoint broke it off inside an event, and the endpoint that resumed it answered with a signature and no event (200 of length 0, or 204).

Cause: an empty answer with a length counts as the whole rest, since nothing may be left after the last event.

Change: the relay remembers that an attempt broke off inside an event; an empty rest is then a cut. After a cut between events an empty rest still ends the stream, which a new test holds.

--- a/Libraries/LibForwarding/response_relay.cc
+++ b/Libraries/LibForwarding/response_relay.cc
@@ -39,6 +39,7 @@
   verdict_ = AttemptVerdict::kInvalid;
   head_ = http::MessageHead();
   body_.clear();
+  lacks_event_ = lacks_event_ || !splitter_.remainder().empty();
   splitter_ = EventSplitter(last_event_id_);
   last_event_at_.reset();
 }
@@ -144,6 +145,7 @@
   // Bytes that are no event are no progress.
   if (splitter_.last_event_id() != last_event_id_) {
     last_event_id_ = splitter_.last_event_id();
+    lacks_event_ = false;
     RecordGap();
     attempt_->RecordProgress();
     on_event_();
@@ -199,9 +201,10 @@
     return true;
   }
   // An endpoint that breaks off before the first event may close its connection
-  // like one that has nothing to send.
+  // like one that has nothing to send. A stream that broke off inside an event
+  // has at least that one left.
   const bool may_be_empty =
-      head_.framing() != http::BodyFraming::kConnectionEnd;
+      head_.framing() != http::BodyFraming::kConnectionEnd && !lacks_event_;
   return splitter_.remainder().empty() &&
          (splitter_.has_events() || may_be_empty);
 }
--- a/Libraries/LibForwarding/response_relay.h
+++ b/Libraries/LibForwarding/response_relay.h
@@ -90,6 +90,8 @@
   http::MessageHead head_;
   std::string body_;
   EventSplitter splitter_;
+  // An earlier attempt broke off inside an event that has not arrived since.
+  bool lacks_event_ = false;
   std::optional<uint64_t> last_event_id_;
   // When the current attempt's latest event arrived; nullopt if none has, or
   // if reading has paused since.
--- a/Tests/ForwardedStreams/cut_stream_looks_complete_test.cc
+++ b/Tests/ForwardedStreams/cut_stream_looks_complete_test.cc
@@ -126,6 +126,7 @@
   const char* what;
   int status;
   const char* fields;
+  const char* body = "the rest failed";
 };
 
 TEST_CASE("no failure of the endpoint that resumes a stream is a part of it") {
@@ -148,18 +149,18 @@
       {"out of time, signed", 504, signature},
       {"a redirect", 302, ""},
       {"a redirect, signed", 302, signature},
-      {"no content", 204, ""},
+      {"no content", 204, "", ""},
       {"success without a signature", 200, ""},
+      {"no content, signed", 204, signature, ""},
+      {"an empty stream, signed", 200, signature, ""},
   };
   const std::string event = "id: 1\ndata: a\n\n";
   for (const RestCase& row : cases) {
     INFO(row.what);
     support::ForwarderFixture it;
     it.Configure();
-    it.script = {
-        ChunkedStreamStart(event + "id: 2\nda") + kClose,
-        support::ScriptedAnswer(row.status, row.fields,
-                                row.status == 204 ? "" : "the rest failed")};
+    it.script = {ChunkedStreamStart(event + "id: 2\nda") + kClose,
+                 support::ScriptedAnswer(row.status, row.fields, row.body)};
     const support::CallerResult result = it.Get("/resumable/1");
     REQUIRE(result.end.has_value());
     CHECK(result.status == 200);
@@ -169,5 +170,18 @@
   }
 }
 
+// An endpoint that took the stream up after its last event has nothing to send.
+TEST_CASE("the rest of a stream that broke off between events may be empty") {
+  const std::string event = "id: 1\ndata: a\n\n";
+  support::ForwarderFixture it;
+  it.Configure();
+  it.script = {ChunkedStreamStart(event) + kClose,
+               support::ScriptedAnswer(200, "Response-Signature: s\r\n", "")};
+  const support::CallerResult result = it.Get("/resumable/1");
+  CHECK(result.body == event);
+  CHECK(result.end == http::OriginOutcome::kComplete);
+  CHECK(it.received.size() == 2);
+}
+
 }  // namespace
 }  // namespace wasabi::forwarder
