Tunnels: a host that reads slowly gets the end of its answer

What callers saw: a slow caller of a host that is cut off from the endpoints lost the end of a large answer. With neither a length nor chunks, and through a tunnel without frames, it looked complete.

Cause: a carrier closed a tunnel one second after the endpoint had closed, with what it had not sent to the host yet (up to 64 KiB, besides the kernel's).

Change: the second begins again while bytes are unsent. A host that is gone ends the tunnel by its connection, and a stopping carrier interrupts it.

--- a/Libraries/LibForwarding/tunnel.cc
+++ b/Libraries/LibForwarding/tunnel.cc
@@ -174,12 +174,21 @@
   host_->ShutDownWriting();
   timer_ = context_->loop->NewTimer([weak = weak_from_this()]() {
     if (const auto self = weak.lock()) {
-      self->End();
+      self->OnLingered();
     }
   });
   timer_->StartOnce(kLingerTime);
 }
 
+void Tunnel::OnLingered() {
+  if (host_->unsent_bytes() > 0) {
+    // The host reads slowly. If it is gone, the connection breaks by itself.
+    timer_->StartOnce(kLingerTime);
+    return;
+  }
+  End();
+}
+
 void Tunnel::NewParser() {
   http::MessageParser::Callbacks callbacks;
   callbacks.on_head = [this](const http::MessageHead& head) {
--- a/Libraries/LibForwarding/tunnel.h
+++ b/Libraries/LibForwarding/tunnel.h
@@ -42,6 +42,8 @@
   void OnHostData(std::string_view bytes);
   void OnEndpointData(std::string_view bytes);
   void OnEndpointEnd(http::TcpStream::End end);
+  // Ends a tunnel whose endpoint has closed, once all bytes have been sent.
+  void OnLingered();
   void NewParser();
   // Looks for notices in the head of the answer.
   void ReadNotices(std::string_view bytes);
--- a/Tests/ForwardedStreams/cut_tunnel_looks_complete_test.cc
+++ b/Tests/ForwardedStreams/cut_tunnel_looks_complete_test.cc
@@ -277,6 +277,46 @@
   CHECK(metrics.find("wasabi_tunnels_interrupted 1\n") != std::string::npos);
 }
 
+// Whether the carrier has taken all of an answer of `bytes` from the endpoint
+// while `host` read nothing.
+bool IsTakenUnread(ForwarderFixture* it, size_t bytes, RawHost* host) {
+  host->stream->SetReading(false);
+  const int requests = it->first.requests();
+  it->first.SetAnswer(std::string(bytes, 'x'), false);
+  host->stream->Write("GET / HTTP/1.1\r\nHost: a.test\r\n\r\n");
+  REQUIRE(it->RunUntil([&]() { return it->first.requests() > requests; }));
+  it->first.ShutDownAll();
+  RunFor(it, kSettleTime);
+  return it->first.open() == 0;
+}
+
+TEST_CASE("a host that reads slowly gets the whole answer from its carrier") {
+  constexpr size_t kMoreThanBuffers = 16'000'000;
+  constexpr size_t kPrecision = 10'000;
+  constexpr core::Duration kPause = core::milliseconds(1500);
+  ForwarderFixture it;
+  it.Configure();
+  it.first.SetResponder(nullptr);
+  // 1. The largest answer of which the carrier holds the end itself, after the
+  //    endpoint has closed.
+  size_t taken = 0;
+  size_t too_large = kMoreThanBuffers;
+  while (too_large - taken > kPrecision) {
+    const size_t bytes = (taken + too_large) / 2;
+    RawHost host(&it, it.settings.internal_address);
+    (IsTakenUnread(&it, bytes, &host) ? taken : too_large) = bytes;
+    host.stream->Abort();
+    REQUIRE(it.RunUntil([&]() { return it.first.open() == 0; }));
+  }
+  // 2. The host goes on reading after a pause, as for a slow caller.
+  RawHost host(&it, it.settings.internal_address);
+  IsTakenUnread(&it, taken, &host);
+  RunFor(&it, kPause);
+  host.stream->SetReading(true);
+  REQUIRE(it.RunUntil([&]() { return host.end.has_value(); }));
+  CHECK(host.received.size() == kOpen.size() + taken);
+}
+
 TEST_CASE("a request that may repeat is sent again when its carrier stops") {
   CutHost it;
   it.fixture.AddPeer("h3");
--- a/Tests/Support/RawServer/raw_server.cc
+++ b/Tests/Support/RawServer/raw_server.cc
@@ -92,6 +92,12 @@
   }
 }
 
+void RawServer::ShutDownAll() {
+  for (const ConnectionPointer& it : connections_) {
+    it->stream->ShutDownWriting();
+  }
+}
+
 void RawServer::AcceptAvailable() {
   while (descriptor_ >= 0) {
     const int descriptor =
--- a/Tests/Support/RawServer/raw_server.h
+++ b/Tests/Support/RawServer/raw_server.h
@@ -35,7 +35,10 @@
   // Writes `bytes` to every open connection.
   void WriteToAll(std::string_view bytes);
   void StopListening();
+  // Closes every open connection without what it has not sent yet.
   void CloseAll();
+  // Half-closes every open connection once all bytes have been sent.
+  void ShutDownAll();
 
   const core::SocketAddress& address() const { return address_; }
   // Number of connections accepted so far.
