Tunnels keep the idle timeout of the connection that they take over

A host in a tunnel reads as slowly as its caller, so three seconds without room would cut the answer there too. By reading; no test of its own.

--- a/Libraries/LibHttp/request_connection.cc
+++ b/Libraries/LibHttp/request_connection.cc
@@ -160,7 +160,6 @@
   TcpStream::Callbacks callbacks;
   callbacks.on_data = [](std::string_view /*bytes*/) {};
   stream_->SetCallbacks(std::move(callbacks));
-  stream_->SetMaxStall(kDeadPeerTime);
   if (callbacks_.on_closed) {
     callbacks_.on_closed(this);
   }
