A response that ends inside its head is no response of the store or a service

A write to the store whose 200 broke off in the head counted as acknowledged.

Cause: libcurl reports a transfer whose connection is closed inside the head as complete as soon as the status line has arrived, with the fields so far and an empty body. Nothing looked at whether the head had ended.

Fix: the client notes the blank line after a final head; without it the transfer ends with kAnswerTruncated.

The forwarding path has its own parser, which takes such a head for cut.

Tests use RawCaller and CarriedHost of the fixture now, moved from two tests.

--- a/Libraries/LibHttp/client.cc
+++ b/Libraries/LibHttp/client.cc
@@ -16,10 +16,14 @@
 
 // Limit of the size of all headers of a response, including interim ones.
 constexpr size_t kMaxHeaderBytes = 64U << 10U;
+constexpr long kFirstFinalStatus = 200;
 
 // Converts the result of a transfer to the status that
 // ClientCallbacks::on_done describes.
-absl::Status TransferStatus(CURLcode code, bool was_sent, bool is_oversized) {
+absl::Status TransferStatus(CURLcode code,
+                            bool was_sent,
+                            bool is_oversized,
+                            bool has_whole_head) {
   if (is_oversized) {
     return MakeStatus(ResultCode::kMalformedAnswer,
                       "the response exceeds its size limit");
@@ -27,7 +31,10 @@
   const std::string text = curl_easy_strerror(code);
   switch (code) {
     case CURLE_OK:
-      return absl::OkStatus();
+      // libcurl takes the end of the connection for the end of the head.
+      return has_whole_head ? absl::OkStatus()
+                            : MakeStatus(ResultCode::kAnswerTruncated,
+                                         "the response ends inside its head");
     case CURLE_COULDNT_CONNECT:
     case CURLE_COULDNT_RESOLVE_HOST:
       // A request whose reused connection ended without an answer is sent again
@@ -133,6 +140,11 @@
     }
     if (line.starts_with("HTTP/")) {
       call->headers = Headers();
+      call->has_whole_head = false;
+    } else if (core::Trim(line).empty()) {
+      long status = 0;
+      curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
+      call->has_whole_head = status >= kFirstFinalStatus;
     } else if (const size_t colon = line.find(':');
                colon != std::string_view::npos) {
       call->headers.Add(std::string(core::Trim(line.substr(0, colon))),
@@ -164,6 +176,8 @@
   size_t header_bytes = 0;
   uint64_t body_bytes = 0;
   uint64_t max_body_bytes = 0;
+  // The blank line after the head of the final response was received.
+  bool has_whole_head = false;
   bool headers_reported = false;
   bool is_cancelled = false;
   // The response exceeds a size limit.
@@ -259,8 +273,9 @@
     const std::shared_ptr<Call> call = it->second;
     long request_size = 0;
     curl_easy_getinfo(call->easy, CURLINFO_REQUEST_SIZE, &request_size);
-    const absl::Status status = TransferStatus(
-        message->data.result, request_size > 0, call->is_oversized);
+    const absl::Status status =
+        TransferStatus(message->data.result, request_size > 0,
+                       call->is_oversized, call->has_whole_head);
     if (status.ok()) {
       call->ReportHeaders();
     }
--- a/Tests/ForwardedStreams/cut_tunnel_looks_complete_test.cc
+++ b/Tests/ForwardedStreams/cut_tunnel_looks_complete_test.cc
@@ -10,7 +10,7 @@
 
 #include "LibCore/text.h"
 #include "LibHttp/tcp_stream.h"
-#include "Tests/Support/ForwarderFixture/endpoint_links.h"
+#include "Tests/Support/ForwarderFixture/carried_host.h"
 #include "Tests/Support/ForwarderFixture/forwarder_fixture.h"
 #include "Tests/Support/free_address.h"
 
@@ -18,7 +18,6 @@
 namespace {
 
 using support::CallerResult;
-using support::EndpointLinks;
 using support::FixturePeer;
 using support::ForwarderFixture;
 using support::LinkCut;
@@ -40,22 +39,9 @@
   fixture->RunUntil([&]() { return fixture->loop.Now() >= end; });
 }
 
-// A host that has lost its links to the endpoints, and its only carrier.
-class CutHost {
+class CutHost : public support::CarriedHost {
  public:
-  CutHost() : links_(&fixture, 30), carrier_links_(&fixture, 40) {
-    fixture.links = links_.map;
-    fixture.shutdown_grace = kCarrierGrace;
-    fixture.Configure();
-    carrier_ = fixture.AddPeer("h2", carrier_links_.map);
-    links_.Cut(LinkCut::kReset, fixture.loop.Now());
-    const auto is_carried = [this]() {
-      fixture.script = {support::ScriptedSuccess("ok")};
-      return fixture.Get("/safe/1").status == 200;
-    };
-    REQUIRE(fixture.RunUntil(is_carried));
-    fixture.received.clear();
-  }
+  CutHost() : CarriedHost(kCarrierGrace) {}
 
   // Sends a request. When this returns, `answer` has arrived and its connection
   // is open.
@@ -95,18 +81,12 @@
     REQUIRE(result.end.has_value());
   }
 
-  ForwarderFixture fixture;
-
  private:
   bool HasCarrierStopped() {
     return carrier_->daemon != nullptr &&
            fixture.GetInternal("/v1/events", carrier_->settings)
                    .find("process_stopped") != std::string::npos;
   }
-
-  EndpointLinks links_;
-  EndpointLinks carrier_links_;
-  FixturePeer* carrier_ = nullptr;
 };
 
 struct AnswerCase {
--- a/Tests/ForwardedStreams/stopping_host_cuts_requests_test.cc
+++ b/Tests/ForwardedStreams/stopping_host_cuts_requests_test.cc
@@ -11,14 +11,15 @@
 
 #include "LibCore/signal_clock.h"
 #include "LibCore/text.h"
-#include "LibHttp/tcp_stream.h"
 #include "Tests/Support/ForwarderFixture/forwarder_fixture.h"
+#include "Tests/Support/ForwarderFixture/raw_caller.h"
 
 namespace wasabi::forwarder {
 namespace {
 
 using support::ChunkedStreamStart;
 using support::ForwarderFixture;
+using support::RawCaller;
 using support::ScriptedSuccess;
 
 // With the grace period of the fixture, a stopping host listens until
@@ -79,34 +80,6 @@
   core::TimePoint began_at_;
 };
 
-// A caller that sends a request in pieces.
-class PiecewiseCaller {
- public:
-  explicit PiecewiseCaller(StoppingHost* host)
-      : stream_(
-            *http::TcpStream::Connect(&host->fixture.loop,
-                                      host->fixture.settings.callers_address)) {
-    http::TcpStream::Callbacks callbacks;
-    callbacks.on_data = [this](std::string_view bytes) {
-      received_.append(bytes);
-    };
-    callbacks.on_end = [this](http::TcpStream::End /*end*/) { Close(); };
-    stream_->Start(std::move(callbacks));
-  }
-
-  void Write(std::string_view bytes) { stream_->Write(bytes); }
-  bool HasReceived(std::string_view text) const {
-    return received_.find(text) != std::string::npos;
-  }
-  const std::string& received() const { return received_; }
-
- private:
-  void Close() { stream_->Close(); }
-
-  const std::shared_ptr<http::TcpStream> stream_;
-  std::string received_;
-};
-
 std::string RequestHead(const std::string& target,
                         int deadline_ms,
                         const std::string& framing) {
@@ -206,7 +179,7 @@
     INFO(row.what);
     StoppingHost host;
     host.fixture.script = {row.answer};
-    PiecewiseCaller caller(&host);
+    RawCaller caller(&host.fixture);
     host.Signal();
     bool has_head = false;
     for (const auto& [at, piece] : row.pieces) {
@@ -243,7 +216,7 @@
     StoppingHost host({.max_address_lifetime = core::milliseconds(300)});
     host.fixture.script = {ChunkedStreamStart("id: 1\n\n") +
                            support::kStreamEnd};
-    PiecewiseCaller caller(&host);
+    RawCaller caller(&host.fixture);
     host.Signal();
     host.RunTo(core::milliseconds(row.sent_ms));
     caller.Write(RequestHead("/once/1", 1990, "Content-Length: 1") + "b");
@@ -256,7 +229,7 @@
 
 TEST_CASE("a request under way when its host ends gets an error") {
   StoppingHost host;
-  PiecewiseCaller caller(&host);
+  RawCaller caller(&host.fixture);
   caller.Write(RequestHead("/unsafe/1", 1990, "Content-Length: 1") + "b");
   host.RunTo(core::milliseconds(100));
   REQUIRE(host.fixture.received.size() == 1);
@@ -306,7 +279,7 @@
     } else {
       it.script = {"", row.sends > 1 ? ScriptedSuccess("ok") : ""};
     }
-    PiecewiseCaller caller(&host);
+    RawCaller caller(&host.fixture);
     host.Signal();
     // A request that has begun keeps its connection open.
     caller.Write(
@@ -334,9 +307,9 @@
   // Callers keep an address for 900 ms, of which 300 ms are left for what is
   // under way.
   StoppingHost host({.max_address_lifetime = core::milliseconds(300)});
-  PiecewiseCaller waiting(&host);
+  RawCaller waiting(&host.fixture);
   waiting.Write(RequestHead("/unsafe/1", 1990, "Content-Length: 1") + "b");
-  PiecewiseCaller late(&host);
+  RawCaller late(&host.fixture);
   host.RunTo(core::milliseconds(100));
   REQUIRE(host.fixture.received.size() == 1);
   host.SignalWhileStandingStill(core::milliseconds(500));
@@ -352,7 +325,7 @@
 TEST_CASE("further signals do not hasten the end of a stopping host") {
   StoppingHost host;
   host.fixture.script = {ScriptedSuccess("ok")};
-  PiecewiseCaller caller(&host);
+  RawCaller caller(&host.fixture);
   host.Signal();
   host.RunTo(kListening / 2);
   host.fixture.daemon->BeginShutdown(host.fixture.loop.Now());
--- /dev/null
+++ b/Tests/Support/ForwarderFixture/carried_host.h
@@ -0,0 +1,28 @@
+// A host that has lost its links to the endpoints and reaches them through
+// another host, its only carrier.
+
+#ifndef TESTS_SUPPORT_FORWARDERFIXTURE_CARRIED_HOST_H_
+#define TESTS_SUPPORT_FORWARDERFIXTURE_CARRIED_HOST_H_
+
+#include "Tests/Support/ForwarderFixture/endpoint_links.h"
+#include "Tests/Support/ForwarderFixture/forwarder_fixture.h"
+
+namespace wasabi::support {
+
+class CarriedHost {
+ public:
+  // Returns once requests reach the endpoints through the carrier. Its grace
+  // period is `carrier_grace`.
+  explicit CarriedHost(core::Duration carrier_grace = core::seconds(2));
+
+  ForwarderFixture fixture;
+
+ protected:
+  EndpointLinks links_;
+  EndpointLinks carrier_links_;
+  FixturePeer* carrier_ = nullptr;
+};
+
+}  // namespace wasabi::support
+
+#endif  // TESTS_SUPPORT_FORWARDERFIXTURE_CARRIED_HOST_H_
--- a/Tests/Support/ForwarderFixture/forwarder_fixture.cc
+++ b/Tests/Support/ForwarderFixture/forwarder_fixture.cc
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr core::Duration kTestTimeout = core::seconds(10);
+// A reset discards what its receiver has not read.
+constexpr core::Duration kResetDelay = core::milliseconds(30);
 
 constexpr const char* kConfiguration = R"({"version":1,"routes":[
   {"name":"safe","hostname":"a.test","path_prefix":"/safe/","kind":"safe",
@@ -250,6 +252,10 @@
   if (!answer.empty() && answer.back() == kClose) {
     answer.pop_back();
     loop.Post([server]() { server->CloseAll(); });
+  } else if (!answer.empty() && answer.back() == kReset) {
+    answer.pop_back();
+    reset_timers_.push_back(loop.NewTimer([server]() { server->ResetAll(); }));
+    reset_timers_.back()->StartOnce(kResetDelay);
   }
   return answer;
 }
--- a/Tests/Support/ForwarderFixture/forwarder_fixture.h
+++ b/Tests/Support/ForwarderFixture/forwarder_fixture.h
@@ -24,6 +24,8 @@
 // At the end of a scripted response: closes the connection after the text
 // before it has been sent.
 inline constexpr char kClose = '\x01';
+// The same, but resets the connection when the text has arrived.
+inline constexpr char kReset = '\x02';
 // The end of a chunked body.
 inline constexpr const char* kStreamEnd = "0\r\n\r\n";
 
@@ -154,6 +156,7 @@
   std::string Respond(RawServer* server, const std::string& text);
 
   int sequence_ = 0;
+  std::vector<std::unique_ptr<core::Timer>> reset_timers_;
   // The records of the store while no daemon runs.
   KeyedLog kept_log_;
 };
--- a/Tests/Support/RawServer/raw_server.cc
+++ b/Tests/Support/RawServer/raw_server.cc
@@ -92,6 +92,14 @@
   }
 }
 
+void RawServer::ResetAll() {
+  const std::set<ConnectionPointer> connections = std::move(connections_);
+  connections_.clear();
+  for (const ConnectionPointer& it : connections) {
+    it->stream->Abort();
+  }
+}
+
 void RawServer::ShutDownAll() {
   for (const ConnectionPointer& it : connections_) {
     it->stream->ShutDownWriting();
--- a/Tests/Support/RawServer/raw_server.h
+++ b/Tests/Support/RawServer/raw_server.h
@@ -37,6 +37,9 @@
   void StopListening();
   // Closes every open connection without what it has not sent yet.
   void CloseAll();
+  // Resets every open connection once the kernel has all bytes to send, as far
+  // as it takes them at once.
+  void ResetAll();
   // Half-closes every open connection once all bytes have been sent.
   void ShutDownAll();
 
