Only events that go on with a stream are added to it

The text was passed on as a part of the stream, or the stream ended as complete.

Cause: an answer to a stream that was taken up was judged by its signature and by the ids of its events only. Neither the kind of the answer nor the lines of an event were looked at: "id: 2" followed by any lines and a blank one was an event.

Fix: such an answer must have the status and the media type (if it states one) with which the response to the caller began; otherwise it is a failed run, and the stream is taken up elsewhere or cut.

--- a/Libraries/LibForwarding/event_splitter.h
+++ b/Libraries/LibForwarding/event_splitter.h
@@ -1,6 +1,6 @@
 // Splits a text/event-stream body into complete events, so that an interrupted
-// stream can be resumed after the last complete one. Checks that the ids of
-// events increase.
+// stream can be resumed after the last complete one. Checks that events consist
+// of fields and that their ids increase.
 
 #ifndef LIBFORWARDING_EVENT_SPLITTER_H_
 #define LIBFORWARDING_EVENT_SPLITTER_H_
@@ -19,7 +19,7 @@
       : last_event_id_(resume_after) {}
 
   // Appends `bytes` and returns the events that are now complete, up to the
-  // first one that is out of order.
+  // first one that is invalid.
   std::string Add(std::string_view bytes);
 
   // Returns the bytes after the last complete event.
@@ -30,9 +30,9 @@
   std::optional<uint64_t> last_event_id() const { return last_event_id_; }
   // True once at least one event with an id was complete.
   bool has_events() const { return has_events_; }
-  // False once an event had no id, or one that is not greater than the id
-  // before it. Comments need no id.
-  bool is_in_order() const { return is_in_order_; }
+  // False once an event had a line that is no field, no id, or an id that is
+  // not greater than the one before it. Comments need no id.
+  bool is_valid() const { return is_valid_; }
   // Number of bytes since the last event whose id was greater than the one
   // before it.
   size_t bytes_without_event() const {
@@ -41,7 +41,7 @@
 
  private:
   // Handles complete events. Returns the length of those before the first one
-  // that is out of order.
+  // that is invalid.
   size_t RecordEvents(std::string_view events);
   // Handles one event, which ends with its blank line.
   void RecordEvent(std::string_view event);
@@ -52,7 +52,7 @@
   std::optional<uint64_t> last_event_id_;
   size_t bytes_without_event_ = 0;
   bool has_events_ = false;
-  bool is_in_order_ = true;
+  bool is_valid_ = true;
 };
 
 }  // namespace wasabi::forwarding
--- a/Libraries/LibForwarding/response_relay.cc
+++ b/Libraries/LibForwarding/response_relay.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "LibCore/text.h"
+
 namespace wasabi::forwarding {
 
 namespace {
@@ -19,6 +21,13 @@
 // connection usable.
 constexpr uint64_t kMaxIgnoredBytes = 64U << 10U;
 
+// Returns the Content-Type of an answer in lower case and without parameters;
+// "" if there is none.
+std::string MediaTypeOf(const http::MessageHead& head) {
+  const std::string type = head.headers.Get("Content-Type");
+  return core::ToLower(core::Trim(type.substr(0, type.find(';'))));
+}
+
 }  // namespace
 
 ResponseRelay::ResponseRelay(ForwardContext* context,
@@ -67,15 +76,25 @@
 
 void ResponseRelay::OnHead(AttemptVerdict verdict,
                            const http::MessageHead& head) {
-  verdict_ = verdict;
+  const bool continues = !transaction_->is_started() || Continues(head);
+  verdict_ = verdict == AttemptVerdict::kSuccess && !continues
+                 ? AttemptVerdict::kInvalid
+                 : verdict;
   head_ = head;
   const bool is_short =
       head.content_length && *head.content_length <= kMaxIgnoredBytes;
-  if (verdict == AttemptVerdict::kInvalid && !is_short) {
+  if (verdict_ == AttemptVerdict::kInvalid && !is_short) {
     attempt_->Abandon(AttemptEnd::kMalformedAnswer);
   }
 }
 
+bool ResponseRelay::Continues(const http::MessageHead& head) const {
+  const std::string media_type = MediaTypeOf(head);
+  return head.status == begun_status_ &&
+         (media_type.empty() || begun_media_type_.empty() ||
+          media_type == begun_media_type_);
+}
+
 std::string_view ResponseRelay::framing_name() const {
   return head_.status == 0 ? "none" : http::NameOf(head_.framing());
 }
@@ -128,7 +147,7 @@
   if (!events.empty()) {
     RelayWholeEvents(events);
   }
-  if (!splitter_.is_in_order()) {
+  if (!splitter_.is_valid()) {
     attempt_->Abandon(AttemptEnd::kMalformedAnswer);
   } else if (splitter_.bytes_without_event() > kMaxEventBytes) {
     attempt_->Abandon(AttemptEnd::kOversizedAnswer);
@@ -170,6 +189,8 @@
 
 void ResponseRelay::Begin() {
   const bool keeps_length = !IsStream();
+  begun_status_ = head_.status;
+  begun_media_type_ = MediaTypeOf(head_);
   transaction_->StartStream(
       head_.status,
       context_->caller_protocol->FilterResponseHeaders(head_.headers),
--- a/Libraries/LibForwarding/response_relay.h
+++ b/Libraries/LibForwarding/response_relay.h
@@ -60,6 +60,9 @@
  private:
   void OnHead(AttemptVerdict verdict, const http::MessageHead& head);
   void OnBody(std::string_view piece);
+  // Returns whether a success with `head` may go on with the stream that the
+  // caller has.
+  bool Continues(const http::MessageHead& head) const;
   // Returns whether an answer that has ended as its framing says is whole.
   bool IsWhole() const;
   void RelayBody(std::string_view piece);
@@ -90,6 +93,9 @@
   http::MessageHead head_;
   std::string body_;
   EventSplitter splitter_;
+  // The head with which the response to the caller began.
+  int begun_status_ = 0;
+  std::string begun_media_type_;
   // An earlier attempt broke off inside an event that has not arrived since.
   bool lacks_event_ = false;
   std::optional<uint64_t> last_event_id_;
--- a/Tests/LibForwarding/event_splitter_test.cc
+++ b/Tests/LibForwarding/event_splitter_test.cc
@@ -64,7 +64,7 @@
   const char* what;
   std::optional<uint64_t> resume_after;
   std::string body;
-  bool is_in_order;
+  bool is_valid;
   size_t bytes_without_event;
 };
 
@@ -89,7 +89,7 @@
     INFO(row.what);
     EventSplitter splitter(row.resume_after);
     splitter.Add(row.body);
-    CHECK(splitter.is_in_order() == row.is_in_order);
+    CHECK(splitter.is_valid() == row.is_valid);
     CHECK(splitter.bytes_without_event() == row.bytes_without_event);
   }
 }
