Callers of HTTP/1.0 get no chunks, and see that an answer was cut

What callers saw: a caller of HTTP/1.0 got streams and large answers in chunks, which it takes for their content; a cut stream ended like a whole one.

Cause: the version of a request was dropped by the parser; a response without a length was always chunked, and a cut one ended with an orderly close.

Fix: such a response ends with its connection, and a cut one with a reset, the only sign that HTTP/1.0 has. No interim response is sent either.

--- a/Libraries/LibHttp/message_parser.cc
+++ b/Libraries/LibHttp/message_parser.cc
@@ -17,6 +17,8 @@
 // What the framing of a chunk may take without counting as too much: its size
 // in hexadecimal, and two line ends.
 constexpr uint64_t kBytesPerChunk = 20;
+// HTTP/1.1 as Beast numbers it.
+constexpr int kHttp11 = 11;
 
 std::string ToText(beast_view view) {
   return {view.data(), view.size()};
@@ -118,8 +120,9 @@
   void on_request_impl(beast::verb /*method*/,
                        beast_view method_text,
                        beast_view target,
-                       int /*version*/,
+                       int version,
                        boost::beast::error_code& /*ec*/) override {
+    head.is_http_1_0 = version < kHttp11;
     head.method = ToText(method_text);
     head.target = ToText(target);
   }
--- a/Libraries/LibHttp/message_parser.h
+++ b/Libraries/LibHttp/message_parser.h
@@ -33,6 +33,8 @@
   // Only set for requests.
   std::string method;
   std::string target;
+  // The sender knows no chunks.
+  bool is_http_1_0 = false;
   // Only set for responses.
   int status = 0;
   Headers headers;
--- a/Libraries/LibHttp/request_connection.cc
+++ b/Libraries/LibHttp/request_connection.cc
@@ -153,6 +153,15 @@
   CloseGracefully();
 }
 
+void RequestConnection::ResetResponse() {
+  const auto self = shared_from_this();
+  transaction_.reset();
+  stream_->Abort();
+  if (callbacks_.on_closed) {
+    callbacks_.on_closed(this);
+  }
+}
+
 std::shared_ptr<TcpStream> RequestConnection::Release() {
   const auto self = shared_from_this();
   is_closing_ = true;
@@ -216,7 +225,9 @@
   request_.method = std::move(head.method);
   request_.target = std::move(head.target);
   request_.headers = std::move(head.headers);
-  if (core::ToLower(request_.headers.Get("Expect")) == "100-continue") {
+  request_.is_http_1_0 = head.is_http_1_0;
+  if (!request_.is_http_1_0 &&
+      core::ToLower(request_.headers.Get("Expect")) == "100-continue") {
     stream_->Write("HTTP/1.1 100 Continue\r\n\r\n");
   }
 }
--- a/Libraries/LibHttp/request_connection.h
+++ b/Libraries/LibHttp/request_connection.h
@@ -90,6 +90,8 @@
   void OnAnswered();
   // Closes the connection after the bytes written so far.
   void AbortResponse();
+  // Resets the connection.
+  void ResetResponse();
   // Ends this object's use of the connection and returns it.
   std::shared_ptr<TcpStream> Release();
 
--- a/Libraries/LibHttp/transaction.cc
+++ b/Libraries/LibHttp/transaction.cc
@@ -50,6 +50,11 @@
   if (connection == nullptr || is_started_) {
     return;
   }
+  if (!content_length && request_.is_http_1_0) {
+    StartUnframed(status, headers);
+    resets_when_aborted_ = true;
+    return;
+  }
   is_started_ = true;
   is_chunked_ = !content_length;
   remaining_bytes_ = content_length.value_or(0);
@@ -100,7 +105,8 @@
     return;
   }
   if (is_unframed_) {
-    Abort();
+    is_finished_ = true;
+    connection->AbortResponse();
     return;
   }
   const bool is_head = request_.method == "HEAD";
@@ -131,7 +137,11 @@
     return;
   }
   is_finished_ = true;
-  connection->AbortResponse();
+  if (resets_when_aborted_) {
+    connection->ResetResponse();
+  } else {
+    connection->AbortResponse();
+  }
 }
 
 bool Transaction::is_open() const {
--- a/Libraries/LibHttp/transaction.h
+++ b/Libraries/LibHttp/transaction.h
@@ -26,6 +26,8 @@
   std::string target;
   Headers headers;
   std::string body;
+  // The client knows no chunks and no interim responses.
+  bool is_http_1_0 = false;
   // When the request was completely received.
   core::TimePoint received_at;
 };
@@ -51,8 +53,9 @@
 
   // Sends a complete response.
   void Respond(const Answer& answer);
-  // Starts a response. Without `content_length` its body is sent chunked. Has
-  // no effect after a response was started.
+  // Starts a response. Without `content_length` its body is sent chunked, or
+  // ends with the connection if the client knows no chunks; a reset then tells
+  // the client that it was cut. Has no effect after a response was started.
   void StartStream(int status,
                    const Headers& headers,
                    std::optional<uint64_t> content_length);
@@ -94,6 +97,8 @@
   bool is_finished_ = false;
   bool is_chunked_ = false;
   bool is_unframed_ = false;
+  // An aborted response looks complete unless its connection is reset.
+  bool resets_when_aborted_ = false;
   // Bytes of the declared length that were not written yet.
   uint64_t remaining_bytes_ = 0;
   std::function<void()> on_client_disconnected_;
--- a/Tests/ForwardedStreams/failure_ends_resumed_stream_test.cc
+++ b/Tests/ForwardedStreams/failure_ends_resumed_stream_test.cc
@@ -7,8 +7,10 @@
 #include <string>
 #include <vector>
 
+#include "LibCore/text.h"
 #include "Tests/Support/ForwarderFixture/carried_host.h"
 #include "Tests/Support/ForwarderFixture/forwarder_fixture.h"
+#include "Tests/Support/ForwarderFixture/raw_caller.h"
 
 namespace wasabi::forwarder {
 namespace {
@@ -18,6 +20,7 @@
 using support::ForwarderFixture;
 using support::kClose;
 using support::kReset;
+using support::RawCaller;
 using support::ScriptedAnswer;
 using support::UnframedStreamStart;
 
@@ -114,5 +117,66 @@
   }
 }
 
+std::string OldRequest(const char* target) {
+  return fmt::format(
+      "GET {} HTTP/1.0\r\nHost: a.test\r\nRequest-Id: id1\r\n"
+      "Authorization: Bearer k1\r\nDeadline-Ms: 1500\r\n\r\n",
+      target);
+}
+
+std::string BodyOf(const RawCaller& caller) {
+  const size_t end = caller.received().find("\r\n\r\n");
+  return end == std::string::npos ? "" : caller.received().substr(end + 4);
+}
+
+// A caller of HTTP/1.0 knows no chunks; only a reset tells it that its answer
+// is cut.
+TEST_CASE("no failure ends a stream to a caller of HTTP/1.0") {
+  for (const EndCase& row : Ends()) {
+    INFO(row.what);
+    ForwarderFixture it;
+    it.Configure();
+    it.script = {kBreaks[1].answer, row.answer};
+    RawCaller caller(&it);
+    caller.Write(OldRequest("/resumable/1"));
+    REQUIRE(it.RunUntil([&]() { return caller.end().has_value(); }));
+    CHECK(caller.end() == http::TcpStream::End::kBroken);
+    CHECK(std::string(kEvent).starts_with(BodyOf(caller)));
+  }
+}
+
+struct OldCase {
+  const char* what;
+  const char* target;
+  std::string answer;
+  std::string body;
+};
+
+TEST_CASE("a caller of HTTP/1.0 gets no chunks") {
+  const std::string large(400'000, 'x');
+  const OldCase cases[] = {
+      {"a stream", "/resumable/1",
+       ChunkedStreamStart(kEvent) + support::kStreamEnd, kEvent},
+      {"a small answer", "/unsafe/1", support::ScriptedSuccess("ok"), "ok"},
+      {"a large one in chunks", "/unsafe/1",
+       "HTTP/1.1 200 X\r\nRequest-Id: id1\r\nResponse-Signature: s\r\n"
+       "Transfer-Encoding: chunked\r\n\r\n61a80\r\n" +
+           large + "\r\n0\r\n\r\n",
+       large},
+  };
+  for (const OldCase& row : cases) {
+    INFO(row.what);
+    ForwarderFixture it;
+    it.Configure();
+    it.script = {row.answer};
+    RawCaller caller(&it);
+    caller.Write(OldRequest(row.target));
+    REQUIRE(it.RunUntil([&]() { return caller.end().has_value(); }));
+    CHECK(caller.end() == http::TcpStream::End::kClosed);
+    CHECK(BodyOf(caller) == row.body);
+    CHECK(!caller.HasReceived("Transfer-Encoding"));
+  }
+}
+
 }  // namespace
 }  // namespace wasabi::forwarder
