The buffers of all connections stay within the memory of a host together

Cause: each buffer had a limit of its own, their sum had none. What held the sum (RelayMemory) was asked only where load control is on, which the small sites' contracts don't ask for; it was told of callers' connections every 50 ms, and nothing of endpoints' connections, tunnels, heads and failures' bodies. Requests that were still being received were never refused, and buffers that had been emptied kept what they had reserved.

Change: BufferMemory (LibHttp) counts the buffers of every connection, request and tunnel as they change, by what they have reserved. From an eighth of the host's memory each buffer may hold 16 KB and less is read at once; from a quarter 4 KB, new requests and tunnels are refused, and a request of which the body is still coming gets 503. It holds with and without load control.

slow_peers_test: "requests are refused while many slow callers hold the memory" built the full memory from incomplete requests, which are refused now before it is full. In its place: complete requests at endpoints that don't answer, with the same checks and that the refused one reaches no endpoint, with and without load control; and incomplete ones, whose sum is checked.

--- a/Libraries/LibForwarding/forward_context.h
+++ b/Libraries/LibForwarding/forward_context.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 
@@ -37,12 +38,12 @@
 #include "LibForwarding/prompt_holders.h"
 #include "LibForwarding/prompt_popularity.h"
 #include "LibForwarding/protocols.h"
-#include "LibForwarding/relay_memory.h"
 #include "LibForwarding/retry_allowance.h"
 #include "LibForwarding/service_times.h"
 #include "LibForwarding/stored_origins.h"
 #include "LibForwarding/stream_origin_exchange.h"
 #include "LibForwarding/wait_queue.h"
+#include "LibHttp/buffer_memory.h"
 #include "LibHttp/origin_client.h"
 #include "LibRouting/stop_schedule.h"
 
@@ -95,7 +96,8 @@
   PromptHolders prompt_holders;
   OriginHistory origin_history;
   OriginCertainty origin_certainty;
-  RelayMemory relay_memory;
+  // Counts the buffers of all connections and requests.
+  std::shared_ptr<http::BufferMemory> buffer_memory;
   ActiveRequests active_requests;
   // Set once the host shuts down.
   std::optional<routing::StopSchedule> stop;
--- a/Libraries/LibForwarding/response_relay.cc
+++ b/Libraries/LibForwarding/response_relay.cc
@@ -21,6 +21,14 @@
 // connection usable.
 constexpr uint64_t kMaxIgnoredBytes = 64U << 10U;
 
+size_t BytesOf(const http::Headers& headers) {
+  size_t bytes = 0;
+  for (const http::Headers::Field& field : headers.fields()) {
+    bytes += field.first.capacity() + field.second.capacity();
+  }
+  return bytes;
+}
+
 // Returns the Content-Type of an answer in lower case and without parameters;
 // "" if there is none.
 std::string MediaTypeOf(const http::MessageHead& head) {
@@ -38,7 +46,7 @@
       request_(request),
       transaction_(std::move(transaction)),
       on_event_(std::move(on_event)),
-      held_(&context->relay_memory),
+      held_(context->buffer_memory),
       last_event_id_(request.resume_after) {
   RecordHeldBytes();
 }
@@ -47,7 +55,8 @@
   attempt_ = std::move(attempt);
   verdict_ = AttemptVerdict::kInvalid;
   head_ = http::MessageHead();
-  body_.clear();
+  head_bytes_ = 0;
+  body_ = {};
   lacks_event_ = lacks_event_ || !splitter_.remainder().empty();
   splitter_ = EventSplitter(last_event_id_);
   last_event_at_.reset();
@@ -81,6 +90,8 @@
                  ? AttemptVerdict::kInvalid
                  : verdict;
   head_ = head;
+  head_bytes_ = BytesOf(head.headers);
+  RecordHeldBytes();
   const bool is_short =
       head.content_length && *head.content_length <= kMaxIgnoredBytes;
   if (verdict_ == AttemptVerdict::kInvalid && !is_short) {
@@ -99,14 +110,9 @@
   return head_.status == 0 ? "none" : http::NameOf(head_.framing());
 }
 
-size_t ResponseRelay::BufferLimit(size_t limit) const {
-  const bool is_scarce =
-      context_->load_control_enabled && context_->relay_memory.IsScarce();
-  return is_scarce ? std::min(limit, RelayMemory::kScarceLimit) : limit;
-}
-
 void ResponseRelay::RecordHeldBytes() {
-  held_.Set(request_.body.size() + body_.size() + splitter_.remainder().size());
+  held_.Set(request_.body.capacity() + body_.capacity() +
+            splitter_.remainder().size() + head_bytes_);
 }
 
 void ResponseRelay::OnBody(std::string_view piece) {
@@ -126,12 +132,10 @@
     return;
   }
   body_.append(piece);
-  const bool is_success = verdict_ == AttemptVerdict::kSuccess;
-  if (body_.size() <=
-      (is_success ? BufferLimit(kMaxBufferedBytes) : kMaxBufferedBytes)) {
+  if (body_.size() <= held_.Limit(kMaxBufferedBytes)) {
     return;
   }
-  if (is_success) {
+  if (verdict_ == AttemptVerdict::kSuccess) {
     Begin();
     transaction_->Write(std::exchange(body_, {}));
     return;
@@ -149,7 +153,7 @@
   }
   if (!splitter_.is_valid()) {
     attempt_->Abandon(AttemptEnd::kMalformedAnswer);
-  } else if (splitter_.bytes_without_event() > kMaxEventBytes) {
+  } else if (splitter_.bytes_without_event() > held_.Limit(kMaxEventBytes)) {
     attempt_->Abandon(AttemptEnd::kOversizedAnswer);
   }
 }
@@ -199,7 +203,7 @@
 
 void ResponseRelay::ApplyBackPressure() {
   if (is_paused_ || attempt_ == nullptr ||
-      transaction_->unsent_bytes() < BufferLimit(kMaxUnsentBytes)) {
+      transaction_->unsent_bytes() < held_.Limit(kMaxUnsentBytes)) {
     return;
   }
   is_paused_ = true;
--- a/Libraries/LibForwarding/response_relay.h
+++ b/Libraries/LibForwarding/response_relay.h
@@ -19,7 +19,7 @@
 #include "LibForwarding/forward_context.h"
 #include "LibForwarding/forward_request.h"
 #include "LibForwarding/protocols.h"
-#include "LibForwarding/relay_memory.h"
+#include "LibHttp/buffer_memory.h"
 #include "LibHttp/transaction.h"
 
 namespace wasabi::forwarding {
@@ -73,9 +73,6 @@
   // Starts the response to the caller.
   void Begin();
   void ApplyBackPressure();
-  // Returns `limit`, or less while the process holds much for slow callers and
-  // endpoints.
-  size_t BufferLimit(size_t limit) const;
   void RecordHeldBytes();
   bool IsStream() const { return request_.route->is_stream; }
   core::TimePoint Now() const { return context_->loop->Now(); }
@@ -85,12 +82,13 @@
   const std::shared_ptr<http::Transaction> transaction_;
   const std::function<void()> on_event_;
   // What this request holds for a slow caller or endpoint.
-  RelayMemory::Holding held_;
+  http::BufferMemory::Holding held_;
 
   // The current attempt and its answer.
   std::shared_ptr<ForwardAttempt> attempt_;
   AttemptVerdict verdict_ = AttemptVerdict::kInvalid;
   http::MessageHead head_;
+  size_t head_bytes_ = 0;
   std::string body_;
   EventSplitter splitter_;
   // The head with which the response to the caller began.
--- a/Libraries/LibForwarding/tunnel.cc
+++ b/Libraries/LibForwarding/tunnel.cc
@@ -19,12 +19,6 @@
 constexpr size_t kMaxUnsentBytes = 64U << 10U;
 constexpr int kFirstFinalStatus = 200;
 
-void ApplyBackPressure(const http::TcpStream& to, http::TcpStream* from) {
-  if (to.unsent_bytes() >= kMaxUnsentBytes) {
-    from->SetReading(false);
-  }
-}
-
 }  // namespace
 
 Tunnel::Tunnel(ForwardContext* context,
@@ -36,7 +30,15 @@
       host_(std::move(host)),
       is_framed_(is_framed),
       endpoint_(std::move(endpoint)),
-      on_end_(std::move(on_end)) {}
+      on_end_(std::move(on_end)),
+      held_(context->buffer_memory) {}
+
+void Tunnel::ApplyBackPressure(const http::TcpStream& to,
+                               http::TcpStream* from) const {
+  if (to.unsent_bytes() >= context_->buffer_memory->Limit(kMaxUnsentBytes)) {
+    from->SetReading(false);
+  }
+}
 
 void Tunnel::Start() {
   started_at_ = context_->loop->Now();
@@ -67,6 +69,7 @@
     return;
   }
   endpoint_stream_ = *std::move(stream);
+  endpoint_stream_->SetMemory(context_->buffer_memory);
   http::TcpStream::Callbacks endpoint;
   endpoint.on_connected = [weak]() {
     if (const auto self = weak.lock()) {
@@ -219,8 +222,9 @@
     break;
   }
   if (has_head_) {
-    unparsed_.clear();
+    unparsed_ = {};
   }
+  held_.Set(unparsed_.capacity());
 }
 
 void Tunnel::End() {
--- a/Libraries/LibForwarding/tunnel.h
+++ b/Libraries/LibForwarding/tunnel.h
@@ -12,6 +12,7 @@
 
 #include "LibForwarding/endpoint.h"
 #include "LibForwarding/forward_context.h"
+#include "LibHttp/buffer_memory.h"
 #include "LibHttp/message_parser.h"
 #include "LibHttp/tcp_stream.h"
 
@@ -44,6 +45,9 @@
   void OnEndpointEnd(http::TcpStream::End end);
   // Ends a tunnel whose endpoint has closed, once all bytes have been sent.
   void OnLingered();
+  // Pauses reading from one side while the other is slow.
+  void ApplyBackPressure(const http::TcpStream& to,
+                         http::TcpStream* from) const;
   void NewParser();
   // Looks for notices in the head of the answer.
   void ReadNotices(std::string_view bytes);
@@ -61,6 +65,7 @@
   core::TimePoint started_at_{};
   std::unique_ptr<http::MessageParser> parser_;
   std::string unparsed_;
+  http::BufferMemory::Holding held_;
   bool is_connected_ = false;
   bool has_head_ = false;
 };
--- a/Libraries/LibForwarding/tunnel_server.cc
+++ b/Libraries/LibForwarding/tunnel_server.cc
@@ -28,7 +28,8 @@
     }
   };
   if (is_stopping_ || context_->path->is_lost() ||
-      tunnels_.size() >= kMaxTunnels) {
+      tunnels_.size() >= kMaxTunnels ||
+      context_->buffer_memory->IsExhausted()) {
     refuse(http::TunnelReply::kCarrierUnavailable);
     return;
   }
--- a/Libraries/LibHttp/client.cc
+++ b/Libraries/LibHttp/client.cc
@@ -91,6 +91,10 @@
   std::map<curl_socket_t, std::unique_ptr<core::IoWatcher>> watchers;
   std::map<CURL*, std::shared_ptr<Call>> calls;
   uint64_t bytes_transferred = 0;
+  // Bytes of the bodies of calls in flight whose size is limited, and the limit
+  // for all of them; zero means no limit.
+  uint64_t fetched_bytes = 0;
+  uint64_t max_fetched_bytes = 0;
 };
 
 struct Client::State::Call : ClientCall {
@@ -156,8 +160,7 @@
   static size_t OnData(char* bytes, size_t size, size_t count, void* user) {
     auto* call = static_cast<Call*>(user);
     call->ReportHeaders();
-    call->body_bytes += size * count;
-    if (call->max_body_bytes > 0 && call->body_bytes > call->max_body_bytes) {
+    if (call->max_body_bytes > 0 && !call->CountFetched(size * count)) {
       call->is_oversized = true;
       return 0;
     }
@@ -167,6 +170,16 @@
     return call->is_cancelled ? 0 : size * count;
   }
 
+  // Counts bytes of a body. Returns whether its limits allow them.
+  bool CountFetched(size_t bytes) {
+    const std::shared_ptr<State> owner = state.lock();
+    body_bytes += bytes;
+    owner->fetched_bytes += bytes;
+    return body_bytes <= max_body_bytes &&
+           (owner->max_fetched_bytes == 0 ||
+            owner->fetched_bytes <= owner->max_fetched_bytes);
+  }
+
   std::weak_ptr<State> state;
   CURL* easy = nullptr;
   curl_slist* header_list = nullptr;
@@ -296,6 +309,7 @@
   }
   const std::shared_ptr<Call> keep_alive = it->second;
   calls.erase(it);
+  fetched_bytes -= call->body_bytes;
   bytes_transferred += TransferredBytes(easy);
   curl_multi_remove_handle(multi, easy);
   curl_easy_cleanup(easy);
@@ -333,7 +347,10 @@
   return 0;
 }
 
-Client::Client(core::EventLoop* loop) : state_(std::make_shared<State>(loop)) {}
+Client::Client(core::EventLoop* loop, uint64_t max_fetched_bytes)
+    : state_(std::make_shared<State>(loop)) {
+  state_->max_fetched_bytes = max_fetched_bytes;
+}
 
 Client::~Client() = default;
 
--- a/Libraries/LibHttp/client.h
+++ b/Libraries/LibHttp/client.h
@@ -17,7 +17,7 @@
 
 namespace wasabi::http {
 
-// The size limit of a fetched body.
+// The size limit of one fetched body.
 inline constexpr uint64_t kDefaultMaxFetchBytes = 64U << 20U;
 
 struct ClientRequest {
@@ -81,7 +81,10 @@
 // client drops its calls in flight without further callbacks.
 class Client {
  public:
-  explicit Client(core::EventLoop* loop);
+  // The bodies that calls of Fetch have received so far may take
+  // `max_fetched_bytes` together; calls that exceed it end with
+  // kMalformedAnswer. Zero means no limit.
+  explicit Client(core::EventLoop* loop, uint64_t max_fetched_bytes = 0);
   ~Client();
   Client(const Client&) = delete;
   Client& operator=(const Client&) = delete;
--- a/Libraries/LibHttp/origin_client.cc
+++ b/Libraries/LibHttp/origin_client.cc
@@ -18,8 +18,11 @@
 
 }  // namespace
 
-OriginClient::OriginClient(core::EventLoop* loop)
-    : loop_(loop), self_(std::make_shared<OriginClient*>(this)) {}
+OriginClient::OriginClient(core::EventLoop* loop,
+                           std::shared_ptr<BufferMemory> memory)
+    : loop_(loop),
+      memory_(std::move(memory)),
+      self_(std::make_shared<OriginClient*>(this)) {}
 
 OriginClient::~OriginClient() {
   self_.reset();
@@ -35,8 +38,8 @@
   std::shared_ptr<OriginConnection> connection =
       request.tunnel ? nullptr : TakeIdle(request);
   if (connection == nullptr) {
-    connection =
-        std::make_shared<OriginConnection>(loop_, self_, request.address);
+    connection = std::make_shared<OriginConnection>(loop_, self_,
+                                                    request.address, memory_);
     ++connections_made_;
   }
   connection->Start(request, std::move(callbacks));
--- a/Libraries/LibHttp/origin_client.h
+++ b/Libraries/LibHttp/origin_client.h
@@ -111,7 +111,10 @@
 // Pools idle connections per endpoint. `loop` must outlive the client.
 class OriginClient {
  public:
-  explicit OriginClient(core::EventLoop* loop);
+  // With `memory`, the buffers of connections are counted there, and limited
+  // while it is scarce.
+  explicit OriginClient(core::EventLoop* loop,
+                        std::shared_ptr<BufferMemory> memory = nullptr);
   ~OriginClient();
   OriginClient(const OriginClient&) = delete;
   OriginClient& operator=(const OriginClient&) = delete;
@@ -155,6 +158,7 @@
   void NoteRefused(const core::SocketAddress& address);
 
   core::EventLoop* const loop_;
+  const std::shared_ptr<BufferMemory> memory_;
   OriginObserver observer_;
   std::map<core::SocketAddress, IdleList> idle_;
   // When each open direct connection was established.
--- a/Libraries/LibHttp/origin_connection.cc
+++ b/Libraries/LibHttp/origin_connection.cc
@@ -68,8 +68,13 @@
 
 OriginConnection::OriginConnection(core::EventLoop* loop,
                                    std::weak_ptr<OriginClient*> client,
-                                   core::SocketAddress address)
-    : loop_(loop), client_(std::move(client)), address_(address) {}
+                                   core::SocketAddress address,
+                                   std::shared_ptr<BufferMemory> memory)
+    : loop_(loop),
+      client_(std::move(client)),
+      address_(address),
+      memory_(std::move(memory)),
+      held_(memory_) {}
 
 void OriginConnection::Start(const OriginRequest& request,
                              OriginCallbacks callbacks) {
@@ -91,6 +96,7 @@
   }
   if (is_tunnel_) {
     unsent_request_ = Serialise(request);
+    CheckHeldBytes();
     stream_->Write(EncodeTunnelRequest(request.tunnel->endpoint_hash));
   } else {
     stream_->Write(Serialise(request));
@@ -110,6 +116,7 @@
     return;
   }
   stream_ = *std::move(stream);
+  stream_->SetMemory(memory_);
   const auto weak = weak_from_this();
   TcpStream::Callbacks callbacks;
   callbacks.on_connected = [weak]() {
@@ -211,6 +218,8 @@
   callbacks_ = {};
   connect_timer_.reset();
   NoteClosed();
+  // The parser may be reading the input now.
+  held_.Set(0);
   if (stream_ != nullptr) {
     stream_->Close();
   }
@@ -274,6 +283,7 @@
   }
   Receive(bytes);
   ParseInput();
+  CheckHeldBytes();
   if (is_active_ && frames_ && frames_->has_ended()) {
     OnStreamEnd(TcpStream::End::kClosed);
   }
@@ -307,6 +317,14 @@
   }
 }
 
+void OriginConnection::CheckHeldBytes() {
+  ReleaseIfEmpty(&input_);
+  held_.Set(input_.capacity() + unsent_request_.capacity());
+  if (is_active_ && input_.size() > held_.Limit(kMaxHeaderBytes)) {
+    Finish(OriginOutcome::kOversized);
+  }
+}
+
 void OriginConnection::OnHead(const MessageHead& head) {
   is_interim_ =
       head.status < kFirstFinalStatus && head.status != kSwitchingProtocols;
--- a/Libraries/LibHttp/origin_connection.h
+++ b/Libraries/LibHttp/origin_connection.h
@@ -21,7 +21,8 @@
  public:
   OriginConnection(core::EventLoop* loop,
                    std::weak_ptr<OriginClient*> client,
-                   core::SocketAddress address);
+                   core::SocketAddress address,
+                   std::shared_ptr<BufferMemory> memory);
 
   // Sends `request`, and connects first if there is no connection yet.
   void Start(const OriginRequest& request, OriginCallbacks callbacks);
@@ -54,6 +55,8 @@
   // Takes `bytes` of the endpoint, or of the carrier.
   void Receive(std::string_view bytes);
   void ParseInput();
+  // Ends the call if unparsed bytes exceed what memory allows.
+  void CheckHeldBytes();
   void OnStreamEnd(TcpStream::End end);
   void OnHead(const MessageHead& head);
   void OnMessageComplete();
@@ -65,6 +68,7 @@
   core::EventLoop* const loop_;
   const std::weak_ptr<OriginClient*> client_;
   const core::SocketAddress address_;
+  const std::shared_ptr<BufferMemory> memory_;
   // Keeps the connection alive while it carries a call.
   std::shared_ptr<OriginConnection> self_;
   std::shared_ptr<TcpStream> stream_;
@@ -73,6 +77,7 @@
   OriginCallbacks callbacks_;
   // Bytes that were received but not parsed yet.
   std::string input_;
+  BufferMemory::Holding held_;
   int call_count_ = 0;
   int skipped_responses_ = 0;
   int interim_responses_ = 0;
--- a/Libraries/LibHttp/request_connection.cc
+++ b/Libraries/LibHttp/request_connection.cc
@@ -37,14 +37,18 @@
 RequestConnection::RequestConnection(core::EventLoop* loop,
                                      std::shared_ptr<TcpStream> stream,
                                      const CallerLimits& limits,
+                                     std::shared_ptr<BufferMemory> memory,
                                      Callbacks callbacks)
     : loop_(loop),
       stream_(std::move(stream)),
       limits_(limits),
       callbacks_(std::move(callbacks)),
+      held_(memory),
       accepted_at_(loop->Now()),
       last_byte_at_(accepted_at_),
-      request_started_at_(last_byte_at_) {}
+      request_started_at_(last_byte_at_) {
+  stream_->SetMemory(std::move(memory));
+}
 
 void RequestConnection::Start() {
   NewParser();
@@ -130,6 +134,7 @@
 
 void RequestConnection::OnAnswered() {
   transaction_.reset();
+  RecordHeldBytes();
   last_byte_at_ = loop_->Now();
   if (closes_after_current_) {
     CloseGracefully();
@@ -180,12 +185,21 @@
   if (is_closing_) {
     return;
   }
+  const auto self = shared_from_this();
   input_.append(bytes);
   if (!is_answering()) {
     Parse();
-  } else if (input_.size() > kMaxPipelinedBytes) {
+  } else if (input_.size() > held_.Limit(kMaxPipelinedBytes)) {
     stream_->SetReading(false);
   }
+  RecordHeldBytes();
+}
+
+void RequestConnection::RecordHeldBytes() {
+  ReleaseIfEmpty(&input_);
+  const std::string& body =
+      transaction_ == nullptr ? request_.body : transaction_->request().body;
+  held_.Set(input_.capacity() + body.capacity());
 }
 
 void RequestConnection::OnEnd() {
@@ -212,10 +226,13 @@
     request_started_at_ = loop_->Now();
   }
   const ParseResult result = parser_->Feed(&input_);
+  RecordHeldBytes();
   if (result == ParseResult::kComplete) {
     StartTransaction();
   } else if (result != ParseResult::kNeedMore) {
     Reject(StatusOf(result));
+  } else if (has_head_ && held_.IsExhausted()) {
+    Reject(kUnavailableStatus);
   }
 }
 
@@ -256,6 +273,9 @@
   is_closing_ = true;
   closing_since_ = loop_->Now();
   unsent_at_check_ = unsent_bytes();
+  input_.clear();
+  request_.body = {};
+  RecordHeldBytes();
   stream_->ShutDownWriting();
   stream_->SetReading(true);
 }
--- a/Libraries/LibHttp/request_connection.h
+++ b/Libraries/LibHttp/request_connection.h
@@ -51,6 +51,7 @@
   RequestConnection(core::EventLoop* loop,
                     std::shared_ptr<TcpStream> stream,
                     const CallerLimits& limits,
+                    std::shared_ptr<BufferMemory> memory,
                     Callbacks callbacks);
 
   void Start();
@@ -103,6 +104,8 @@
   bool IsIdle() const;
   void CheckClosing(core::TimePoint now);
   void Parse();
+  // Tells the memory what the buffers take.
+  void RecordHeldBytes();
   void OnHead(MessageHead head);
   void StartTransaction();
   void Reject(int status);
@@ -118,6 +121,7 @@
   // Bytes that were received but not parsed yet.
   std::string input_;
   InboundRequest request_;
+  BufferMemory::Holding held_;
   // The request whose response is pending, or nullptr.
   std::shared_ptr<Transaction> transaction_;
   bool has_head_ = false;
--- a/Libraries/LibHttp/request_server.cc
+++ b/Libraries/LibHttp/request_server.cc
@@ -118,7 +118,7 @@
     connections_.erase(connection);
   };
   const auto connection = std::make_shared<RequestConnection>(
-      loop_, TcpStream::Adopt(loop_, descriptor), limits_,
+      loop_, TcpStream::Adopt(loop_, descriptor), limits_, memory_,
       std::move(callbacks));
   connections_[connection.get()] = connection;
   if (closes_after_responses_) {
--- a/Libraries/LibHttp/request_server.h
+++ b/Libraries/LibHttp/request_server.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <utility>
 #include <vector>
 
 #include "LibCore/event_loop.h"
@@ -41,6 +42,11 @@
 
   // Sets the limits and the observer for connections accepted from now on.
   void SetLimits(const CallerLimits& limits) { limits_ = limits; }
+  // Counts the buffers of connections accepted from now on in `memory`, and
+  // refuses incomplete requests with 503 while it is exhausted.
+  void SetMemory(std::shared_ptr<BufferMemory> memory) {
+    memory_ = std::move(memory);
+  }
   void SetRejectObserver(RejectObserver observer) {
     reject_observer_ = std::move(observer);
   }
@@ -73,6 +79,7 @@
   const Handler handler_;
   RejectObserver reject_observer_;
   CallerLimits limits_;
+  std::shared_ptr<BufferMemory> memory_;
   int descriptor_ = -1;
   bool closes_after_responses_ = false;
   std::unique_ptr<core::IoWatcher> watcher_;
--- a/Libraries/LibHttp/tcp_stream.cc
+++ b/Libraries/LibHttp/tcp_stream.cc
@@ -104,7 +104,9 @@
     return;
   }
   buffer_.append(bytes);
-  if (!is_connecting_) {
+  if (is_connecting_) {
+    held_.Set(buffer_.capacity());
+  } else {
     Flush();
   }
 }
@@ -144,6 +146,9 @@
     close(descriptor_);
     descriptor_ = -1;
   }
+  buffer_.clear();
+  ReleaseIfEmpty(&buffer_);
+  held_.Set(buffer_.capacity());
   if (callbacks_.on_data) {
     SetCallbacks({});
   }
@@ -191,7 +196,7 @@
 
 void TcpStream::ReadAvailable() {
   static std::array<char, kReadBytes> buf;
-  const ssize_t n = recv(descriptor_, buf.data(), buf.size(), 0);
+  const ssize_t n = recv(descriptor_, buf.data(), held_.Limit(buf.size()), 0);
   if (n > 0) {
     callbacks_.on_data({buf.data(), static_cast<size_t>(n)});
     return;
@@ -205,8 +210,7 @@
   }
 }
 
-void TcpStream::Flush() {
-  const bool had_bytes = !buffer_.empty();
+void TcpStream::SendBuffered() {
   while (!buffer_.empty()) {
     const ssize_t n =
         send(descriptor_, buffer_.data(), buffer_.size(), MSG_NOSIGNAL);
@@ -221,6 +225,13 @@
     has_sent_ = true;
     buffer_.erase(0, static_cast<size_t>(n));
   }
+  ReleaseIfEmpty(&buffer_);
+  held_.Set(buffer_.capacity());
+}
+
+void TcpStream::Flush() {
+  const bool had_bytes = !buffer_.empty();
+  SendBuffered();
   UpdateInterest();
   if (!buffer_.empty()) {
     return;
--- a/Libraries/LibHttp/tcp_stream.h
+++ b/Libraries/LibHttp/tcp_stream.h
@@ -7,10 +7,12 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "LibCore/event_loop.h"
 #include "LibCore/socket_address.h"
 #include "LibCore/time.h"
+#include "LibHttp/buffer_memory.h"
 #include "absl/status/statusor.h"
 
 namespace wasabi::http {
@@ -55,6 +57,11 @@
   TcpStream(const TcpStream&) = delete;
   TcpStream& operator=(const TcpStream&) = delete;
 
+  // Counts the write buffer in `memory`, and reads less at once while it is
+  // scarce. To be called before Start.
+  void SetMemory(std::shared_ptr<BufferMemory> memory) {
+    held_.SetMemory(std::move(memory));
+  }
   // Starts to watch the socket. Called once.
   void Start(Callbacks callbacks);
   // Replaces the callbacks, for the next user of a pooled connection.
@@ -92,6 +99,8 @@
   bool FinishConnecting();
   void ReadAvailable();
   void Flush();
+  // Sends what the socket accepts.
+  void SendBuffered();
   void UpdateInterest();
   void ReportEnd(End end);
 
@@ -103,6 +112,7 @@
   bool is_shut_down_ = false;
   bool shuts_down_when_drained_ = false;
   std::string buffer_;
+  BufferMemory::Holding held_;
   Callbacks callbacks_;
   std::unique_ptr<core::IoWatcher> watcher_;
 };
--- a/Services/Forwarder/forwarder_daemon.cc
+++ b/Services/Forwarder/forwarder_daemon.cc
@@ -32,6 +32,10 @@
 // The same for lack of memory; another host is likely to have some.
 constexpr core::Duration kRetryWithoutMemory = core::milliseconds(500);
 
+// Bytes of all responses of the platform and of copies of topics that may be
+// held at once.
+constexpr uint64_t kMaxFetchedBytes = 32U << 20U;
+
 constexpr int kOkStatus = 200;
 
 }  // namespace
@@ -56,8 +60,10 @@
       settings_path_(std::move(settings_path)),
       events_(settings.host.value(), settings.event_capacity),
       random_(core::ProcessSeed(settings.host.Hash())),
-      platform_client_(loop),
-      origin_client_(loop),
+      buffer_memory_(
+          std::make_shared<http::BufferMemory>(settings.memory_bytes)),
+      platform_client_(loop, kMaxFetchedBytes),
+      origin_client_(loop, buffer_memory_),
       adapters_(make_adapters(&platform_client_,
                               settings.platform_address,
                               &events_)),
@@ -140,6 +146,7 @@
   TRY_ASSIGN(callers_,
              http::RequestServer::Create(loop_, settings_.callers_address,
                                          handler(&ForwarderDaemon::OnRequest)));
+  callers_->SetMemory(buffer_memory_);
   callers_->SetRejectObserver(
       [this](int status, const http::InboundRequest& request) {
         events_.Record(core::EventCode::kBadInput,
@@ -155,6 +162,7 @@
   TRY_ASSIGN(internal_, http::RequestServer::Create(
                             loop_, settings_.internal_address,
                             handler(&ForwarderDaemon::OnInternalRequest)));
+  internal_->SetMemory(buffer_memory_);
   return absl::OkStatus();
 }
 
@@ -163,6 +171,7 @@
   context_.events = &events_;
   context_.metrics = &metrics_;
   context_.client = &origin_client_;
+  context_.buffer_memory = buffer_memory_;
   context_.caller_protocol = adapters_.callers.get();
   context_.endpoint_protocol = adapters_.endpoints.get();
   context_.endpoints = &endpoints_;
@@ -218,7 +227,7 @@
     return static_cast<double>(endpoints_.evacuated().size());
   });
   metrics_.Gauge("relay_bytes", [this]() {
-    return static_cast<double>(context_.relay_memory.total());
+    return static_cast<double>(buffer_memory_->total());
   });
   metrics_.Gauge("path_lost", [this]() { return path_.is_lost() ? 1.0 : 0.0; });
   metrics_.Gauge("tunnels_open", [this]() {
@@ -313,7 +322,7 @@
 }
 
 void ForwarderDaemon::Serve(const TransactionPointer& transaction) {
-  if (context_.load_control_enabled && context_.relay_memory.IsExhausted()) {
+  if (buffer_memory_->IsExhausted()) {
     RespondError(transaction,
                  core::MakeRefusal(core::ResultCode::kOverloaded,
                                    "slow callers and endpoints hold the memory "
@@ -453,7 +462,6 @@
   LogPaceChanges();
   waiting_.Serve();
   if (context_.load_control_enabled) {
-    context_.relay_memory.SetInConnections(callers_->buffered_bytes());
     loads_.SetOtherCounts(forwarding::WaitingCountsOf(waiting_, random_));
   }
   if (IsReady() && !is_announced_) {
@@ -510,6 +518,7 @@
   context_.selection.load_bound = settings_.load_bound;
   context_.retry_policy = settings_.retries;
   context_.load_control_enabled = IsLoadControlEnabled();
+  buffer_memory_->SetHostBytes(settings_.memory_bytes);
   fleet_->permits()->SetColdPolicy(settings_.cold);
   fleet_->topics().UpdateBounds(settings_);
   core::SetLogLevel(settings_.log_level);
--- a/Services/Forwarder/forwarder_daemon.h
+++ b/Services/Forwarder/forwarder_daemon.h
@@ -116,6 +116,7 @@
   core::Metrics metrics_;
   core::RandomSource random_;
   // Sends calls to the platform and to other hosts.
+  const std::shared_ptr<http::BufferMemory> buffer_memory_;
   http::Client platform_client_;
   http::OriginClient origin_client_;
   const forwarding::AdapterSet adapters_;
--- a/Services/Forwarder/forwarder_settings.cc
+++ b/Services/Forwarder/forwarder_settings.cc
@@ -39,6 +39,10 @@
       {"host", "link_mbps", SettingKind::kReal, "20", 1, 1000000,
        "Capacity of the host's network link, in Mbit/s. Hosts with fast links "
        "are preferred for sharing the fleet's load."},
+      {"host", "memory_mb", SettingKind::kInteger, "160", 32, 1048576,
+       "Memory that the process may take, in MB. The buffers of slow and "
+       "faulty "
+       "peers take a quarter of it at most; new requests are refused then."},
       {"host", "first_start", SettingKind::kBoolean, "false", 0, 0,
        "Whether the whole fleet starts for the first time."},
       {"listen", "callers", SettingKind::kAddress, std::nullopt, 0, 0,
@@ -109,6 +113,9 @@
   it.host = core::HostId(file.Text("host", "id"));
   it.data_centre = core::DataCentreId(file.Text("host", "data_centre"));
   it.link_mbps = file.Real("host", "link_mbps");
+  constexpr size_t kBytesPerMegabyte = 1000000;
+  it.memory_bytes = static_cast<size_t>(file.Integer("host", "memory_mb")) *
+                    kBytesPerMegabyte;
   it.is_first_start = file.Boolean("host", "first_start");
   TRY_ASSIGN(it.callers_address, address("listen", "callers"));
   TRY_ASSIGN(it.ready_address, address("listen", "ready"));
--- a/Services/Forwarder/forwarder_settings.h
+++ b/Services/Forwarder/forwarder_settings.h
@@ -14,6 +14,7 @@
 #include "LibCore/time.h"
 #include "LibForwarding/cold_permits.h"
 #include "LibForwarding/retry_allowance.h"
+#include "LibHttp/buffer_memory.h"
 #include "absl/status/statusor.h"
 
 namespace wasabi::forwarder {
@@ -24,6 +25,8 @@
   core::DataCentreId data_centre;
   // Capacity of this host's network link in Mbit/s.
   double link_mbps = 0;
+  // What the process may take, in bytes, before the platform kills it.
+  size_t memory_bytes = http::BufferMemory::kDefaultHostBytes;
   // The whole fleet starts for the first time.
   bool is_first_start = false;
 
--- a/Tests/Forwarder/slow_peers_test.cc
+++ b/Tests/Forwarder/slow_peers_test.cc
@@ -9,18 +9,20 @@
 #include <vector>
 
 #include "LibCore/text.h"
-#include "LibForwarding/relay_memory.h"
-#include "LibHttp/tcp_stream.h"
+#include "LibHttp/buffer_memory.h"
 #include "Tests/Support/ForwarderFixture/forwarder_fixture.h"
+#include "Tests/Support/ForwarderFixture/raw_caller.h"
 
 namespace wasabi::forwarder {
 namespace {
 
-using forwarding::RelayMemory;
+using http::BufferMemory;
 using support::CallerResult;
 using support::ForwarderFixture;
+using support::RawCaller;
 using support::ScriptedSuccess;
 
+const BufferMemory kMemory;
 constexpr size_t kManyEndpointAnswers = 220;
 constexpr size_t kPartBytes = 200U << 10U;
 constexpr size_t kManyCallers = 80;
@@ -65,7 +67,7 @@
     for (const CallerResult& result : results) {
       passed_on += result.body.size();
     }
-    return passed_on + RelayMemory::kScarceBytes / 2 >=
+    return passed_on + kMemory.scarce_bytes() / 2 >=
                kManyEndpointAnswers * kPartBytes ||
            it.received.size() == kManyEndpointAnswers;
   });
@@ -74,43 +76,75 @@
     most = std::max(most, RelayBytes(it));
   }
   CHECK(it.received.size() == kManyEndpointAnswers);
-  CHECK(most > RelayMemory::kScarceBytes / 2);
-  CHECK(most <= RelayMemory::kScarceBytes +
-                    kManyEndpointAnswers * RelayMemory::kScarceLimit);
+  CHECK(most > kMemory.scarce_bytes() / 2);
+  CHECK(most <= kMemory.scarce_bytes() +
+                    kManyEndpointAnswers * BufferMemory::kScarceLimit);
 }
 
-TEST_CASE("requests are refused while many slow callers hold the memory") {
-  ForwarderFixture it({.load_control_enabled = true});
+// Callers that each send a request whose body has `kUploadBytes`, of which
+// `sent_bytes` are sent.
+class Uploads {
+ public:
+  Uploads(ForwarderFixture* it, size_t sent_bytes) {
+    const std::string upload = fmt::format(
+        "POST /unsafe/1 HTTP/1.1\r\nHost: a.test\r\nRequest-Id: id2\r\n"
+        "Authorization: Bearer k1\r\nDeadline-Ms: 9000\r\n"
+        "Content-Length: {}\r\n\r\n{}",
+        kUploadBytes, std::string(sent_bytes, 'x'));
+    for (size_t i = 0; i < kManyCallers; ++i) {
+      callers_.push_back(std::make_unique<RawCaller>(it));
+      callers_.back()->Write(upload);
+    }
+  }
+
+  size_t refused() const {
+    return static_cast<size_t>(
+        std::count_if(callers_.begin(), callers_.end(), [](const auto& caller) {
+          return caller->HasReceived("HTTP/1.1 503 ");
+        }));
+  }
+
+ private:
+  std::vector<std::unique_ptr<RawCaller>> callers_;
+};
+
+TEST_CASE("requests are refused while others hold the memory") {
+  const bool is_enabled = GENERATE(true, false);
+  ForwarderFixture it({.load_control_enabled = is_enabled});
   it.Configure();
-  std::vector<std::shared_ptr<http::TcpStream>> callers;
-  const std::string upload = fmt::format(
-      "POST /unsafe/1 HTTP/1.1\r\nHost: a.test\r\nRequest-Id: id2\r\n"
-      "Content-Length: {}\r\n\r\n{}",
-      2 * kUploadBytes, std::string(kUploadBytes, 'x'));
-  for (size_t i = 0; i < kManyCallers; ++i) {
-    auto stream =
-        http::TcpStream::Connect(&it.loop, it.settings.callers_address);
-    REQUIRE(stream.ok());
-    http::TcpStream::Callbacks callbacks;
-    callbacks.on_data = [](std::string_view /*bytes*/) {};
-    (*stream)->Start(std::move(callbacks));
-    (*stream)->Write(upload);
-    callers.push_back(*std::move(stream));
+  {
+    // The endpoints do not answer.
+    const Uploads uploads(&it, kUploadBytes);
+    REQUIRE(it.RunUntil(
+        [&it]() { return RelayBytes(it) >= kMemory.exhausted_bytes(); }));
+    it.request_id = "id3";
+    const CallerResult refused = it.Get("/unsafe/1");
+    CHECK(refused.status == 503);
+    CHECK(!refused.headers.Get("Retry-After").empty());
+    for (const std::string& text : it.received) {
+      CHECK(text.find("id3") == std::string::npos);
+    }
   }
-  REQUIRE(it.RunUntil(
-      [&it]() { return RelayBytes(it) >= RelayMemory::kExhaustedBytes; }));
+  it.request_id = "id1";
+  REQUIRE(
+      it.RunUntil([&it]() { return RelayBytes(it) < kMemory.scarce_bytes(); }));
   it.script = {ScriptedSuccess("ok")};
-  const CallerResult refused = it.Get("/unsafe/1");
-  CHECK(refused.status == 503);
-  CHECK(!refused.headers.Get("Retry-After").empty());
-  CHECK(it.received.empty());
-  for (const auto& caller : callers) {
-    caller->Close();
-  }
-  REQUIRE(it.RunUntil(
-      [&it]() { return RelayBytes(it) < RelayMemory::kScarceBytes; }));
   CHECK(it.Get("/unsafe/1").status == 200);
 }
 
+TEST_CASE("requests that come without end hold bounded memory") {
+  ForwarderFixture it;
+  it.Configure();
+  const Uploads uploads(&it, kUploadBytes - 1);
+  size_t most = 0;
+  REQUIRE(it.RunUntil([&]() {
+    most = std::max(most, RelayBytes(it));
+    return uploads.refused() * kUploadBytes + kMemory.exhausted_bytes() >=
+           kManyCallers * kUploadBytes;
+  }));
+  CHECK(most <= kMemory.exhausted_bytes() + kUploadBytes);
+  CHECK(it.received.empty());
+}
+
 }  // namespace
 }  // namespace wasabi::forwarder
--- a/Tests/LibHttp/client_limits_test.cc
+++ b/Tests/LibHttp/client_limits_test.cc
@@ -109,5 +109,44 @@
   }
 }
 
+// Guards against many endless bodies, each below its limit, that fill the
+// memory together.
+TEST_CASE("fetched bodies are limited together") {
+  constexpr size_t kCalls = 10;
+  core::EventLoop loop;
+  support::RawServer server(&loop,
+                            support::FreeAddress(support::LoopbackIp(3)));
+  server.SetAnswer("HTTP/1.1 200 OK\r\n\r\n" + std::string(60'000, 'x'), false);
+  Client client(&loop, 2 * kMaxBodyBytes);
+  ClientRequest request;
+  request.address = server.address();
+  request.max_body_bytes = kMaxBodyBytes;
+  request.total_timeout = core::seconds(1);
+  size_t ended = 0;
+  size_t oversized = 0;
+  for (size_t i = 0; i < kCalls; ++i) {
+    client.Fetch(request, [&](const absl::StatusOr<ClientResponse>& response) {
+      oversized +=
+          core::CodeOf(response.status()) == core::ResultCode::kMalformedAnswer
+              ? 1
+              : 0;
+      if (++ended == kCalls) {
+        loop.Stop();
+      }
+    });
+  }
+  loop.Run();
+  CHECK(oversized >= kCalls - 3);
+  // What has ended counts no more.
+  server.SetAnswer("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", false);
+  absl::StatusOr<ClientResponse> result = absl::UnknownError("no response");
+  client.Fetch(request, [&](absl::StatusOr<ClientResponse> response) {
+    result = std::move(response);
+    loop.Stop();
+  });
+  loop.Run();
+  CHECK(result.ok());
+}
+
 }  // namespace
 }  // namespace wasabi::http
--- a/Tests/PlatformAdapter/store_client_test.cc
+++ b/Tests/PlatformAdapter/store_client_test.cc
@@ -332,6 +332,37 @@
   CHECK(page->next == 4);
 }
 
+// Guards against a store whose pages have no end.
+TEST_CASE("a topic of pages without end is unavailable") {
+  constexpr size_t kMaxPages = 40;
+  Fixture it;
+  it.server.SetResponder([&it](const std::string& /*request*/) {
+    it.requests.emplace_back();
+    return Answer(200,
+                  fmt::format(R"({{"items":[{{"key":"k{}","value":"{}",)"
+                              R"("offset":3}}],"has_more":true,"end":5}})",
+                              it.requests.size(), std::string(1'000'000, 'A')));
+  });
+  CHECK(core::CodeOf(it.ReadNewest().status()) ==
+        ResultCode::kPlatformUnavailable);
+  CHECK(it.requests.size() < kMaxPages);
+}
+
+// Guards against a write whose confirmation broke off in its head.
+TEST_CASE("a write is confirmed only by a whole response") {
+  Fixture it;
+  it.server.SetAnswer("HTTP/1.1 200 X\r\nStore-Era: 4\r\n", true);
+  it.server.SetResponder(nullptr);
+  absl::StatusOr<platform::LogEpoch> result = absl::UnknownError("no answer");
+  it.store.Put("t", "key", "value",
+               [&](const absl::StatusOr<platform::LogEpoch>& written) {
+                 result = written;
+                 it.loop.Stop();
+               });
+  it.loop.Run();
+  CHECK(core::CodeOf(result.status()) == ResultCode::kAppendUncertain);
+}
+
 TEST_CASE("a record is written with its key") {
   Fixture it;
   std::string body;
--- a/Tests/Support/PlatformStore/store_server.cc
+++ b/Tests/Support/PlatformStore/store_server.cc
@@ -107,6 +107,7 @@
     uint64_t seed) {
   std::unique_ptr<StoreServer> server(new StoreServer(loop, log, seed));
   StoreServer* it = server.get();
+  it->address_ = address;
   TRY_ASSIGN(it->server_,
              http::RequestServer::Create(
                  loop, address, [it](const TransactionPointer& transaction) {
--- a/Tests/Support/PlatformStore/store_server.h
+++ b/Tests/Support/PlatformStore/store_server.h
@@ -43,6 +43,7 @@
       uint64_t seed);
 
   void SetFaults(const StoreFaults& faults) { faults_ = faults; }
+  const core::SocketAddress& address() const { return address_; }
 
  private:
   using TransactionPointer = std::shared_ptr<http::Transaction>;
@@ -76,6 +77,7 @@
 
   core::EventLoop* const loop_;
   WatchedLog* const log_;
+  core::SocketAddress address_;
   core::RandomSource random_;
   StoreFaults faults_;
   std::list<PendingRead> pending_;
