Requests that crash endpoints stay refused after all hosts were killed

Cause: the record of keyed.crashes held the blame of prompt parts only; that of whole contents lived in the hosts' memory.

Fix: the record names refused contents with their crashes too, at most 64. It is evidence like the parts': a completion clears it, it expires with its crashes. Builds that know parts only ignore the addition, and their records are read.

--- a/Libraries/LibForwarding/crash_report.h
+++ b/Libraries/LibForwarding/crash_report.h
@@ -74,6 +74,16 @@
   MSGPACK_DEFINE(parts, crash_ids, ages_milliseconds);
 };
 
+// The same for the whole content of a request that is refused.
+struct ContentBlame {
+  uint64_t content = 0;
+  std::vector<uint64_t> crash_ids;
+  std::vector<int64_t> ages_milliseconds;
+
+  auto operator<=>(const ContentBlame&) const = default;
+  MSGPACK_DEFINE(content, crash_ids, ages_milliseconds);
+};
+
 // Splits `report` into reports that fit in a datagram each.
 std::vector<CrashReport> SplitReport(const CrashReport& report);
 
--- a/Libraries/LibForwarding/crash_suspects.cc
+++ b/Libraries/LibForwarding/crash_suspects.cc
@@ -299,12 +299,8 @@
   for (const RefusedParts& refused : refused_parts(now)) {
     const Suspect part = {.kind = SuspectKind::kPart,
                           .id = refused.parts.front()};
-    CrashList crashes;
-    for (const uint64_t crash_id : open_crashes_.at(part)) {
-      crashes.emplace_back(crashes_.at(crash_id).time, crash_id);
-    }
-    std::sort(crashes.begin(), crashes.end());
-    crashes = CountedCrashes(crashes, {}, repeated_crashes_);
+    const CrashList crashes =
+        CountedCrashes(OpenCrashes(part), {}, repeated_crashes_);
     PartBlame& blame = blames.emplace_back();
     blame.parts = refused.parts;
     // The reader knows no contents, so ages must keep the crashes apart.
@@ -322,6 +318,40 @@
   return blames;
 }
 
+std::vector<uint64_t> CrashSuspects::RefusedContents(core::TimePoint now) {
+  Judge(now);
+  std::vector<uint64_t> contents(refused_contents_.begin(),
+                                 refused_contents_.end());
+  std::sort(contents.begin(), contents.end());
+  return contents;
+}
+
+std::vector<ContentBlame> CrashSuspects::ContentBlames(size_t max_crashes,
+                                                       core::TimePoint now) {
+  std::vector<ContentBlame> blames;
+  for (const uint64_t content : RefusedContents(now)) {
+    ContentBlame& blame = blames.emplace_back();
+    blame.content = content;
+    const CrashList crashes =
+        OpenCrashes({.kind = SuspectKind::kContent, .id = content});
+    for (auto it = crashes.rbegin();
+         it != crashes.rend() && blame.crash_ids.size() < max_crashes; ++it) {
+      blame.crash_ids.push_back(it->second);
+      blame.ages_milliseconds.push_back(core::ToMilliseconds(now - it->first));
+    }
+  }
+  return blames;
+}
+
+CrashSuspects::CrashList CrashSuspects::OpenCrashes(Suspect suspect) const {
+  CrashList crashes;
+  for (const uint64_t crash_id : open_crashes_.at(suspect)) {
+    crashes.emplace_back(crashes_.at(crash_id).time, crash_id);
+  }
+  std::sort(crashes.begin(), crashes.end());
+  return crashes;
+}
+
 std::vector<CrashSuspects::Candidate> CrashSuspects::Candidates(
     core::TimePoint now) const {
   std::vector<Candidate> candidates;
--- a/Libraries/LibForwarding/crash_suspects.h
+++ b/Libraries/LibForwarding/crash_suspects.h
@@ -93,6 +93,11 @@
   // Returns the refused prompt parts with the crashes that speak against them,
   // at most `max_crashes` each: the latest ones of those that count.
   std::vector<PartBlame> PartBlames(size_t max_crashes, core::TimePoint now);
+  // Returns the contents of requests that are refused, in order.
+  std::vector<uint64_t> RefusedContents(core::TimePoint now);
+  // Returns them with the latest crashes that speak against them.
+  std::vector<ContentBlame> ContentBlames(size_t max_crashes,
+                                          core::TimePoint now);
   core::Duration lifetime() const { return policy_.lifetime; }
 
   // Returns what this host has found out since the last call. With `relays`,
@@ -159,6 +164,8 @@
   void Drop(uint64_t crash_id);
   void DropOldest();
 
+  // Returns the crashes that a suspect is not cleared of, in order.
+  CrashList OpenCrashes(Suspect suspect) const;
   // Derives what is refused from the evidence, if that has changed.
   void Judge(core::TimePoint now);
   std::vector<Candidate> Candidates(core::TimePoint now) const;
--- a/Libraries/LibForwarding/stored_crashes.cc
+++ b/Libraries/LibForwarding/stored_crashes.cc
@@ -22,16 +22,32 @@
 constexpr core::Duration kRefreshInterval = core::seconds(30);
 // Time by which the crashes of a record count as older at each restart.
 constexpr core::Duration kAssumedDowntime = core::seconds(10);
-// Limits of a record: refused sets, crashes of each, and parts of each. A set
-// of more parts is left out, as a smaller one would refuse more.
+// Limits of a record: refused sets of parts, crashes of each, and parts of
+// each. A set of more parts is left out, as a smaller one would refuse more.
 constexpr size_t kMaxBlames = 16;
 constexpr size_t kMaxCrashes = 8;
 constexpr size_t kMaxParts = 64;
+// The same for contents of requests; each has the crashes of one request.
+constexpr size_t kMaxContents = 64;
+
+template <typename Blame>
+bool HasValidCrashes(const Blame& blame) {
+  return blame.crash_ids.size() <= kMaxCrashes &&
+         blame.crash_ids.size() == blame.ages_milliseconds.size();
+}
 
 bool IsValid(const PartBlame& blame) {
   return !blame.parts.empty() && blame.parts.size() <= kMaxParts &&
-         blame.crash_ids.size() <= kMaxCrashes &&
-         blame.crash_ids.size() == blame.ages_milliseconds.size();
+         HasValidCrashes(blame);
+}
+
+bool IsValid(const BlameRecord& record) {
+  return record.blames.size() <= kMaxBlames &&
+         record.contents.size() <= kMaxContents &&
+         std::all_of(record.blames.begin(), record.blames.end(),
+                     [](const PartBlame& it) { return IsValid(it); }) &&
+         std::all_of(record.contents.begin(), record.contents.end(),
+                     HasValidCrashes<ContentBlame>);
 }
 
 // Returns the record in `page`; an empty one if there is none. Error:
@@ -46,10 +62,10 @@
     return BlameRecord();
   }
   TRY_ASSIGN(BlameRecord record, core::Decode<BlameRecord>(*it->value));
-  if (record.blames.size() > kMaxBlames ||
-      !std::all_of(record.blames.begin(), record.blames.end(), IsValid)) {
-    return core::MakeStatus(core::ResultCode::kMalformedMessage,
-                            "record of refused parts exceeds its limits");
+  if (!IsValid(record)) {
+    return core::MakeStatus(
+        core::ResultCode::kMalformedMessage,
+        "record of refused parts and contents exceeds its limits");
   }
   return record;
 }
@@ -65,7 +81,7 @@
       write_(std::move(write)),
       has_read_(is_first_start) {
   if (is_first_start) {
-    stored_ = PartSets();
+    stored_ = Refused();
   }
 }
 
@@ -103,11 +119,7 @@
 }
 
 void StoredCrashes::ScheduleCheck(size_t rank, core::TimePoint now) {
-  PartSets refused;
-  for (const RefusedParts& it : suspects_->refused_parts(now)) {
-    refused.push_back(it.parts);
-  }
-  std::sort(refused.begin(), refused.end());
+  Refused refused = RefusedNow(now);
   if (refused == refused_) {
     return;
   }
@@ -118,10 +130,26 @@
   }
 }
 
+StoredCrashes::Refused StoredCrashes::RefusedNow(core::TimePoint now) const {
+  Refused refused;
+  for (const RefusedParts& it : suspects_->refused_parts(now)) {
+    refused.parts.push_back(it.parts);
+  }
+  std::sort(refused.parts.begin(), refused.parts.end());
+  refused.contents = suspects_->RefusedContents(now);
+  return refused;
+}
+
+bool StoredCrashes::Refused::Includes(const Refused& other) const {
+  return std::includes(parts.begin(), parts.end(), other.parts.begin(),
+                       other.parts.end()) &&
+         std::includes(contents.begin(), contents.end(), other.contents.begin(),
+                       other.contents.end());
+}
+
 bool StoredCrashes::NeedsWrite(size_t rank, core::TimePoint now) const {
   if (rank > 0) {
-    return !std::includes(stored_->begin(), stored_->end(), refused_.begin(),
-                          refused_.end());
+    return !stored_->Includes(refused_);
   }
   return refused_ != *stored_ || (!refused_.empty() && now >= refresh_at_);
 }
@@ -138,6 +166,11 @@
       record.blames.push_back(std::move(it));
     }
   }
+  for (ContentBlame& it : suspects_->ContentBlames(kMaxCrashes, now)) {
+    if (record.contents.size() < kMaxContents) {
+      record.contents.push_back(std::move(it));
+    }
+  }
   // What exceeds the limits counts as written too.
   writing_ = refused_;
   is_busy_ = true;
@@ -152,34 +185,50 @@
   TRY(page.status());
   next_call_at_ = now;
   const absl::StatusOr<BlameRecord> record = RecordIn(*page);
-  stored_ = PartSets();
+  stored_ = Refused();
   const bool is_first = !std::exchange(has_read_, true);
   TRY(record.status());
   for (const PartBlame& it : record->blames) {
-    stored_->push_back(it.parts);
+    stored_->parts.push_back(it.parts);
+  }
+  for (const ContentBlame& it : record->contents) {
+    stored_->contents.push_back(it.content);
   }
-  std::sort(stored_->begin(), stored_->end());
+  std::sort(stored_->parts.begin(), stored_->parts.end());
+  std::sort(stored_->contents.begin(), stored_->contents.end());
   // A later read brings nothing that the other hosts do not know.
   return is_first ? Restore(*record, now) : 0;
 }
 
 size_t StoredCrashes::Restore(const BlameRecord& record, core::TimePoint now) {
-  size_t parts = 0;
-  for (const PartBlame& blame : record.blames) {
-    parts += blame.parts.size();
-    for (size_t i = 0; i < blame.crash_ids.size(); ++i) {
-      const int64_t age =
-          std::clamp<int64_t>(blame.ages_milliseconds[i], 0,
-                              core::ToMilliseconds(suspects_->lifetime()));
-      suspects_->MergeReport(
-          {.crash_id = blame.crash_ids[i],
-           .age_milliseconds = age + core::ToMilliseconds(kAssumedDowntime),
-           .in_flight = {.contents = {}, .parts = blame.parts},
-           .cleared = {}},
-          true, now);
-    }
+  size_t restored = record.contents.size();
+  for (const PartBlame& it : record.blames) {
+    restored += it.parts.size();
+    RestoreCrashes({.contents = {}, .parts = it.parts}, it.crash_ids,
+                   it.ages_milliseconds, now);
+  }
+  for (const ContentBlame& it : record.contents) {
+    RestoreCrashes({.contents = {it.content}, .parts = {}}, it.crash_ids,
+                   it.ages_milliseconds, now);
+  }
+  return restored;
+}
+
+void StoredCrashes::RestoreCrashes(
+    const SuspectIds& ids,
+    const std::vector<uint64_t>& crash_ids,
+    const std::vector<int64_t>& ages_milliseconds,
+    core::TimePoint now) {
+  for (size_t i = 0; i < crash_ids.size(); ++i) {
+    const int64_t age = std::clamp<int64_t>(
+        ages_milliseconds[i], 0, core::ToMilliseconds(suspects_->lifetime()));
+    suspects_->MergeReport(
+        {.crash_id = crash_ids[i],
+         .age_milliseconds = age + core::ToMilliseconds(kAssumedDowntime),
+         .in_flight = ids,
+         .cleared = {}},
+        true, now);
   }
-  return parts;
 }
 
 void StoredCrashes::OnWritten(bool is_written, core::TimePoint now) {
--- a/Libraries/LibForwarding/stored_crashes.h
+++ b/Libraries/LibForwarding/stored_crashes.h
@@ -1,7 +1,8 @@
-// Keeps in the platform's store which prompt parts are refused because they
-// crash endpoints, so that a fleet that was killed as a whole still refuses
-// them. It is decision code without I/O: the caller supplies the time, the rank
-// of this host and functions that read and write the record.
+// Keeps in the platform's store which prompt parts and which contents of
+// requests are refused because they crash endpoints, so that a fleet that was
+// killed as a whole still refuses them. It is decision code without I/O: the
+// caller supplies the time, the rank of this host and functions that read and
+// write the record.
 //
 // Load pattern: nothing is written while nothing crashes. All hosts restart at
 // once; the first few read the record, and the crash exchange tells the others.
@@ -35,11 +36,13 @@
 // Key of the record.
 inline constexpr std::string_view kBlameKey = "refused_parts";
 
-// The value of the record. It never changes its layout.
+// The value of the record. Its layout is only extended at the end; older builds
+// ignore what they do not know, and a record of theirs lacks it.
 struct BlameRecord {
   std::vector<PartBlame> blames;
+  std::vector<ContentBlame> contents = {};
 
-  MSGPACK_DEFINE(blames);
+  MSGPACK_DEFINE(blames, contents);
 };
 
 class StoredCrashes {
@@ -64,24 +67,38 @@
             platform::LogEpoch epoch,
             core::TimePoint now);
 
-  // Handles the result of a read. Returns the number of parts that the suspects
-  // were told of. Errors: that of the read; kMalformedMessage if another writer
-  // left a record that is none, which then counts as empty.
+  // Handles the result of a read. Returns the number of parts and contents that
+  // the suspects were told of. Errors: that of the read; kMalformedMessage if
+  // another writer left a record that is none, which then counts as empty.
   absl::StatusOr<size_t> OnRead(const absl::StatusOr<platform::KeyedPage>& page,
                                 core::TimePoint now);
   void OnWritten(bool is_written, core::TimePoint now);
 
  private:
-  // Sets of prompt parts, sorted.
-  using PartSets = std::vector<std::vector<uint64_t>>;
+  // What is refused: sets of prompt parts, and contents, all sorted.
+  struct Refused {
+    std::vector<std::vector<uint64_t>> parts;
+    std::vector<uint64_t> contents;
+
+    bool empty() const { return parts.empty() && contents.empty(); }
+    bool Includes(const Refused& other) const;
+    auto operator<=>(const Refused&) const = default;
+  };
 
   // Decides when a later host compares the record with what it refuses.
   void ScheduleCheck(size_t rank, core::TimePoint now);
   bool NeedsWrite(size_t rank, core::TimePoint now) const;
   void StartRead();
   void StartWrite(core::TimePoint now);
-  // Returns the number of parts.
+  // Returns what this host refuses.
+  Refused RefusedNow(core::TimePoint now) const;
+  // Returns the number of parts and contents.
   size_t Restore(const BlameRecord& record, core::TimePoint now);
+  // Tells the suspects of the crashes that speak against `ids`.
+  void RestoreCrashes(const SuspectIds& ids,
+                      const std::vector<uint64_t>& crash_ids,
+                      const std::vector<int64_t>& ages_milliseconds,
+                      core::TimePoint now);
 
   CrashSuspects* const suspects_;
   const ReadFunction read_;
@@ -92,9 +109,9 @@
   platform::LogEpoch epoch_ = 0;
   // What this host refuses, and what the record held when it was last read or
   // written; nullopt if that may have changed.
-  PartSets refused_;
-  std::optional<PartSets> stored_;
-  PartSets writing_;
+  Refused refused_;
+  std::optional<Refused> stored_;
+  Refused writing_;
   core::TimePoint next_call_at_{};
   core::TimePoint refresh_at_{};
   // When a later host compares the record with what it refuses.
--- a/Tests/ForwardedStreams/prompt_part_crashes_endpoints_test.cc
+++ b/Tests/ForwardedStreams/prompt_part_crashes_endpoints_test.cc
@@ -25,6 +25,7 @@
 constexpr core::Duration kDetectionTime = core::milliseconds(400);
 
 constexpr const char* kHarmfulPart = "bad0";
+constexpr const char* kHarmfulTarget = "/chats/harmful";
 
 // A pool of endpoints that crash when they run a request with the harmful part
 // in front of the last one.
@@ -52,11 +53,21 @@
         .status;
   }
 
+  // Sends a request, the same each time, without parts that others share.
+  // Returns as Send does.
+  int SendHarmfulContent() {
+    return fixture_->Get(kHarmfulTarget, false, {{"Prompt-Prefix", "c1:40"}})
+        .status;
+  }
+
   size_t crashes() const { return crashes_; }
 
  private:
   std::string Respond(RawServer* server, const std::string& text) {
-    if (text.find(std::string(kHarmfulPart) + ":90,") == std::string::npos) {
+    const bool is_harmful =
+        text.find(std::string(kHarmfulPart) + ":90,") != std::string::npos ||
+        text.find(kHarmfulTarget) != std::string::npos;
+    if (!is_harmful) {
       return support::ScriptedSuccess("x");
     }
     ++crashes_;
@@ -161,5 +172,30 @@
   }
 }
 
+// Guards against hosts that forget a single request that crashes endpoints when
+// all of them are killed.
+TEST_CASE("a refused request stays refused after all hosts were killed") {
+  constexpr int kRequests = 4;
+  constexpr size_t kMaxContentCrashes = 3;
+  constexpr core::Duration kReadTime = core::seconds(1);
+  ForwarderFixture it;
+  CrashingPool pool(&it);
+  it.Configure();
+  for (int restarts = 0; restarts < 3; ++restarts) {
+    for (int i = 0; i < kRequests; ++i) {
+      CHECK(pool.SendHarmfulContent() != 200);
+      Settle(it, kDetectionTime);
+    }
+    CHECK(pool.crashes() <= kMaxContentCrashes);
+    CHECK(pool.Send("a1:80,") == 200);
+    Settle(it, kReadTime);
+    it.KillHosts();
+    it.RestartHosts();
+    REQUIRE(
+        it.RunUntil([&]() { return it.Get("/ready", true).status == 200; }));
+    Settle(it, kReadTime);
+  }
+}
+
 }  // namespace
 }  // namespace wasabi::forwarder
--- a/Tests/LibForwarding/stored_crashes_test.cc
+++ b/Tests/LibForwarding/stored_crashes_test.cc
@@ -128,6 +128,52 @@
   CHECK(reader.Refuses());
 }
 
+// Guards against a request that crashes endpoints again after all hosts were
+// killed, as only prompt parts were recorded.
+TEST_CASE("a host that starts refuses the requests that the fleet refused") {
+  const RequestFingerprint harmful = {.content = 900, .parts = {}};
+  const size_t writer_rank = GENERATE(0, 1);
+  Store store;
+  core::TimePoint now(seconds(1000));
+  {
+    Host writer(&store, &now, true);
+    writer.suspects.RecordCrash(1, {harmful, {.content = 901, .parts = {}}},
+                                now);
+    now += seconds(1);
+    writer.suspects.RecordCrash(2, {harmful}, now);
+    REQUIRE(writer.suspects.IsRefused(harmful, now));
+    RunFor(writer, writer_rank, seconds(4));
+  }
+  Host reader(&store, &now);
+  RunFor(reader, 2, seconds(1));
+  CHECK(reader.suspects.IsRefused(harmful, now));
+  CHECK(!reader.suspects.IsRefused({.content = 901, .parts = {}}, now));
+  CHECK(!reader.suspects.IsRefused({.content = 902, .parts = {}}, now));
+  reader.suspects.RecordCompletion(harmful, now);
+  CHECK(!reader.suspects.IsRefused(harmful, now));
+}
+
+// The record of a build that knows parts only.
+struct OldRecord {
+  std::vector<PartBlame> blames;
+
+  MSGPACK_DEFINE(blames);
+};
+
+TEST_CASE("the record is read by builds that know parts only, and theirs") {
+  const std::vector<PartBlame> blames = {{.parts = {kHarmful},
+                                          .crash_ids = {1, 2, 3},
+                                          .ages_milliseconds = {0, 500, 1000}}};
+  const BlameRecord record{
+      blames,
+      {{.content = 900, .crash_ids = {1, 2}, .ages_milliseconds = {0, 9}}}};
+  CHECK(core::Decode<OldRecord>(core::Encode(record))->blames == blames);
+  const auto old = core::Decode<BlameRecord>(core::Encode(OldRecord{blames}));
+  REQUIRE(old.ok());
+  CHECK(old->blames == blames);
+  CHECK(old->contents.empty());
+}
+
 struct RestartCase {
   const char* what;
   // The rank of the host that saw the crashes, and of the one that reads.
