--- a/Tests/ForwardedStreams/cut_tunnel_looks_complete_test.cc
+++ b/Tests/ForwardedStreams/cut_tunnel_looks_complete_test.cc
@@ -323,5 +323,18 @@
   CHECK(it.fixture.received.size() == 2);
 }
 
+// Guards against a request that a stopping host sends through a carrier late.
+TEST_CASE(
+    "a stopping host sends nothing through a carrier that may outlast it") {
+  CutHost it;
+  it.fixture.daemon->BeginShutdown(it.fixture.loop.Now());
+  // The request is due 1500 ms later; the host ends what is left 1800 ms after
+  // the signal, and listens for 700 ms.
+  RunFor(&it.fixture, core::milliseconds(450));
+  it.fixture.script = {support::ScriptedSuccess("ok")};
+  CHECK(it.fixture.Get("/unsafe/1").status == 503);
+  CHECK(it.fixture.received.empty());
+}
+
 }  // namespace
 }  // namespace wasabi::forwarder
--- a/Tests/Support/ForwarderFixture/forwarder_fixture.cc
+++ b/Tests/Support/ForwarderFixture/forwarder_fixture.cc
@@ -210,8 +210,12 @@
   return peers.back().get();
 }
 
-void ForwarderFixture::Configure() {
+void ForwarderFixture::WriteConfiguration() {
   store->Write(names.configuration, names.configuration_key, kConfiguration);
+}
+
+void ForwarderFixture::Configure() {
+  WriteConfiguration();
   REQUIRE(RunUntil([this]() { return Get("/ready", true).status == 200; }));
 }
 
--- a/Tests/Support/ForwarderFixture/forwarder_fixture.h
+++ b/Tests/Support/ForwarderFixture/forwarder_fixture.h
@@ -83,6 +83,7 @@
   // Starts the daemon again, with the records of its previous store.
   void RestartHosts();
 
+  void WriteConfiguration();
   // Writes the configuration and waits until the daemon is ready.
   void Configure();
   // Writes the registration of `server` as the endpoint `id`.
