An answer on a stream's origin is complete only up to the age of its view

A host that has just started takes another host's answer on the versions of a pool as complete. If that host's view of the endpoints ended before the asking host's began, a version that came and left in between is in neither history.

Fix: the answer states the age of the view that it is based on; it counts as complete only if the asking host has observed the endpoints since then without a gap, with 0.2 s for the way. Otherwise the host asks again, as it does without an answer. Builds that do not state the age count as before.

--- a/Libraries/LibForwarding/origin_history.cc
+++ b/Libraries/LibForwarding/origin_history.cc
@@ -28,8 +28,10 @@
     return;
   }
   observed_at_ = now;
+  known_until_ = now - view_age;
   if (!observed_since_) {
     observed_since_ = now;
+    known_from_ = known_until_;
   }
   for (auto& [pool, origins] : seen_at_) {
     std::erase_if(origins, [now](const auto& it) {
--- a/Libraries/LibForwarding/origin_history.h
+++ b/Libraries/LibForwarding/origin_history.h
@@ -53,6 +53,15 @@
   // Declares that the pools that are not known have had no origin.
   void SetComplete() { is_complete_ = true; }
 
+  // Returns the time up to which the registrations that were observed last
+  // tell what there was.
+  core::TimePoint known_until() const { return known_until_; }
+  // Returns whether the observation without a gap began on registrations of
+  // `time` or before, so that what was known until then has no gap to it.
+  bool HasObservedSince(core::TimePoint time) const {
+    return observed_since_ && known_from_ <= time;
+  }
+
   // Returns whether the history of every pool reaches back far enough.
   bool IsComplete(core::TimePoint now) const;
   bool IsComplete(uint64_t pool, core::TimePoint now) const;
@@ -75,6 +84,9 @@
   // Start of the observation without a gap.
   std::optional<core::TimePoint> observed_since_;
   core::TimePoint observed_at_{};
+  // The times of the first and of the last registrations that were observed.
+  core::TimePoint known_from_{};
+  core::TimePoint known_until_{};
   // Pools whose past is known from another host, by the hashes of their ids.
   std::set<uint64_t> complete_pools_;
   // When each origin of a pool was last observed, by the hash of the pool's id.
--- a/Libraries/LibForwarding/stored_origins.cc
+++ b/Libraries/LibForwarding/stored_origins.cc
@@ -41,6 +41,8 @@
 constexpr size_t kMaxPoolsPerAnswer = 24;
 constexpr size_t kMaxOriginsPerPool = 4;
 constexpr size_t kMaxPendingQueries = 4096;
+// An answer takes longer only if a process stands still.
+constexpr core::Duration kMaxTransitTime = core::milliseconds(200);
 
 // Returns the key of searches that ask for the history of `pools` alone.
 uint64_t KeyOfPools(const std::vector<WeightedPool>& pools) {
@@ -351,11 +353,13 @@
                            std::optional<StreamOrigin> origin,
                            bool is_read,
                            core::TimePoint now) {
-  StoredOriginAnswer answer{.stream = pending.query.stream,
-                            .origin = std::nullopt,
-                            .is_read = is_read,
-                            .pools = {},
-                            .is_complete = history_->IsComplete(now)};
+  StoredOriginAnswer answer{
+      .stream = pending.query.stream,
+      .origin = std::nullopt,
+      .is_read = is_read,
+      .pools = {},
+      .is_complete = history_->IsComplete(now),
+      .view_age_ms = core::ToMilliseconds(now - history_->known_until())};
   if (origin) {
     answer.origin = origin->hash;
   }
@@ -387,7 +391,13 @@
   // A complete history does not grow by what others observed earlier: each
   // answer would extend the time for which a version counts.
   if (!history_->IsComplete(now)) {
-    history_->AddPast(answer.pools, answer.is_complete, now);
+    // A version that came and left between the registrations of the two hosts
+    // is in neither history.
+    const core::TimePoint known_until =
+        now - core::milliseconds(answer.view_age_ms) - kMaxTransitTime;
+    history_->AddPast(
+        answer.pools,
+        answer.is_complete && history_->HasObservedSince(known_until), now);
   }
   if (answer.origin) {
     Finish(answer.stream, StreamOrigin{*answer.origin}, answer.is_read);
--- a/Libraries/LibForwarding/stored_origins.h
+++ b/Libraries/LibForwarding/stored_origins.h
@@ -51,8 +51,11 @@
   // The recent origins of pools, and whether these are all they had.
   std::vector<PoolOrigins> pools;
   bool is_complete = false;
+  // Age of the sender's latest registrations in milliseconds. Older builds do
+  // not state it.
+  int64_t view_age_ms = 0;
 
-  MSGPACK_DEFINE(stream, origin, is_read, pools, is_complete);
+  MSGPACK_DEFINE(stream, origin, is_read, pools, is_complete, view_age_ms);
 };
 
 class StoredOrigins {
--- a/Tests/LibForwarding/stored_origins_test.cc
+++ b/Tests/LibForwarding/stored_origins_test.cc
@@ -553,13 +553,10 @@
   bool is_known;
 };
 
-// Fails: the answer carries no age. Runs as a test of its own,
-// stored_origins_age, which KNOWN-RED.txt lists. Guards against streams that
-// are joined because another host's history is taken for complete although it
-// ends before the asking host's begins: a version that came and left in between
-// is in neither.
-TEST_CASE("an answer is complete only up to the age of what it is based on",
-          "[.stored_origins_age]") {
+// Guards against streams that are joined because another host's history is
+// taken for complete although it ends before the asking host's begins: a
+// version that came and left in between is in neither.
+TEST_CASE("an answer is complete only up to the age of what it is based on") {
   const AnswerAgeCase cases[] = {
       {"the asked host's view is newer", milliseconds(100), core::seconds(2),
        true},
