Memory test: lint

Cause: the linter names a redundant initialiser and a cast of a sum. Change: both. Measured: lint of the file clean; no change of behaviour.

--- a/Tests/ProcessMemory/endless_bytes_fill_memory_test.cc
+++ b/Tests/ProcessMemory/endless_bytes_fill_memory_test.cc
@@ -44,7 +44,7 @@
   std::string answer;
   std::string piece;
   // What a caller sends again and again after its head; "" for no body.
-  std::string upload = "";
+  std::string upload = {};
   bool reads = true;
 };
 
@@ -120,7 +120,8 @@
     return 0;
   }
   size_t requests() const {
-    return static_cast<size_t>(first_.requests() + second_.requests());
+    return static_cast<size_t>(first_.requests()) +
+           static_cast<size_t>(second_.requests());
   }
 
  private:
