--- a/Libraries/LibCore/event.cc
+++ b/Libraries/LibCore/event.cc
@@ -33,8 +33,9 @@
      "The caller requested the rest of a response from an offset."},
     {EventCode::kBadInput, "bad_input",
      "A request was malformed, too large, or not complete when its host "
-     "stopped (status 503). It names the request only if its head had been "
-     "read; the router's own server has no id for it."},
+     "stopped or had no memory for more of it (status 503). It names the "
+     "request only if its head had been read; the router's own server has no "
+     "id for it."},
     {EventCode::kRequestEnded, "request_ended",
      "A forwarded request ended; lists its endpoint and its attempts."},
     {EventCode::kRequestInterrupted, "request_interrupted",
--- a/Services/Forwarder/forwarder_settings.cc
+++ b/Services/Forwarder/forwarder_settings.cc
@@ -39,7 +39,7 @@
       {"host", "link_mbps", SettingKind::kReal, "20", 1, 1000000,
        "Capacity of the host's network link, in Mbit/s. Hosts with fast links "
        "are preferred for sharing the fleet's load."},
-      {"host", "memory_mb", SettingKind::kInteger, "160", 32, 1048576,
+      {"host", "memory_mb", SettingKind::kInteger, "160", 1, 1048576,
        "Memory that the process may take, in MB. The buffers of slow and "
        "faulty "
        "peers take a quarter of it at most; new requests are refused then."},
