An event loop releases its tasks before it is gone

Cause: a task that was posted and has not run may own a timer (here the probe that OriginProber::End releases). The loop was destroyed first, its tasks after it, and the timer stopped itself in the destroyed loop. Found by repeating the case in a debugger, six at a time: 1 of 6 ended so, with that stack.

Fix: the tasks are released first, with those that they post.

--- a/Libraries/LibCore/event_loop.cc
+++ b/Libraries/LibCore/event_loop.cc
@@ -139,6 +139,11 @@
   ev_prepare_stop(loop_, &state_->before_sleep);
   ev_ref(loop_);
   ev_async_stop(loop_, &state_->wake_up);
+  // Tasks that have not run may own timers and watchers of the loop, and post
+  // more as they are released.
+  while (!state_->tasks.empty()) {
+    const auto released = std::exchange(state_->tasks, {});
+  }
   ev_loop_destroy(loop_);
 }
 
