Log lines tell over which connection a request was sent, and who promised that it had not run

Cause: for one request id the logs told the failed attempts and the end. A send that was answered, or whose host was killed, left no line; no line told the connection, whether it had carried calls before, what a refusal was taken for, or whether the caller got the promise of "not run".

Change: attempt_started (300) when the first byte goes to the kernel, with carrier, connection, number of its call, time left; the same connection and the verdict in attempt_failed (302); connection and promise in request_ended (208). OriginCallbacks::on_sending is where a send begins.

--- a/Libraries/LibCore/event.cc
+++ b/Libraries/LibCore/event.cc
@@ -37,16 +37,19 @@
      "request only if its head had been read; the router's own server has no "
      "id for it."},
     {EventCode::kRequestEnded, "request_ended",
-     "A forwarded request ended; lists its endpoint and its attempts."},
+     "A forwarded request ended; lists its endpoint, its attempts, and whether "
+     "its caller was told that it has not run."},
     {EventCode::kRequestInterrupted, "request_interrupted",
      "A stopping host ended a request whose answer was incomplete; lists how "
      "far it was and when it was taken."},
     {EventCode::kAttemptStarted, "attempt_started",
-     "An attempt was sent to an endpoint."},
+     "An attempt was sent to an endpoint; lists its connection and the number "
+     "of calls that it has carried."},
     {EventCode::kAttemptFinished, "attempt_finished",
      "An endpoint finished an attempt."},
     {EventCode::kAttemptFailed, "attempt_failed",
-     "An attempt was interrupted or returned an error."},
+     "An attempt was interrupted or returned an error; lists its connection "
+     "and what its answer was taken for."},
     {EventCode::kAttemptResumed, "attempt_resumed",
      "An interrupted response continues at its offset in another attempt."},
     {EventCode::kRequestQueued, "request_queued",
--- a/Libraries/LibForwarding/forward_attempt.cc
+++ b/Libraries/LibForwarding/forward_attempt.cc
@@ -65,6 +65,12 @@
            self->context_->endpoint_protocol->IsAnswerTo(
                self->request_, head, self->call_->is_reused());
   };
+  origin.on_sending =
+      [weak, remaining = options.remaining](const http::ConnectionUse& use) {
+        if (const auto self = weak.lock()) {
+          self->RecordSend(use, remaining);
+        }
+      };
   origin.on_head = [weak](const http::MessageHead& head) {
     if (const auto self = weak.lock()) {
       self->OnHead(head);
@@ -83,6 +89,17 @@
   call_ = context_->client->Send(request, std::move(origin));
 }
 
+void ForwardAttempt::RecordSend(const http::ConnectionUse& use,
+                                core::Duration remaining) const {
+  context_->events->Record(
+      core::EventCode::kAttemptStarted, request_.id.value(),
+      fmt::format("endpoint={} carrier={} connection={} call={} "
+                  "remaining_ms={} after_event={}",
+                  endpoint_.id.value(), carrier_name(), use.connection,
+                  use.call, core::ToMilliseconds(remaining),
+                  options_.resume_after.value_or(0)));
+}
+
 void ForwardAttempt::PostFinish(AttemptEnd end) {
   context_->loop->Post([weak = weak_from_this(), end]() {
     if (const auto self = weak.lock()) {
--- a/Libraries/LibForwarding/forward_attempt.h
+++ b/Libraries/LibForwarding/forward_attempt.h
@@ -89,6 +89,10 @@
   std::string carrier_name() const {
     return carrier_ ? carrier_->host.value() : "none";
   }
+  // Returns the connection of the latest call, for log entries.
+  http::ConnectionUse use() const {
+    return call_ == nullptr ? http::ConnectionUse{} : call_->use();
+  }
   bool is_active() const { return is_active_; }
   core::TimePoint started_at() const { return started_at_; }
 
@@ -99,6 +103,9 @@
   void PostFinish(AttemptEnd end);
   // Sets the way through a carrier. Returns false if none is left.
   bool ChooseCarrier(http::OriginRequest* request);
+  // Records over which connection the request is sent.
+  void RecordSend(const http::ConnectionUse& use,
+                  core::Duration remaining) const;
   void OnHead(const http::MessageHead& head);
   void OnCallEnd(http::OriginOutcome end);
   void OnNotSent();
--- a/Libraries/LibForwarding/forward_session.cc
+++ b/Libraries/LibForwarding/forward_session.cc
@@ -429,7 +429,7 @@
 void ForwardSession::Refuse(const absl::Status& status) {
   transaction_->Respond(context_->caller_protocol->EncodeError(status));
   ++context_->metrics->Counter("forward_refusals");
-  End(core::Describe(core::CodeOf(status)).name);
+  End(core::Describe(core::CodeOf(status)).name, true);
 }
 
 void ForwardSession::Fail(core::ResultCode code, std::string_view message) {
@@ -484,7 +484,7 @@
   End("caller_gone");
 }
 
-void ForwardSession::End(std::string_view outcome) {
+void ForwardSession::End(std::string_view outcome, bool is_promised_not_run) {
   if (has_ended_) {
     return;
   }
@@ -499,6 +499,7 @@
   }
   RecordRequestEnd(*context_, request_, *relay_,
                    {.outcome = outcome,
+                    .is_promised_not_run = is_promised_not_run,
                     .attempt = attempt_.get(),
                     .prompt_source = prompt_source_,
                     .sends = clearance_->sends(),
--- a/Libraries/LibForwarding/forward_session.h
+++ b/Libraries/LibForwarding/forward_session.h
@@ -119,7 +119,7 @@
   void OnQueueTimeout();
   void OnCallerGone();
   void LeaveQueue() { wait_->Leave(); }
-  void End(std::string_view outcome);
+  void End(std::string_view outcome, bool is_promised_not_run = false);
 
   // Returns a callback that calls `method` while this session exists.
   template <typename... Args>
--- a/Libraries/LibForwarding/request_events.cc
+++ b/Libraries/LibForwarding/request_events.cc
@@ -28,6 +28,22 @@
   return "unknown";
 }
 
+std::string_view NameOf(AttemptVerdict verdict) {
+  switch (verdict) {
+    case AttemptVerdict::kSuccess:
+      return "success";
+    case AttemptVerdict::kNotRun:
+      return "not_run";
+    case AttemptVerdict::kFailure:
+      return "failure";
+    case AttemptVerdict::kFinal:
+      return "final";
+    case AttemptVerdict::kInvalid:
+      return "invalid";
+  }
+  return "unknown";
+}
+
 }  // namespace
 
 void RecordFailedAttempt(const ForwardContext& context,
@@ -45,13 +61,15 @@
   const Endpoint& endpoint = attempt.endpoint();
   context.events->Record(
       core::EventCode::kAttemptFailed, request.id.value(),
-      fmt::format("endpoint={} software={} carrier={} end={} status={} "
-                  "framing={} "
+      fmt::format("endpoint={} software={} carrier={} connection={} call={} "
+                  "end={} status={} verdict={} framing={} "
                   "partial_event_bytes={} ms={} load={} failure_share={:.2f} "
                   "sends={} endpoints_age_ms={}",
                   endpoint.id.value(), endpoint.software_version,
-                  attempt.carrier_name(), NameOf(end), relay.status(),
-                  relay.framing_name(), relay.partial_event_bytes(),
+                  attempt.carrier_name(), attempt.use().connection,
+                  attempt.use().call, NameOf(end), relay.status(),
+                  NameOf(relay.verdict()), relay.framing_name(),
+                  relay.partial_event_bytes(),
                   core::ToMilliseconds(now - attempt.started_at()),
                   context.loads->Load(endpoint.id),
                   context.monitor->FailureShare(endpoint.id, now), sends,
@@ -84,26 +102,30 @@
   std::string endpoint = "none";
   std::string software = "none";
   std::string carrier = "none";
+  http::ConnectionUse use;
   if (summary.attempt != nullptr) {
     endpoint = summary.attempt->endpoint().id.value();
     software = summary.attempt->endpoint().software_version;
     carrier = summary.attempt->carrier_name();
+    use = summary.attempt->use();
   }
   context.events->Record(
       core::EventCode::kRequestEnded, request.id.value(),
-      fmt::format("outcome={} endpoint={} software={} carrier={} resumed={} "
-                  "prompt_source={} framing={} "
-                  "partial_event_bytes={} sends={} runs={} ms={} version={} "
-                  "endpoints_age_ms={}",
-                  summary.outcome, endpoint, software, carrier,
-                  request.resume_after.has_value(),
-                  summary.prompt_source.empty() ? "none"
-                                                : summary.prompt_source.value(),
-                  relay.framing_name(), relay.partial_event_bytes(),
-                  summary.sends, summary.runs,
-                  core::ToMilliseconds(now - request.received_at),
-                  request.table->version(),
-                  core::ToMilliseconds(context.endpoint_view_age())));
+      fmt::format(
+          "outcome={} promise={} endpoint={} software={} carrier={} "
+          "connection={} call={} resumed={} "
+          "prompt_source={} framing={} "
+          "partial_event_bytes={} sends={} runs={} ms={} version={} "
+          "endpoints_age_ms={}",
+          summary.outcome, summary.is_promised_not_run ? "not_run" : "none",
+          endpoint, software, carrier, use.connection, use.call,
+          request.resume_after.has_value(),
+          summary.prompt_source.empty() ? "none"
+                                        : summary.prompt_source.value(),
+          relay.framing_name(), relay.partial_event_bytes(), summary.sends,
+          summary.runs, core::ToMilliseconds(now - request.received_at),
+          request.table->version(),
+          core::ToMilliseconds(context.endpoint_view_age())));
   ++context.metrics->Counter("forward_requests");
   context.metrics->Timing("forward_ms")
       .Add(core::ToSeconds(now - request.received_at) * 1000);
--- a/Libraries/LibForwarding/request_events.h
+++ b/Libraries/LibForwarding/request_events.h
@@ -35,6 +35,8 @@
 // What is recorded of a request that has ended.
 struct RequestSummary {
   std::string_view outcome;
+  // The caller was told that the request has not run and never will.
+  bool is_promised_not_run = false;
   // The latest attempt; nullptr if there was none.
   const ForwardAttempt* attempt = nullptr;
   // The endpoint from which the latest attempt's endpoint copied the prompt;
--- a/Libraries/LibHttp/origin_client.cc
+++ b/Libraries/LibHttp/origin_client.cc
@@ -38,9 +38,8 @@
   std::shared_ptr<OriginConnection> connection =
       request.tunnel ? nullptr : TakeIdle(request);
   if (connection == nullptr) {
-    connection = std::make_shared<OriginConnection>(loop_, self_,
-                                                    request.address, memory_);
-    ++connections_made_;
+    connection = std::make_shared<OriginConnection>(
+        loop_, self_, request.address, memory_, ++connections_made_);
   }
   connection->Start(request, std::move(callbacks));
   return connection;
--- a/Libraries/LibHttp/origin_client.h
+++ b/Libraries/LibHttp/origin_client.h
@@ -5,6 +5,7 @@
 #ifndef LIBHTTP_ORIGIN_CLIENT_H_
 #define LIBHTTP_ORIGIN_CLIENT_H_
 
+#include <compare>
 #include <deque>
 #include <functional>
 #include <map>
@@ -69,9 +70,22 @@
   kOversized,
 };
 
+// Identifies a connection, and the calls on it, in log entries.
+struct ConnectionUse {
+  // The connection's number among those that the client has made.
+  uint64_t connection = 0;
+  // 1 for the first call on it.
+  int call = 0;
+
+  auto operator<=>(const ConnectionUse&) const = default;
+};
+
 // The callbacks of OriginClient::Send. They run on the event loop; none runs
 // after OriginCall::Cancel.
 struct OriginCallbacks {
+  // Called right before the first byte of the request is passed to the kernel,
+  // in Send itself if a connection is open.
+  std::function<void(const ConnectionUse& use)> on_sending;
   // Returns true if a response with this head belongs to the request. Other
   // responses are skipped, because the expected one may follow them.
   std::function<bool(const MessageHead& head)> is_expected;
@@ -94,6 +108,7 @@
   virtual bool is_reused() const = 0;
   // True once the connection was established.
   virtual bool is_connected() const = 0;
+  virtual ConnectionUse use() const { return {}; }
 };
 
 class OriginConnection;
@@ -119,8 +134,8 @@
   OriginClient(const OriginClient&) = delete;
   OriginClient& operator=(const OriginClient&) = delete;
 
-  // Sends `request` exactly once, without retries. All callbacks run in later
-  // turns of the loop.
+  // Sends `request` exactly once, without retries. All callbacks but
+  // `on_sending` run in later turns of the loop.
   std::shared_ptr<OriginCall> Send(const OriginRequest& request,
                                    OriginCallbacks callbacks);
 
--- a/Libraries/LibHttp/origin_connection.cc
+++ b/Libraries/LibHttp/origin_connection.cc
@@ -69,11 +69,13 @@
 OriginConnection::OriginConnection(core::EventLoop* loop,
                                    std::weak_ptr<OriginClient*> client,
                                    core::SocketAddress address,
-                                   std::shared_ptr<BufferMemory> memory)
+                                   std::shared_ptr<BufferMemory> memory,
+                                   uint64_t number)
     : loop_(loop),
       client_(std::move(client)),
       address_(address),
       memory_(std::move(memory)),
+      number_(number),
       held_(memory_) {}
 
 void OriginConnection::Start(const OriginRequest& request,
@@ -94,15 +96,22 @@
   if (stream_ == nullptr) {
     return;
   }
+  unsent_request_ = Serialise(request);
+  CheckHeldBytes();
   if (is_tunnel_) {
-    unsent_request_ = Serialise(request);
-    CheckHeldBytes();
     stream_->Write(EncodeTunnelRequest(request.tunnel->endpoint_hash));
-  } else {
-    stream_->Write(Serialise(request));
+  } else if (is_connected_) {
+    SendRequest();
   }
 }
 
+void OriginConnection::SendRequest() {
+  if (callbacks_.on_sending) {
+    callbacks_.on_sending(use());
+  }
+  stream_->Write(std::exchange(unsent_request_, {}));
+}
+
 void OriginConnection::Connect(const OriginRequest& request) {
   const OriginOutcome failure =
       is_tunnel_ ? OriginOutcome::kCarrierUnavailable : OriginOutcome::kNotSent;
@@ -123,6 +132,7 @@
     const auto self = weak.lock();
     if (self != nullptr && !self->is_tunnel_) {
       self->OnConnected();
+      self->SendRequest();
     }
   };
   callbacks.on_data = [weak](std::string_view bytes) {
@@ -206,7 +216,7 @@
 
 void OriginConnection::OnTunnelOpen() {
   OnConnected();
-  stream_->Write(std::exchange(unsent_request_, {}));
+  SendRequest();
   // What follows the reply is the endpoint's.
   const std::string rest = std::exchange(input_, {});
   Receive(rest);
--- a/Libraries/LibHttp/origin_connection.h
+++ b/Libraries/LibHttp/origin_connection.h
@@ -22,7 +22,8 @@
   OriginConnection(core::EventLoop* loop,
                    std::weak_ptr<OriginClient*> client,
                    core::SocketAddress address,
-                   std::shared_ptr<BufferMemory> memory);
+                   std::shared_ptr<BufferMemory> memory,
+                   uint64_t number);
 
   // Sends `request`, and connects first if there is no connection yet.
   void Start(const OriginRequest& request, OriginCallbacks callbacks);
@@ -34,6 +35,9 @@
     return call_count_ > 1 || skipped_responses_ > 0;
   }
   bool is_connected() const override { return is_connected_; }
+  ConnectionUse use() const override {
+    return {.connection = number_, .call = call_count_};
+  }
 
   const core::SocketAddress& address() const { return address_; }
   // Returns true if the connection is open and was idle for less than both
@@ -43,6 +47,8 @@
  private:
   void Connect(const OriginRequest& request);
   void OnConnected();
+  // Passes the bytes of the request to the stream.
+  void SendRequest();
   void OnTunnelReply();
   void OnTunnelOpen();
   // Tell the client that this direct connection is gone, that it broke without
@@ -69,6 +75,8 @@
   const std::weak_ptr<OriginClient*> client_;
   const core::SocketAddress address_;
   const std::shared_ptr<BufferMemory> memory_;
+  // The connection's number among those of its client.
+  const uint64_t number_;
   // Keeps the connection alive while it carries a call.
   std::shared_ptr<OriginConnection> self_;
   std::shared_ptr<TcpStream> stream_;
@@ -83,7 +91,7 @@
   int interim_responses_ = 0;
   // Bytes of the bodies of skipped responses.
   uint64_t skipped_bytes_ = 0;
-  // The request that is sent once the tunnel is open.
+  // The request, until the connection or the tunnel is open.
   std::string unsent_request_;
   // Set if what the endpoint sends arrives in a tunnel's frames.
   std::optional<TunnelFrameDecoder> frames_;
