Tests of real processes and a judge of ids: requests that run twice, after a refusal, or at two endpoints

Change: Tests/Once runs wasabi_router processes (of any landing: WASABI_ONCE_ROUTER, WASABI_ONCE_OTHER_ROUTER) between callers and endpoints that note each id when they begin it; a pure judge compares both, and test_once_judge shows that it finds a break of each rule. Rows for ends of attempts, answers that aren't the request's, silence, hosts that stop, die or stand still, clock steps, full listen queues, tunnels.

--- /dev/null
+++ b/Tests/Once/once_fleet.h
@@ -0,0 +1,104 @@
+// Real wasabi_router processes between callers and endpoints that note what
+// they begin. Any landing of the program can be run.
+
+#ifndef TESTS_ONCE_ONCE_FLEET_H_
+#define TESTS_ONCE_ONCE_FLEET_H_
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "LibCore/event_loop.h"
+#include "LibCore/random_source.h"
+#include "LibHttp/origin_client.h"
+#include "Tests/Once/host_faults.h"
+#include "Tests/Once/once_endpoint.h"
+#include "Tests/Once/once_record.h"
+#include "Tests/Support/Fleet/child_process.h"
+#include "Tests/Support/PlatformStore/store_server.h"
+#include "Tests/Support/PlatformStore/watched_log.h"
+
+namespace wasabi::once {
+
+struct FleetOptions {
+  size_t hosts = 2;
+  // Endpoints of each of the two pools.
+  size_t endpoints = 3;
+  double requests_per_second = 120;
+  bool load_control_enabled = false;
+  // Share of the calls whose caller leaves early.
+  double leaving_share = 0;
+  uint64_t seed = 1;
+};
+
+class OnceFleet {
+ public:
+  // Starts everything and waits until all hosts serve; aborts the process if
+  // they don't.
+  explicit OnceFleet(const FleetOptions& options);
+  ~OnceFleet();
+  OnceFleet(const OnceFleet&) = delete;
+  OnceFleet& operator=(const OnceFleet&) = delete;
+
+  void SetBehaviour(const Behaviour& behaviour);
+  // Sends requests for `time`; calls `disturb` every 50 ms meanwhile.
+  void SendFor(core::Duration time, const std::function<void()>& disturb);
+  // Runs the loop until no call is open and no endpoint works, or for a few
+  // seconds.
+  void Drain();
+
+  // These act on the process of a host. A host that ends is started again.
+  void Signal(size_t host, int number);
+  // SIGSTOP, and SIGCONT after `time`.
+  void StandStill(size_t host, core::Duration time);
+  // Refuses, or no longer refuses, the host's new connections to endpoints.
+  void SetCut(size_t host, bool is_cut);
+  void StepClock(size_t host, core::Duration offset);
+
+  const std::vector<std::unique_ptr<OnceEndpoint>>& endpoints() const {
+    return endpoints_;
+  }
+  const OnceRecord& record() const { return record_; }
+  core::RandomSource& random() { return random_; }
+  core::EventLoop* loop() { return &loop_; }
+  size_t hosts() const { return hosts_.size(); }
+  size_t served() const;
+  // Calls `task` after `delay`, while the fleet runs.
+  void CallAfter(core::Duration delay, std::function<void()> task);
+
+ private:
+  struct Host;
+
+  void AddEndpoints();
+  void WriteConfiguration();
+  void WriteRegistrations();
+  void AddHost(size_t index);
+  void StartHost(Host* host);
+  void PollHosts();
+  void SendCall();
+  void Send(const std::shared_ptr<Call>& call, bool is_probe);
+  void RunFor(core::Duration time);
+
+  const FleetOptions options_;
+  core::EventLoop loop_;
+  core::RandomSource random_;
+  const std::string folder_;
+  support::WatchedLog log_;
+  std::unique_ptr<support::StoreServer> store_;
+  OnceRecord record_;
+  uint16_t endpoint_port_ = 0;
+  std::vector<std::unique_ptr<OnceEndpoint>> endpoints_;
+  std::vector<std::unique_ptr<Host>> hosts_;
+  http::OriginClient client_;
+  std::vector<std::unique_ptr<core::Timer>> timers_;
+  std::unique_ptr<core::Timer> poll_timer_;
+  int64_t sequence_ = 0;
+  core::TimePoint registered_at_{};
+  bool is_serving_ = false;
+};
+
+}  // namespace wasabi::once
+
+#endif  // TESTS_ONCE_ONCE_FLEET_H_
--- /dev/null
+++ b/Tests/Once/once_judge_test.cc
@@ -0,0 +1,217 @@
+// The judge finds a break of each rule, and nothing in sound records.
+
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "Tests/Once/once_judge.h"
+
+namespace wasabi::once {
+namespace {
+
+using std::chrono_literals::operator""ms;
+
+// Times since the call was sent; no end if it is negative.
+struct WorkSpan {
+  const char* endpoint;
+  core::Duration from;
+  core::Duration to;
+};
+
+struct JudgeCase {
+  const char* what;
+  RequestKind kind;
+  int status;
+  http::OriginOutcome end;
+  std::vector<WorkSpan> works;
+  // Counts of Verdict, in its order.
+  size_t twice, overlapped, refused, unanswered;
+  bool has_left = false;
+};
+
+constexpr auto kWhole = http::OriginOutcome::kComplete;
+constexpr auto kCut = http::OriginOutcome::kCut;
+
+const JudgeCase kCases[] = {
+    {"served",
+     RequestKind::kUnsafe,
+     200,
+     kWhole,
+     {{"e1", 0ms, 20ms}},
+     0,
+     0,
+     0,
+     0},
+    {"refused, not run", RequestKind::kUnsafe, 503, kWhole, {}, 0, 0, 0, 0},
+    {"failed after a run",
+     RequestKind::kUnsafe,
+     502,
+     kWhole,
+     {{"e1", 0ms, 20ms}},
+     0,
+     0,
+     0,
+     0},
+    {"two runs",
+     RequestKind::kUnsafe,
+     200,
+     kWhole,
+     {{"e1", 0ms, 20ms}, {"e2", 30ms, 50ms}},
+     1,
+     0,
+     0,
+     0},
+    {"two runs at one endpoint",
+     RequestKind::kStreamOnce,
+     200,
+     kWhole,
+     {{"e1", 0ms, 20ms}, {"e1", 30ms, 50ms}},
+     1,
+     0,
+     0,
+     0},
+    {"repeated where that is allowed",
+     RequestKind::kSafe,
+     200,
+     kWhole,
+     {{"e1", 0ms, 20ms}, {"e2", 30ms, 50ms}},
+     0,
+     0,
+     0,
+     0},
+    {"short overlap",
+     RequestKind::kResumableStream,
+     200,
+     kWhole,
+     {{"e1", 0ms, 420ms}, {"e2", 30ms, 500ms}},
+     0,
+     0,
+     0,
+     0},
+    {"long overlap",
+     RequestKind::kResumableStream,
+     200,
+     kWhole,
+     {{"e1", 0ms, 450ms}, {"e2", 30ms, 500ms}},
+     0,
+     1,
+     0,
+     0},
+    {"overlap longer than the second run",
+     RequestKind::kSafe,
+     200,
+     kWhole,
+     {{"e1", 0ms, 450ms}, {"e2", 30ms, 50ms}},
+     0,
+     1,
+     0,
+     0},
+    {"overlap that goes on",
+     RequestKind::kResumableStream,
+     200,
+     kWhole,
+     {{"e1", 0ms, -1ms}, {"e2", 30ms, 500ms}},
+     0,
+     1,
+     0,
+     0},
+    {"refused after a run",
+     RequestKind::kUnsafe,
+     503,
+     kWhole,
+     {{"e1", 0ms, 20ms}},
+     0,
+     0,
+     1,
+     0},
+    {"refused with 408",
+     RequestKind::kStreamOnce,
+     408,
+     kWhole,
+     {{"e1", 0ms, 20ms}},
+     0,
+     0,
+     1,
+     0},
+    {"refused with 429",
+     RequestKind::kStreamOnce,
+     429,
+     kWhole,
+     {{"e1", 0ms, 20ms}},
+     0,
+     0,
+     1,
+     0},
+    {"refused with 421, then run",
+     RequestKind::kUnsafe,
+     421,
+     kWhole,
+     {{"e1", 4000ms, 4020ms}},
+     0,
+     0,
+     1,
+     0},
+    {"no answer after a run",
+     RequestKind::kSafe,
+     0,
+     kCut,
+     {{"e1", 0ms, 20ms}},
+     0,
+     0,
+     0,
+     1},
+    {"no answer, unread", RequestKind::kSafe, 0, kCut, {}, 0, 0, 0, 0},
+    {"the caller has left",
+     RequestKind::kSafe,
+     0,
+     kCut,
+     {{"e1", 0ms, 20ms}},
+     0,
+     0,
+     0,
+     0,
+     true},
+    {"cut after its head",
+     RequestKind::kSafe,
+     200,
+     kCut,
+     {{"e1", 0ms, 20ms}},
+     0,
+     0,
+     0,
+     0},
+};
+
+TEST_CASE("the judge finds each broken rule") {
+  const core::TimePoint start = core::TimePoint() + core::seconds(100);
+  for (const JudgeCase& row : kCases) {
+    INFO(row.what);
+    OnceRecord record;
+    record.calls.push_back(
+        std::make_shared<Call>(Call{.id = core::RequestId("a"),
+                                    .kind = row.kind,
+                                    .sent_at = start,
+                                    .status = row.status,
+                                    .end = row.end,
+                                    .ended_at = start + 600ms,
+                                    .has_left = row.has_left}));
+    for (const WorkSpan& it : row.works) {
+      record.works.push_back(std::make_shared<Work>(
+          Work{.request = core::RequestId("a"),
+               .endpoint = it.endpoint,
+               .began_at = start + it.from,
+               .ended_at =
+                   it.to < 0ms ? std::nullopt : std::optional(start + it.to)}));
+    }
+    const Verdict verdict = Judge(record, start + 5000ms);
+    CHECK(verdict.ran_twice == row.twice);
+    CHECK(verdict.overlapped == row.overlapped);
+    CHECK(verdict.ran_though_refused == row.refused);
+    CHECK(verdict.ran_unanswered == row.unanswered);
+  }
+}
+
+}  // namespace
+}  // namespace wasabi::once
--- /dev/null
+++ b/Tests/Once/requests_run_once_test.cc
@@ -0,0 +1,394 @@
+// Regression test: a request that may run once began twice, or after its caller
+// was promised that it never runs; or a request went on at another endpoint
+// while the first one still worked on it.
+
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+#include <string>
+#include <vector>
+
+#include "LibCore/text.h"
+#include "Tests/Once/once_fleet.h"
+#include "Tests/Once/once_judge.h"
+
+namespace wasabi::once {
+namespace {
+
+using std::chrono_literals::operator""ms;
+
+// Disturbs the hosts; called every 50 ms with the number of calls before.
+using Disturb = void (*)(OnceFleet* fleet, size_t tick);
+
+struct Path {
+  Behaviour behaviour;
+  Disturb disturb = nullptr;
+  FleetOptions options = {};
+  // Hosts are stopped, killed or stand still, so that callers may see
+  // connections that end without an answer.
+  bool are_hosts_disturbed = false;
+  core::Duration time = 2500ms;
+};
+
+uint64_t Seed() {
+  const char* seed = std::getenv("WASABI_ONCE_SEED");
+  return seed == nullptr ? 1 : std::strtoull(seed, nullptr, 10);
+}
+
+void Run(const std::string& name, const Path& path) {
+  FleetOptions options = path.options;
+  options.seed = Seed();
+  OnceFleet fleet(options);
+  fleet.SetBehaviour(path.behaviour);
+  size_t tick = 0;
+  fleet.SendFor(path.time, [&]() {
+    if (path.disturb != nullptr) {
+      path.disturb(&fleet, tick++);
+    }
+  });
+  for (size_t i = 0; i < fleet.hosts(); ++i) {
+    fleet.Signal(i, SIGCONT);
+  }
+  fleet.Drain();
+  const Verdict verdict = Judge(fleet.record(), fleet.loop()->Now());
+  std::cout << fmt::format(
+                   "{}: calls={} served={} affected={} twice={} overlapped={} "
+                   "refused={} unanswered={} longest_overlap_ms={}\n",
+                   name, fleet.record().calls.size(), fleet.served(),
+                   fleet.record().affected, verdict.ran_twice,
+                   verdict.overlapped, verdict.ran_though_refused,
+                   verdict.ran_unanswered,
+                   core::ToMilliseconds(verdict.longest_overlap))
+            << std::flush;
+  std::string details;
+  for (const std::string& it : verdict.details) {
+    details += it + "\n";
+  }
+  INFO(name << "\n" << details);
+  CHECK(verdict.ran_twice == 0);
+  CHECK(verdict.overlapped == 0);
+  CHECK(verdict.ran_though_refused == 0);
+  if (!path.are_hosts_disturbed) {
+    CHECK(verdict.ran_unanswered == 0);
+  }
+  if (path.behaviour.share > 0) {
+    CHECK(fleet.record().affected > 0);
+  }
+}
+
+void RunAll(const std::vector<Path>& paths) {
+  for (const Path& it : paths) {
+    Run(it.behaviour.name, it);
+  }
+}
+
+// Appends `text` to the name of each path.
+std::vector<Path> With(std::vector<Behaviour> behaviours,
+                       Disturb disturb,
+                       const FleetOptions& options,
+                       bool are_hosts_disturbed) {
+  std::vector<Path> paths;
+  for (const Behaviour& it : behaviours) {
+    paths.push_back({.behaviour = it,
+                     .disturb = disturb,
+                     .options = options,
+                     .are_hosts_disturbed = are_hosts_disturbed});
+  }
+  return paths;
+}
+
+constexpr double kShare = 0.3;
+
+#define ANSWER_HEAD "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\n"
+#define REFUSAL_HEAD "HTTP/1.1 503 X\r\nRequest-Id: {id}\r\n"
+
+const std::vector<Behaviour> kEnds = {
+    {.name = "reset before the head", .then = Then::kResets, .share = kShare},
+    {.name = "close before the head", .then = Then::kCloses, .share = kShare},
+    {.name = "close before the head, kept connection",
+     .then = Then::kCloses,
+     .share = 0.6,
+     .is_for_reused = true},
+    {.name = "reset within the head",
+     .text = ANSWER_HEAD "Respon",
+     .then = Then::kResets,
+     .share = kShare},
+    {.name = "close after the head",
+     .text = ANSWER_HEAD "Response-Signature: s\r\nContent-Length: 9\r\n\r\nab",
+     .then = Then::kCloses,
+     .share = kShare},
+    {.name = "refusal cut within its promise",
+     .text = REFUSAL_HEAD "Not-Execut",
+     .then = Then::kCloses,
+     .share = kShare},
+    {.name = "refusal cut within its head",
+     .text = REFUSAL_HEAD "Not-Executed: 1\r\nContent-Le",
+     .then = Then::kCloses,
+     .share = kShare},
+    {.name = "refusal cut in its body",
+     .text = REFUSAL_HEAD "Not-Executed: 1\r\nContent-Length: 4\r\n\r\nfu",
+     .then = Then::kResets,
+     .share = kShare},
+    {.name = "interim answer, then an end",
+     .text = "HTTP/1.1 100 Continue\r\n\r\n",
+     .then = Then::kCloses,
+     .share = kShare},
+    {.name = "408 without a promise",
+     .text = "HTTP/1.1 408 X\r\nRequest-Id: {id}\r\nContent-Length: "
+             "0\r\n\r\n",
+     .then = Then::kIsDone,
+     .share = kShare},
+    {.name = "429 without a promise",
+     .text = "HTTP/1.1 429 X\r\nRequest-Id: {id}\r\nContent-Length: "
+             "0\r\n\r\n",
+     .then = Then::kIsDone,
+     .share = kShare},
+    {.name = "503 without a promise",
+     .text = REFUSAL_HEAD "Content-Length: 0\r\n\r\n",
+     .then = Then::kIsDone,
+     .share = kShare},
+    {.name = "idle connections close as they are used", .max_idle = 25ms},
+};
+
+TEST_CASE("a request that may have run is neither sent again nor refused",
+          "[ends]") {
+  RunAll(With(kEnds, nullptr, {}, false));
+}
+
+const std::vector<Behaviour> kForeignAnswers = {
+    {.name = "refusal without an id",
+     .text = "HTTP/1.1 503 X\r\nNot-Executed: 1\r\nContent-Length: "
+             "4\r\n\r\nfull",
+     .then = Then::kWorksOn,
+     .share = kShare},
+    {.name = "refusal without an id, kept connection",
+     .text = "HTTP/1.1 503 X\r\nNot-Executed: 1\r\nContent-Length: "
+             "4\r\n\r\nfull",
+     .then = Then::kWorksOn,
+     .share = 0.6,
+     .is_for_reused = true},
+    {.name = "misdirected, without an id",
+     .text = "HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n",
+     .then = Then::kWorksOn,
+     .share = kShare},
+    {.name = "refusal of another request",
+     .text = "HTTP/1.1 503 X\r\nRequest-Id: {old}\r\nNot-Executed: "
+             "1\r\nContent-Length: 4\r\n\r\nfull",
+     .then = Then::kWorksOn,
+     .share = kShare},
+    {.name = "refusal with two ids",
+     .text = REFUSAL_HEAD "Request-Id: {old}\r\nNot-Executed: "
+                          "1\r\nContent-Length: 4\r\n\r\nfull",
+     .then = Then::kWorksOn,
+     .share = kShare},
+    {.name = "short success without an id",
+     .text = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno",
+     .then = Then::kWorksOn,
+     .share = kShare},
+    {.name = "short failure without an id",
+     .text = "HTTP/1.1 500 X\r\nContent-Length: 2\r\n\r\nno",
+     .then = Then::kWorksOn,
+     .share = kShare},
+    {.name = "short success without a signature",
+     .text = ANSWER_HEAD "Content-Length: 2\r\n\r\nno",
+     .then = Then::kWorksOn,
+     .share = kShare},
+    {.name = "503 without a promise, while it works on",
+     .text = REFUSAL_HEAD "Content-Length: 0\r\n\r\n",
+     .then = Then::kWorksOn,
+     .share = kShare},
+    {.name = "bytes that are no answer",
+     .text = "no answer\r\n\r\n",
+     .then = Then::kWorksOn,
+     .share = kShare},
+    {.name = "late copy of a refusal without an id",
+     .late_text = "HTTP/1.1 503 X\r\nNot-Executed: 1\r\nContent-Length: "
+                  "4\r\n\r\nfull",
+     .late_by = 15ms},
+    {.name = "late copy of a refusal of another request",
+     .late_text = "HTTP/1.1 503 X\r\nRequest-Id: {old}\r\nNot-Executed: "
+                  "1\r\nContent-Length: 4\r\n\r\nfull",
+     .late_by = 15ms},
+    {.name = "late copy of an answer",
+     .late_text = "HTTP/1.1 200 OK\r\nRequest-Id: {old}\r\n"
+                  "Response-Signature: s1\r\nContent-Length: 2\r\n\r\nok",
+     .late_by = 15ms},
+};
+
+TEST_CASE("only an answer that names the request ends it", "[refusals]") {
+  RunAll(With(kForeignAnswers, nullptr, {}, false));
+}
+
+const std::vector<Behaviour> kSilences = {
+    {.name = "slow endpoint",
+     .then = Then::kWorksOn,
+     .share = 0.1,
+     .time = 3500ms},
+    {.name = "slow endpoint that ignores a half-close",
+     .then = Then::kWorksOn,
+     .share = 0.1,
+     .time = 3500ms,
+     .ignores_half_close = true},
+    {.name = "endpoint stands still for 1 s",
+     .then = Then::kStandsStill,
+     .share = 0.1,
+     .time = 1000ms},
+    {.name = "endpoint stands still for 2 s",
+     .then = Then::kStandsStill,
+     .share = 0.1,
+     .time = 2000ms},
+    {.name = "endpoint stands still for 3 s",
+     .then = Then::kStandsStill,
+     .share = 0.1,
+     .time = 3000ms},
+};
+
+TEST_CASE("an endpoint that is given up stops before another one goes on",
+          "[silence]") {
+  RunAll(With(kSilences, nullptr, {.requests_per_second = 60}, false));
+  RunAll(With({{.name = "callers that leave slow endpoints that ignore a "
+                        "half-close",
+                .then = Then::kWorksOn,
+                .share = 0.5,
+                .time = 1200ms,
+                .ignores_half_close = true}},
+              nullptr, {.leaving_share = 0.3}, false));
+}
+
+void StandStill(OnceFleet* fleet, size_t tick) {
+  if (tick % 12 == 0) {
+    const size_t host = tick / 12 % fleet->hosts();
+    fleet->StandStill(host,
+                      core::milliseconds(50 + fleet->random().Below(900)));
+  }
+}
+
+void Stop(OnceFleet* fleet, size_t tick) {
+  if (tick % 16 == 8) {
+    fleet->Signal(tick / 16 % fleet->hosts(), SIGTERM);
+  }
+  if (tick % 48 == 20) {
+    fleet->Signal(tick / 48 % fleet->hosts(), SIGTERM);
+  }
+}
+
+void Kill(OnceFleet* fleet, size_t tick) {
+  if (tick % 12 == 6) {
+    fleet->Signal(tick / 12 % fleet->hosts(), SIGKILL);
+  }
+}
+
+void StepClocks(OnceFleet* fleet, size_t tick) {
+  if (tick % 5 == 0) {
+    const auto offset =
+        static_cast<int64_t>(fleet->random().Below(7200)) - 3600;
+    fleet->StepClock(tick / 5 % fleet->hosts(), core::seconds(offset));
+  }
+}
+
+// Listen queues fill up, and empty at about the time of connection attempts.
+void StopAccepting(OnceFleet* fleet, size_t tick) {
+  if (tick % 10 == 2) {
+    OnceEndpoint* endpoint =
+        fleet->endpoints()[tick / 10 % fleet->endpoints().size()].get();
+    endpoint->SetAccepting(false);
+    fleet->CallAfter(core::milliseconds(350 + fleet->random().Below(100)),
+                     [endpoint]() { endpoint->SetAccepting(true); });
+  }
+}
+
+void StandStillAndStopAccepting(OnceFleet* fleet, size_t tick) {
+  StandStill(fleet, tick);
+  StopAccepting(fleet, tick);
+}
+
+const Behaviour kShortConnections = {.name = "", .max_idle = 5ms};
+
+TEST_CASE("hosts that stop, die or stand still break no promise", "[hosts]") {
+  struct Row {
+    const char* name;
+    Disturb disturb;
+    bool are_hosts_disturbed;
+    bool has_load_control;
+  };
+  const Row rows[] = {
+      {"hosts stand still", StandStill, true, false},
+      {"hosts stop in series", Stop, true, false},
+      {"hosts stop, with load control", Stop, true, true},
+      {"hosts are killed", Kill, true, false},
+      {"hosts are killed, with load control", Kill, true, true},
+      {"clocks step", StepClocks, false, false},
+      {"listen queues are full", StopAccepting, false, false},
+      {"hosts stand still, listen queues are full", StandStillAndStopAccepting,
+       true, false},
+  };
+  for (const Row& row : rows) {
+    Path path{.behaviour = kShortConnections,
+              .disturb = row.disturb,
+              .options = {.hosts = 3,
+                          .requests_per_second = 200,
+                          .load_control_enabled = row.has_load_control,
+                          .leaving_share = 0.05},
+              .are_hosts_disturbed = row.are_hosts_disturbed,
+              .time = 5000ms};
+    Run(row.name, path);
+    path.behaviour = {.name = "", .then = Then::kCloses, .share = 0.1};
+    Run(std::string(row.name) + ", connections are closed", path);
+  }
+}
+
+void Cut(OnceFleet* fleet, size_t tick) {
+  if (tick == 4) {
+    fleet->SetCut(0, true);
+  }
+}
+
+void CutAndStandStill(OnceFleet* fleet, size_t tick) {
+  Cut(fleet, tick);
+  if (tick % 20 == 10) {
+    fleet->StandStill(1 + tick / 20 % (fleet->hosts() - 1),
+                      core::milliseconds(100 + fleet->random().Below(1200)));
+  }
+}
+
+void CutAndKill(OnceFleet* fleet, size_t tick) {
+  Cut(fleet, tick);
+  if (tick % 20 == 10) {
+    fleet->Signal(1 + tick / 20 % (fleet->hosts() - 1), SIGKILL);
+  }
+}
+
+void CutAndStop(OnceFleet* fleet, size_t tick) {
+  Cut(fleet, tick);
+  if (tick % 30 == 10) {
+    fleet->Signal(1 + tick / 30 % (fleet->hosts() - 1), SIGTERM);
+  }
+}
+
+TEST_CASE("requests through a carrier keep the promises", "[tunnels]") {
+  const FleetOptions options{.hosts = 3, .requests_per_second = 90};
+  const auto run = [&](const char* name, const Behaviour& behaviour,
+                       Disturb disturb, bool are_hosts_disturbed) {
+    Run(name, {.behaviour = behaviour,
+               .disturb = disturb,
+               .options = options,
+               .are_hosts_disturbed = are_hosts_disturbed,
+               .time = 4500ms});
+  };
+  run("carried", kShortConnections, Cut, false);
+  run("carried, close before the head", kEnds[1], Cut, false);
+  run("carried, refusal cut in its body", kEnds[7], Cut, false);
+  run("carried, refusal without an id", kForeignAnswers[0], Cut, false);
+  run("carried, short failure without an id", kForeignAnswers[6], Cut, false);
+  run("carried, slow endpoint", kSilences[0], Cut, false);
+  run("carried, slow endpoint that ignores a half-close", kSilences[1], Cut,
+      false);
+  run("carriers stand still", kShortConnections, CutAndStandStill, true);
+  run("carriers are killed", kShortConnections, CutAndKill, true);
+  run("carriers stop", kShortConnections, CutAndStop, true);
+}
+
+}  // namespace
+}  // namespace wasabi::once
