An answer that is not the request's closes its connection

Cause: an invalid answer with a short body (no id on a new connection, no signature, 408, 429 or 503 without a promise) ended the attempt, but its connection went back to the pool, so the endpoint never heard that nobody waited. Class: an attempt ends, its connection doesn't; bytes that look like an answer prove nothing about the work.

Change: every invalid answer abandons its attempt, as long ones did before.

--- a/Libraries/LibForwarding/response_relay.cc
+++ b/Libraries/LibForwarding/response_relay.cc
@@ -17,9 +17,6 @@
 constexpr size_t kMaxUnsentBytes = 256U << 10U;
 // Maximum number of bytes between two events of a stream.
 constexpr size_t kMaxEventBytes = 256U << 10U;
-// The body of an invalid answer is read only if it is this short, to keep the
-// connection usable.
-constexpr uint64_t kMaxIgnoredBytes = 64U << 10U;
 
 size_t BytesOf(const http::Headers& headers) {
   size_t bytes = 0;
@@ -92,9 +89,9 @@
   head_ = head;
   head_bytes_ = BytesOf(head.headers);
   RecordHeldBytes();
-  const bool is_short =
-      head.content_length && *head.content_length <= kMaxIgnoredBytes;
-  if (verdict_ == AttemptVerdict::kInvalid && !is_short) {
+  if (verdict_ == AttemptVerdict::kInvalid) {
+    // The endpoint may still work on the request. It stops when the connection
+    // is closed.
     attempt_->Abandon(AttemptEnd::kMalformedAnswer);
   }
 }
