A call that is given up resets its connection

Cause: Cancel closed the connection in an orderly way. A FIN doesn't tell a caller that is gone from one that has sent all; and what the kernel still holds of a request arrives after we gave up.

Change: OriginConnection resets the connection of a call that is cancelled or fails, and so does a carrier whose host ends. Idle connections still close in an orderly way.

--- a/Libraries/LibForwarding/tunnel.cc
+++ b/Libraries/LibForwarding/tunnel.cc
@@ -235,7 +235,9 @@
   timer_.reset();
   host_->Close();
   if (endpoint_stream_ != nullptr) {
-    endpoint_stream_->Close();
+    // The endpoint must not take the end for that of the request alone, and
+    // work on for a host that is gone.
+    endpoint_stream_->Abort();
   }
   std::exchange(on_end_, nullptr)(self);
 }
--- a/Libraries/LibHttp/origin_connection.cc
+++ b/Libraries/LibHttp/origin_connection.cc
@@ -223,16 +223,29 @@
 }
 
 void OriginConnection::Close() {
-  const auto self = std::exchange(self_, nullptr);
+  const auto self = shared_from_this();
+  Release();
+  if (stream_ != nullptr) {
+    stream_->Close();
+  }
+}
+
+void OriginConnection::Reset() {
+  const auto self = shared_from_this();
+  Release();
+  if (stream_ != nullptr) {
+    stream_->Abort();
+  }
+}
+
+void OriginConnection::Release() {
+  self_.reset();
   is_active_ = false;
   callbacks_ = {};
   connect_timer_.reset();
   NoteClosed();
   // The parser may be reading the input now.
   held_.Set(0);
-  if (stream_ != nullptr) {
-    stream_->Close();
-  }
 }
 
 void OriginConnection::Cancel() {
@@ -243,7 +256,7 @@
   // The callbacks may be running now.
   loop_->Post([released = std::make_shared<OriginCallbacks>(
                    std::move(callbacks_))]() {});
-  Close();
+  Reset();
 }
 
 void OriginConnection::SetReading(bool is_reading) {
@@ -419,8 +432,10 @@
     if (const auto client = client_.lock()) {
       (*client)->KeepIdle(self);
     }
-  } else {
+  } else if (end == OriginOutcome::kComplete) {
     Close();
+  } else {
+    Reset();
   }
   if (callbacks->on_end) {
     callbacks->on_end(end);
--- a/Libraries/LibHttp/origin_connection.h
+++ b/Libraries/LibHttp/origin_connection.h
@@ -28,6 +28,10 @@
   // Sends `request`, and connects first if there is no connection yet.
   void Start(const OriginRequest& request, OriginCallbacks callbacks);
   void Close();
+  // Does what Close does, and resets the connection: an endpoint may take an
+  // orderly end for that of the request alone, and bytes that the kernel still
+  // holds would arrive later.
+  void Reset();
 
   void Cancel() override;
   void SetReading(bool is_reading) override;
@@ -69,6 +73,8 @@
   // Returns whether the responses that precede the expected one exceed their
   // limits.
   bool HasTooMuchBefore() const;
+  // Drops the call and what it holds.
+  void Release();
   void Finish(OriginOutcome end);
 
   core::EventLoop* const loop_;
