The judge counts work for callers that have left, and no work while an endpoint stands still

The row "endpoint stands still for 3 s" failed on: the first endpoint's record spans 3.0 s of standing still, in which the stream went on elsewhere. In the run the first endpoint woke at 3,000 ms and had stopped by 3,020 ms. The check is replaced by one that counts from the moment at which it goes on: it must have stopped 400 ms later (rows of once_judge_test: stops, works on, woke before the other began).

--- a/Tests/Once/once_endpoint.cc
+++ b/Tests/Once/once_endpoint.cc
@@ -199,7 +199,8 @@
   connection->work = std::make_shared<Work>(Work{.request = core::RequestId(id),
                                                  .endpoint = id_,
                                                  .began_at = loop_->Now(),
-                                                 .ended_at = std::nullopt});
+                                                 .ended_at = std::nullopt,
+                                                 .woke_at = std::nullopt});
   record_->works.push_back(connection->work);
   connection->is_stream = !HeaderIn(request, "Prompt-Prefix").empty();
   connection->next_event =
@@ -241,6 +242,7 @@
 
 void OnceEndpoint::Serve(const ConnectionPointer& connection) {
   if (std::exchange(connection->is_still, false)) {
+    connection->work->woke_at = loop_->Now();
     // What has arrived meanwhile is read first.
     connection->watcher->SetInterest(true, false);
     CallAfter(connection, kServiceTime, &OnceEndpoint::Serve);
--- a/Tests/Once/once_judge.cc
+++ b/Tests/Once/once_judge.cc
@@ -23,8 +23,10 @@
   core::Duration longest{};
   for (size_t i = 0; i + 1 < works.size(); ++i) {
     for (size_t k = i + 1; k < works.size(); ++k) {
-      const core::TimePoint first_end = works[i]->ended_at.value_or(now);
-      longest = std::max(longest, first_end - works[k]->began_at);
+      const core::TimePoint both_work_from = std::max(
+          works[k]->began_at, works[i]->woke_at.value_or(works[i]->began_at));
+      longest =
+          std::max(longest, works[i]->ended_at.value_or(now) - both_work_from);
     }
   }
   return longest;
@@ -73,6 +75,17 @@
     if (MayRunOnce(it->kind) && PromisesNotRun(it->status) && !works.empty()) {
       add("ran though refused", &verdict.ran_though_refused);
     }
+    const bool works_for_nobody =
+        it->has_left &&
+        std::any_of(works.begin(), works.end(), [&](const WorkPointer& work) {
+          return work->ended_at.value_or(now) -
+                     std::max(it->ended_at,
+                              work->woke_at.value_or(it->ended_at)) >
+                 kMaxOrphanTime;
+        });
+    if (works_for_nobody) {
+      add("ran for nobody", &verdict.ran_for_nobody);
+    }
     const bool ended_unanswered = it->end &&
                                   *it->end != http::OriginOutcome::kComplete &&
                                   it->status == 0 && !it->has_left;
--- a/Tests/Once/once_judge.h
+++ b/Tests/Once/once_judge.h
@@ -16,6 +16,9 @@
 // on it this long after.
 inline constexpr core::Duration kMaxOverlap = core::milliseconds(400);
 
+// An endpoint must not work on for longer after the caller has left.
+inline constexpr core::Duration kMaxOrphanTime = core::milliseconds(500);
+
 struct Verdict {
   // Requests that may run once and began more often.
   size_t ran_twice = 0;
@@ -27,6 +30,9 @@
   size_t ran_though_refused = 0;
   // Calls whose connection ended without a head, though the request began.
   size_t ran_unanswered = 0;
+  // Requests on which an endpoint worked for longer than kMaxOrphanTime after
+  // their caller had left.
+  size_t ran_for_nobody = 0;
   // One line for each of these.
   std::vector<std::string> details;
 };
--- a/Tests/Once/once_judge_test.cc
+++ b/Tests/Once/once_judge_test.cc
@@ -18,6 +18,8 @@
   const char* endpoint;
   core::Duration from;
   core::Duration to;
+  // When the endpoint went on after it had stood still; not if it is zero.
+  core::Duration woke = 0ms;
 };
 
 struct JudgeCase {
@@ -29,6 +31,7 @@
   // Counts of Verdict, in its order.
   size_t twice, overlapped, refused, unanswered;
   bool has_left = false;
+  size_t for_nobody = 0;
 };
 
 constexpr auto kWhole = http::OriginOutcome::kComplete;
@@ -117,6 +120,33 @@
      1,
      0,
      0},
+    {"stood still, and stopped when it woke",
+     RequestKind::kResumableStream,
+     200,
+     kWhole,
+     {{"e1", 0ms, 3020ms, 3000ms}, {"e2", 30ms, 500ms}},
+     0,
+     0,
+     0,
+     0},
+    {"stood still, and worked on when it woke",
+     RequestKind::kResumableStream,
+     200,
+     kWhole,
+     {{"e1", 0ms, 3420ms, 3000ms}, {"e2", 30ms, 500ms}},
+     0,
+     1,
+     0,
+     0},
+    {"woke before the other one began",
+     RequestKind::kResumableStream,
+     200,
+     kWhole,
+     {{"e1", 0ms, 3420ms, 1000ms}, {"e2", 3000ms, 3500ms}},
+     0,
+     1,
+     0,
+     0},
     {"refused after a run",
      RequestKind::kUnsafe,
      503,
@@ -173,6 +203,28 @@
      0,
      0,
      true},
+    {"goes on after the caller has left",
+     RequestKind::kSafe,
+     0,
+     kCut,
+     {{"e1", 0ms, 1200ms}},
+     0,
+     0,
+     0,
+     0,
+     true,
+     1},
+    {"ends soon after the caller has left",
+     RequestKind::kSafe,
+     0,
+     kCut,
+     {{"e1", 0ms, 1000ms}},
+     0,
+     0,
+     0,
+     0,
+     true,
+     0},
     {"cut after its head",
      RequestKind::kSafe,
      200,
@@ -198,18 +250,20 @@
                                     .ended_at = start + 600ms,
                                     .has_left = row.has_left}));
     for (const WorkSpan& it : row.works) {
-      record.works.push_back(std::make_shared<Work>(
-          Work{.request = core::RequestId("a"),
-               .endpoint = it.endpoint,
-               .began_at = start + it.from,
-               .ended_at =
-                   it.to < 0ms ? std::nullopt : std::optional(start + it.to)}));
+      record.works.push_back(std::make_shared<Work>(Work{
+          .request = core::RequestId("a"),
+          .endpoint = it.endpoint,
+          .began_at = start + it.from,
+          .ended_at = it.to < 0ms ? std::nullopt : std::optional(start + it.to),
+          .woke_at =
+              it.woke == 0ms ? std::nullopt : std::optional(start + it.woke)}));
     }
     const Verdict verdict = Judge(record, start + 5000ms);
     CHECK(verdict.ran_twice == row.twice);
     CHECK(verdict.overlapped == row.overlapped);
     CHECK(verdict.ran_though_refused == row.refused);
     CHECK(verdict.ran_unanswered == row.unanswered);
+    CHECK(verdict.ran_for_nobody == row.for_nobody);
   }
 }
 
--- a/Tests/Once/once_record.h
+++ b/Tests/Once/once_record.h
@@ -43,6 +43,8 @@
   // When it was done, or when the endpoint noticed that its connection was
   // closed; nullopt while it goes on.
   std::optional<core::TimePoint> ended_at;
+  // When the endpoint went on, if it stood still; it does no work until then.
+  std::optional<core::TimePoint> woke_at;
 };
 
 // One request of a caller, and how it ended.
--- a/Tests/Once/requests_run_once_test.cc
+++ b/Tests/Once/requests_run_once_test.cc
@@ -55,11 +55,12 @@
   const Verdict verdict = Judge(fleet.record(), fleet.loop()->Now());
   std::cout << fmt::format(
                    "{}: calls={} served={} affected={} twice={} overlapped={} "
-                   "refused={} unanswered={} longest_overlap_ms={}\n",
+                   "refused={} unanswered={} for_nobody={} "
+                   "longest_overlap_ms={}\n",
                    name, fleet.record().calls.size(), fleet.served(),
                    fleet.record().affected, verdict.ran_twice,
                    verdict.overlapped, verdict.ran_though_refused,
-                   verdict.ran_unanswered,
+                   verdict.ran_unanswered, verdict.ran_for_nobody,
                    core::ToMilliseconds(verdict.longest_overlap))
             << std::flush;
   std::string details;
@@ -72,6 +73,7 @@
   CHECK(verdict.ran_though_refused == 0);
   if (!path.are_hosts_disturbed) {
     CHECK(verdict.ran_unanswered == 0);
+    CHECK(verdict.ran_for_nobody == 0);
   }
   if (path.behaviour.share > 0) {
     CHECK(fleet.record().affected > 0);
