One record decides whether a request may be sent and whether its caller may be told that it has not run

Change: ExecutionRecord holds a typed state (never sent, refused by its endpoints, sent, unknown) that follows from the sends alone and can't go back from unknown. The transport asks it right before the first byte (OriginCallbacks::may_send): false after a promise, and for what may run once while an endpoint may have it; the send is then withheld (event 327). A request whose connection is not open yet at its deadline or at a stop is now refused, which is true, instead of failed. request_ended tells the state.

--- a/Libraries/LibCore/event.cc
+++ b/Libraries/LibCore/event.cc
@@ -106,7 +106,8 @@
      "evacuation stays in force for a limited time."},
     {EventCode::kSendWithheld, "send_withheld",
      "A request was not sent because the data centre of its endpoint was "
-     "evacuated after the endpoint was chosen."},
+     "evacuated after the endpoint was chosen, or because the request may have "
+     "run and must not run again."},
     {EventCode::kPoolSlotDenied, "pool_slot_denied",
      "A request was refused because the fleet's requests take every slot of "
      "its pool, and waiting for one would take too long."},
--- a/Libraries/LibForwarding/forward_attempt.cc
+++ b/Libraries/LibForwarding/forward_attempt.cc
@@ -65,11 +65,10 @@
            self->context_->endpoint_protocol->IsAnswerTo(
                self->request_, head, self->call_->is_reused());
   };
-  origin.on_sending =
+  origin.may_send =
       [weak, remaining = options.remaining](const http::ConnectionUse& use) {
-        if (const auto self = weak.lock()) {
-          self->RecordSend(use, remaining);
-        }
+        const auto self = weak.lock();
+        return self != nullptr && self->BeginSend(use, remaining);
       };
   origin.on_head = [weak](const http::MessageHead& head) {
     if (const auto self = weak.lock()) {
@@ -89,15 +88,19 @@
   call_ = context_->client->Send(request, std::move(origin));
 }
 
-void ForwardAttempt::RecordSend(const http::ConnectionUse& use,
-                                core::Duration remaining) const {
+bool ForwardAttempt::BeginSend(const http::ConnectionUse& use,
+                               core::Duration remaining) {
+  const bool may_send = callbacks_.may_send();
   context_->events->Record(
-      core::EventCode::kAttemptStarted, request_.id.value(),
+      may_send ? core::EventCode::kAttemptStarted
+               : core::EventCode::kSendWithheld,
+      request_.id.value(),
       fmt::format("endpoint={} carrier={} connection={} call={} "
                   "remaining_ms={} after_event={}",
                   endpoint_.id.value(), carrier_name(), use.connection,
                   use.call, core::ToMilliseconds(remaining),
                   options_.resume_after.value_or(0)));
+  return may_send;
 }
 
 void ForwardAttempt::PostFinish(AttemptEnd end) {
@@ -199,6 +202,9 @@
     case http::OriginOutcome::kEndpointUnavailable:
       Send();
       return;
+    case http::OriginOutcome::kWithheld:
+      Finish(AttemptEnd::kWithheld);
+      return;
     case http::OriginOutcome::kCut:
       FinishCut();
       return;
--- a/Libraries/LibForwarding/forward_attempt.h
+++ b/Libraries/LibForwarding/forward_attempt.h
@@ -28,6 +28,8 @@
   kAnswered,
   // The request was not sent, so it did not run.
   kNotSent,
+  // The request must not be sent any more.
+  kWithheld,
   // As kNotSent, because this host's path is lost and no other host can carry
   // the request.
   kNoPath,
@@ -45,6 +47,9 @@
 class ForwardAttempt : public std::enable_shared_from_this<ForwardAttempt> {
  public:
   struct Callbacks {
+    // Asked right before the first byte of the request is sent. Returns whether
+    // it may be sent.
+    std::function<bool()> may_send;
     std::function<void(AttemptVerdict verdict, const http::MessageHead& head)>
         on_head;
     std::function<void(std::string_view piece)> on_body;
@@ -103,9 +108,9 @@
   void PostFinish(AttemptEnd end);
   // Sets the way through a carrier. Returns false if none is left.
   bool ChooseCarrier(http::OriginRequest* request);
-  // Records over which connection the request is sent.
-  void RecordSend(const http::ConnectionUse& use,
-                  core::Duration remaining) const;
+  // Records over which connection the request is sent, or that it must not be.
+  // Returns whether it may be sent.
+  bool BeginSend(const http::ConnectionUse& use, core::Duration remaining);
   void OnHead(const http::MessageHead& head);
   void OnCallEnd(http::OriginOutcome end);
   void OnNotSent();
--- a/Libraries/LibForwarding/forward_session.cc
+++ b/Libraries/LibForwarding/forward_session.cc
@@ -34,6 +34,7 @@
       transaction_(std::move(transaction)),
       request_(std::move(request)),
       fingerprint_(FingerprintOf(request_)),
+      execution_(request_.route->repeat != RepeatPolicy::kAtMostOnce),
       chooser_(context, request_),
       answer_deadline_(request_.AnswerDue()) {
   context_->active_requests.Add(this);
@@ -55,7 +56,7 @@
           .on_asking = WhileAlive(&ForwardSession::LeaveQueue),
           .on_decided = WhileAlive(&ForwardSession::OnClearance)});
   retry_rule_ = std::make_unique<RetryRule>(context_, request_, *transaction_,
-                                            chooser_, *clearance_);
+                                            chooser_, *clearance_, execution_);
   wait_ = std::make_shared<RequestWait>(
       context_, request_, &chooser_, answer_deadline_,
       RequestWait::Callbacks{
@@ -246,6 +247,10 @@
 
 ForwardAttempt::Callbacks ForwardSession::AttemptCallbacks() {
   ForwardAttempt::Callbacks callbacks = relay_->AttemptCallbacks();
+  callbacks.may_send = [weak = weak_from_this()]() {
+    const auto self = weak.lock();
+    return self != nullptr && self->execution_.BeginSend();
+  };
   callbacks.is_replaceable = [weak = weak_from_this()]() {
     const auto self = weak.lock();
     return self == nullptr ||
@@ -275,8 +280,19 @@
   }
 }
 
+void ForwardSession::RecordExecution(AttemptEnd end) {
+  // An attempt that sent nothing has left the record as it was.
+  if (end == AttemptEnd::kAnswered &&
+      relay_->verdict() == AttemptVerdict::kNotRun) {
+    execution_.RecordRefusal();
+  } else {
+    execution_.RecordUnknown();
+  }
+}
+
 void ForwardSession::OnAttemptEnd(AttemptEnd end) {
   last_end_ = end;
+  RecordExecution(end);
   if (end != AttemptEnd::kAnswered ||
       relay_->verdict() != AttemptVerdict::kSuccess) {
     RecordFailedAttempt(*context_, request_, *attempt_, *relay_, end,
@@ -289,6 +305,10 @@
     case AttemptEnd::kNotSent:
       OnAttemptNotRun("the endpoint is unreachable");
       return;
+    case AttemptEnd::kWithheld:
+      Fail(core::ResultCode::kOutcomeUnknown,
+           "the request may have run, and must not run again");
+      return;
     case AttemptEnd::kNoPath:
       OnNoPath();
       return;
@@ -427,6 +447,10 @@
 }
 
 void ForwardSession::Refuse(const absl::Status& status) {
+  if (!execution_.PromiseNotRun()) {
+    Fail(core::ResultCode::kOutcomeUnknown, core::MessageOf(status));
+    return;
+  }
   transaction_->Respond(context_->caller_protocol->EncodeError(status));
   ++context_->metrics->Counter("forward_refusals");
   End(core::Describe(core::CodeOf(status)).name, true);
@@ -449,8 +473,7 @@
 }
 
 void ForwardSession::OnDeadline() {
-  const bool has_sent = attempt_ != nullptr && attempt_->is_active();
-  if (has_sent || retry_rule_->MayHaveRun()) {
+  if (retry_rule_->MayHaveRun()) {
     Fail(core::ResultCode::kDeadlineExceeded, "the deadline has passed");
     return;
   }
@@ -462,7 +485,7 @@
   const bool has_sent = attempt_ != nullptr && attempt_->is_active();
   RecordInterrupted(*context_, request_, *relay_,
                     has_sent ? attempt_.get() : nullptr, stop_began_at);
-  if (has_sent || retry_rule_->MayHaveRun()) {
+  if (retry_rule_->MayHaveRun()) {
     Fail(core::ResultCode::kOutcomeUnknown, "the host shuts down");
     return;
   }
@@ -500,6 +523,7 @@
   RecordRequestEnd(*context_, request_, *relay_,
                    {.outcome = outcome,
                     .is_promised_not_run = is_promised_not_run,
+                    .execution = execution_.state(),
                     .attempt = attempt_.get(),
                     .prompt_source = prompt_source_,
                     .sends = clearance_->sends(),
--- a/Libraries/LibForwarding/forward_session.h
+++ b/Libraries/LibForwarding/forward_session.h
@@ -5,6 +5,7 @@
 //   StreamResumption  finds where a resumed stream began
 //   SendClearance     chooses endpoints and obtains slots, places and permits
 //   RequestWait       queues the request while all endpoints are full
+//   ExecutionRecord   knows whether the request may have run
 //   RetryRule         decides whether the request may be sent again
 //   ForwardAttempt    sends the request to one endpoint
 //   ResponseRelay     relays the answer to the caller
@@ -20,6 +21,7 @@
 
 #include "LibForwarding/active_requests.h"
 #include "LibForwarding/endpoint_chooser.h"
+#include "LibForwarding/execution_record.h"
 #include "LibForwarding/forward_attempt.h"
 #include "LibForwarding/forward_context.h"
 #include "LibForwarding/forward_request.h"
@@ -91,6 +93,8 @@
   // Handles that new events of a stream were relayed.
   void OnEvent();
   void OnAttemptEnd(AttemptEnd end);
+  // Records what the end of the attempt tells of the request's execution.
+  void RecordExecution(AttemptEnd end);
   void OnAnswered();
   // Handles that neither this host nor another one could send the request.
   void OnNoPath();
@@ -111,7 +115,8 @@
   void Refuse(core::ResultCode code,
               std::string_view message,
               core::Duration retry_after);
-  // The request has not run and will not run.
+  // Promises that the request has not run and never will; fails it if it may
+  // have run.
   void Refuse(const absl::Status& status);
   void Fail(core::ResultCode code, std::string_view message);
   void OnHopeless(core::Duration retry_after);
@@ -139,6 +144,7 @@
   const std::shared_ptr<http::Transaction> transaction_;
   const ForwardRequest request_;
   const RequestFingerprint fingerprint_;
+  ExecutionRecord execution_;
   EndpointChooser chooser_;
   const core::TimePoint answer_deadline_;
   std::shared_ptr<ForwardSession> self_;
--- a/Libraries/LibForwarding/request_events.cc
+++ b/Libraries/LibForwarding/request_events.cc
@@ -14,6 +14,8 @@
       return "answered";
     case AttemptEnd::kNotSent:
       return "not_sent";
+    case AttemptEnd::kWithheld:
+      return "withheld";
     case AttemptEnd::kNoPath:
       return "no_path";
     case AttemptEnd::kCut:
@@ -112,14 +114,15 @@
   context.events->Record(
       core::EventCode::kRequestEnded, request.id.value(),
       fmt::format(
-          "outcome={} promise={} endpoint={} software={} carrier={} "
+          "outcome={} promise={} execution={} endpoint={} software={} "
+          "carrier={} "
           "connection={} call={} resumed={} "
           "prompt_source={} framing={} "
           "partial_event_bytes={} sends={} runs={} ms={} version={} "
           "endpoints_age_ms={}",
           summary.outcome, summary.is_promised_not_run ? "not_run" : "none",
-          endpoint, software, carrier, use.connection, use.call,
-          request.resume_after.has_value(),
+          NameOf(summary.execution), endpoint, software, carrier,
+          use.connection, use.call, request.resume_after.has_value(),
           summary.prompt_source.empty() ? "none"
                                         : summary.prompt_source.value(),
           relay.framing_name(), relay.partial_event_bytes(), summary.sends,
--- a/Libraries/LibForwarding/request_events.h
+++ b/Libraries/LibForwarding/request_events.h
@@ -7,6 +7,7 @@
 #include <string_view>
 
 #include "LibCore/identifier.h"
+#include "LibForwarding/execution_record.h"
 #include "LibForwarding/forward_attempt.h"
 #include "LibForwarding/forward_context.h"
 #include "LibForwarding/forward_request.h"
@@ -37,6 +38,7 @@
   std::string_view outcome;
   // The caller was told that the request has not run and never will.
   bool is_promised_not_run = false;
+  ExecutionState execution = ExecutionState::kNeverSent;
   // The latest attempt; nullptr if there was none.
   const ForwardAttempt* attempt = nullptr;
   // The endpoint from which the latest attempt's endpoint copied the prompt;
--- a/Libraries/LibForwarding/retry_rule.h
+++ b/Libraries/LibForwarding/retry_rule.h
@@ -9,6 +9,7 @@
 #include <memory>
 
 #include "LibForwarding/endpoint_chooser.h"
+#include "LibForwarding/execution_record.h"
 #include "LibForwarding/forward_context.h"
 #include "LibForwarding/forward_request.h"
 #include "LibForwarding/send_clearance.h"
@@ -23,19 +24,21 @@
             const ForwardRequest& request,
             const http::Transaction& transaction,
             const EndpointChooser& chooser,
-            const SendClearance& clearance)
+            const SendClearance& clearance,
+            const ExecutionRecord& execution)
       : context_(context),
         request_(request),
         transaction_(transaction),
         chooser_(chooser),
-        clearance_(clearance) {}
+        clearance_(clearance),
+        execution_(execution) {}
 
   // Records that the latest attempt may have run.
   void RecordRun() { ++runs_; }
   // Returns the number of attempts that may have run.
   uint32_t runs() const { return runs_; }
   // Returns whether an attempt may have run.
-  bool MayHaveRun() const { return runs_ > 0 || transaction_.is_started(); }
+  bool MayHaveRun() const { return execution_.MayHaveRun(); }
 
   // Returns whether the request may be sent again after an attempt that has not
   // run. If the endpoint was sent the request, a retry is taken from the
@@ -57,6 +60,7 @@
   const http::Transaction& transaction_;
   const EndpointChooser& chooser_;
   const SendClearance& clearance_;
+  const ExecutionRecord& execution_;
   uint32_t runs_ = 0;
 };
 
--- a/Libraries/LibHttp/origin_client.h
+++ b/Libraries/LibHttp/origin_client.h
@@ -59,6 +59,8 @@
   // reached or cannot carry requests, or it must not send this endpoint any.
   kCarrierUnavailable,
   kEndpointUnavailable,
+  // `may_send` returned false, so no byte of the request was sent.
+  kWithheld,
   // The connection closed before the response was complete. The endpoint may
   // have processed the request.
   kCut,
@@ -83,9 +85,9 @@
 // The callbacks of OriginClient::Send. They run on the event loop; none runs
 // after OriginCall::Cancel.
 struct OriginCallbacks {
-  // Called right before the first byte of the request is passed to the kernel,
-  // in Send itself if a connection is open.
-  std::function<void(const ConnectionUse& use)> on_sending;
+  // Asked right before the first byte of the request is passed to the kernel,
+  // in Send itself if a connection is open. Returns whether it may be sent.
+  std::function<bool(const ConnectionUse& use)> may_send;
   // Returns true if a response with this head belongs to the request. Other
   // responses are skipped, because the expected one may follow them.
   std::function<bool(const MessageHead& head)> is_expected;
@@ -134,8 +136,8 @@
   OriginClient(const OriginClient&) = delete;
   OriginClient& operator=(const OriginClient&) = delete;
 
-  // Sends `request` exactly once, without retries. All callbacks but
-  // `on_sending` run in later turns of the loop.
+  // Sends `request` exactly once, without retries. All callbacks but `may_send`
+  // run in later turns of the loop.
   std::shared_ptr<OriginCall> Send(const OriginRequest& request,
                                    OriginCallbacks callbacks);
 
--- a/Libraries/LibHttp/origin_connection.cc
+++ b/Libraries/LibHttp/origin_connection.cc
@@ -106,8 +106,12 @@
 }
 
 void OriginConnection::SendRequest() {
-  if (callbacks_.on_sending) {
-    callbacks_.on_sending(use());
+  if (callbacks_.may_send && !callbacks_.may_send(use())) {
+    unsent_request_ = {};
+    loop_->Post([self = shared_from_this()]() {
+      self->Finish(OriginOutcome::kWithheld);
+    });
+    return;
   }
   stream_->Write(std::exchange(unsent_request_, {}));
 }
