Soak: endpoints write copies of refusals while they work on requests

Change: the fault endpoint_copies_refusals in two families: a 503 with the promise but without an id, 600 ms of work, then the answer.

--- a/Tests/Soak/fault_plan.h
+++ b/Tests/Soak/fault_plan.h
@@ -59,6 +59,8 @@
   kEndpointAnswersUnframed,
   // The endpoint sends bytes that are no answer, without end.
   kEndpointSendsEndlessly,
+  // The endpoint writes copies of refusals while it works on requests.
+  kEndpointCopiesRefusals,
   // The endpoint refuses requests and asks for a pause.
   kEndpointPauses,
   kResetEndpointConnections,
--- a/Tests/Soak/soak_run.cc
+++ b/Tests/Soak/soak_run.cc
@@ -206,6 +206,7 @@
                    &SoakRun::SlowEndpoint,
                    &SoakRun::AnswerUnframed,
                    &SoakRun::SendEndlessly,
+                   &SoakRun::CopyRefusals,
                    &SoakRun::PauseEndpoint,
                    &SoakRun::ResetEndpointConnections,
                    &SoakRun::SilenceEndpointConnections,
@@ -426,6 +427,11 @@
                        action.duration);
 }
 
+void SoakRun::CopyRefusals(const FaultAction& action) {
+  endpoints_.SetFaults(action.target, {.copied_refusal_share = kFaultShare},
+                       action.duration);
+}
+
 void SoakRun::PauseEndpoint(const FaultAction& action) {
   endpoints_.SetFaults(action.target, {.pause_share = kFaultShare},
                        action.duration);
--- a/Tests/Soak/soak_run.h
+++ b/Tests/Soak/soak_run.h
@@ -86,6 +86,7 @@
   void SlowEndpoint(const FaultAction& action);
   void AnswerUnframed(const FaultAction& action);
   void SendEndlessly(const FaultAction& action);
+  void CopyRefusals(const FaultAction& action);
   void PauseEndpoint(const FaultAction& action);
   void ResetEndpointConnections(const FaultAction& action);
   void SilenceEndpointConnections(const FaultAction& action);
--- a/Tests/Support/PlatformEndpoint/platform_endpoint.cc
+++ b/Tests/Support/PlatformEndpoint/platform_endpoint.cc
@@ -18,6 +18,8 @@
 constexpr core::Duration kPause = core::milliseconds(1500);
 // Time between two pieces of an answer without end.
 constexpr core::Duration kJunkPeriod = core::milliseconds(5);
+// Time for which an endpoint works on after the copy of a refusal.
+constexpr core::Duration kTimeAfterCopy = core::milliseconds(600);
 constexpr int kOk = 200;
 constexpr int kMisdirected = 421;
 constexpr int kInternalError = 500;
@@ -49,6 +51,8 @@
   core::RequestId stream;
   // Sends bytes that are no answer, until the client closes the connection.
   bool is_endless = false;
+  // The connection, once the copy of a refusal was written on it.
+  std::shared_ptr<http::TcpStream> stream_after_copy;
 };
 
 absl::StatusOr<std::unique_ptr<PlatformEndpoint>> PlatformEndpoint::Create(
@@ -79,6 +83,9 @@
   const std::set<SessionPointer> sessions = sessions_;
   for (const SessionPointer& it : sessions) {
     it->transaction->Abort();
+    if (it->stream_after_copy != nullptr) {
+      it->stream_after_copy->Abort();
+    }
     End(it, RunEnd::kCut);
   }
 }
@@ -211,7 +218,9 @@
     if (it == nullptr) {
       return;
     }
-    if (it->is_endless) {
+    if (it->stream_after_copy != nullptr) {
+      AnswerAfterCopy(it);
+    } else if (it->is_endless) {
       StartEndless(it);
     } else if (!IsStream(*it->run)) {
       AnswerPlain(it);
@@ -221,6 +230,11 @@
       SendEvent(it);
     }
   });
+  if (HarmfulPartIn(run->headers).empty() &&
+      random_.Unit() < faults_.copied_refusal_share) {
+    CopyRefusal(session);
+    return;
+  }
   session->timer->StartOnce(faults_.delay +
                             (IsStream(*run) ? kFirstEventTime : kServiceTime));
 }
@@ -240,6 +254,50 @@
   session->timer->StartOnce(kJunkPeriod);
 }
 
+void PlatformEndpoint::CopyRefusal(const SessionPointer& session) {
+  session->stream_after_copy = session->transaction->TakeOver();
+  if (session->stream_after_copy == nullptr) {
+    End(session, RunEnd::kCancelled);
+    return;
+  }
+  const std::weak_ptr<Session> weak = session;
+  http::TcpStream::Callbacks callbacks;
+  callbacks.on_data = [](std::string_view /*bytes*/) {};
+  callbacks.on_end = [this, weak](http::TcpStream::End /*end*/) {
+    if (const auto it = weak.lock()) {
+      End(it, RunEnd::kCancelled);
+    }
+  };
+  session->stream_after_copy->SetCallbacks(std::move(callbacks));
+  session->stream_after_copy->Write(
+      fmt::format("HTTP/1.1 {} X\r\n{}: 1\r\nContent-Length: 4\r\n\r\nfull",
+                  kUnavailable, adapter::kNotExecutedHeader));
+  session->timer->StartOnce(kTimeAfterCopy);
+}
+
+void PlatformEndpoint::AnswerAfterCopy(const SessionPointer& session) {
+  EndpointRun* run = session->run.get();
+  std::string body;
+  if (IsStream(*run)) {
+    for (uint64_t i = session->next_event; i <= EventCountOf(session->stream);
+         ++i) {
+      body += EventOf(session->stream, i, run->software_version);
+    }
+  } else {
+    body = PlainAnswerOf(run->request);
+  }
+  const http::Headers headers = AnswerHeaders(run);
+  std::string text = fmt::format("HTTP/1.1 {} OK\r\n", kOk);
+  for (const auto& [name, value] : headers.fields()) {
+    text += fmt::format("{}: {}\r\n", name, value);
+  }
+  text += fmt::format(
+      "Content-Type: {}\r\nConnection: close\r\nContent-Length: {}\r\n\r\n",
+      IsStream(*run) ? "text/event-stream" : "text/plain", body.size());
+  session->stream_after_copy->Write(text + body);
+  End(session, RunEnd::kAnswered);
+}
+
 void PlatformEndpoint::StartBody(const SessionPointer& session,
                                  const http::Headers& headers) {
   if (random_.Unit() < faults_.unframed_share) {
@@ -320,6 +378,8 @@
   session->run->end = end;
   session->run->ended_at = loop_->Now();
   session->timer.reset();
+  // One of its callbacks may be running now.
+  loop_->Post([session]() {});
 }
 
 }  // namespace wasabi::support
