Tests: bytes without end through a carrier and for callers of HTTP/1.0; libcurl sends what needs a fresh connection once

A call of libcurl that must not be repeated (needs_fresh_connection) reaches a server that closes without an answer once, also beside a kept connection.

--- a/Tests/ForwardedStreams/endless_answer_test.cc
+++ b/Tests/ForwardedStreams/endless_answer_test.cc
@@ -6,7 +6,9 @@
 #include <string>
 #include <vector>
 
+#include "Tests/Support/ForwarderFixture/carried_host.h"
 #include "Tests/Support/ForwarderFixture/forwarder_fixture.h"
+#include "Tests/Support/ForwarderFixture/raw_caller.h"
 
 namespace wasabi::forwarder {
 namespace {
@@ -164,7 +166,38 @@
   };
 }
 
+void CheckCutOff(ForwarderFixture& it, const EndlessCase& row) {
+  INFO(row.what);
+  it.script = {row.head};
+  const core::TimePoint started_at = it.loop.Now();
+  Flood flood(&it, row.piece);
+  const CallerResult result = it.Get(row.target);
+  REQUIRE(result.end.has_value());
+  CHECK(it.loop.Now() - started_at < kMaxTime);
+  CHECK(result.status == row.status);
+  const bool is_whole = result.end == http::OriginOutcome::kComplete;
+  CHECK(is_whole == (row.status != 200));
+  CHECK(it.RunUntil([&]() { return it.first.open() + it.second.open() == 0; }));
+  CHECK(flood.written_bytes() < kMaxBytes);
+  CHECK(Metrics(it).find(std::string(row.counter) + " 1") != std::string::npos);
+}
+
 TEST_CASE("an endpoint that sends bytes without end is cut off") {
+  for (const EndlessCase& row : Cases()) {
+    ForwarderFixture it;
+    it.Configure();
+    CheckCutOff(it, row);
+  }
+}
+
+TEST_CASE("bytes without end through a carrier are cut off") {
+  for (const EndlessCase& row : Cases()) {
+    support::CarriedHost host;
+    CheckCutOff(host.fixture, row);
+  }
+}
+
+TEST_CASE("bytes without end for a caller of HTTP/1.0 are cut off") {
   for (const EndlessCase& row : Cases()) {
     INFO(row.what);
     ForwarderFixture it;
@@ -172,17 +205,19 @@
     it.script = {row.head};
     const core::TimePoint started_at = it.loop.Now();
     Flood flood(&it, row.piece);
-    const CallerResult result = it.Get(row.target);
-    REQUIRE(result.end.has_value());
+    support::RawCaller caller(&it);
+    caller.Write(std::string("GET ") + row.target +
+                 " HTTP/1.0\r\nHost: a.test\r\nRequest-Id: id1\r\n"
+                 "Authorization: Bearer k1\r\nDeadline-Ms: 1500\r\n\r\n");
+    REQUIRE(it.RunUntil([&]() { return caller.end().has_value(); }));
     CHECK(it.loop.Now() - started_at < kMaxTime);
-    CHECK(result.status == row.status);
-    const bool is_whole = result.end == http::OriginOutcome::kComplete;
-    CHECK(is_whole == (row.status != 200));
+    // Only a reset tells that an answer is cut.
+    CHECK((caller.end() == http::TcpStream::End::kBroken) ==
+          (row.status == 200));
+    CHECK(caller.received().size() < kMaxBytes);
     CHECK(
         it.RunUntil([&]() { return it.first.open() + it.second.open() == 0; }));
     CHECK(flood.written_bytes() < kMaxBytes);
-    CHECK(Metrics(it).find(std::string(row.counter) + " 1") !=
-          std::string::npos);
   }
 }
 
--- a/Tests/LibHttp/reused_connection_test.cc
+++ b/Tests/LibHttp/reused_connection_test.cc
@@ -27,8 +27,10 @@
 core::ResultCode Fetch(core::EventLoop& loop,
                        Client& client,
                        const core::SocketAddress& address,
-                       const std::string& target) {
+                       const std::string& target,
+                       bool needs_fresh_connection = false) {
   ClientRequest request;
+  request.needs_fresh_connection = needs_fresh_connection;
   request.method = "POST";
   request.address = address;
   request.target = target;
@@ -82,5 +84,34 @@
   }
 }
 
+// Guards against a call that must not be repeated and that the library sends
+// again by itself, since the connection had carried one before.
+TEST_CASE("a call that needs a fresh connection reaches its server once") {
+  for (const bool closes_first : {false, true}) {
+    INFO(closes_first);
+    core::EventLoop loop;
+    support::RawServer server(&loop,
+                              support::FreeAddress(support::LoopbackIp(3)));
+    int calls = 0;
+    server.SetResponder([&](const std::string& text) {
+      if (text.starts_with("POST /call")) {
+        ++calls;
+        loop.Post([&server]() { server.CloseAll(); });
+        return std::string();
+      }
+      return std::string("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    });
+    Client client(&loop);
+    CHECK(Fetch(loop, client, server.address(), "/first") ==
+          core::ResultCode::kOk);
+    if (closes_first) {
+      server.CloseAll();
+    }
+    CHECK(Fetch(loop, client, server.address(), "/call", true) ==
+          core::ResultCode::kAnswerTruncated);
+    CHECK(calls == 1);
+  }
+}
+
 }  // namespace
 }  // namespace wasabi::http
