--- a/Tests/Once/once_endpoint.cc
+++ b/Tests/Once/once_endpoint.cc
@@ -249,8 +249,8 @@
     return;
   }
   const std::string head = fmt::format(
-      "HTTP/1.1 200 OK\r\nRequest-Id: {}\r\nResponse-Signature: s1\r\n",
-      connection->work->request.value());
+      "HTTP/1.1 200 OK\r\nRequest-Id: {}\r\nResponse-Signature: s1\r\n{}",
+      connection->work->request.value(), behaviour_.fields);
   if (!connection->is_stream) {
     Write(connection, head + "Content-Length: 2\r\n\r\nok");
     FinishWork(connection);
--- a/Tests/Once/once_endpoint.h
+++ b/Tests/Once/once_endpoint.h
@@ -41,6 +41,8 @@
   double share = 0;
   // Only requests on connections that carried one before.
   bool is_for_reused = false;
+  // Further fields of the heads of answers.
+  const char* fields = "";
   // Written again this long after each answer; nothing if it is empty.
   const char* late_text = "";
   core::Duration late_by = core::Duration::zero();
--- a/Tests/Once/requests_run_once_test.cc
+++ b/Tests/Once/requests_run_once_test.cc
@@ -314,6 +314,7 @@
     Disturb disturb;
     bool are_hosts_disturbed;
     bool has_load_control;
+    const char* fields = "";
   };
   const Row rows[] = {
       {"hosts stand still", StandStill, true, false},
@@ -325,9 +326,14 @@
       {"listen queues are full", StopAccepting, false, false},
       {"hosts stand still, listen queues are full", StandStillAndStopAccepting,
        true, false},
+      // Hosts ask each other for permits, and for the places of endpoints.
+      {"granting hosts stand still", StandStill, true, true,
+       "Server-Limit: 60\r\n"},
+      {"granting hosts are killed", Kill, true, false,
+       "Server-Limit: 60\r\nServer-Brittle: 20\r\n"},
   };
   for (const Row& row : rows) {
-    Path path{.behaviour = kShortConnections,
+    Path path{.behaviour = {.name = "", .fields = row.fields, .max_idle = 5ms},
               .disturb = row.disturb,
               .options = {.hosts = 3,
                           .requests_per_second = 200,
@@ -336,7 +342,8 @@
               .are_hosts_disturbed = row.are_hosts_disturbed,
               .time = 5000ms};
     Run(row.name, path);
-    path.behaviour = {.name = "", .then = Then::kCloses, .share = 0.1};
+    path.behaviour = {
+        .name = "", .then = Then::kCloses, .share = 0.1, .fields = row.fields};
     Run(std::string(row.name) + ", connections are closed", path);
   }
 }
