Tests of tunnels with a host whose links can be cut, in place of a preloaded library

Change: the cut host runs linked_router, the daemon of wasabi_router with links of its own to endpoints (LinkedRecords, shared with the fixture), behind TcpRelay.

--- a/Tests/Once/once_fleet.cc
+++ b/Tests/Once/once_fleet.cc
@@ -1,10 +1,9 @@
 #include "Tests/Once/once_fleet.h"
 
-#include <fcntl.h>
-#include <sys/mman.h>
 #include <unistd.h>
 
 #include <algorithm>
+#include <array>
 #include <csignal>
 #include <cstdlib>
 #include <filesystem>
@@ -36,9 +35,10 @@
 constexpr core::Duration kStreamDeadline = core::milliseconds(6000);
 constexpr core::Duration kMaxLeaveTime = core::milliseconds(300);
 constexpr int kOk = 200;
-// First loopback IP numbers of the store and of the endpoints.
+// First loopback IP numbers of the store, the endpoints and the links.
 constexpr uint32_t kStoreIp = 40;
 constexpr uint32_t kFirstEndpointIp = 80;
+constexpr uint32_t kFirstLinkIp = 110;
 
 struct KindTraits {
   const char* path;
@@ -92,8 +92,6 @@
   uint16_t port = 0;
   std::string settings_path;
   std::string log_path;
-  std::string faults_path;
-  HostFaults* faults = nullptr;
   std::unique_ptr<support::ChildProcess> process;
   core::TimePoint start_at{};
 
@@ -102,6 +100,11 @@
   }
 };
 
+struct OnceFleet::Link {
+  support::LinkFaults faults{1};
+  std::unique_ptr<support::TcpRelay> relay;
+};
+
 OnceFleet::OnceFleet(const FleetOptions& options)
     : options_(options),
       random_(options.seed),
@@ -118,6 +121,9 @@
   }
   store_ = *std::move(store);
   AddEndpoints();
+  if (options_.has_links) {
+    AddLinks();
+  }
   WriteConfiguration();
   WriteRegistrations();
   for (size_t i = 0; i < options_.hosts; ++i) {
@@ -151,7 +157,6 @@
       it->process->Signal(SIGCONT);
     }
     it->process.reset();
-    munmap(it->faults, sizeof(HostFaults));
   }
   if (Environment("WASABI_ONCE_KEEP", "").empty()) {
     std::filesystem::remove_all(folder_);
@@ -159,15 +164,30 @@
 }
 
 void OnceFleet::AddEndpoints() {
-  endpoint_port_ =
-      support::FreeAddress(support::LoopbackIp(kFirstEndpointIp)).port();
   for (size_t i = 0; i < 2 * options_.endpoints; ++i) {
     const auto n = static_cast<uint32_t>(i);
-    const auto address = core::SocketAddress::Parse(fmt::format(
-        "{}:{}", support::LoopbackIp(kFirstEndpointIp + n), endpoint_port_));
-    endpoints_.push_back(
-        std::make_unique<OnceEndpoint>(&loop_, fmt::format("e{}", i), *address,
-                                       &record_, options_.seed * 100 + i));
+    endpoints_.push_back(std::make_unique<OnceEndpoint>(
+        &loop_, fmt::format("e{}", i),
+        support::FreeAddress(support::LoopbackIp(kFirstEndpointIp + n)),
+        &record_, options_.seed * 100 + i));
+  }
+}
+
+void OnceFleet::AddLinks() {
+  std::ofstream file(folder_ + "/links");
+  for (size_t i = 0; i < endpoints_.size(); ++i) {
+    const auto n = static_cast<uint32_t>(i);
+    auto link = std::make_unique<Link>();
+    const core::SocketAddress address =
+        support::FreeAddress(support::LoopbackIp(kFirstLinkIp + n));
+    auto relay = support::TcpRelay::Create(
+        &loop_, address, endpoints_[i]->address(), &link->faults);
+    if (!relay.ok()) {
+      std::abort();
+    }
+    link->relay = *std::move(relay);
+    file << endpoints_[i]->id() << " " << address.ToString() << "\n";
+    links_.push_back(std::move(link));
   }
 }
 
@@ -217,16 +237,6 @@
   host->port = support::FreeAddress(host->ip).port();
   host->settings_path = fmt::format("{}/host-{}.ini", folder_, index);
   host->log_path = fmt::format("{}/host-{}.log", folder_, index);
-  host->faults_path = fmt::format("{}/host-{}.faults", folder_, index);
-  const int descriptor =
-      open(host->faults_path.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600);
-  if (descriptor < 0 || ftruncate(descriptor, sizeof(HostFaults)) != 0) {
-    std::abort();
-  }
-  host->faults = static_cast<HostFaults*>(mmap(nullptr, sizeof(HostFaults),
-                                               PROT_READ | PROT_WRITE,
-                                               MAP_SHARED, descriptor, 0));
-  close(descriptor);
   std::ofstream(host->settings_path) << fmt::format(
       "[interface]\nadapter = platform\n[host]\nid = h{}\ndata_centre = z0\n"
       "[listen]\ncallers = {}\nready = {}\ndiscovery = {}\ngossip = {}\n"
@@ -249,11 +259,13 @@
   const std::string router =
       host->index % 2 == 0 ? first
                            : Environment("WASABI_ONCE_OTHER_ROUTER", first);
-  auto process = support::ChildProcess::Start(
-      {"/usr/bin/env", "LD_PRELOAD=" WASABI_PRELOAD_PATH,
-       fmt::format("{}={}", kHostFaultsVariable, host->faults_path), router,
-       "--settings=" + host->settings_path},
-      host->log_path);
+  std::vector<std::string> command = {router,
+                                      "--settings=" + host->settings_path};
+  if (options_.has_links && host->index == 0) {
+    command = {WASABI_LINKED_ROUTER_PATH, "--settings=" + host->settings_path,
+               "--links=" + folder_ + "/links"};
+  }
+  auto process = support::ChildProcess::Start(command, host->log_path);
   if (!process.ok()) {
     std::abort();
   }
@@ -403,12 +415,11 @@
   CallAfter(time, [this, host]() { Signal(host, SIGCONT); });
 }
 
-void OnceFleet::SetCut(size_t host, bool is_cut) {
-  hosts_[host]->faults->refused_port = is_cut ? endpoint_port_ : 0;
-}
-
-void OnceFleet::StepClock(size_t host, core::Duration offset) {
-  hosts_[host]->faults->clock_offset_ms = core::ToMilliseconds(offset);
+void OnceFleet::CutFirstHost() {
+  for (const auto& it : links_) {
+    it->relay->RefuseConnections();
+    it->relay->ResetAll();
+  }
 }
 
 }  // namespace wasabi::once
--- a/Tests/Once/once_fleet.h
+++ b/Tests/Once/once_fleet.h
@@ -13,9 +13,9 @@
 #include "LibCore/event_loop.h"
 #include "LibCore/random_source.h"
 #include "LibHttp/origin_client.h"
-#include "Tests/Once/host_faults.h"
 #include "Tests/Once/once_endpoint.h"
 #include "Tests/Once/once_record.h"
+#include "Tests/Support/FaultProxy/tcp_relay.h"
 #include "Tests/Support/Fleet/child_process.h"
 #include "Tests/Support/PlatformStore/store_server.h"
 #include "Tests/Support/PlatformStore/watched_log.h"
@@ -28,6 +28,8 @@
   size_t endpoints = 3;
   double requests_per_second = 120;
   bool load_control_enabled = false;
+  // The first host reaches endpoints by links of its own.
+  bool has_links = false;
   // Share of the calls whose caller leaves early.
   double leaving_share = 0;
   uint64_t seed = 1;
@@ -53,9 +55,9 @@
   void Signal(size_t host, int number);
   // SIGSTOP, and SIGCONT after `time`.
   void StandStill(size_t host, core::Duration time);
-  // Refuses, or no longer refuses, the host's new connections to endpoints.
-  void SetCut(size_t host, bool is_cut);
-  void StepClock(size_t host, core::Duration offset);
+  // Resets the connections of the first host to all endpoints, and refuses new
+  // ones. Requires FleetOptions::has_links.
+  void CutFirstHost();
 
   const std::vector<std::unique_ptr<OnceEndpoint>>& endpoints() const {
     return endpoints_;
@@ -70,8 +72,11 @@
 
  private:
   struct Host;
+  // The way of the first host to one endpoint.
+  struct Link;
 
   void AddEndpoints();
+  void AddLinks();
   void WriteConfiguration();
   void WriteRegistrations();
   void AddHost(size_t index);
@@ -88,8 +93,8 @@
   support::WatchedLog log_;
   std::unique_ptr<support::StoreServer> store_;
   OnceRecord record_;
-  uint16_t endpoint_port_ = 0;
   std::vector<std::unique_ptr<OnceEndpoint>> endpoints_;
+  std::vector<std::unique_ptr<Link>> links_;
   std::vector<std::unique_ptr<Host>> hosts_;
   http::OriginClient client_;
   std::vector<std::unique_ptr<core::Timer>> timers_;
