A request reaches its engine once an attempt: libcurl sends none again by itself

Seen (stand-alone router): a request that crashed its engine crashed it twice in one attempt, the second time unseen by the owner.

Change: every attempt at an engine uses a new connection; the field that chose it is gone.

--- a/Services/Router/engine_attempt.cc
+++ b/Services/Router/engine_attempt.cc
@@ -77,7 +77,7 @@
                         request.trace_parent);
   }
   message.body = WithResumeFrom(request.body, request.resume_from);
-  message.needs_fresh_connection = request.needs_fresh_connection;
+  message.needs_fresh_connection = true;
   const std::shared_ptr<EngineAttempt> self = shared_from_this();
   http::ClientCallbacks callbacks;
   callbacks.on_headers = [self](int status, const http::Headers& headers) {
--- a/Services/Router/engine_attempt.h
+++ b/Services/Router/engine_attempt.h
@@ -26,7 +26,6 @@
   std::string body;
   // Index of the first chunk to request; 0 requests the whole answer.
   uint32_t resume_from = 0;
-  bool needs_fresh_connection = false;
   // Requires the answer to carry this request id and attempt number and to
   // finish with the end marker. Only tests disable this.
   bool is_bound = true;
--- a/Services/Router/runner_owner.cc
+++ b/Services/Router/runner_owner.cc
@@ -219,7 +219,6 @@
   request.trace_parent = message.trace_parent;
   request.body = message.body;
   request.resume_from = message.resume_from;
-  request.needs_fresh_connection = message.attempt > 1;
   request.is_bound = !context_->settings->IsDisabled("answer_binding");
   EngineAttemptCallbacks callbacks;
   callbacks.on_chunk = [this, alive = alive_, work](std::string_view payload) {
--- a/Tests/Router/runner_owner_test.cc
+++ b/Tests/Router/runner_owner_test.cc
@@ -65,7 +65,8 @@
     server_.SetResponder([this](const std::string& text) {
       const bool is_poll = text.starts_with("GET /v1/load");
       if (!is_poll) {
-        loop_.Post([this] { Kill(); });
+        ++chats_;
+        loop_.Post([this] { BreakConnections(); });
       }
       return is_poll ? Answer(R"({"running":0,"waiting":0})") : std::string();
     });
@@ -89,6 +90,8 @@
     server_.StopListening();
     server_.CloseAll();
   }
+  // The engine is back at once after a request has crashed it.
+  void RestartAfterCrashes() { is_back_at_once_ = true; }
 
   std::shared_ptr<EndSink> Run(bool is_last_choice) {
     SubmitWork work;
@@ -121,8 +124,17 @@
 
   bool is_up() const { return is_up_; }
   const std::vector<uint64_t>& crashed() const { return crashed_; }
+  // Returns the number of requests that the engine received.
+  int chats() const { return chats_; }
 
  private:
+  void BreakConnections() {
+    if (is_back_at_once_) {
+      server_.CloseAll();
+    } else {
+      Kill();
+    }
+  }
   void SetContext() {
     context_.loop = &loop_;
     context_.data_client = &client_;
@@ -158,6 +170,8 @@
   RouterSettings settings_;
   OwnerContext context_;
   bool is_up_ = false;
+  bool is_back_at_once_ = false;
+  int chats_ = 0;
   std::vector<uint64_t> crashed_;
   std::unique_ptr<core::Timer> watchdog_;
   std::unique_ptr<RunnerOwner> owner_;
@@ -196,5 +210,21 @@
   }
 }
 
+// Guards against a request that the client sends again by itself, so that it
+// crashes an engine twice in one attempt.
+TEST_CASE("a request that crashes its engine reaches it once") {
+  for (const bool has_connection : {false, true}) {
+    INFO("connection used before " << has_connection);
+    OwnedEngine engine;
+    REQUIRE(engine.is_up());
+    engine.RestartAfterCrashes();
+    if (has_connection) {
+      engine.OpenConnection();
+    }
+    engine.Run(/*is_last_choice=*/false);
+    CHECK(engine.chats() == 1);
+  }
+}
+
 }  // namespace
 }  // namespace wasabi::router
