--- a/Tests/Once/once_endpoint.cc
+++ b/Tests/Once/once_endpoint.cc
@@ -331,22 +331,21 @@
   if (connection->descriptor < 0) {
     return;
   }
-  const ConnectionPointer self = connection;
   if (resets) {
     const linger option{.l_onoff = 1, .l_linger = 0};
-    setsockopt(self->descriptor, SOL_SOCKET, SO_LINGER, &option,
+    setsockopt(connection->descriptor, SOL_SOCKET, SO_LINGER, &option,
                sizeof(option));
   }
-  self->watcher.reset();
-  close(self->descriptor);
-  self->descriptor = -1;
-  if (self->work != nullptr) {
-    self->work->ended_at = loop_->Now();
-    self->work.reset();
+  connection->watcher.reset();
+  close(connection->descriptor);
+  connection->descriptor = -1;
+  if (connection->work != nullptr) {
+    connection->work->ended_at = loop_->Now();
+    connection->work.reset();
   }
-  connections_.erase(self);
+  connections_.erase(connection);
   // One of its timers may be running now.
-  loop_->Post([self]() {});
+  loop_->Post([self = connection]() {});
 }
 
 void OnceEndpoint::CallAfter(
--- a/Tests/Once/requests_run_once_test.cc
+++ b/Tests/Once/requests_run_once_test.cc
@@ -86,8 +86,8 @@
   }
 }
 
-// Appends `text` to the name of each path.
-std::vector<Path> With(std::vector<Behaviour> behaviours,
+// Returns a path for each of `behaviours`.
+std::vector<Path> With(const std::vector<Behaviour>& behaviours,
                        Disturb disturb,
                        const FleetOptions& options,
                        bool are_hosts_disturbed) {
