Log lines tell a copy from an answer: sends of one id on a connection, skipped answers, bytes that waited

Lines 300, 302 and 208 name connection and call, but not whether the request had been sent on that connection before, whether answers were read and skipped there, or whether bytes lay there unread when the request went out. Skipped answers and bytes on idle connections left no line at all. Change: a connection remembers the ids of its sends; ConnectionUse adds sends_of_id, skipped and waiting_bytes to these lines, 300 adds the address, 312 is written for each skipped answer and for bytes on an idle connection; counters forward_sends_again_on_connection and forward_answers_skipped. No decision uses them.

--- a/Libraries/LibCore/event.cc
+++ b/Libraries/LibCore/event.cc
@@ -43,13 +43,15 @@
      "A stopping host ended a request whose answer was incomplete; lists how "
      "far it was and when it was taken."},
     {EventCode::kAttemptStarted, "attempt_started",
-     "An attempt was sent to an endpoint; lists its connection and the number "
-     "of calls that it has carried."},
+     "An attempt was sent to an endpoint; lists its connection, the number of "
+     "calls and of sends of this request that it has carried, and the bytes "
+     "that waited there."},
     {EventCode::kAttemptFinished, "attempt_finished",
      "An endpoint finished an attempt."},
     {EventCode::kAttemptFailed, "attempt_failed",
      "An attempt was interrupted or returned an error; lists its connection "
-     "and what its answer was taken for."},
+     "as in 300, the responses that were skipped there, and what its answer "
+     "was taken for."},
     {EventCode::kAttemptResumed, "attempt_resumed",
      "An interrupted response continues at its offset in another attempt."},
     {EventCode::kRequestQueued, "request_queued",
@@ -68,7 +70,8 @@
     {EventCode::kRunnerLeaving, "runner_leaving",
      "A runner is leaving and accepts no new work."},
     {EventCode::kAnswerMismatched, "answer_crossed",
-     "A response to another request or attempt was dropped."},
+     "A response to another request or attempt was dropped, or bytes that "
+     "answer no request."},
     {EventCode::kConnectionSilent, "connection_silent",
      "A connection carried no data while a new one worked."},
     {EventCode::kDigestSuspected, "digest_suspected",
--- a/Libraries/LibForwarding/forward_attempt.cc
+++ b/Libraries/LibForwarding/forward_attempt.cc
@@ -70,6 +70,11 @@
         const auto self = weak.lock();
         return self != nullptr && self->BeginSend(use, remaining);
       };
+  origin.on_skipped = [weak](const http::MessageHead& head) {
+    if (const auto self = weak.lock()) {
+      self->OnSkipped(head);
+    }
+  };
   origin.on_head = [weak](const http::MessageHead& head) {
     if (const auto self = weak.lock()) {
       self->OnHead(head);
@@ -95,14 +100,26 @@
       may_send ? core::EventCode::kAttemptStarted
                : core::EventCode::kSendWithheld,
       request_.id.value(),
-      fmt::format("endpoint={} carrier={} connection={} call={} "
-                  "remaining_ms={} after_event={}",
-                  endpoint_.id.value(), carrier_name(), use.connection,
-                  use.call, core::ToMilliseconds(remaining),
+      fmt::format("endpoint={} address={} carrier={} {} remaining_ms={} "
+                  "after_event={}",
+                  endpoint_.id.value(), endpoint_.address.ToString(),
+                  carrier_name(), http::Describe(use),
+                  core::ToMilliseconds(remaining),
                   options_.resume_after.value_or(0)));
+  if (use.sends_of_id > 1) {
+    ++context_->metrics->Counter("forward_sends_again_on_connection");
+  }
   return may_send;
 }
 
+void ForwardAttempt::OnSkipped(const http::MessageHead& head) {
+  ++context_->metrics->Counter("forward_answers_skipped");
+  context_->events->Record(
+      core::EventCode::kAnswerMismatched, request_.id.value(),
+      fmt::format("endpoint={} carrier={} {} status={}", endpoint_.id.value(),
+                  carrier_name(), http::Describe(use()), head.status));
+}
+
 void ForwardAttempt::PostFinish(AttemptEnd end) {
   context_->loop->Post([weak = weak_from_this(), end]() {
     if (const auto self = weak.lock()) {
--- a/Libraries/LibForwarding/forward_attempt.h
+++ b/Libraries/LibForwarding/forward_attempt.h
@@ -111,6 +111,8 @@
   // Records over which connection the request is sent, or that it must not be.
   // Returns whether it may be sent.
   bool BeginSend(const http::ConnectionUse& use, core::Duration remaining);
+  // Records that a response to another request was skipped.
+  void OnSkipped(const http::MessageHead& head);
   void OnHead(const http::MessageHead& head);
   void OnCallEnd(http::OriginOutcome end);
   void OnNotSent();
--- a/Libraries/LibForwarding/request_events.cc
+++ b/Libraries/LibForwarding/request_events.cc
@@ -63,15 +63,14 @@
   const Endpoint& endpoint = attempt.endpoint();
   context.events->Record(
       core::EventCode::kAttemptFailed, request.id.value(),
-      fmt::format("endpoint={} software={} carrier={} connection={} call={} "
+      fmt::format("endpoint={} software={} carrier={} {} "
                   "end={} status={} verdict={} framing={} "
                   "partial_event_bytes={} ms={} load={} failure_share={:.2f} "
                   "sends={} endpoints_age_ms={}",
                   endpoint.id.value(), endpoint.software_version,
-                  attempt.carrier_name(), attempt.use().connection,
-                  attempt.use().call, NameOf(end), relay.status(),
-                  NameOf(relay.verdict()), relay.framing_name(),
-                  relay.partial_event_bytes(),
+                  attempt.carrier_name(), http::Describe(attempt.use()),
+                  NameOf(end), relay.status(), NameOf(relay.verdict()),
+                  relay.framing_name(), relay.partial_event_bytes(),
                   core::ToMilliseconds(now - attempt.started_at()),
                   context.loads->Load(endpoint.id),
                   context.monitor->FailureShare(endpoint.id, now), sends,
@@ -115,14 +114,12 @@
       core::EventCode::kRequestEnded, request.id.value(),
       fmt::format(
           "outcome={} promise={} execution={} endpoint={} software={} "
-          "carrier={} "
-          "connection={} call={} resumed={} "
-          "prompt_source={} framing={} "
+          "carrier={} {} resumed={} prompt_source={} framing={} "
           "partial_event_bytes={} sends={} runs={} ms={} version={} "
           "endpoints_age_ms={}",
           summary.outcome, summary.is_promised_not_run ? "not_run" : "none",
           NameOf(summary.execution), endpoint, software, carrier,
-          use.connection, use.call, request.resume_after.has_value(),
+          http::Describe(use), request.resume_after.has_value(),
           summary.prompt_source.empty() ? "none"
                                         : summary.prompt_source.value(),
           relay.framing_name(), relay.partial_event_bytes(), summary.sends,
--- a/Libraries/LibHttp/origin_client.cc
+++ b/Libraries/LibHttp/origin_client.cc
@@ -110,6 +110,15 @@
   }
 }
 
+void OriginClient::NoteUnsolicited(const core::SocketAddress& address,
+                                   const ConnectionUse& use,
+                                   size_t bytes) {
+  ++unsolicited_closes_;
+  if (observer_.on_unsolicited) {
+    observer_.on_unsolicited(address, use, bytes);
+  }
+}
+
 std::shared_ptr<OriginConnection> OriginClient::TakeIdle(
     const OriginRequest& request) {
   const auto it = idle_.find(request.address);
--- a/Libraries/LibHttp/origin_client.h
+++ b/Libraries/LibHttp/origin_client.h
@@ -5,7 +5,6 @@
 #ifndef LIBHTTP_ORIGIN_CLIENT_H_
 #define LIBHTTP_ORIGIN_CLIENT_H_
 
-#include <compare>
 #include <deque>
 #include <functional>
 #include <map>
@@ -18,6 +17,7 @@
 
 #include "LibCore/event_loop.h"
 #include "LibCore/socket_address.h"
+#include "LibHttp/connection_use.h"
 #include "LibHttp/message_parser.h"
 #include "LibHttp/tcp_stream.h"
 
@@ -35,6 +35,8 @@
   // If set, the request goes through a new tunnel instead of a connection to
   // `address`.
   std::optional<TunnelRoute> tunnel = std::nullopt;
+  // The id by which responses name the request; empty if they name none.
+  std::string id;
   std::string method;
   std::string target;
   // The client adds Content-Length where it is needed.
@@ -72,16 +74,6 @@
   kOversized,
 };
 
-// Identifies a connection, and the calls on it, in log entries.
-struct ConnectionUse {
-  // The connection's number among those that the client has made.
-  uint64_t connection = 0;
-  // 1 for the first call on it.
-  int call = 0;
-
-  auto operator<=>(const ConnectionUse&) const = default;
-};
-
 // The callbacks of OriginClient::Send. They run on the event loop; none runs
 // after OriginCall::Cancel.
 struct OriginCallbacks {
@@ -91,6 +83,8 @@
   // Returns true if a response with this head belongs to the request. Other
   // responses are skipped, because the expected one may follow them.
   std::function<bool(const MessageHead& head)> is_expected;
+  // A response that belongs to another request is read and skipped.
+  std::function<void(const MessageHead& head)> on_skipped;
   std::function<void(const MessageHead& head)> on_head;
   std::function<void(std::string_view piece)> on_body;
   // The call has ended; this is the last callback.
@@ -123,6 +117,12 @@
   std::function<void(const core::SocketAddress& address)> on_lost;
   // A new connection was refused or timed out. The endpoint may have crashed.
   std::function<void(const core::SocketAddress& address)> on_refused;
+  // `bytes` that answer no request arrived on an idle connection, which was
+  // closed. `use` names its latest call.
+  std::function<void(const core::SocketAddress& address,
+                     const ConnectionUse& use,
+                     size_t bytes)>
+      on_unsolicited;
 };
 
 // Pools idle connections per endpoint. `loop` must outlive the client.
@@ -173,6 +173,10 @@
   void NoteClosed(const core::SocketAddress& address, core::TimePoint at);
   void NoteBroken(const core::SocketAddress& address);
   void NoteRefused(const core::SocketAddress& address);
+  // Handles that an idle connection has brought `bytes`.
+  void NoteUnsolicited(const core::SocketAddress& address,
+                       const ConnectionUse& use,
+                       size_t bytes);
 
   core::EventLoop* const loop_;
   const std::shared_ptr<BufferMemory> memory_;
--- a/Libraries/LibHttp/origin_connection.cc
+++ b/Libraries/LibHttp/origin_connection.cc
@@ -75,8 +75,8 @@
       client_(std::move(client)),
       address_(address),
       memory_(std::move(memory)),
-      number_(number),
-      held_(memory_) {}
+      held_(memory_),
+      use_{.connection = number} {}
 
 void OriginConnection::Start(const OriginRequest& request,
                              OriginCallbacks callbacks) {
@@ -84,10 +84,11 @@
   is_active_ = true;
   self_ = shared_from_this();
   is_head_request_ = request.method == "HEAD";
-  skipped_responses_ = 0;
   interim_responses_ = 0;
   skipped_bytes_ = 0;
-  ++call_count_;
+  ++use_.call;
+  use_.skipped_responses = 0;
+  use_.sends_of_id = sends_.Record(request.id);
   NewParser();
   is_tunnel_ = request.tunnel.has_value();
   if (stream_ == nullptr) {
@@ -106,6 +107,7 @@
 }
 
 void OriginConnection::SendRequest() {
+  use_.waiting_bytes = stream_->readable_bytes();
   if (callbacks_.may_send && !callbacks_.may_send(use())) {
     unsent_request_ = {};
     loop_->Post([self = shared_from_this()]() {
@@ -303,8 +305,8 @@
     // No request is pending, so the bytes can't be a valid response.
     Close();
     if (const auto client = client_.lock()) {
-      ++(*client)->unsolicited_closes_;
       (*client)->Drop(this);
+      (*client)->NoteUnsolicited(address_, use_, bytes.size());
     }
     return;
   }
@@ -362,6 +364,9 @@
   }
   if (callbacks_.is_expected && !callbacks_.is_expected(head)) {
     is_skipping_ = true;
+    if (callbacks_.on_skipped) {
+      callbacks_.on_skipped(head);
+    }
     return;
   }
   idle_timeout_ = ParseIdleTimeout(head.headers);
@@ -380,7 +385,7 @@
     Finish(OriginOutcome::kComplete);
     return;
   }
-  if (is_skipping_ && (++skipped_responses_ > kMaxSkippedResponses)) {
+  if (is_skipping_ && (++use_.skipped_responses > kMaxSkippedResponses)) {
     Finish(OriginOutcome::kMalformed);
     return;
   }
--- a/Libraries/LibHttp/origin_connection.h
+++ b/Libraries/LibHttp/origin_connection.h
@@ -11,6 +11,7 @@
 #include "LibCore/event_loop.h"
 #include "LibHttp/message_parser.h"
 #include "LibHttp/origin_client.h"
+#include "LibHttp/send_ledger.h"
 #include "LibHttp/tcp_stream.h"
 #include "LibHttp/tunnel_frames.h"
 
@@ -36,12 +37,10 @@
   void Cancel() override;
   void SetReading(bool is_reading) override;
   bool is_reused() const override {
-    return call_count_ > 1 || skipped_responses_ > 0;
+    return use_.call > 1 || use_.skipped_responses > 0;
   }
   bool is_connected() const override { return is_connected_; }
-  ConnectionUse use() const override {
-    return {.connection = number_, .call = call_count_};
-  }
+  ConnectionUse use() const override { return use_; }
 
   const core::SocketAddress& address() const { return address_; }
   // Returns true if the connection is open and was idle for less than both
@@ -81,8 +80,6 @@
   const std::weak_ptr<OriginClient*> client_;
   const core::SocketAddress address_;
   const std::shared_ptr<BufferMemory> memory_;
-  // The connection's number among those of its client.
-  const uint64_t number_;
   // Keeps the connection alive while it carries a call.
   std::shared_ptr<OriginConnection> self_;
   std::shared_ptr<TcpStream> stream_;
@@ -92,8 +89,8 @@
   // Bytes that were received but not parsed yet.
   std::string input_;
   BufferMemory::Holding held_;
-  int call_count_ = 0;
-  int skipped_responses_ = 0;
+  ConnectionUse use_;
+  SendLedger sends_;
   int interim_responses_ = 0;
   // Bytes of the bodies of skipped responses.
   uint64_t skipped_bytes_ = 0;
--- a/Libraries/LibHttp/tcp_stream.cc
+++ b/Libraries/LibHttp/tcp_stream.cc
@@ -2,6 +2,7 @@
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -111,6 +112,14 @@
   }
 }
 
+size_t TcpStream::readable_bytes() const {
+  int bytes = 0;
+  if (!is_open() || ioctl(descriptor_, FIONREAD, &bytes) != 0) {
+    return 0;
+  }
+  return static_cast<size_t>(bytes);
+}
+
 void TcpStream::ReadNow() {
   const auto self = shared_from_this();
   if (is_open() && is_reading_ && !is_connecting_) {
--- a/Libraries/LibHttp/tcp_stream.h
+++ b/Libraries/LibHttp/tcp_stream.h
@@ -70,6 +70,9 @@
   // Sends `bytes`, and buffers those that the socket doesn't accept yet.
   void Write(std::string_view bytes);
   size_t unsent_bytes() const { return buffer_.size(); }
+  // Returns the number of bytes that the kernel has received and that were not
+  // read yet.
+  size_t readable_bytes() const;
   // True once the kernel has accepted at least one byte.
   bool has_sent() const { return has_sent_; }
 
--- a/Services/Forwarder/forwarder_daemon.cc
+++ b/Services/Forwarder/forwarder_daemon.cc
@@ -201,6 +201,14 @@
        .on_refused =
            [this](const core::SocketAddress& address) {
              context_.origin_certainty.RecordBreak(address, loop_->Now());
+           },
+       .on_unsolicited =
+           [this](const core::SocketAddress& address,
+                  const http::ConnectionUse& use, size_t bytes) {
+             events_.Record(
+                 core::EventCode::kAnswerMismatched, "",
+                 fmt::format("address={} {} bytes={} on an idle connection",
+                             address.ToString(), http::Describe(use), bytes));
            }});
   context_.permits = fleet_->permits();
   context_.places = fleet_->places();
--- a/Tests/LibHttp/forwarding_connections_test.cc
+++ b/Tests/LibHttp/forwarding_connections_test.cc
@@ -261,6 +261,25 @@
   }
 }
 
+TEST_CASE("a call reports how its connection was used") {
+  ClientFixture it;
+  it.server.SetAnswer(Concatenate(kUnrelatedResponse, kExpectedResponse),
+                      false);
+  CallResult result;
+  const auto first = it.Send(&result);
+  REQUIRE(RunUntil(&it.loop, [&]() { return result.end.has_value(); }));
+  CHECK(first->use() == ConnectionUse{.connection = 1,
+                                      .call = 1,
+                                      .sends_of_id = 1,
+                                      .skipped_responses = 1});
+  it.server.SetAnswer(kExpectedResponse, false);
+  result.end.reset();
+  const auto second = it.Send(&result);
+  REQUIRE(RunUntil(&it.loop, [&]() { return result.end.has_value(); }));
+  CHECK(second->use() ==
+        ConnectionUse{.connection = 1, .call = 2, .sends_of_id = 1});
+}
+
 TEST_CASE("a request is not retried when a reused connection breaks") {
   ClientFixture it;
   it.server.SetAnswer(kExpectedResponse, false);
