An answer is matched to one send: a connection carries a request once at most

Cause: an answer was matched to a request by its id alone. Connections are pooled by address, endpoints that were tried are left out by id. Where two ids stand at one address, a request that was refused under one id went out again on the same connection under the other one, and the copy of its refusal counted as the refusal of the second send, which ran. Change: SendLedger, one a connection, decides which bytes may answer a send. Only it makes an AnswerHead, and only from an AnswerHead are a verdict and notices read, at hosts and at carriers, which learn the request's id from the field Tunnel-Request. A response that names no request ends the call as malformed, and its notices no longer count. A kept connection is read before it is used; if bytes or its end wait there, another one is used.

--- a/Libraries/LibForwarding/forward_attempt.cc
+++ b/Libraries/LibForwarding/forward_attempt.cc
@@ -59,12 +59,10 @@
   }
   const auto weak = weak_from_this();
   http::OriginCallbacks origin;
-  origin.is_expected = [weak](const http::MessageHead& head) {
-    const auto self = weak.lock();
-    return self == nullptr ||
-           self->context_->endpoint_protocol->IsAnswerTo(
-               self->request_, head, self->call_->is_reused());
-  };
+  origin.name_of =
+      [protocol = context_->endpoint_protocol](const http::MessageHead& head) {
+        return protocol->NameIn(head);
+      };
   origin.may_send =
       [weak, remaining = options.remaining](const http::ConnectionUse& use) {
         const auto self = weak.lock();
@@ -75,9 +73,9 @@
       self->OnSkipped(head);
     }
   };
-  origin.on_head = [weak](const http::MessageHead& head) {
+  origin.on_head = [weak](const http::AnswerHead& answer) {
     if (const auto self = weak.lock()) {
-      self->OnHead(head);
+      self->OnAnswer(answer);
     }
   };
   origin.on_body = [weak](std::string_view piece) {
@@ -169,20 +167,19 @@
   silence_timer_->StartOnce(limit);
 }
 
-void ForwardAttempt::OnHead(const http::MessageHead& head) {
+void ForwardAttempt::OnAnswer(const http::AnswerHead& answer) {
   last_progress_at_ = context_->loop->Now();
   if (!carrier_ && !call_->is_reused()) {
     context_->path->RecordConnected();
   }
-  const AttemptVerdict verdict =
-      context_->endpoint_protocol->Classify(request_, head);
-  const auto notice = context_->endpoint_protocol->NoticeIn(head);
+  const AttemptVerdict verdict = context_->endpoint_protocol->Classify(answer);
+  const auto notice = context_->endpoint_protocol->NoticeIn(answer);
   if (notice) {
     RecordNotice(context_, endpoint_, *notice,
                  verdict != AttemptVerdict::kInvalid, request_.id.value());
   }
   const auto self = shared_from_this();
-  callbacks_.on_head(verdict, head);
+  callbacks_.on_head(verdict, answer.head());
 }
 
 void ForwardAttempt::RecordProgress() {
--- a/Libraries/LibForwarding/forward_attempt.h
+++ b/Libraries/LibForwarding/forward_attempt.h
@@ -113,7 +113,7 @@
   bool BeginSend(const http::ConnectionUse& use, core::Duration remaining);
   // Records that a response to another request was skipped.
   void OnSkipped(const http::MessageHead& head);
-  void OnHead(const http::MessageHead& head);
+  void OnAnswer(const http::AnswerHead& answer);
   void OnCallEnd(http::OriginOutcome end);
   void OnNotSent();
   // Records the failure of a connection to the endpoint, unless it rather tells
--- a/Libraries/LibForwarding/protocols.h
+++ b/Libraries/LibForwarding/protocols.h
@@ -13,6 +13,7 @@
 #include "LibForwarding/forward_request.h"
 #include "LibHttp/message_parser.h"
 #include "LibHttp/origin_client.h"
+#include "LibHttp/send_ledger.h"
 #include "LibHttp/transaction.h"
 #include "absl/status/statusor.h"
 
@@ -109,23 +110,16 @@
                                      const Endpoint& endpoint,
                                      const AttemptOptions& options) const = 0;
 
-  // Returns whether an answer belongs to `request`; others are skipped. An
-  // answer that names no request belongs to it only on a new connection, unless
-  // it is a refusal. `is_reused_connection` says whether the connection has
-  // carried an earlier request or an answer to another one.
-  virtual bool IsAnswerTo(const ForwardRequest& request,
-                          const http::MessageHead& head,
-                          bool is_reused_connection) const = 0;
+  // Returns which request a response says that it answers.
+  virtual http::ResponseName NameIn(const http::MessageHead& head) const = 0;
 
-  // Classifies an answer by its head. One that does not name `request` is
-  // invalid.
-  virtual AttemptVerdict Classify(const ForwardRequest& request,
-                                  const http::MessageHead& head) const = 0;
+  // Classifies an answer by its head.
+  virtual AttemptVerdict Classify(const http::AnswerHead& answer) const = 0;
 
   // Returns what the endpoint says about itself in an answer; nullopt if the
   // answer is another endpoint's.
   virtual std::optional<EndpointNotice> NoticeIn(
-      const http::MessageHead& head) const = 0;
+      const http::AnswerHead& answer) const = 0;
 };
 
 }  // namespace wasabi::forwarding
--- a/Libraries/LibForwarding/tunnel.cc
+++ b/Libraries/LibForwarding/tunnel.cc
@@ -24,11 +24,13 @@
 Tunnel::Tunnel(ForwardContext* context,
                std::shared_ptr<http::TcpStream> host,
                bool is_framed,
+               std::string request_id,
                Endpoint endpoint,
                EndObserver on_end)
     : context_(context),
       host_(std::move(host)),
       is_framed_(is_framed),
+      request_id_(std::move(request_id)),
       endpoint_(std::move(endpoint)),
       on_end_(std::move(on_end)),
       held_(context->buffer_memory) {}
@@ -123,6 +125,8 @@
     End();
     return;
   }
+  // The connection is new, so it may carry the request.
+  permit_ = sends_.Begin(request_id_);
   NewParser();
   host_->Write(http::EncodeTunnelReply(
       is_framed_ ? http::TunnelReply::kOpenFramed : http::TunnelReply::kOpen));
@@ -138,7 +142,7 @@
 }
 
 void Tunnel::OnHostData(std::string_view bytes) {
-  if (!is_connected_) {
+  if (!permit_) {
     // Nothing may be sent before the reply.
     End();
     return;
@@ -198,10 +202,15 @@
     if (head.status < kFirstFinalStatus) {
       return;
     }
-    has_head_ = true;
-    const auto notice = context_->endpoint_protocol->NoticeIn(head);
+    const EndpointProtocol& protocol = *context_->endpoint_protocol;
+    const http::ResponseMatch match = sends_.Match(head, protocol.NameIn(head));
+    has_head_ = match.owner != http::ResponseOwner::kOtherSend;
+    if (!match.answer) {
+      return;
+    }
+    const auto notice = protocol.NoticeIn(*match.answer);
     if (notice) {
-      RecordNotice(context_, endpoint_, *notice, true, "");
+      RecordNotice(context_, endpoint_, *notice, true, request_id_);
     }
   };
   callbacks.on_body = [](std::string_view /*piece*/) {};
--- a/Libraries/LibForwarding/tunnel.h
+++ b/Libraries/LibForwarding/tunnel.h
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -14,6 +15,7 @@
 #include "LibForwarding/forward_context.h"
 #include "LibHttp/buffer_memory.h"
 #include "LibHttp/message_parser.h"
+#include "LibHttp/send_ledger.h"
 #include "LibHttp/tcp_stream.h"
 
 namespace wasabi::forwarding {
@@ -23,11 +25,13 @@
   using EndObserver = std::function<void(const std::shared_ptr<Tunnel>&)>;
 
   // `host` is the connection of the host that asked for the tunnel; if
-  // `is_framed`, it gets the endpoint's bytes in frames. `on_end` is called
-  // once, when both connections are closed.
+  // `is_framed`, it gets the endpoint's bytes in frames. `request_id` is the id
+  // of the request that it sends, empty if unknown. `on_end` is called once,
+  // when both connections are closed.
   Tunnel(ForwardContext* context,
          std::shared_ptr<http::TcpStream> host,
          bool is_framed,
+         std::string request_id,
          Endpoint endpoint,
          EndObserver on_end);
 
@@ -56,6 +60,7 @@
   ForwardContext* const context_;
   const std::shared_ptr<http::TcpStream> host_;
   const bool is_framed_;
+  const std::string request_id_;
   const Endpoint endpoint_;
   EndObserver on_end_;
   std::shared_ptr<http::TcpStream> endpoint_stream_;
@@ -63,6 +68,9 @@
   // after the endpoint has closed its own.
   std::unique_ptr<core::Timer> timer_;
   core::TimePoint started_at_{};
+  // What is sent to the endpoint, and the right to it, once connected.
+  http::SendLedger sends_;
+  std::optional<http::SendPermit> permit_;
   std::unique_ptr<http::MessageParser> parser_;
   std::string unparsed_;
   http::BufferMemory::Holding held_;
--- a/Libraries/LibForwarding/tunnel_server.cc
+++ b/Libraries/LibForwarding/tunnel_server.cc
@@ -48,12 +48,14 @@
   }
   const bool is_framed =
       http::AcceptsTunnelFrames(transaction->request().headers);
+  const std::string request_id =
+      http::RequestIdOfTunnel(transaction->request().headers);
   auto stream = transaction->TakeOver();
   if (stream == nullptr) {
     return;
   }
   const auto tunnel = std::make_shared<Tunnel>(
-      context_, std::move(stream), is_framed, *endpoint,
+      context_, std::move(stream), is_framed, request_id, *endpoint,
       [this](const std::shared_ptr<Tunnel>& it) { tunnels_.erase(it); });
   tunnels_.insert(tunnel);
   ++context_->metrics->Counter("tunnels_opened");
--- a/Libraries/LibHttp/origin_client.cc
+++ b/Libraries/LibHttp/origin_client.cc
@@ -41,7 +41,9 @@
     connection = std::make_shared<OriginConnection>(
         loop_, self_, request.address, memory_, ++connections_made_);
   }
-  connection->Start(request, std::move(callbacks));
+  // A new connection may carry any request, and TakeIdle asks.
+  connection->Start(request, *connection->Permit(request),
+                    std::move(callbacks));
   return connection;
 }
 
@@ -119,21 +121,33 @@
   }
 }
 
-std::shared_ptr<OriginConnection> OriginClient::TakeIdle(
-    const OriginRequest& request) {
-  const auto it = idle_.find(request.address);
-  if (it == idle_.end()) {
+std::shared_ptr<OriginConnection> OriginClient::FindIdle(
+    const OriginRequest& request) const {
+  const auto list = idle_.find(request.address);
+  if (list == idle_.end()) {
     return nullptr;
   }
   // The most recently used connection is the least likely one to have been
   // closed by the endpoint.
-  while (!it->second.empty()) {
-    std::shared_ptr<OriginConnection> connection = it->second.back();
-    if (!connection->IsUsable(loop_->Now(), request.max_idle)) {
-      return nullptr;
+  const IdleList& connections = list->second;
+  const auto it = std::find_if(
+      connections.rbegin(), connections.rend(), [&](const auto& candidate) {
+        return candidate->IsUsable(loop_->Now(), request.max_idle) &&
+               candidate->MayCarry(request);
+      });
+  return it == connections.rend() ? nullptr : *it;
+}
+
+std::shared_ptr<OriginConnection> OriginClient::TakeIdle(
+    const OriginRequest& request) {
+  while (std::shared_ptr<OriginConnection> connection = FindIdle(request)) {
+    Drop(connection.get());
+    // Bytes that have arrived meanwhile answer no request, and after its end
+    // the connection carries none.
+    connection->ReadWaiting();
+    if (connection->is_open()) {
+      return connection;
     }
-    it->second.pop_back();
-    return connection;
   }
   return nullptr;
 }
--- a/Libraries/LibHttp/origin_client.h
+++ b/Libraries/LibHttp/origin_client.h
@@ -1,6 +1,7 @@
 // An HTTP/1.1 client that forwards requests to endpoints. Unlike Client it
-// never retries a request by itself, checks that a response belongs to its
-// request, and reports whether a failed request may have reached the endpoint.
+// never retries a request by itself, passes on a response only as the answer to
+// one send (see send_ledger.h), and reports whether a failed request may have
+// reached the endpoint.
 
 #ifndef LIBHTTP_ORIGIN_CLIENT_H_
 #define LIBHTTP_ORIGIN_CLIENT_H_
@@ -19,6 +20,7 @@
 #include "LibCore/socket_address.h"
 #include "LibHttp/connection_use.h"
 #include "LibHttp/message_parser.h"
+#include "LibHttp/send_ledger.h"
 #include "LibHttp/tcp_stream.h"
 
 namespace wasabi::http {
@@ -66,8 +68,8 @@
   // The connection closed before the response was complete. The endpoint may
   // have processed the request.
   kCut,
-  // The endpoint sent bytes that are not a valid response, or too many
-  // responses that belong to other requests.
+  // The endpoint sent bytes that are not a valid response, a response that
+  // names no request, or too many responses that belong to other requests.
   kMalformed,
   // The response, or the responses before it that are skipped, exceed their
   // size limits.
@@ -80,12 +82,11 @@
   // Asked right before the first byte of the request is passed to the kernel,
   // in Send itself if a connection is open. Returns whether it may be sent.
   std::function<bool(const ConnectionUse& use)> may_send;
-  // Returns true if a response with this head belongs to the request. Other
-  // responses are skipped, because the expected one may follow them.
-  std::function<bool(const MessageHead& head)> is_expected;
+  // Returns which request a response names. Needed if the request has an id.
+  std::function<ResponseName(const MessageHead& head)> name_of;
   // A response that belongs to another request is read and skipped.
   std::function<void(const MessageHead& head)> on_skipped;
-  std::function<void(const MessageHead& head)> on_head;
+  std::function<void(const AnswerHead& head)> on_head;
   std::function<void(std::string_view piece)> on_body;
   // The call has ended; this is the last callback.
   std::function<void(OriginOutcome end)> on_end;
@@ -99,8 +100,7 @@
   virtual void Cancel() = 0;
   // Pauses or resumes reading, to apply backpressure for a slow client.
   virtual void SetReading(bool is_reading) = 0;
-  // True if the connection carried a call before, or a response that belongs to
-  // another one.
+  // True if the connection carried a call before.
   virtual bool is_reused() const = 0;
   // True once the connection was established.
   virtual bool is_connected() const = 0;
@@ -160,8 +160,13 @@
   friend class OriginConnection;
   using IdleList = std::deque<std::shared_ptr<OriginConnection>>;
 
-  // Removes a usable idle connection from the pool; nullptr if there is none.
+  // Removes an idle connection that may carry `request` from the pool; nullptr
+  // if there is none.
   std::shared_ptr<OriginConnection> TakeIdle(const OriginRequest& request);
+  // Returns the most recently used one that may carry `request`, which stays in
+  // the pool; nullptr if there is none.
+  std::shared_ptr<OriginConnection> FindIdle(
+      const OriginRequest& request) const;
   // Adds `connection` to the pool.
   void KeepIdle(const std::shared_ptr<OriginConnection>& connection);
   // Removes `connection` from the pool.
--- a/Libraries/LibHttp/origin_connection.cc
+++ b/Libraries/LibHttp/origin_connection.cc
@@ -79,7 +79,9 @@
       use_{.connection = number} {}
 
 void OriginConnection::Start(const OriginRequest& request,
+                             SendPermit permit,
                              OriginCallbacks callbacks) {
+  permit_ = std::move(permit);
   callbacks_ = std::move(callbacks);
   is_active_ = true;
   self_ = shared_from_this();
@@ -88,7 +90,7 @@
   skipped_bytes_ = 0;
   ++use_.call;
   use_.skipped_responses = 0;
-  use_.sends_of_id = sends_.Record(request.id);
+  use_.sends_of_id = sends_.sends_of_latest_id();
   NewParser();
   is_tunnel_ = request.tunnel.has_value();
   if (stream_ == nullptr) {
@@ -100,7 +102,8 @@
   unsent_request_ = Serialise(request);
   CheckHeldBytes();
   if (is_tunnel_) {
-    stream_->Write(EncodeTunnelRequest(request.tunnel->endpoint_hash));
+    stream_->Write(
+        EncodeTunnelRequest(request.tunnel->endpoint_hash, request.id));
   } else if (is_connected_) {
     SendRequest();
   }
@@ -115,7 +118,12 @@
     });
     return;
   }
-  stream_->Write(std::exchange(unsent_request_, {}));
+  Write(std::exchange(unsent_request_, {}),
+        *std::exchange(permit_, std::nullopt));
+}
+
+void OriginConnection::Write(std::string_view request, SendPermit /*permit*/) {
+  stream_->Write(request);
 }
 
 void OriginConnection::Connect(const OriginRequest& request) {
@@ -362,16 +370,28 @@
     ++interim_responses_;
     return;
   }
-  if (callbacks_.is_expected && !callbacks_.is_expected(head)) {
-    is_skipping_ = true;
-    if (callbacks_.on_skipped) {
-      callbacks_.on_skipped(head);
-    }
-    return;
+  const ResponseMatch match = sends_.Match(
+      head, callbacks_.name_of ? callbacks_.name_of(head) : ResponseName());
+  switch (match.owner) {
+    case ResponseOwner::kLatestSend:
+      OnAnswer(*match.answer);
+      return;
+    case ResponseOwner::kOtherSend:
+      is_skipping_ = true;
+      if (callbacks_.on_skipped) {
+        callbacks_.on_skipped(head);
+      }
+      return;
+    case ResponseOwner::kNoSend:
+      Finish(OriginOutcome::kMalformed);
+      return;
   }
-  idle_timeout_ = ParseIdleTimeout(head.headers);
+}
+
+void OriginConnection::OnAnswer(const AnswerHead& answer) {
+  idle_timeout_ = ParseIdleTimeout(answer.headers());
   if (callbacks_.on_head) {
-    callbacks_.on_head(head);
+    callbacks_.on_head(answer);
   }
 }
 
@@ -431,7 +451,7 @@
   // If bytes follow the response, or the response was complete before the whole
   // request was sent, the connection is desynchronised and can't be reused.
   const bool is_reusable = end == OriginOutcome::kComplete && is_keep_alive_ &&
-                           !is_tunnel_ && input_.empty() &&
+                           !is_tunnel_ && !sends_.is_full() && input_.empty() &&
                            stream_->unsent_bytes() == 0;
   const auto callbacks =
       std::make_shared<OriginCallbacks>(std::exchange(callbacks_, {}));
--- a/Libraries/LibHttp/origin_connection.h
+++ b/Libraries/LibHttp/origin_connection.h
@@ -26,8 +26,21 @@
                    std::shared_ptr<BufferMemory> memory,
                    uint64_t number);
 
+  // Returns whether the connection may carry `request`.
+  bool MayCarry(const OriginRequest& request) const {
+    return sends_.MayCarry(request.id);
+  }
+  // Returns the right to send `request`; nullopt if it may not carry it.
+  [[nodiscard]] std::optional<SendPermit> Permit(const OriginRequest& request) {
+    return sends_.Begin(request.id);
+  }
   // Sends `request`, and connects first if there is no connection yet.
-  void Start(const OriginRequest& request, OriginCallbacks callbacks);
+  void Start(const OriginRequest& request,
+             SendPermit permit,
+             OriginCallbacks callbacks);
+  // Reads what has arrived on an idle connection. Closes it if there is
+  // anything.
+  void ReadWaiting() { stream_->ReadNow(); }
   void Close();
   // Does what Close does, and resets the connection: an endpoint may take an
   // orderly end for that of the request alone, and bytes that the kernel still
@@ -36,13 +49,12 @@
 
   void Cancel() override;
   void SetReading(bool is_reading) override;
-  bool is_reused() const override {
-    return use_.call > 1 || use_.skipped_responses > 0;
-  }
+  bool is_reused() const override { return use_.call > 1; }
   bool is_connected() const override { return is_connected_; }
   ConnectionUse use() const override { return use_; }
 
   const core::SocketAddress& address() const { return address_; }
+  bool is_open() const { return stream_->is_open(); }
   // Returns true if the connection is open and was idle for less than both
   // `max_idle` and the idle timeout that the endpoint announced.
   bool IsUsable(core::TimePoint now, core::Duration max_idle) const;
@@ -50,8 +62,10 @@
  private:
   void Connect(const OriginRequest& request);
   void OnConnected();
-  // Passes the bytes of the request to the stream.
+  // Passes the bytes of the request to the stream, if they may be sent.
   void SendRequest();
+  // Spends `permit`, without which no request is written.
+  void Write(std::string_view request, SendPermit permit);
   void OnTunnelReply();
   void OnTunnelOpen();
   // Tell the client that this direct connection is gone, that it broke without
@@ -68,6 +82,7 @@
   void CheckHeldBytes();
   void OnStreamEnd(TcpStream::End end);
   void OnHead(const MessageHead& head);
+  void OnAnswer(const AnswerHead& answer);
   void OnMessageComplete();
   // Returns whether the responses that precede the expected one exceed their
   // limits.
@@ -94,15 +109,17 @@
   int interim_responses_ = 0;
   // Bytes of the bodies of skipped responses.
   uint64_t skipped_bytes_ = 0;
-  // The request, until the connection or the tunnel is open.
+  // The request and the right to send it, until the connection or the tunnel is
+  // open.
   std::string unsent_request_;
+  std::optional<SendPermit> permit_;
   // Set if what the endpoint sends arrives in a tunnel's frames.
   std::optional<TunnelFrameDecoder> frames_;
   bool is_active_ = false;
   bool is_connected_ = false;
   bool is_tunnel_ = false;
   bool is_head_request_ = false;
-  // The current response doesn't belong to the request.
+  // The current response belongs to another request.
   bool is_skipping_ = false;
   // The current response is a 1xx response other than 101.
   bool is_interim_ = false;
--- a/Libraries/LibHttp/tunnel.cc
+++ b/Libraries/LibHttp/tunnel.cc
@@ -15,6 +15,7 @@
 // Field of a request for a tunnel whose sender knows frames.
 constexpr std::string_view kFramesField = "Tunnel-Frames";
 constexpr std::string_view kFramesValue = "1";
+constexpr std::string_view kRequestField = "Tunnel-Request";
 
 struct ReplyLine {
   TunnelReply reply;
@@ -31,9 +32,19 @@
 
 }  // namespace
 
-std::string EncodeTunnelRequest(uint64_t endpoint_hash) {
-  return fmt::format("{} {:016x} HTTP/1.1\r\nHost: endpoint\r\n{}: {}\r\n\r\n",
-                     kTunnelMethod, endpoint_hash, kFramesField, kFramesValue);
+std::string EncodeTunnelRequest(uint64_t endpoint_hash,
+                                std::string_view request_id) {
+  std::string text =
+      fmt::format("{} {:016x} HTTP/1.1\r\nHost: endpoint\r\n{}: {}\r\n",
+                  kTunnelMethod, endpoint_hash, kFramesField, kFramesValue);
+  if (!request_id.empty()) {
+    text.append(fmt::format("{}: {}\r\n", kRequestField, request_id));
+  }
+  return text.append("\r\n");
+}
+
+std::string RequestIdOfTunnel(const Headers& headers) {
+  return headers.Get(kRequestField);
 }
 
 bool AcceptsTunnelFrames(const Headers& headers) {
--- a/Libraries/LibHttp/tunnel.h
+++ b/Libraries/LibHttp/tunnel.h
@@ -33,9 +33,11 @@
   kCarrierUnavailable,
 };
 
-// Encodes the request for a tunnel to the endpoint whose id has this hash. It
-// says that this host knows frames.
-std::string EncodeTunnelRequest(uint64_t endpoint_hash);
+// Encodes the request for a tunnel to the endpoint whose id has this hash, for
+// the request `request_id`, which may be empty. It says that this host knows
+// frames.
+std::string EncodeTunnelRequest(uint64_t endpoint_hash,
+                                std::string_view request_id);
 // Returns the hash in the target of a request for a tunnel; nullopt if it is
 // malformed.
 std::optional<uint64_t> EndpointHashOfTunnel(std::string_view target);
@@ -43,6 +45,10 @@
 // Returns whether the host that sent a request with `headers` knows frames.
 bool AcceptsTunnelFrames(const Headers& headers);
 
+// Returns the id of the request that a tunnel with these headers is for; empty
+// if the host doesn't state it.
+std::string RequestIdOfTunnel(const Headers& headers);
+
 std::string EncodeTunnelReply(TunnelReply reply);
 // Removes a reply from the front of `input`. Returns nullopt if it is
 // incomplete, and kCarrierUnavailable if it is malformed.
--- a/Meta/mutants.sh
+++ b/Meta/mutants.sh
@@ -28,10 +28,11 @@
   echo "$(basename "${patch}" .patch)"
   patch -s -d "${work_dir}" -p1 < "${patch}"
   cmake --build "${work_dir}/build" -j "${BUILD_JOBS:-$(nproc)}" \
-    --target wasabi_router test_forwarding requests_run_once_test platform_soak \
+    --target wasabi_router linked_router test_http test_forwarding requests_run_once_test platform_soak \
     > "${work_dir}/build.log" 2>&1 || { tail -n 20 "${work_dir}/build.log"; exit 1; }
   report replay "${work_dir}/build/bin/test_forwarding" "*promise that a request*,*state of a request*"
-  for group in ends refusals silence; do
+  report ledger "${work_dir}/build/bin/test_http"
+  for group in ends refusals silence copies; do
     report "${group}" "${work_dir}/build/bin/requests_run_once_test" "[${group}]" &
   done
   for seed in "${seeds[@]}"; do
--- a/Tests/ForwardedStreams/brittle_endpoints_fall_over_test.cc
+++ b/Tests/ForwardedStreams/brittle_endpoints_fall_over_test.cc
@@ -107,8 +107,8 @@
                        {"Authorization", "Bearer k1"},
                        {"Deadline-Ms", "1500"}};
     http::OriginCallbacks callbacks;
-    callbacks.on_head = [result](const http::MessageHead& head) {
-      result->status = head.status;
+    callbacks.on_head = [result](const http::AnswerHead& head) {
+      result->status = head.status();
     };
     callbacks.on_body = [](std::string_view /*piece*/) {};
     client_.Send(request, std::move(callbacks));
--- a/Tests/LibHttp/forwarding_connections_test.cc
+++ b/Tests/LibHttp/forwarding_connections_test.cc
@@ -143,27 +143,29 @@
   std::optional<OriginOutcome> end;
 };
 
-// A client that sends requests with the id "1" to a raw server, and expects
-// responses with the same id.
+// A client that sends requests to a raw server, and expects responses with the
+// same id.
 struct ClientFixture {
   ClientFixture()
       : server(&loop, support::FreeAddress(support::LoopbackIp(2))),
         client(&loop) {}
 
-  std::shared_ptr<OriginCall> Send(CallResult* result) {
+  std::shared_ptr<OriginCall> Send(CallResult* result,
+                                   const std::string& id = "1") {
     OriginRequest request;
+    request.id = id;
     request.address = server.address();
     request.method = "POST";
     request.target = std::string("/");
-    request.headers.Add("Id", "1");
+    request.headers.Add("Id", id);
     request.body = "body";
     request.connect_timeout = core::milliseconds(300);
     OriginCallbacks callbacks;
-    callbacks.is_expected = [](const MessageHead& head) {
-      return head.headers.Get("Id") == "1";
+    callbacks.name_of = [](const MessageHead& head) {
+      return ResponseName{.ids = {head.headers.Get("Id")}};
     };
-    callbacks.on_head = [result](const MessageHead& head) {
-      result->statuses.push_back(head.status);
+    callbacks.on_head = [result](const AnswerHead& head) {
+      result->statuses.push_back(head.status());
     };
     callbacks.on_body = [result](std::string_view piece) {
       result->body.append(piece);
@@ -172,9 +174,9 @@
     return client.Send(request, std::move(callbacks));
   }
 
-  CallResult SendAndAwait() {
+  CallResult SendAndAwait(const std::string& id = "1") {
     CallResult result;
-    Send(&result);
+    Send(&result, id);
     RunUntil(&loop, [&]() { return result.end.has_value(); });
     return result;
   }
@@ -186,6 +188,8 @@
 
 constexpr const char* kExpectedResponse =
     "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok";
+constexpr const char* kSecondResponse =
+    "HTTP/1.1 200 OK\r\nId: 2\r\nContent-Length: 2\r\n\r\nok";
 constexpr const char* kUnrelatedResponse =
     "HTTP/1.1 503 No\r\nId: 0\r\nContent-Length: 3\r\n\r\nbad";
 
@@ -254,8 +258,8 @@
     const CallResult first = it.SendAndAwait();
     CHECK(first.end == row.end);
     CHECK(first.body == row.body);
-    it.server.SetAnswer(kExpectedResponse, false);
-    CHECK(it.SendAndAwait().end == OriginOutcome::kComplete);
+    it.server.SetAnswer(kSecondResponse, false);
+    CHECK(it.SendAndAwait("2").end == OriginOutcome::kComplete);
     CHECK(it.server.accepted() == (row.is_reused ? 1U : 2U));
     CHECK(it.server.requests() == 2);
   }
@@ -272,9 +276,9 @@
                                       .call = 1,
                                       .sends_of_id = 1,
                                       .skipped_responses = 1});
-  it.server.SetAnswer(kExpectedResponse, false);
+  it.server.SetAnswer(kSecondResponse, false);
   result.end.reset();
-  const auto second = it.Send(&result);
+  const auto second = it.Send(&result, "2");
   REQUIRE(RunUntil(&it.loop, [&]() { return result.end.has_value(); }));
   CHECK(second->use() ==
         ConnectionUse{.connection = 1, .call = 2, .sends_of_id = 1});
@@ -285,7 +289,7 @@
   it.server.SetAnswer(kExpectedResponse, false);
   REQUIRE(it.SendAndAwait().end == OriginOutcome::kComplete);
   it.server.SetAnswer("", true);
-  CHECK(it.SendAndAwait().end == OriginOutcome::kCut);
+  CHECK(it.SendAndAwait("2").end == OriginOutcome::kCut);
   CHECK(it.server.requests() == 2);
 }
 
@@ -316,8 +320,45 @@
   const auto timer = it.loop.NewTimer([&has_waited]() { has_waited = true; });
   timer->StartOnce(core::milliseconds(50));
   REQUIRE(RunUntil(&it.loop, [&]() { return has_waited; }));
+  it.server.SetAnswer(kSecondResponse, false);
+  CHECK(it.SendAndAwait("2").end == OriginOutcome::kComplete);
+  CHECK(it.server.accepted() == 2);
+}
+
+TEST_CASE("a request is not sent again on a connection that has carried it") {
+  ClientFixture it;
+  it.server.SetAnswer(kExpectedResponse, false);
+  REQUIRE(it.SendAndAwait().end == OriginOutcome::kComplete);
   CHECK(it.SendAndAwait().end == OriginOutcome::kComplete);
   CHECK(it.server.accepted() == 2);
+  // Both connections carried the request.
+  CHECK(it.SendAndAwait().end == OriginOutcome::kComplete);
+  CHECK(it.server.accepted() == 3);
+  it.server.SetAnswer(kSecondResponse, false);
+  CHECK(it.SendAndAwait("2").end == OriginOutcome::kComplete);
+  CHECK(it.server.accepted() == 3);
+}
+
+TEST_CASE("a connection on which something waits unread is not reused") {
+  struct Row {
+    const char* what;
+    void (*write)(RawServer* server);
+  };
+  const Row rows[] = {
+      {"its end", [](RawServer* server) { server->CloseAll(); }},
+      {"a copy of the response",
+       [](RawServer* server) { server->WriteToAll(kExpectedResponse); }},
+  };
+  for (const Row& row : rows) {
+    INFO(row.what);
+    ClientFixture it;
+    it.server.SetAnswer(kExpectedResponse, false);
+    REQUIRE(it.SendAndAwait().end == OriginOutcome::kComplete);
+    row.write(&it.server);
+    it.server.SetAnswer(kSecondResponse, false);
+    CHECK(it.SendAndAwait("2").end == OriginOutcome::kComplete);
+    CHECK(it.server.accepted() == 2);
+  }
 }
 
 }  // namespace
--- a/Tests/Once/once_fleet.cc
+++ b/Tests/Once/once_fleet.cc
@@ -437,8 +437,8 @@
     request.headers.Add("Model", "m");
   }
   http::OriginCallbacks callbacks;
-  callbacks.on_head = [call](const http::MessageHead& head) {
-    call->status = head.status;
+  callbacks.on_head = [call](const http::AnswerHead& head) {
+    call->status = head.status();
   };
   callbacks.on_body = [](std::string_view /*piece*/) {};
   callbacks.on_end = [this, call](http::OriginOutcome end) {
--- a/Tests/PlatformAdapter/endpoint_codec_test.cc
+++ b/Tests/PlatformAdapter/endpoint_codec_test.cc
@@ -1,6 +1,7 @@
 #include "platform/endpoint_codec.h"
 
 #include <catch2/catch.hpp>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -24,6 +25,25 @@
     endpoint.id = core::RunnerId("e1");
   }
 
+  // Returns whose answer a response with this head is, on a connection on which
+  // the request was sent last.
+  http::ResponseMatch Match(const http::MessageHead& head,
+                            bool is_reused = false) {
+    http::SendLedger sends;
+    if (is_reused) {
+      REQUIRE(sends.Begin("id0").has_value());
+    }
+    REQUIRE(sends.Begin(request.id.value()).has_value());
+    return sends.Match(head, codec.NameIn(head));
+  }
+
+  // Returns the head as the answer to a send.
+  static http::AnswerHead AnswerWith(const http::MessageHead& head) {
+    http::SendLedger sends;
+    REQUIRE(sends.Begin("").has_value());
+    return *sends.Match(head, {}).answer;
+  }
+
   forwarding::Route route;
   forwarding::ForwardRequest request;
   forwarding::Endpoint endpoint;
@@ -68,7 +88,8 @@
   const char* what;
   int status;
   Fields fields;
-  AttemptVerdict verdict;
+  // nullopt if it doesn't answer the request.
+  std::optional<AttemptVerdict> verdict;
 };
 
 TEST_CASE("responses are classified by status and headers") {
@@ -78,26 +99,23 @@
   const VerdictCase cases[] = {
       {"success", 200, {id, signature}, AttemptVerdict::kSuccess},
       {"no Response-Signature", 200, {id}, AttemptVerdict::kInvalid},
-      {"no Request-Id", 200, {signature}, AttemptVerdict::kInvalid},
+      {"no Request-Id", 200, {signature}, std::nullopt},
       {"an encoded body",
        200,
        {id, signature, {"Content-Encoding", "gzip"}},
        AttemptVerdict::kInvalid},
       {"not executed", 503, {id, not_executed}, AttemptVerdict::kNotRun},
-      {"not executed, without a Request-Id",
-       503,
-       {not_executed},
-       AttemptVerdict::kInvalid},
+      {"not executed, without a Request-Id", 503, {not_executed}, std::nullopt},
       {"not executed, of another request",
        503,
        {{"Request-Id", "id0"}, not_executed},
-       AttemptVerdict::kInvalid},
+       std::nullopt},
       {"not executed, of two requests",
        503,
        {id, {"Request-Id", "id0"}, not_executed},
-       AttemptVerdict::kInvalid},
+       std::nullopt},
       {"misdirected to another endpoint", 421, {id}, AttemptVerdict::kNotRun},
-      {"misdirected, without a Request-Id", 421, {}, AttemptVerdict::kInvalid},
+      {"misdirected, without a Request-Id", 421, {}, std::nullopt},
       {"503 without Not-Executed", 503, {id}, AttemptVerdict::kInvalid},
       {"429 without Not-Executed", 429, {id}, AttemptVerdict::kInvalid},
       {"408 without Not-Executed", 408, {id}, AttemptVerdict::kInvalid},
@@ -107,14 +125,8 @@
        {id, signature},
        AttemptVerdict::kFailure},
       {"a bad request", 400, {id}, AttemptVerdict::kFinal},
-      {"not found, from a server that is no endpoint",
-       404,
-       {},
-       AttemptVerdict::kInvalid},
-      {"a server error without a Request-Id",
-       500,
-       {signature},
-       AttemptVerdict::kInvalid},
+      {"not found, from a server that is no endpoint", 404, {}, std::nullopt},
+      {"a server error without a Request-Id", 500, {signature}, std::nullopt},
       {"a redirect", 302, {id}, AttemptVerdict::kInvalid},
   };
   for (const VerdictCase& row : cases) {
@@ -125,34 +137,45 @@
     for (const auto& [name, value] : row.fields) {
       head.headers.Add(name, value);
     }
-    CHECK(it.codec.Classify(it.request, head) == row.verdict);
+    const http::ResponseMatch match = it.Match(head);
+    REQUIRE(match.answer.has_value() == row.verdict.has_value());
+    if (match.answer) {
+      CHECK(it.codec.Classify(*match.answer) == *row.verdict);
+    }
   }
 }
 
 TEST_CASE("a response with another Request-Id does not match the request") {
+  constexpr auto kLatestSend = http::ResponseOwner::kLatestSend;
+  constexpr auto kOtherSend = http::ResponseOwner::kOtherSend;
+  constexpr auto kNoSend = http::ResponseOwner::kNoSend;
   struct Row {
     const char* what;
     Fields fields;
-    bool on_new_connection;
-    bool on_reused_connection;
+    http::ResponseOwner on_new_connection;
+    http::ResponseOwner on_reused_connection;
   };
   const Row rows[] = {
-      {"no id", {}, true, false},
-      {"the id", {{"request-id", "id1"}}, true, true},
-      {"another id", {{"Request-Id", "id2"}}, false, false},
-      {"an empty id", {{"Request-Id", ""}}, false, false},
+      {"no id", {}, kNoSend, kOtherSend},
+      {"a refusal without an id",
+       {{"Not-Executed", "1"}},
+       kOtherSend,
+       kOtherSend},
+      {"the id", {{"request-id", "id1"}}, kLatestSend, kLatestSend},
+      {"another id", {{"Request-Id", "id2"}}, kOtherSend, kOtherSend},
+      {"an empty id", {{"Request-Id", ""}}, kOtherSend, kOtherSend},
       {"the id twice",
        {{"Request-Id", "id1"}, {"request-id", "id1"}},
-       true,
-       true},
+       kLatestSend,
+       kLatestSend},
       {"the id, then another one",
        {{"Request-Id", "id1"}, {"Request-Id", "id2"}},
-       false,
-       false},
+       kOtherSend,
+       kOtherSend},
       {"another id, then the id",
        {{"Request-Id", "id2"}, {"Request-Id", "id1"}},
-       false,
-       false},
+       kOtherSend,
+       kOtherSend},
   };
   for (const Row& row : rows) {
     INFO(row.what);
@@ -161,10 +184,8 @@
     for (const auto& [name, value] : row.fields) {
       head.headers.Add(name, value);
     }
-    CHECK(it.codec.IsAnswerTo(it.request, head, false) ==
-          row.on_new_connection);
-    CHECK(it.codec.IsAnswerTo(it.request, head, true) ==
-          row.on_reused_connection);
+    CHECK(it.Match(head).owner == row.on_new_connection);
+    CHECK(it.Match(head, true).owner == row.on_reused_connection);
   }
 }
 
@@ -253,8 +274,9 @@
     for (const auto& [name, value] : row.fields) {
       head.headers.Add(name, value);
     }
-    CHECK(it.codec.NoticeIn(head) == row.notice);
-    CHECK(it.codec.NoticeIn(head) == row.notice);
+    const http::AnswerHead answer = Fixture::AnswerWith(head);
+    CHECK(it.codec.NoticeIn(answer) == row.notice);
+    CHECK(it.codec.NoticeIn(answer) == row.notice);
     CHECK(it.events.Since(0).size() == (row.is_logged ? 1 : 0));
   }
 }
--- a/Tests/Soak/caller.cc
+++ b/Tests/Soak/caller.cc
@@ -137,7 +137,7 @@
   const auto body = std::make_shared<std::string>();
   http::OriginCallbacks callbacks;
   callbacks.on_body = [body](std::string_view piece) { body->append(piece); };
-  callbacks.on_head = [](const http::MessageHead& /*head*/) {};
+  callbacks.on_head = [](const http::AnswerHead& /*head*/) {};
   callbacks.on_end = [this, body](http::OriginOutcome end) {
     resolve_call_.reset();
     if (end == http::OriginOutcome::kComplete) {
@@ -257,9 +257,9 @@
   const auto exchange = std::make_shared<Exchange>();
   exchange->call = call;
   http::OriginCallbacks callbacks;
-  callbacks.on_head = [call](const http::MessageHead& head) {
-    call->status = head.status;
-    call->signature = head.headers.Get(adapter::kSignatureHeader);
+  callbacks.on_head = [call](const http::AnswerHead& head) {
+    call->status = head.status();
+    call->signature = head.headers().Get(adapter::kSignatureHeader);
   };
   callbacks.on_body = [call](std::string_view piece) {
     call->answer.append(piece);
--- a/Tests/Soak/endpoint_fleet_test.cc
+++ b/Tests/Soak/endpoint_fleet_test.cc
@@ -64,7 +64,7 @@
   std::string body;
   std::optional<http::OriginOutcome> end;
   http::OriginCallbacks callbacks;
-  callbacks.on_head = [](const http::MessageHead& /*head*/) {};
+  callbacks.on_head = [](const http::AnswerHead& /*head*/) {};
   callbacks.on_body = [&body](std::string_view piece) { body.append(piece); };
   callbacks.on_end = [&](http::OriginOutcome outcome) {
     end = outcome;
--- a/Tests/Soak/piecewise_call.cc
+++ b/Tests/Soak/piecewise_call.cc
@@ -47,7 +47,7 @@
           http::ParserLimits(),
           {.on_head =
                [this](const http::MessageHead& head) {
-                 callbacks_.on_head(head);
+                 callbacks_.on_head(*sends_.Match(head, {}).answer);
                },
            .on_body =
                [this](std::string_view piece) { callbacks_.on_body(piece); }}) {
@@ -55,6 +55,7 @@
 
 void PiecewiseCall::Start(const core::SocketAddress& address) {
   const auto self = shared_from_this();
+  permit_ = sends_.Begin("");
   auto stream = http::TcpStream::Connect(loop_, address);
   if (!stream.ok()) {
     loop_->Post([self]() { self->End(http::OriginOutcome::kNotSent); });
--- a/Tests/Soak/piecewise_call.h
+++ b/Tests/Soak/piecewise_call.h
@@ -6,11 +6,13 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "LibCore/event_loop.h"
 #include "LibHttp/message_parser.h"
 #include "LibHttp/origin_client.h"
+#include "LibHttp/send_ledger.h"
 #include "LibHttp/tcp_stream.h"
 
 namespace wasabi::soak {
@@ -49,6 +51,8 @@
   const std::string head_;
   std::string unsent_;
   std::string received_;
+  http::SendLedger sends_;
+  std::optional<http::SendPermit> permit_;
   http::MessageParser parser_;
   std::shared_ptr<http::TcpStream> stream_;
   std::unique_ptr<core::Timer> timer_;
--- a/Tests/Support/ForwarderFixture/forwarder_fixture.cc
+++ b/Tests/Support/ForwarderFixture/forwarder_fixture.cc
@@ -258,9 +258,9 @@
     request.headers.Add(name, value);
   }
   http::OriginCallbacks callbacks;
-  callbacks.on_head = [result](const http::MessageHead& head) {
-    result->status = head.status;
-    result->headers = head.headers;
+  callbacks.on_head = [result](const http::AnswerHead& head) {
+    result->status = head.status();
+    result->headers = head.headers();
   };
   callbacks.on_body = [result](std::string_view piece) {
     result->body.append(piece);
