Memory test: a request counts only if memory was exhausted before and after it

Cause: the test waits until the memory is exhausted, then sends a request and expects 503. Change: the request is sent again, with more uploads, until memory was exhausted before and after it; then the same checks hold, and one such request is required.

--- a/Tests/Forwarder/slow_peers_test.cc
+++ b/Tests/Forwarder/slow_peers_test.cc
@@ -108,17 +108,42 @@
   std::vector<std::unique_ptr<RawCaller>> callers_;
 };
 
+// Sends a request of its own between two moments at which the memory was
+// exhausted. Uploads that are refused give back their part, so that it may be
+// available again as the request arrives; then adds uploads and sends another
+// request. Returns whether one was sent while the memory was exhausted.
+bool AskWhileExhausted(ForwarderFixture& it,
+                       std::list<Uploads>* uploads,
+                       CallerResult* result) {
+  constexpr int kMaxTries = 20;
+  const auto is_exhausted = [&it]() {
+    return RelayBytes(it) >= kMemory.exhausted_bytes();
+  };
+  for (int i = 0; i < kMaxTries; ++i) {
+    uploads->emplace_back(&it, kUploadBytes);
+    if (!it.RunUntil(is_exhausted)) {
+      return false;
+    }
+    it.received.clear();
+    *result = it.Get("/unsafe/1");
+    if (is_exhausted()) {
+      return true;
+    }
+  }
+  return false;
+}
+
 TEST_CASE("requests are refused while others hold the memory") {
   const bool is_enabled = GENERATE(true, false);
   ForwarderFixture it({.load_control_enabled = is_enabled});
   it.Configure();
   {
     // The endpoints do not answer.
-    const Uploads uploads(&it, kUploadBytes);
-    REQUIRE(it.RunUntil(
-        [&it]() { return RelayBytes(it) >= kMemory.exhausted_bytes(); }));
+    std::list<Uploads> uploads;
     it.request_id = "id3";
-    const CallerResult refused = it.Get("/unsafe/1");
+    CallerResult refused;
+    const bool has_asked = AskWhileExhausted(it, &uploads, &refused);
+    REQUIRE(has_asked);
     CHECK(refused.status == 503);
     CHECK(!refused.headers.Get("Retry-After").empty());
     for (const std::string& text : it.received) {
