A handle of OriginClient acts on its own send only

Cause: OriginCall was the connection itself. A handle of a call that had ended acted on the next call on the connection: Cancel ended it without a callback, SetReading paused it, and log entries named its connection use. Found by review (the same class: what belongs to one send was told by the connection alone). Change: OriginSend is the handle to one send; the connection severs it when the send has ended.

--- a/Libraries/LibForwarding/forward_attempt.cc
+++ b/Libraries/LibForwarding/forward_attempt.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "LibCore/hash.h"
 #include "LibCore/text.h"
 #include "LibForwarding/endpoint_notices.h"
 #include "LibForwarding/request_fingerprint.h"
@@ -112,10 +113,14 @@
 
 void ForwardAttempt::OnSkipped(const http::MessageHead& head) {
   ++context_->metrics->Counter("forward_answers_skipped");
+  const http::ResponseName name = context_->endpoint_protocol->NameIn(head);
   context_->events->Record(
       core::EventCode::kAnswerMismatched, request_.id.value(),
-      fmt::format("endpoint={} carrier={} {} status={}", endpoint_.id.value(),
-                  carrier_name(), http::Describe(use()), head.status));
+      fmt::format("endpoint={} carrier={} {} status={} is_refusal={} ids={} "
+                  "id_hash={:016x}",
+                  endpoint_.id.value(), carrier_name(), http::Describe(use()),
+                  head.status, name.is_refusal, name.ids.size(),
+                  name.ids.empty() ? 0 : core::StableHash(name.ids.front())));
 }
 
 void ForwardAttempt::PostFinish(AttemptEnd end) {
--- a/Libraries/LibHttp/origin_client.cc
+++ b/Libraries/LibHttp/origin_client.cc
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "LibHttp/origin_connection.h"
+#include "LibHttp/origin_send.h"
 
 namespace wasabi::http {
 
@@ -35,16 +36,20 @@
 
 std::shared_ptr<OriginCall> OriginClient::Send(const OriginRequest& request,
                                                OriginCallbacks callbacks) {
-  std::shared_ptr<OriginConnection> connection =
-      request.tunnel ? nullptr : TakeIdle(request);
-  if (connection == nullptr) {
-    connection = std::make_shared<OriginConnection>(
-        loop_, self_, request.address, memory_, ++connections_made_);
-  }
-  // A new connection may carry any request, and TakeIdle asks.
-  connection->Start(request, *connection->Permit(request),
-                    std::move(callbacks));
-  return connection;
+  auto ready = TakeIdle(request);
+  if (!ready) {
+    ready = NewConnection(request);
+  }
+  return ready->connection->Start(request, std::move(ready->permit),
+                                  std::move(callbacks));
+}
+
+OriginClient::ReadyConnection OriginClient::NewConnection(
+    const OriginRequest& request) {
+  const auto connection = std::make_shared<OriginConnection>(
+      loop_, self_, request.address, memory_, ++connections_made_);
+  // It may carry any request, since it has carried none.
+  return {.connection = connection, .permit = *connection->BeginSend(request)};
 }
 
 void OriginClient::Forget(const core::SocketAddress& address) {
@@ -138,18 +143,26 @@
   return it == connections.rend() ? nullptr : *it;
 }
 
-std::shared_ptr<OriginConnection> OriginClient::TakeIdle(
+std::optional<OriginClient::ReadyConnection> OriginClient::TakeIdle(
     const OriginRequest& request) {
+  if (!IsPooled(request)) {
+    return std::nullopt;
+  }
   while (std::shared_ptr<OriginConnection> connection = FindIdle(request)) {
     Drop(connection.get());
     // Bytes that have arrived meanwhile answer no request, and after its end
     // the connection carries none.
     connection->ReadWaiting();
-    if (connection->is_open()) {
-      return connection;
+    if (!connection->is_open()) {
+      continue;
+    }
+    if (auto permit = connection->BeginSend(request)) {
+      return ReadyConnection{.connection = std::move(connection),
+                             .permit = *std::move(permit)};
     }
+    connection->Close();
   }
-  return nullptr;
+  return std::nullopt;
 }
 
 void OriginClient::KeepIdle(
--- a/Libraries/LibHttp/origin_client.h
+++ b/Libraries/LibHttp/origin_client.h
@@ -84,7 +84,7 @@
   std::function<bool(const ConnectionUse& use)> may_send;
   // Returns which request a response names. Needed if the request has an id.
   std::function<ResponseName(const MessageHead& head)> name_of;
-  // A response that belongs to another request is read and skipped.
+  // A response that doesn't answer the request was read.
   std::function<void(const MessageHead& head)> on_skipped;
   std::function<void(const AnswerHead& head)> on_head;
   std::function<void(std::string_view piece)> on_body;
@@ -137,7 +137,7 @@
   OriginClient& operator=(const OriginClient&) = delete;
 
   // Sends `request` exactly once, without retries. All callbacks but `may_send`
-  // run in later turns of the loop.
+  // run in later turns of the loop; those of the observer may run in Send.
   std::shared_ptr<OriginCall> Send(const OriginRequest& request,
                                    OriginCallbacks callbacks);
 
@@ -160,13 +160,20 @@
   friend class OriginConnection;
   using IdleList = std::deque<std::shared_ptr<OriginConnection>>;
 
-  // Removes an idle connection that may carry `request` from the pool; nullptr
+  // A connection, and the right to send the request on it.
+  struct ReadyConnection {
+    std::shared_ptr<OriginConnection> connection;
+    SendPermit permit;
+  };
+
+  // Removes an idle connection that may carry `request` from the pool; nullopt
   // if there is none.
-  std::shared_ptr<OriginConnection> TakeIdle(const OriginRequest& request);
+  std::optional<ReadyConnection> TakeIdle(const OriginRequest& request);
   // Returns the most recently used one that may carry `request`, which stays in
   // the pool; nullptr if there is none.
   std::shared_ptr<OriginConnection> FindIdle(
       const OriginRequest& request) const;
+  ReadyConnection NewConnection(const OriginRequest& request);
   // Adds `connection` to the pool.
   void KeepIdle(const std::shared_ptr<OriginConnection>& connection);
   // Removes `connection` from the pool.
--- a/Libraries/LibHttp/origin_connection.cc
+++ b/Libraries/LibHttp/origin_connection.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "LibCore/text.h"
+#include "LibHttp/origin_send.h"
 #include "LibHttp/tunnel.h"
 
 namespace wasabi::http {
@@ -78,27 +79,35 @@
       held_(memory_),
       use_{.connection = number} {}
 
-void OriginConnection::Start(const OriginRequest& request,
-                             SendPermit permit,
-                             OriginCallbacks callbacks) {
+std::shared_ptr<OriginSend> OriginConnection::Start(
+    const OriginRequest& request,
+    SendPermit permit,
+    OriginCallbacks callbacks) {
+  const auto send = std::make_shared<OriginSend>(shared_from_this());
+  send_ = send;
   permit_ = std::move(permit);
   callbacks_ = std::move(callbacks);
   is_active_ = true;
   self_ = shared_from_this();
   is_head_request_ = request.method == "HEAD";
+  is_tunnel_ = request.tunnel.has_value();
+  is_pooled_ = IsPooled(request);
   interim_responses_ = 0;
   skipped_bytes_ = 0;
   ++use_.call;
   use_.skipped_responses = 0;
   use_.sends_of_id = sends_.sends_of_latest_id();
   NewParser();
-  is_tunnel_ = request.tunnel.has_value();
   if (stream_ == nullptr) {
     Connect(request);
   }
-  if (stream_ == nullptr) {
-    return;
+  if (stream_ != nullptr) {
+    WriteOrWait(request);
   }
+  return send;
+}
+
+void OriginConnection::WriteOrWait(const OriginRequest& request) {
   unsent_request_ = Serialise(request);
   CheckHeldBytes();
   if (is_tunnel_) {
@@ -252,7 +261,15 @@
   }
 }
 
+void OriginConnection::EndSend() {
+  if (const auto send = send_.lock()) {
+    send->End();
+  }
+  send_.reset();
+}
+
 void OriginConnection::Release() {
+  EndSend();
   self_.reset();
   is_active_ = false;
   callbacks_ = {};
@@ -378,16 +395,21 @@
       return;
     case ResponseOwner::kOtherSend:
       is_skipping_ = true;
-      if (callbacks_.on_skipped) {
-        callbacks_.on_skipped(head);
-      }
+      NoteSkipped(head);
       return;
     case ResponseOwner::kNoSend:
+      NoteSkipped(head);
       Finish(OriginOutcome::kMalformed);
       return;
   }
 }
 
+void OriginConnection::NoteSkipped(const MessageHead& head) {
+  if (callbacks_.on_skipped) {
+    callbacks_.on_skipped(head);
+  }
+}
+
 void OriginConnection::OnAnswer(const AnswerHead& answer) {
   idle_timeout_ = ParseIdleTimeout(answer.headers());
   if (callbacks_.on_head) {
@@ -445,13 +467,14 @@
     return;
   }
   const auto self = shared_from_this();
+  EndSend();
   self_.reset();
   is_active_ = false;
   connect_timer_.reset();
   // If bytes follow the response, or the response was complete before the whole
   // request was sent, the connection is desynchronised and can't be reused.
   const bool is_reusable = end == OriginOutcome::kComplete && is_keep_alive_ &&
-                           !is_tunnel_ && !sends_.is_full() && input_.empty() &&
+                           is_pooled_ && !sends_.is_full() && input_.empty() &&
                            stream_->unsent_bytes() == 0;
   const auto callbacks =
       std::make_shared<OriginCallbacks>(std::exchange(callbacks_, {}));
--- a/Libraries/LibHttp/origin_connection.h
+++ b/Libraries/LibHttp/origin_connection.h
@@ -17,8 +17,15 @@
 
 namespace wasabi::http {
 
-class OriginConnection : public OriginCall,
-                         public std::enable_shared_from_this<OriginConnection> {
+// Returns whether `request` may share a connection with others. A tunnel carries
+// one request.
+inline bool IsPooled(const OriginRequest& request) {
+  return !request.tunnel;
+}
+
+class OriginSend;
+
+class OriginConnection : public std::enable_shared_from_this<OriginConnection> {
  public:
   OriginConnection(core::EventLoop* loop,
                    std::weak_ptr<OriginClient*> client,
@@ -30,14 +37,17 @@
   bool MayCarry(const OriginRequest& request) const {
     return sends_.MayCarry(request.id);
   }
-  // Returns the right to send `request`; nullopt if it may not carry it.
-  [[nodiscard]] std::optional<SendPermit> Permit(const OriginRequest& request) {
+  // Makes `request` the latest send. Returns the right to send it; nullopt if
+  // the connection may not carry it.
+  [[nodiscard]] std::optional<SendPermit> BeginSend(
+      const OriginRequest& request) {
     return sends_.Begin(request.id);
   }
-  // Sends `request`, and connects first if there is no connection yet.
-  void Start(const OriginRequest& request,
-             SendPermit permit,
-             OriginCallbacks callbacks);
+  // Sends `request`, and connects first if there is no connection yet. Returns
+  // the handle to this send.
+  std::shared_ptr<OriginSend> Start(const OriginRequest& request,
+                                    SendPermit permit,
+                                    OriginCallbacks callbacks);
   // Reads what has arrived on an idle connection. Closes it if there is
   // anything.
   void ReadWaiting() { stream_->ReadNow(); }
@@ -47,11 +57,11 @@
   // holds would arrive later.
   void Reset();
 
-  void Cancel() override;
-  void SetReading(bool is_reading) override;
-  bool is_reused() const override { return use_.call > 1; }
-  bool is_connected() const override { return is_connected_; }
-  ConnectionUse use() const override { return use_; }
+  // These act on the latest send, for its handle.
+  void Cancel();
+  void SetReading(bool is_reading);
+  bool is_connected() const { return is_connected_; }
+  const ConnectionUse& use() const { return use_; }
 
   const core::SocketAddress& address() const { return address_; }
   bool is_open() const { return stream_->is_open(); }
@@ -62,6 +72,8 @@
  private:
   void Connect(const OriginRequest& request);
   void OnConnected();
+  // Sends the request, if the connection is open, or asks for the tunnel.
+  void WriteOrWait(const OriginRequest& request);
   // Passes the bytes of the request to the stream, if they may be sent.
   void SendRequest();
   // Spends `permit`, without which no request is written.
@@ -83,10 +95,13 @@
   void OnStreamEnd(TcpStream::End end);
   void OnHead(const MessageHead& head);
   void OnAnswer(const AnswerHead& answer);
+  void NoteSkipped(const MessageHead& head);
   void OnMessageComplete();
   // Returns whether the responses that precede the expected one exceed their
   // limits.
   bool HasTooMuchBefore() const;
+  // Tells the handle that the latest send has ended.
+  void EndSend();
   // Drops the call and what it holds.
   void Release();
   void Finish(OriginOutcome end);
@@ -97,6 +112,8 @@
   const std::shared_ptr<BufferMemory> memory_;
   // Keeps the connection alive while it carries a call.
   std::shared_ptr<OriginConnection> self_;
+  // The handle to the latest send.
+  std::weak_ptr<OriginSend> send_;
   std::shared_ptr<TcpStream> stream_;
   std::unique_ptr<core::Timer> connect_timer_;
   std::unique_ptr<MessageParser> parser_;
@@ -118,6 +135,8 @@
   bool is_active_ = false;
   bool is_connected_ = false;
   bool is_tunnel_ = false;
+  // May carry further requests.
+  bool is_pooled_ = false;
   bool is_head_request_ = false;
   // The current response belongs to another request.
   bool is_skipping_ = false;
--- a/Tests/LibHttp/forwarding_connections_test.cc
+++ b/Tests/LibHttp/forwarding_connections_test.cc
@@ -151,14 +151,15 @@
         client(&loop) {}
 
   std::shared_ptr<OriginCall> Send(CallResult* result,
-                                   const std::string& id = "1") {
+                                   const std::string& id = "1",
+                                   const std::string& method = "POST") {
     OriginRequest request;
     request.id = id;
     request.address = server.address();
-    request.method = "POST";
+    request.method = method;
     request.target = std::string("/");
     request.headers.Add("Id", id);
-    request.body = "body";
+    request.body = method == "POST" ? "body" : "";
     request.connect_timeout = core::milliseconds(300);
     OriginCallbacks callbacks;
     callbacks.name_of = [](const MessageHead& head) {
@@ -174,9 +175,10 @@
     return client.Send(request, std::move(callbacks));
   }
 
-  CallResult SendAndAwait(const std::string& id = "1") {
+  CallResult SendAndAwait(const std::string& id = "1",
+                          const std::string& method = "POST") {
     CallResult result;
-    Send(&result, id);
+    Send(&result, id, method);
     RunUntil(&loop, [&]() { return result.end.has_value(); });
     return result;
   }
@@ -339,6 +341,41 @@
   CHECK(it.server.accepted() == 3);
 }
 
+TEST_CASE("the handle of a call that has ended does not act on the next one") {
+  ClientFixture it;
+  it.server.SetAnswer(kExpectedResponse, false);
+  CallResult result;
+  const auto first = it.Send(&result);
+  REQUIRE(RunUntil(&it.loop, [&]() { return result.end.has_value(); }));
+  it.server.SetAnswer("", false);
+  CallResult next;
+  const auto second = it.Send(&next, "2");
+  REQUIRE(RunUntil(&it.loop, [&]() { return it.server.requests() == 2; }));
+  CHECK(it.server.accepted() == 1);
+  CHECK(first->use().call == 1);
+  CHECK(second->use().call == 2);
+  first->SetReading(false);
+  first->Cancel();
+  it.server.WriteToAll(kSecondResponse);
+  REQUIRE(RunUntil(&it.loop, [&]() { return next.end.has_value(); }));
+  CHECK(next.end == OriginOutcome::kComplete);
+}
+
+TEST_CASE("a connection that may carry no further request is closed") {
+  ClientFixture it;
+  it.server.SetResponder([](const std::string& text) {
+    const size_t start = text.find("\r\nId: ") + 6;
+    return fmt::format(
+        "HTTP/1.1 200 OK\r\nId: {}\r\nContent-Length: 2\r\n\r\nok",
+        text.substr(start, text.find("\r\n", start) - start));
+  });
+  for (size_t i = 0; i < SendLedger::kMaxSends + 1; ++i) {
+    REQUIRE(it.SendAndAwait(std::to_string(i)).end == OriginOutcome::kComplete);
+  }
+  CHECK(it.server.accepted() == 2);
+  CHECK(RunUntil(&it.loop, [&]() { return it.server.open() == 1; }));
+}
+
 TEST_CASE("a connection on which something waits unread is not reused") {
   struct Row {
     const char* what;
