A HEAD request shares its connection with no other

Cause: the framing of a response depends on the method of its request. A copy of a POST's answer that was read while a HEAD waited was taken to have no body, and its body was read as the next response: bytes that are no head could refuse the HEAD. The other way round, the copy of a HEAD's answer swallowed the answer to the next request. Found by review. Change: a HEAD goes out on a new connection, which is closed after it. Cost: a connection for each HEAD.

--- a/Libraries/LibHttp/origin_connection.h
+++ b/Libraries/LibHttp/origin_connection.h
@@ -17,10 +17,11 @@
 
 namespace wasabi::http {
 
-// Returns whether `request` may share a connection with others. A tunnel carries
-// one request.
+// Returns whether `request` may share a connection with others. A tunnel
+// carries one request. The framing of a response depends on the method HEAD, so
+// that a copy of another response would be taken apart wrongly beside it.
 inline bool IsPooled(const OriginRequest& request) {
-  return !request.tunnel;
+  return !request.tunnel && request.method != "HEAD";
 }
 
 class OriginSend;
--- a/Tests/LibHttp/forwarding_connections_test.cc
+++ b/Tests/LibHttp/forwarding_connections_test.cc
@@ -341,6 +341,26 @@
   CHECK(it.server.accepted() == 3);
 }
 
+TEST_CASE("a HEAD request shares its connection with no other") {
+  // The methods of three requests in a row, of which one is a HEAD.
+  const std::vector<std::string> rows[] = {{"HEAD", "POST", "POST"},
+                                           {"POST", "HEAD", "POST"}};
+  for (const auto& methods : rows) {
+    ClientFixture it;
+    it.server.SetResponder([](const std::string& text) {
+      const std::string head =
+          fmt::format("HTTP/1.1 200 OK\r\nId: {}\r\nContent-Length: 2\r\n\r\n",
+                      text.substr(text.find("\r\nId: ") + 6, 1));
+      return text.starts_with("HEAD") ? head : head + "ok";
+    });
+    for (size_t i = 0; i < methods.size(); ++i) {
+      CHECK(it.SendAndAwait(std::to_string(i), methods[i]).end ==
+            OriginOutcome::kComplete);
+    }
+    CHECK(it.server.accepted() == 2);
+  }
+}
+
 TEST_CASE("the handle of a call that has ended does not act on the next one") {
   ClientFixture it;
   it.server.SetAnswer(kExpectedResponse, false);
