--- a/Tests/Once/requests_run_once_test.cc
+++ b/Tests/Once/requests_run_once_test.cc
@@ -241,6 +241,11 @@
      .text = REFUSAL_HEAD "Content-Length: 0\r\n\r\n",
      .then = Then::kWorksOn,
      .share = kShare},
+    {.name = "421 without a promise, while it works on",
+     .text = "HTTP/1.1 421 X\r\nRequest-Id: {id}\r\nContent-Length: "
+             "0\r\n\r\n",
+     .then = Then::kWorksOn,
+     .share = kShare},
     {.name = "bytes that are no answer",
      .text = "no answer\r\n\r\n",
      .then = Then::kWorksOn,
