Hosts number their questions above those of their previous process

Cause: an answer to a question about a slot, a place or a permit is matched by the number of the question and by the host that was asked. The numbers started at 0 in each process, under the same host id and address: an answer to a question of the process before (a granting host that stood still, a delayed datagram) answered a question of the new one with the same number, about another endpoint or pool. Also, the granting host keeps the highest number that it has heard of each host, so what a host reported after a restart was ignored until 2 s had gone by without news, and what the dead process had in flight still counted.

Change: the exchanges count from a first number that the daemon takes from the machine's monotonic clock in nanoseconds. It is higher than all numbers of earlier processes. The messages are unchanged (64-bit numbers already), so old and new builds understand each other.

--- a/Libraries/LibCore/process_seed.h
+++ b/Libraries/LibCore/process_seed.h
@@ -16,6 +16,14 @@
          static_cast<uint64_t>(Clock::now().time_since_epoch().count());
 }
 
+// Returns the number before the first that a process gives to its messages:
+// nanoseconds since the start of the machine. Numbers that are counted up from
+// it are higher than all of the machine's earlier processes.
+inline uint64_t FirstMessageNumber() {
+  return static_cast<uint64_t>(
+      std::chrono::nanoseconds(Clock::now().time_since_epoch()).count());
+}
+
 }  // namespace wasabi::core
 
 #endif  // LIBCORE_PROCESS_SEED_H_
--- a/Libraries/LibForwarding/permit_exchange.cc
+++ b/Libraries/LibForwarding/permit_exchange.cc
@@ -36,11 +36,14 @@
 
 }  // namespace
 
-PermitExchange::PermitExchange(core::HostId self, SendFunction send)
+PermitExchange::PermitExchange(core::HostId self,
+                               SendFunction send,
+                               uint64_t first_sequence)
     : self_(std::move(self)),
       send_(std::move(send)),
       limits_(self_, ApplicationKind::kEndpointLimits, send_),
-      cold_(self_, send_) {
+      cold_(self_, send_),
+      sequence_(first_sequence) {
   SetHosts({self_}, 1);
 }
 
--- a/Libraries/LibForwarding/permit_exchange.h
+++ b/Libraries/LibForwarding/permit_exchange.h
@@ -52,7 +52,9 @@
                                           std::string_view body)>;
   using Callback = std::function<void(bool is_granted)>;
 
-  PermitExchange(core::HostId self, SendFunction send);
+  // Questions are numbered above `first_sequence`, which is higher than all
+  // numbers of this host's previous process.
+  PermitExchange(core::HostId self, SendFunction send, uint64_t first_sequence);
 
   // Sets the running hosts that this host sees, itself included, and the number
   // of hosts of the whole fleet, which may include some that it cannot reach.
@@ -187,7 +189,7 @@
   std::map<core::HostId, core::TimePoint> silent_until_;
   std::map<uint64_t, Question> questions_;
   absl::flat_hash_map<uint64_t, Asking> asking_;
-  uint64_t sequence_ = 0;
+  uint64_t sequence_;
 };
 
 }  // namespace wasabi::forwarding
--- a/Libraries/LibForwarding/place_exchange.cc
+++ b/Libraries/LibForwarding/place_exchange.cc
@@ -39,12 +39,14 @@
 
 PlaceExchange::PlaceExchange(core::HostId self,
                              InFlightFunction in_flight,
-                             SendFunction send)
+                             SendFunction send,
+                             uint64_t first_sequence)
     : self_(std::move(self)),
       in_flight_(std::move(in_flight)),
       send_(std::move(send)),
       order_(self_, kSettlingTime),
-      brittle_(self_, ApplicationKind::kBrittleEndpoints, send_) {
+      brittle_(self_, ApplicationKind::kBrittleEndpoints, send_),
+      sequence_(first_sequence) {
   order_.SetHosts({self_}, {});
 }
 
--- a/Libraries/LibForwarding/place_exchange.h
+++ b/Libraries/LibForwarding/place_exchange.h
@@ -40,9 +40,12 @@
   // id has this hash.
   using InFlightFunction = std::function<uint32_t(uint64_t endpoint)>;
 
+  // Messages are numbered above `first_sequence`, which is higher than all
+  // numbers of this host's previous process.
   PlaceExchange(core::HostId self,
                 InFlightFunction in_flight,
-                SendFunction send);
+                SendFunction send,
+                uint64_t first_sequence);
 
   // Sets the hosts that run, including this one, and the number of hosts of the
   // fleet.
@@ -146,7 +149,7 @@
   std::map<core::HostId, core::TimePoint> silent_until_;
   // Questions in a row that each host has not answered.
   std::map<core::HostId, int> unanswered_;
-  uint64_t sequence_ = 0;
+  uint64_t sequence_;
   core::TimePoint next_reports_at_{};
   int news_questions_ = 0;
   core::TimePoint next_news_question_at_{};
--- a/Libraries/LibForwarding/pool_slot_exchange.cc
+++ b/Libraries/LibForwarding/pool_slot_exchange.cc
@@ -76,10 +76,12 @@
 
 PoolSlotExchange::PoolSlotExchange(core::HostId self,
                                    InFlightFunction in_flight,
-                                   SendFunction send)
+                                   SendFunction send,
+                                   uint64_t first_sequence)
     : self_(std::move(self)),
       in_flight_(std::move(in_flight)),
-      send_(std::move(send)) {
+      send_(std::move(send)),
+      sequence_(first_sequence) {
   SetHosts({self_});
 }
 
--- a/Libraries/LibForwarding/pool_slot_exchange.h
+++ b/Libraries/LibForwarding/pool_slot_exchange.h
@@ -72,9 +72,13 @@
   // id has this hash.
   using InFlightFunction = std::function<uint32_t(uint64_t endpoint)>;
 
+  // Messages are numbered above `first_sequence`, which is higher than all
+  // numbers of this host's previous process: a number alone tells to which
+  // question an answer belongs, and which report is newer.
   PoolSlotExchange(core::HostId self,
                    InFlightFunction in_flight,
-                   SendFunction send);
+                   SendFunction send,
+                   uint64_t first_sequence);
 
   void SetHosts(const std::vector<core::HostId>& running);
 
@@ -156,7 +160,7 @@
   std::map<core::HostId, core::TimePoint> silent_until_;
   // Questions in a row that each host has not answered.
   std::map<core::HostId, int> unanswered_;
-  uint64_t sequence_ = 0;
+  uint64_t sequence_;
   core::TimePoint next_reports_at_{};
 };
 
--- a/Services/Forwarder/fleet_controller.cc
+++ b/Services/Forwarder/fleet_controller.cc
@@ -84,13 +84,14 @@
                   core::ProcessSeed(settings.host.Hash()),
                   SendFunction()),
       stream_origins_(settings.host, SendFunction()),
-      permits_(settings.host, SendFunction()),
+      permits_(settings.host, SendFunction(), core::FirstMessageNumber()),
       places_(
           settings.host,
           [loads = context.loads](uint64_t endpoint) {
             return loads->OwnLoad(endpoint);
           },
-          SendFunction()),
+          SendFunction(),
+          core::FirstMessageNumber()),
       origins_({.adapters = context.adapters,
                 .scheduler = context.scheduler,
                 .events = context.events,
@@ -105,7 +106,8 @@
           [loads = context.loads](uint64_t endpoint) {
             return loads->OwnLoad(endpoint);
           },
-          SendFunction()),
+          SendFunction(),
+          core::FirstMessageNumber()),
       pace_exchange_(settings.host, context.paces, SendFunction()),
       crash_records_({.adapters = context.adapters,
                       .scheduler = context.scheduler,
--- a/Tests/LibForwarding/cold_replay_test.cc
+++ b/Tests/LibForwarding/cold_replay_test.cc
@@ -99,7 +99,8 @@
           ids_[i],
           [this, i](const std::vector<core::HostId>& to,
                     membership::ApplicationKind kind,
-                    std::string_view body) { Send(i, to, kind, body); }));
+                    std::string_view body) { Send(i, to, kind, body); },
+          /*first_sequence=*/0));
     }
     for (size_t i = 0; i < hosts; ++i) {
       SetHosts(i);
--- a/Tests/LibForwarding/permit_questions_test.cc
+++ b/Tests/LibForwarding/permit_questions_test.cc
@@ -63,7 +63,8 @@
           [this, i](const std::vector<core::HostId>& to,
                     membership::ApplicationKind kind, std::string_view body) {
             Send(i, to, kind, std::string(body));
-          }));
+          },
+          /*first_sequence=*/0));
       hosts_[i]->SetHosts(ids_, ids_.size());
       for (const core::RunnerId& it : endpoints_) {
         hosts_[i]->RecordLimit(it, load.limit, kStart);
--- a/Tests/LibForwarding/permit_replay_test.cc
+++ b/Tests/LibForwarding/permit_replay_test.cc
@@ -151,9 +151,11 @@
 
   std::unique_ptr<PermitExchange> NewHost(size_t i) {
     return std::make_unique<PermitExchange>(
-        ids_[i], [this, i](const std::vector<core::HostId>& to,
-                           membership::ApplicationKind kind,
-                           std::string_view body) { Send(i, to, kind, body); });
+        ids_[i],
+        [this, i](const std::vector<core::HostId>& to,
+                  membership::ApplicationKind kind,
+                  std::string_view body) { Send(i, to, kind, body); },
+        /*first_sequence=*/0);
   }
 
   size_t Affected() const {
--- a/Tests/LibForwarding/place_replay_test.cc
+++ b/Tests/LibForwarding/place_replay_test.cc
@@ -148,7 +148,8 @@
         ids_[i],
         [this, i](uint64_t endpoint) { return hosts_[i].in_flight[endpoint]; },
         [this, i](const std::vector<core::HostId>& to, ApplicationKind kind,
-                  std::string_view body) { Send(i, to, kind, body); });
+                  std::string_view body) { Send(i, to, kind, body); },
+        /*first_sequence=*/0);
   }
 
   void SetHosts() {
@@ -403,7 +404,8 @@
           if (kind == ApplicationKind::kPlaceAnswer) {
             answer = *core::Decode<PlaceAnswer>(body);
           }
-        });
+        },
+        /*first_sequence=*/0);
     // The host has run for longer than reports take.
     places.SetHosts({self, other}, 2, kStart - seconds(1));
     places.RecordBrittle(endpoint, true, kStart);
@@ -461,7 +463,7 @@
       }
     };
     std::vector<bool> results;
-    PermitExchange permits(self, send);
+    PermitExchange permits(self, send, 0);
     permits.SetHosts(hosts, hosts.size());
     permits.RecordLimit(endpoint.id, 5, kStart);
     if (asked_elsewhere(permits, endpoint, &question, &results)) {
@@ -476,7 +478,8 @@
     question.clear();
     results.clear();
     PlaceExchange places(
-        self, [](uint64_t /*endpoint*/) { return 0U; }, send);
+        self, [](uint64_t /*endpoint*/) { return 0U; }, send,
+        /*first_sequence=*/0);
     places.SetHosts(hosts, hosts.size(), kStart);
     places.RecordBrittle(endpoint, true, kStart);
     if (asked_elsewhere(places, endpoint, &question, &results)) {
--- a/Tests/LibForwarding/pool_slot_replay_test.cc
+++ b/Tests/LibForwarding/pool_slot_replay_test.cc
@@ -86,7 +86,8 @@
       hosts_.push_back(std::make_unique<PoolSlotExchange>(
           ids_[i], [this, i](uint64_t endpoint) { return own_[i][endpoint]; },
           [this, i](const std::vector<core::HostId>& to, ApplicationKind kind,
-                    std::string_view body) { Send(i, to, kind, body); }));
+                    std::string_view body) { Send(i, to, kind, body); },
+          /*first_sequence=*/0));
     }
     SetHosts();
   }
@@ -438,8 +439,8 @@
       sent.emplace_back(kind, body);
     };
     const auto idle = [](uint64_t /*endpoint*/) { return 0U; };
-    PoolSlotExchange asking(self, idle, send);
-    PoolSlotExchange granting(other, idle, send);
+    PoolSlotExchange asking(self, idle, send, 0);
+    PoolSlotExchange granting(other, idle, send, 0);
     asking.SetHosts(hosts);
     granting.SetHosts(hosts);
     std::vector<PoolSlotOutcome> outcomes;
