Number gossip probes from a random first one in each process

Cause: an ack is matched to the open probe, and to a probe for another member, by its number alone. The numbers started at 0 in each process, so that an ack to a probe of a host's previous process (delayed, or of a member that stood still) ended a probe of the new one: a member that doesn't answer passed for alive, and its suspicion began a probe period later.

Change: the first number comes from the random seed, which differs between processes. The messages are unchanged.

--- a/Libraries/LibMembership/gossip_protocol.cc
+++ b/Libraries/LibMembership/gossip_protocol.cc
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <utility>
 
+#include "LibCore/hash.h"
 #include "LibCore/result_code.h"
 #include "LibCore/text.h"
 #include "LibCore/try.h"
@@ -68,6 +69,8 @@
       random_(random_seed),
       gossip_bucket_(options_.gossip_rate, kGossipBurstBytes),
       answer_bucket_(options_.answer_rate, kAnswerBurstBytes),
+      sequence_(
+          static_cast<uint32_t>(core::CombineHashes(random_seed, self_hash_))),
       pending_offset_(options_.self.applied_offset),
       // A random phase desynchronizes the probes of members that start at the
       // same time.
--- a/Libraries/LibMembership/gossip_protocol.h
+++ b/Libraries/LibMembership/gossip_protocol.h
@@ -261,7 +261,9 @@
   TokenBucket answer_bucket_;
   std::vector<MemberChange> changes_;
   uint64_t version_ = 0;
-  uint32_t sequence_ = 0;
+  // Number of the last probe. The first one is random, so that no ack to a
+  // probe of this host's previous process has the number of one that is open.
+  uint32_t sequence_;
   // Lifeguard's local health score: 0 is healthy; higher values lengthen the
   // probe period and the probe and suspicion timeouts.
   int health_ = 0;
