A call is not sent on a kept connection on which bytes wait

Cause: libcurl matches answers to calls by their order on a connection. libcurl 7.88 reuses a connection on which bytes arrived after the last answer. An answer that a server writes again then counts as the answer to the next call, whose own answer counts for the call after it, and so on while the connection lives. Calls to the platform's store are sent on kept connections: a read of a log names no offset in its answer, so that records would be taken for those at other offsets, and a write would be taken for acknowledged by the answer to an earlier call.

Change: before it sends a request on a kept connection, Client looks whether bytes wait there. If so, it leaves the connection and sends the request on a new one. libcurl tells a connection by its addresses before it sends, so the sockets are kept by address. A call costs a new connection only where something waits.

Remains: an answer too many that comes after the request went out is taken for its answer, once; the calls after it get their own. Only a connection per call, or an answer that names its question, would tell; calls that may run once use a connection of their own already.

--- a/Libraries/LibHttp/client.cc
+++ b/Libraries/LibHttp/client.cc
@@ -6,6 +6,7 @@
 
 #include "LibCore/result_code.h"
 #include "LibCore/text.h"
+#include "LibHttp/open_sockets.h"
 
 namespace wasabi::http {
 
@@ -49,6 +50,11 @@
   }
 }
 
+core::SocketAddress AddressOf(const char* ip, int port) {
+  return core::SocketAddress::Parse(fmt::format("{}:{}", ip, port))
+      .value_or(core::SocketAddress());
+}
+
 // Returns the bytes that a transfer sent and received, including headers.
 uint64_t TransferredBytes(CURL* easy) {
   long request_bytes = 0;
@@ -76,6 +82,8 @@
   void Start(const std::shared_ptr<Call>& call, const ClientRequest& request);
   void Act(curl_socket_t socket, int events);
   void CollectFinished();
+  // Sends the request of a call again, on a new connection.
+  void StartAgain(Call* call);
   void Remove(Call* call);
 
   static int OnSocket(CURL* easy,
@@ -84,12 +92,17 @@
                       void* user,
                       void* socket_user);
   static int OnTimer(CURLM* multi, long timeout_ms, void* user);
+  static curl_socket_t OnOpen(void* user,
+                              curlsocktype purpose,
+                              curl_sockaddr* address);
+  static int OnClose(void* user, curl_socket_t socket);
 
   core::EventLoop* loop;
   CURLM* multi;
   std::unique_ptr<core::Timer> timer;
   std::map<curl_socket_t, std::unique_ptr<core::IoWatcher>> watchers;
   std::map<CURL*, std::shared_ptr<Call>> calls;
+  OpenSockets sockets;
   uint64_t bytes_transferred = 0;
   // Bytes of the bodies of calls in flight whose size is limited, and the limit
   // for all of them; zero means no limit.
@@ -170,6 +183,24 @@
     return call->is_cancelled ? 0 : size * count;
   }
 
+  // Runs before the request is sent. Bytes that arrived on a connection before
+  // answer an earlier request, and libcurl would take them for the answer to
+  // this one.
+  static int OnConnection(void* user,
+                          char* remote_ip,
+                          char* local_ip,
+                          int remote_port,
+                          int local_port) {
+    auto* call = static_cast<Call*>(user);
+    const std::shared_ptr<State> owner = call->state.lock();
+    call->is_connection_unusable =
+        !call->is_connection_new && owner != nullptr &&
+        owner->sockets.HasWaitingBytes(AddressOf(local_ip, local_port),
+                                       AddressOf(remote_ip, remote_port));
+    return call->is_connection_unusable ? CURL_PREREQFUNC_ABORT
+                                        : CURL_PREREQFUNC_OK;
+  }
+
   // Counts bytes of a body. Returns whether its limits allow them.
   bool CountFetched(size_t bytes) {
     const std::shared_ptr<State> owner = state.lock();
@@ -192,6 +223,10 @@
   // The blank line after the head of the final response was received.
   bool has_whole_head = false;
   bool headers_reported = false;
+  // The request is sent on a connection that has carried no other.
+  bool is_connection_new = false;
+  // The request was not sent, since its connection had bytes waiting.
+  bool is_connection_unusable = false;
   bool is_cancelled = false;
   // The response exceeds a size limit.
   bool is_oversized = false;
@@ -254,6 +289,13 @@
   curl_easy_setopt(easy, CURLOPT_HEADERDATA, call.get());
   curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &Call::OnData);
   curl_easy_setopt(easy, CURLOPT_WRITEDATA, call.get());
+  curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION, &State::OnOpen);
+  curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, this);
+  curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, &State::OnClose);
+  curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, this);
+  call->is_connection_new = request.needs_fresh_connection;
+  curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &Call::OnConnection);
+  curl_easy_setopt(easy, CURLOPT_PREREQDATA, call.get());
   curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT,
                    request.needs_fresh_connection ? 1L : 0L);
   curl_easy_setopt(
@@ -284,6 +326,10 @@
       continue;
     }
     const std::shared_ptr<Call> call = it->second;
+    if (call->is_connection_unusable && !call->is_cancelled) {
+      StartAgain(call.get());
+      continue;
+    }
     long request_size = 0;
     curl_easy_getinfo(call->easy, CURLINFO_REQUEST_SIZE, &request_size);
     const absl::Status status =
@@ -301,6 +347,14 @@
   }
 }
 
+void Client::State::StartAgain(Call* call) {
+  curl_multi_remove_handle(multi, call->easy);
+  call->is_connection_unusable = false;
+  call->is_connection_new = true;
+  curl_easy_setopt(call->easy, CURLOPT_FRESH_CONNECT, 1L);
+  curl_multi_add_handle(multi, call->easy);
+}
+
 void Client::State::Remove(Call* call) {
   CURL* easy = call->easy;
   const auto it = calls.find(easy);
@@ -347,6 +401,17 @@
   return 0;
 }
 
+curl_socket_t Client::State::OnOpen(void* user,
+                                    curlsocktype /*purpose*/,
+                                    curl_sockaddr* address) {
+  return static_cast<State*>(user)->sockets.Open(
+      address->family, address->socktype, address->protocol);
+}
+
+int Client::State::OnClose(void* user, curl_socket_t socket) {
+  return static_cast<State*>(user)->sockets.Close(socket);
+}
+
 Client::Client(core::EventLoop* loop, uint64_t max_fetched_bytes)
     : state_(std::make_shared<State>(loop)) {
   state_->max_fetched_bytes = max_fetched_bytes;
