Soak: endpoints renewed at their address, and refusals that come twice

Cause: the soak's endpoints wrote copies of refusals without an id only, and no address was ever served under a second id.

Change: the faults renew_endpoint (an endpoint, or all of its pool, ends; one with another id starts at its address, while the old registration stands for 2 s or 3.6 s without a heartbeat), take_address_over (one of another pool starts there), and endpoint_repeats_refusals. An endpoint writes a refusal, also with 421, once more as the next request arrives on its connection. The last line of a run counts renewals, copies, and requests that came again to the address and to the connection that had refused them. A run that was refused with 421 names the id that it was sent to, so that the existing checks judge what the host chose; 421 did not occur in the soak before. No check changed.

--- a/Libraries/LibHttp/transaction.h
+++ b/Libraries/LibHttp/transaction.h
@@ -50,6 +50,10 @@
   Transaction& operator=(const Transaction&) = delete;
 
   const InboundRequest& request() const { return request_; }
+  // The connection that the request came on. Expired once it is closed.
+  const std::weak_ptr<RequestConnection>& connection() const {
+    return connection_;
+  }
 
   // Sends a complete response.
   void Respond(const Answer& answer);
--- a/Tests/Soak/checker_test.cc
+++ b/Tests/Soak/checker_test.cc
@@ -9,6 +9,7 @@
 
 #include "LibCore/text.h"
 #include "Tests/Soak/endpoint_fleet.h"
+#include "Tests/Soak/refusal_counts.h"
 
 namespace wasabi::soak {
 namespace {
@@ -519,6 +520,73 @@
   CheckCases(StopCases());
 }
 
+// A request that arrives after its refusal at "127.0.0.1:1", on connection 1.
+struct RefusalCase {
+  std::string what;
+  RunEnd first;
+  std::string address;
+  uint64_t connection;
+  std::string copy_of;
+  RefusalCounts expected;
+};
+
+TEST_CASE("requests that come again where they were refused are counted") {
+  const std::vector<RefusalCase> cases = {
+      {"on the connection, with its copy",
+       RunEnd::kRefused,
+       "127.0.0.1:1",
+       1,
+       "r1",
+       {0, 1, 1, 1, 1}},
+      {"on the connection, without a copy",
+       RunEnd::kRefused,
+       "127.0.0.1:1",
+       1,
+       "",
+       {0, 0, 0, 1, 1}},
+      {"on the connection, with the copy of another refusal",
+       RunEnd::kRefused,
+       "127.0.0.1:1",
+       1,
+       "r0",
+       {0, 1, 0, 1, 1}},
+      {"at the address, on another connection",
+       RunEnd::kRefused,
+       "127.0.0.1:1",
+       2,
+       "",
+       {0, 0, 0, 1, 0}},
+      {"at another address",
+       RunEnd::kRefused,
+       "127.0.0.1:2",
+       2,
+       "",
+       {0, 0, 0, 0, 0}},
+      {"after an answer",
+       RunEnd::kAnswered,
+       "127.0.0.1:1",
+       1,
+       "",
+       {0, 0, 0, 0, 0}},
+  };
+  for (const RefusalCase& row : cases) {
+    INFO(row.what);
+    World world(CallKind::kIdempotent);
+    world.run->address = *core::SocketAddress::Parse("127.0.0.1:1");
+    world.run->connection = 1;
+    world.run->end = row.first;
+    const auto again = world.AddRun();
+    again->address = *core::SocketAddress::Parse(row.address);
+    again->connection = row.connection;
+    if (!row.copy_of.empty()) {
+      again->copied_refusal = core::RequestId(row.copy_of);
+    }
+    CHECK(CountRefusals(world.history) == row.expected);
+    world.history.renewals.push_back({});
+    CHECK(CountRefusals(world.history).renewals == 1);
+  }
+}
+
 TEST_CASE("retries beyond the budget are reported") {
   World world(CallKind::kIdempotent);
   for (int i = 0; i < 60; ++i) {
--- a/Tests/Soak/endpoint_fleet.cc
+++ b/Tests/Soak/endpoint_fleet.cc
@@ -37,6 +37,21 @@
 // Streams of the long pool have a pause of this length after each event.
 constexpr core::Duration kLongEventDelay = core::milliseconds(230);
 constexpr size_t kLongSlots = 64;
+// Time for which the registration of an endpoint stands after its end, unless
+// it lapses. Bits of the target select one of the two, and whether all
+// endpoints of the pool end.
+constexpr core::Duration kStaleTime = core::seconds(2);
+constexpr unsigned kLapseBit = 32;
+constexpr unsigned kWholePoolBit = 33;
+// Shares of the requests that the successor refuses, and of the refusals that
+// it writes twice.
+constexpr double kRefusalShare = 0.1;
+constexpr double kRepeatedRefusalShare = 0.8;
+
+core::PoolId OtherPool(const core::PoolId& pool) {
+  return core::PoolId(pool == core::PoolId(kPlainPool) ? kOtherPlainPool
+                                                       : kPlainPool);
+}
 
 int64_t UnixMilliseconds() {
   return std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -62,12 +77,24 @@
 
 absl::Status EndpointFleet::Add(const core::PoolId& pool) {
   const auto n = static_cast<uint32_t>(members_.size());
+  return AddAt(pool,
+               support::FreeAddress(
+                   support::LoopbackIp(kFirstEndpointIp + n % kIpsPerRange)),
+               support::FreeAddress(
+                   support::LoopbackIp(kFirstProxyIp + n % kIpsPerRange)))
+      .status();
+}
+
+absl::StatusOr<EndpointFleet::Member*> EndpointFleet::AddAt(
+    const core::PoolId& pool,
+    const core::SocketAddress& address,
+    const core::SocketAddress& registered_address) {
+  const size_t n = members_.size();
   auto member = std::make_unique<Member>();
   member->options.id =
       core::RunnerId(fmt::format("{}-{}", pool.value(), members_.size()));
   member->options.pool = pool;
-  member->options.address = support::FreeAddress(
-      support::LoopbackIp(kFirstEndpointIp + n % kIpsPerRange));
+  member->options.address = address;
   member->options.seed = options_.seed * 1000 + n;
   member->options.software_version =
       fmt::format("v{}", 1 + n / kEndpointsPerVersion % kVersions);
@@ -75,13 +102,12 @@
     member->options.slots = kLongSlots;
     member->usual.delay = kLongEventDelay;
   }
-  member->registered_address = support::FreeAddress(
-      support::LoopbackIp(kFirstProxyIp + n % kIpsPerRange));
+  member->registered_address = registered_address;
   member->link_faults =
       std::make_unique<support::LinkFaults>(options_.seed + n);
   TRY(Start(member.get()));
   members_.push_back(std::move(member));
-  return absl::OkStatus();
+  return members_.back().get();
 }
 
 absl::Status EndpointFleet::Start(Member* member) {
@@ -197,6 +223,49 @@
       {.endpoint = member->options.id, .acknowledged_at = now});
 }
 
+void EndpointFleet::Renew(uint64_t target, Successor successor) {
+  Member* member = Choose(target);
+  if (member == nullptr) {
+    return;
+  }
+  const core::Duration stands =
+      ((target >> kLapseBit) & 1U) == 0 ? kStaleTime : kRegistrationLifetime;
+  const bool is_whole_pool = ((target >> kWholePoolBit) & 1U) == 0;
+  std::vector<Member*> ending;
+  for (const auto& it : members_) {
+    if (it.get() == member || (is_whole_pool && it->state == State::kServing &&
+                               it->options.pool == member->options.pool)) {
+      ending.push_back(it.get());
+    }
+  }
+  for (Member* it : ending) {
+    RenewMember(it, stands, successor);
+  }
+}
+
+void EndpointFleet::RenewMember(Member* member,
+                                core::Duration stands,
+                                Successor successor) {
+  const core::PoolId& pool = member->options.pool;
+  CrashMember(member, stands);
+  member->state = State::kEnded;
+  const bool is_same_pool = successor == Successor::kSamePool;
+  if (!is_same_pool && !Add(pool).ok()) {
+    return;
+  }
+  const auto next = AddAt(is_same_pool ? pool : OtherPool(pool),
+                          member->options.address, member->registered_address);
+  if (!next.ok()) {
+    return;
+  }
+  SetMemberFaults(*next,
+                  {.refusal_share = kRefusalShare,
+                   .repeated_refusal_share = kRepeatedRefusalShare},
+                  stands);
+  history_->renewals.push_back(
+      {.ended = member->options.id, .successor = (*next)->options.id});
+}
+
 void EndpointFleet::RecordEvacuation(const core::DataCentreId& data_centre,
                                      core::Duration duration) {
   for (const auto& it : members_) {
@@ -243,9 +312,14 @@
                               const support::EndpointFaults& faults,
                               core::Duration duration) {
   Member* member = Choose(target);
-  if (member == nullptr) {
-    return;
+  if (member != nullptr) {
+    SetMemberFaults(member, faults, duration);
   }
+}
+
+void EndpointFleet::SetMemberFaults(Member* member,
+                                    const support::EndpointFaults& faults,
+                                    core::Duration duration) {
   AddDisturbance(*member, duration);
   // The new faults replace those before.
   EndLimits(*member);
@@ -321,6 +395,11 @@
         RemoveMember(member);
       }
       return;
+    case State::kEnded:
+      if (now >= member->transition_at) {
+        RemoveMember(member);
+      }
+      return;
     case State::kGone:
       return;
   }
--- a/Tests/Soak/endpoint_fleet.h
+++ b/Tests/Soak/endpoint_fleet.h
@@ -28,6 +28,14 @@
   kAnswers,
 };
 
+// What starts at the address of an endpoint that has ended.
+enum class Successor : uint8_t {
+  // An endpoint of the same pool.
+  kSamePool,
+  // One of another pool. The pool gets a new endpoint at another address.
+  kOtherPool,
+};
+
 // Returns the data centre of an endpoint, or the one that `number` selects.
 core::DataCentreId DataCentreOf(const core::RunnerId& endpoint);
 core::DataCentreId DataCentreOf(uint64_t number);
@@ -50,6 +58,11 @@
   void Crash(uint64_t target, core::Duration duration);
   // Adds another endpoint to the pool, then removes this one.
   void Replace(uint64_t target, Announcement announcement);
+  // Stops the endpoint, or all of its pool, and starts another one, which has
+  // another id, at its address at once. The registration of the first stands
+  // for some time, until it is removed or lapses. The successor refuses some
+  // requests, and repeats refusals on their connections, as long.
+  void Renew(uint64_t target, Successor successor);
   // Lets the endpoint name a limit, in requests per second, in its answers.
   void SetLimit(uint64_t target, double per_second, core::Duration duration);
   void SetFaults(uint64_t target,
@@ -74,7 +87,14 @@
   void Poll();
 
  private:
-  enum class State : uint8_t { kServing, kCrashed, kLeaving, kGone };
+  enum class State : uint8_t {
+    kServing,
+    kCrashed,
+    kLeaving,
+    // It has ended for good, but its registration stands.
+    kEnded,
+    kGone,
+  };
 
   struct Member {
     support::EndpointOptions options;
@@ -94,11 +114,17 @@
     std::unique_ptr<support::TcpRelay> relay;
     core::TimePoint next_heartbeat_at;
     core::TimePoint crashed_at;
-    // When a crashed endpoint restarts, or a leaving endpoint stops.
+    // When a crashed endpoint restarts, a leaving endpoint stops, or the
+    // registration of an ended one is removed.
     core::TimePoint transition_at;
     core::TimePoint faults_end_at;
   };
 
+  // Adds an endpoint that listens at `address` behind a proxy at
+  // `registered_address`.
+  absl::StatusOr<Member*> AddAt(const core::PoolId& pool,
+                                const core::SocketAddress& address,
+                                const core::SocketAddress& registered_address);
   absl::Status Start(Member* member);
   // Writes a registration record, which also serves as the heartbeat.
   void Register(Member* member);
@@ -108,6 +134,12 @@
   // none.
   Member* Choose(uint64_t target);
   void CrashMember(Member* member, core::Duration duration);
+  // `stands` is how long the registration stands.
+  void RenewMember(Member* member, core::Duration stands, Successor successor);
+  // Replaces the faults of the endpoint for `duration`.
+  void SetMemberFaults(Member* member,
+                       const support::EndpointFaults& faults,
+                       core::Duration duration);
   // Records that the endpoint no longer names a limit.
   void EndLimits(const Member& member);
   void AddDisturbance(const Member& member,
--- a/Tests/Soak/endpoint_fleet_test.cc
+++ b/Tests/Soak/endpoint_fleet_test.cc
@@ -1,14 +1,19 @@
-// Guards against a stand-in that is gone before its last answer has arrived.
+// Guards against a stand-in that is gone before its last answer has arrived,
+// and against renewals that don't bring back what was refused.
 
 #include "Tests/Soak/endpoint_fleet.h"
 
 #include <catch2/catch.hpp>
+#include <map>
 #include <optional>
+#include <set>
 #include <string>
+#include <vector>
 
 #include "LibCore/text.h"
 #include "LibHttp/origin_client.h"
 #include "Tests/Soak/operator.h"
+#include "Tests/Soak/refusal_counts.h"
 #include "platform/adapters.h"
 #include "platform/configuration_codec.h"
 #include "platform/wire_names.h"
@@ -83,5 +88,125 @@
   CHECK(history.runs[0]->end == support::RunEnd::kAnswered);
 }
 
+// Returns the ids of the registered endpoints, and checks that all of them have
+// the same address.
+std::vector<std::string> RegisteredAt(const support::WatchedLog& log,
+                                      core::SocketAddress* address) {
+  std::vector<std::string> ids;
+  for (const auto& it :
+       log.log().ReadNewest(adapter::kRegistrationTopic).records) {
+    const auto registration = adapter::DecodeRegistration(it.key, *it.value);
+    REQUIRE(registration.ok());
+    if (!ids.empty()) {
+      CHECK(registration->endpoint.address == *address);
+    }
+    *address = registration->endpoint.address;
+    ids.push_back(it.key);
+  }
+  return ids;
+}
+
+// Returns requests that are sent to the endpoint `ended` and, once it has
+// refused them, to `successor`.
+std::string RequestsTo(const std::string& ended,
+                       const std::string& successor,
+                       size_t n) {
+  std::string text;
+  for (size_t i = 0; i < n; ++i) {
+    for (const std::string& it : {ended, successor}) {
+      text += fmt::format(
+          "POST /plain/1 HTTP/1.1\r\nHost: soak.test\r\n{}: r{}\r\n{}: {}\r\n"
+          "Content-Length: 0\r\n\r\n",
+          adapter::kRequestIdHeader, i, adapter::kExpectedEndpointHeader, it);
+    }
+  }
+  return text;
+}
+
+size_t CountOf(const std::string& text, const std::string& part) {
+  size_t n = 0;
+  for (size_t at = text.find(part); at != std::string::npos;
+       at = text.find(part, at + 1)) {
+    ++n;
+  }
+  return n;
+}
+
+TEST_CASE("an endpoint that takes an address over repeats its refusals") {
+  constexpr size_t kRequests = 40;
+  core::EventLoop loop;
+  SoakOptions options;
+  support::WatchedLog log;
+  History history;
+  EndpointFleet fleet(&loop, options, &log, &history);
+  REQUIRE(fleet.Add(core::PoolId(kPlainPool)).ok());
+  core::SocketAddress address;
+  const std::string ended = RegisteredAt(log, &address).at(0);
+  fleet.Renew(0, Successor::kSamePool);
+  REQUIRE(RegisteredAt(log, &address).size() == 2);
+  REQUIRE(history.renewals.size() == 1);
+  const std::string successor = history.renewals[0].successor.value();
+  CHECK(history.renewals[0].ended.value() == ended);
+
+  const auto stream = http::TcpStream::Connect(&loop, address);
+  REQUIRE(stream.ok());
+  std::string answers;
+  http::TcpStream::Callbacks callbacks;
+  callbacks.on_data = [&](std::string_view bytes) { answers.append(bytes); };
+  (*stream)->Start(std::move(callbacks));
+  (*stream)->Write(RequestsTo(ended, successor, kRequests));
+  const core::TimePoint end = loop.Now() + kTestTime;
+  const auto timer = loop.NewTimer([&]() {
+    fleet.Poll();
+    if (RegisteredAt(log, &address).size() == 1 || loop.Now() > end) {
+      loop.Stop();
+    }
+  });
+  timer->StartRepeating(core::milliseconds(5));
+  loop.Run();
+
+  CHECK(RegisteredAt(log, &address) == std::vector<std::string>{successor});
+  const RefusalCounts counts = CountRefusals(history);
+  CHECK(counts.renewals == 1);
+  CHECK(counts.again_at_address == kRequests);
+  CHECK(counts.again_on_connection == kRequests);
+  CHECK(counts.own_copies > 0);
+  CHECK(counts.copies >= counts.own_copies);
+  CHECK(CountOf(answers, "HTTP/1.1 ") == 2 * kRequests + counts.copies);
+  CHECK(CountOf(answers, "HTTP/1.1 421") >= kRequests + counts.own_copies);
+  REQUIRE(history.runs.size() == 2 * kRequests);
+  for (const auto& it : history.runs) {
+    CHECK((it->endpoint.value() == ended || it->endpoint.value() == successor));
+    CHECK((it->endpoint.value() == successor ||
+           it->end == support::RunEnd::kRefused));
+  }
+}
+
+TEST_CASE("another pool takes the address of an endpoint over") {
+  core::EventLoop loop;
+  SoakOptions options;
+  support::WatchedLog log;
+  History history;
+  EndpointFleet fleet(&loop, options, &log, &history);
+  REQUIRE(fleet.Add(core::PoolId(kPlainPool)).ok());
+  fleet.Renew(0, Successor::kOtherPool);
+  std::map<std::string, std::string> pools;
+  for (const auto& it :
+       log.log().ReadNewest(adapter::kRegistrationTopic).records) {
+    const auto registration = adapter::DecodeRegistration(it.key, *it.value);
+    REQUIRE(registration.ok());
+    pools[registration->endpoint.address.ToString()] +=
+        registration->endpoint.pool.value() + " ";
+  }
+  // The stale entry and its successor, and what the pool got instead.
+  std::set<std::string> found;
+  for (const auto& [address, text] : pools) {
+    found.insert(text);
+  }
+  CHECK(found == std::set<std::string>{
+                     fmt::format("{} {} ", kOtherPlainPool, kPlainPool),
+                     fmt::format("{} ", kPlainPool)});
+}
+
 }  // namespace
 }  // namespace wasabi::soak
--- a/Tests/Soak/fault_plan.cc
+++ b/Tests/Soak/fault_plan.cc
@@ -39,6 +39,10 @@
        kEndpointSendsEndlessly,
        kEndpointCopiesRefusals,
        kEndpointCopiesRefusals,
+       kEndpointRepeatsRefusals,
+       kRenewEndpoint,
+       kRenewEndpoint,
+       kTakeAddressOver,
        kLeaveByAnswers,
        kResetEndpointConnections,
        kSilenceEndpointConnections,
@@ -73,13 +77,23 @@
        kEndpointAnswersUnframed,
        kEndpointSendsEndlessly,
        kEndpointCopiesRefusals,
+       kEndpointRepeatsRefusals,
+       kRenewEndpoint,
+       kRenewEndpoint,
+       kTakeAddressOver,
        kHarmfulPrompts,
        kEndpointLimits,
        kEvacuateDataCentre},
+      {kRenewEndpoint, kRenewEndpoint, kRenewEndpoint, kRenewEndpoint,
+       kTakeAddressOver, kTakeAddressOver, kEndpointRepeatsRefusals,
+       kEndpointCopiesRefusals, kEndpointPauses, kSilenceEndpointConnections,
+       kKillHost, kStopHost, kCutHostFromStore},
   };
   return kFamilies;
 }
 
+// Families that the seed selects.
+constexpr size_t kSeededFamilies = 5;
 // A plan has kMinFaults or more, and fewer than kMinFaults + kFaultCountRange,
 // draws.
 constexpr size_t kMinFaults = 4;
@@ -128,6 +142,9 @@
                 "endpoint_answers_unframed",
                 "endpoint_sends_endlessly",
                 "endpoint_copies_refusals",
+                "endpoint_repeats_refusals",
+                "renew_endpoint",
+                "take_address_over",
                 "endpoint_pauses",
                 "reset_endpoint_connections",
                 "silence_endpoint_connections",
@@ -140,7 +157,8 @@
 
 std::vector<FaultAction> MakeFaultPlan(const SoakOptions& options) {
   core::RandomSource random(options.seed);
-  const Family& family = FaultFamilies()[options.seed % FaultFamilies().size()];
+  const Family& family = FaultFamilies().at(
+      options.family.value_or(options.seed % kSeededFamilies));
   const double span = core::ToSeconds(options.faults_end - options.warm_up);
   std::vector<FaultAction> plan;
   const size_t n = kMinFaults + random.Below(kFaultCountRange);
--- a/Tests/Soak/fault_plan.h
+++ b/Tests/Soak/fault_plan.h
@@ -61,6 +61,13 @@
   kEndpointSendsEndlessly,
   // The endpoint writes copies of refusals while it works on requests.
   kEndpointCopiesRefusals,
+  // The endpoint refuses requests, and repeats refusals on their connections as
+  // the next request arrives.
+  kEndpointRepeatsRefusals,
+  // An endpoint ends, and another one of its pool starts at its address.
+  kRenewEndpoint,
+  // An endpoint of another pool starts there.
+  kTakeAddressOver,
   // The endpoint refuses requests and asks for a pause.
   kEndpointPauses,
   kResetEndpointConnections,
@@ -76,6 +83,10 @@
 
 std::string_view NameOf(FaultKind kind);
 
+// The family of refusals and renewals, which only `SoakOptions::family`
+// selects.
+inline constexpr size_t kRenewalFamily = 5;
+
 struct FaultAction {
   // Time since the start of the run.
   core::Duration at{};
@@ -89,7 +100,7 @@
 
 // Returns the faults in chronological order. The seed modulo 5 selects the
 // family from which faults are drawn: planned maintenance only, hosts, the
-// store, endpoints, or a mix of all.
+// store, endpoints, or a mix of all. `options.family` selects another one.
 std::vector<FaultAction> MakeFaultPlan(const SoakOptions& options);
 
 }  // namespace wasabi::soak
--- a/Tests/Soak/history.h
+++ b/Tests/Soak/history.h
@@ -83,6 +83,12 @@
   core::TimePoint acknowledged_at;
 };
 
+// An endpoint that ended, and another one that took its address over at once.
+struct Renewal {
+  core::RunnerId ended;
+  core::RunnerId successor;
+};
+
 // A period in which no request may be sent to the endpoints of a data centre.
 struct Evacuation {
   core::DataCentreId data_centre;
@@ -120,6 +126,7 @@
   std::vector<std::shared_ptr<support::EndpointRun>> runs;
   std::vector<Configuration> configurations;
   std::vector<Departure> departures;
+  std::vector<Renewal> renewals;
   std::vector<LimitPeriod> limits;
   std::vector<Evacuation> evacuations;
   std::vector<std::shared_ptr<Disturbance>> disturbances;
--- a/Tests/Soak/main.cc
+++ b/Tests/Soak/main.cc
@@ -19,13 +19,24 @@
 DEFINE_uint64(model_endpoints, 4, "model endpoints");
 DEFINE_uint64(plain_endpoints, 3, "endpoints of each of two plain services");
 DEFINE_double(rate, 60, "requests a second");
+DEFINE_int32(family,
+             -1,
+             "family of faults, 0 to 5 (refusals and renewals); by default the "
+             "seed selects one of the first five");
 
 namespace wasabi::soak {
 namespace {
 
+bool IsFamily(const char* /*flag*/, int32_t value) {
+  return value <= static_cast<int32_t>(kRenewalFamily);
+}
+
 SoakOptions OptionsFromFlags() {
   SoakOptions options;
   options.seed = FLAGS_seed;
+  if (FLAGS_family >= 0) {
+    options.family = FLAGS_family;
+  }
   options.hosts = FLAGS_hosts;
   options.model_endpoints = FLAGS_model_endpoints;
   options.plain_endpoints = FLAGS_plain_endpoints;
@@ -54,6 +65,12 @@
       "violations={}\n",
       options.seed, result.calls, result.served, result.refused, result.resumed,
       result.continued, result.violations.size());
+  std::cout << fmt::format(
+      "renewals={} copies={} own_copies={} again_at_address={} "
+      "again_on_connection={}\n",
+      result.refusals.renewals, result.refusals.copies,
+      result.refusals.own_copies, result.refusals.again_at_address,
+      result.refusals.again_on_connection);
   if (!result.violations.empty()) {
     std::cout << "logs of the hosts: " << options.work_folder << "\n";
     return 1;
@@ -65,6 +82,8 @@
 }  // namespace
 }  // namespace wasabi::soak
 
+DEFINE_validator(family, &wasabi::soak::IsFamily);
+
 int main(int argc, char** argv) {
   gflags::SetUsageMessage(
       "Runs real hosts against stand-ins of the platform, injects seeded "
--- a/Tests/Soak/soak_options.h
+++ b/Tests/Soak/soak_options.h
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 
 #include "LibCore/time.h"
@@ -33,6 +34,8 @@
 
 struct SoakOptions {
   uint64_t seed = 1;
+  // Family of the faults; by default the seed selects one.
+  std::optional<size_t> family;
   size_t hosts = 4;
   size_t model_endpoints = 4;
   size_t plain_endpoints = 3;
--- a/Tests/Soak/soak_run.cc
+++ b/Tests/Soak/soak_run.cc
@@ -26,6 +26,7 @@
 constexpr double kLostAnswerShare = 0.4;
 constexpr double kFaultShare = 0.3;
 constexpr double kUnframedShare = 0.8;
+constexpr double kRepeatedShare = 0.8;
 // Harmful prompts and limits last for these times longer than other faults, as
 // their bounds apply only some seconds later.
 constexpr core::Duration kHarmfulTime = core::seconds(9);
@@ -111,6 +112,7 @@
     result.resumed += it->first_attempt ? 1 : 0;
     result.continued += it->first_attempt && IsServed(*it) ? 1 : 0;
   }
+  result.refusals = CountRefusals(history_);
   result.violations = violations_;
   return result;
 }
@@ -207,6 +209,9 @@
                    &SoakRun::AnswerUnframed,
                    &SoakRun::SendEndlessly,
                    &SoakRun::CopyRefusals,
+                   &SoakRun::RepeatRefusals,
+                   &SoakRun::RenewEndpoint,
+                   &SoakRun::TakeAddressOver,
                    &SoakRun::PauseEndpoint,
                    &SoakRun::ResetEndpointConnections,
                    &SoakRun::SilenceEndpointConnections,
@@ -432,6 +437,21 @@
                        action.duration);
 }
 
+void SoakRun::RepeatRefusals(const FaultAction& action) {
+  endpoints_.SetFaults(
+      action.target,
+      {.refusal_share = kFaultShare, .repeated_refusal_share = kRepeatedShare},
+      action.duration);
+}
+
+void SoakRun::RenewEndpoint(const FaultAction& action) {
+  endpoints_.Renew(action.target, Successor::kSamePool);
+}
+
+void SoakRun::TakeAddressOver(const FaultAction& action) {
+  endpoints_.Renew(action.target, Successor::kOtherPool);
+}
+
 void SoakRun::PauseEndpoint(const FaultAction& action) {
   endpoints_.SetFaults(action.target, {.pause_share = kFaultShare},
                        action.duration);
--- a/Tests/Soak/soak_run.h
+++ b/Tests/Soak/soak_run.h
@@ -17,6 +17,7 @@
 #include "Tests/Soak/endpoint_fleet.h"
 #include "Tests/Soak/fault_plan.h"
 #include "Tests/Soak/operator.h"
+#include "Tests/Soak/refusal_counts.h"
 #include "Tests/Soak/router_process.h"
 #include "Tests/Soak/soak_options.h"
 
@@ -30,6 +31,7 @@
   // Streams that callers took up again, and those of them that were served.
   size_t resumed = 0;
   size_t continued = 0;
+  RefusalCounts refusals;
   std::vector<Violation> violations;
 };
 
@@ -87,6 +89,9 @@
   void AnswerUnframed(const FaultAction& action);
   void SendEndlessly(const FaultAction& action);
   void CopyRefusals(const FaultAction& action);
+  void RepeatRefusals(const FaultAction& action);
+  void RenewEndpoint(const FaultAction& action);
+  void TakeAddressOver(const FaultAction& action);
   void PauseEndpoint(const FaultAction& action);
   void ResetEndpointConnections(const FaultAction& action);
   void SilenceEndpointConnections(const FaultAction& action);
--- a/Tests/Support/PlatformEndpoint/endpoint_run.h
+++ b/Tests/Support/PlatformEndpoint/endpoint_run.h
@@ -10,6 +10,7 @@
 #include <string_view>
 
 #include "LibCore/identifier.h"
+#include "LibCore/socket_address.h"
 #include "LibCore/time.h"
 #include "LibHttp/headers.h"
 
@@ -29,7 +30,13 @@
 
 // One request that reached an endpoint.
 struct EndpointRun {
+  // The endpoint that the request was sent to. If that one no longer serves at
+  // the address, another one has refused the request.
   core::RunnerId endpoint;
+  // Where the request arrived; connections have different numbers, also those
+  // of different endpoints.
+  core::SocketAddress address;
+  uint64_t connection = 0;
   core::PoolId pool;
   std::string software_version;
   core::RequestId request;
@@ -47,6 +54,9 @@
   core::TimePoint started_at;
   core::TimePoint ended_at;
   RunEnd end = RunEnd::kRunning;
+  // As the request arrived, a copy of the refusal of this request was written
+  // on its connection.
+  std::optional<core::RequestId> copied_refusal;
   // The answer stated that the endpoint is leaving.
   bool announces_departure = false;
   // The refusal asked for no requests until this time.
--- a/Tests/Support/PlatformEndpoint/platform_endpoint.cc
+++ b/Tests/Support/PlatformEndpoint/platform_endpoint.cc
@@ -29,6 +29,15 @@
   return run.headers.Find(adapter::kPromptPartsHeader).has_value();
 }
 
+// Returns the start of an answer that is written without a transaction.
+std::string HeadOf(int status, const http::Headers& headers, size_t length) {
+  std::string text = fmt::format("HTTP/1.1 {} X\r\n", status);
+  for (const auto& [name, value] : headers.fields()) {
+    text += fmt::format("{}: {}\r\n", name, value);
+  }
+  return text + fmt::format("Content-Length: {}\r\n\r\n", length);
+}
+
 // Returns the number in the header `name`, or nullopt if it is absent or
 // invalid.
 template <typename Number>
@@ -110,6 +119,9 @@
   run->resume_after =
       ParseNumberField<uint64_t>(request.headers, adapter::kLastEventIdHeader);
   run->started_at = loop_->Now();
+  run->address = options_.address;
+  run->connection = ConnectionOf(*transaction).number;
+  RepeatRefusal(*transaction, run.get());
   const bool is_refused = Refuse(transaction, run.get());
   observer_(run);
   if (!is_refused) {
@@ -117,19 +129,46 @@
   }
 }
 
+PlatformEndpoint::Connection& PlatformEndpoint::ConnectionOf(
+    const http::Transaction& transaction) {
+  static uint64_t connections = 0;
+  Connection& connection = connections_[transaction.connection()];
+  if (connection.number == 0) {
+    connection.number = ++connections;
+  }
+  return connection;
+}
+
+void PlatformEndpoint::RepeatRefusal(const http::Transaction& transaction,
+                                     EndpointRun* run) {
+  Connection& connection = ConnectionOf(transaction);
+  const auto refused = std::exchange(connection.refused, std::nullopt);
+  const auto stream = transaction.connection().lock();
+  if (!refused || stream == nullptr ||
+      random_.Unit() >= faults_.repeated_refusal_share) {
+    return;
+  }
+  stream->Send(connection.refusal);
+  run->copied_refusal = refused;
+}
+
 bool PlatformEndpoint::Refuse(const TransactionPointer& transaction,
                               EndpointRun* run) {
   const auto expected = run->headers.Find(adapter::kExpectedEndpointHeader);
   const bool is_for_other_endpoint =
       expected && *expected != options_.id.value();
   const bool asks_for_pause = random_.Unit() < faults_.pause_share;
-  if (!is_for_other_endpoint && !asks_for_pause &&
+  const bool has_room = random_.Unit() >= faults_.refusal_share;
+  if (!is_for_other_endpoint && !asks_for_pause && has_room &&
       sessions_.size() <
           options_.slots + faults_.waiting_room.value_or(options_.slots)) {
     return false;
   }
   run->end = RunEnd::kRefused;
   run->ended_at = loop_->Now();
+  if (is_for_other_endpoint) {
+    run->endpoint = core::RunnerId(*expected);
+  }
   http::Answer answer = {
       .status = is_for_other_endpoint ? kMisdirected : kUnavailable,
       .headers = {
@@ -143,6 +182,9 @@
   if (!is_for_other_endpoint) {
     NameLimit(run, &answer.headers);
   }
+  Connection& connection = ConnectionOf(*transaction);
+  connection.refused = run->request;
+  connection.refusal = HeadOf(answer.status, answer.headers, 0);
   transaction->Respond(answer);
   if (!is_for_other_endpoint && !asks_for_pause) {
     RecordTurnedAway();
@@ -286,15 +328,11 @@
   } else {
     body = PlainAnswerOf(run->request);
   }
-  const http::Headers headers = AnswerHeaders(run);
-  std::string text = fmt::format("HTTP/1.1 {} OK\r\n", kOk);
-  for (const auto& [name, value] : headers.fields()) {
-    text += fmt::format("{}: {}\r\n", name, value);
-  }
-  text += fmt::format(
-      "Content-Type: {}\r\nConnection: close\r\nContent-Length: {}\r\n\r\n",
-      IsStream(*run) ? "text/event-stream" : "text/plain", body.size());
-  session->stream_after_copy->Write(text + body);
+  http::Headers headers = AnswerHeaders(run);
+  headers.Add("Content-Type",
+              IsStream(*run) ? "text/event-stream" : "text/plain");
+  headers.Add("Connection", "close");
+  session->stream_after_copy->Write(HeadOf(kOk, headers, body.size()) + body);
   End(session, RunEnd::kAnswered);
 }
 
--- a/Tests/Support/PlatformEndpoint/platform_endpoint.h
+++ b/Tests/Support/PlatformEndpoint/platform_endpoint.h
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -37,6 +38,11 @@
   // Share of the requests to which the endpoint first writes the copy of a
   // refusal, without an id, works on for some time, and then answers.
   double copied_refusal_share = 0;
+  // Share of the requests that the endpoint refuses as if it had no room.
+  double refusal_share = 0;
+  // Share of the requests, among those that arrive on a connection after a
+  // refused one, to which the endpoint first writes the copy of that refusal.
+  double repeated_refusal_share = 0;
   // Requests per second that the endpoint says it accepts from all hosts
   // together; 0 if it names no limit.
   double limit = 0;
@@ -96,6 +102,12 @@
   // An active request.
   struct Session;
   using SessionPointer = std::shared_ptr<Session>;
+  struct Connection {
+    uint64_t number = 0;
+    // The last request on the connection, if it was refused, and the answer.
+    std::optional<core::RequestId> refused;
+    std::string refusal;
+  };
 
   PlatformEndpoint(core::EventLoop* loop,
                    EndpointOptions options,
@@ -105,6 +117,11 @@
   // Refuses a request that is addressed to another endpoint, exceeds the
   // capacity or falls into a pause. Returns true if it was refused.
   bool Refuse(const TransactionPointer& transaction, EndpointRun* run);
+  // Returns the record of the connection that the request came on.
+  Connection& ConnectionOf(const http::Transaction& transaction);
+  // Writes the refusal of the request before on the same connection once more,
+  // if there was one.
+  void RepeatRefusal(const http::Transaction& transaction, EndpointRun* run);
   // Records that a request was turned away for want of room. A brittle endpoint
   // crashes after too many.
   void RecordTurnedAway();
@@ -136,6 +153,9 @@
   // When requests were turned away for want of room, within the last second.
   std::deque<core::TimePoint> turned_away_at_;
   std::set<SessionPointer> sessions_;
+  std::
+      map<std::weak_ptr<http::RequestConnection>, Connection, std::owner_less<>>
+          connections_;
   std::unique_ptr<http::RequestServer> server_;
 };
 
