An entry at whose address another endpoint answers 421 gets nothing more until it changes

What callers saw: refusals (503) in a pool with sound endpoints, while entries of endpoints that had ended still stood at addresses of others. Each request sent under such an entry costs a send (of 4) and a part of the retry allowance.

Cause: an answer 421 counted as a failure of the endpoint, which leaves choice for a short time only, and not at all once more than half of a pool's entries have failed. Nothing recorded what 421 says: the entry's endpoint isn't at its address.

Change: EndpointTable::RecordMisdirected takes the entry out of Available and FindAvailable until its registration changes (heartbeats don't count) or is removed; kept for registered endpoints only. Only an http::AnswerHead, an answer to this send, can mark: ForwardAttempt and Tunnel mark where NoticeIn says that the answer is another endpoint's. A mark for an earlier registration is ignored. Before the bytes go out the entry is looked at again; a request withheld for this goes elsewhere without taking from the retry allowance. A carrier opens no tunnel under such an entry; a host whose carriers all say that an endpoint is unavailable tries another endpoint (before: refused as without a path). No prompt is copied from such an address. Event 341 endpoint_misdirected, counter forward_answers_of_other_endpoints.

Of two entries of one pool at one address the one that started later (`born`, 0 decides nothing) gets the requests, as long as it can get any. Not across pools, and not for one that leaves, is evacuated or was answered for with 421: an entry that gets no requests can't be found to be wrong, and a foreign entry that names an unknown service would keep a sound endpoint out for good.

--- a/Libraries/LibCore/event.cc
+++ b/Libraries/LibCore/event.cc
@@ -109,8 +109,10 @@
      "evacuation stays in force for a limited time."},
     {EventCode::kSendWithheld, "send_withheld",
      "A request was not sent because the data centre of its endpoint was "
-     "evacuated after the endpoint was chosen, or because the request may have "
-     "run and must not run again."},
+     "evacuated after the endpoint was chosen, because another endpoint has "
+     "the "
+     "address by now, or because the request may have run and must not run "
+     "again."},
     {EventCode::kPoolSlotDenied, "pool_slot_denied",
      "A request was refused because the fleet's requests take every slot of "
      "its pool, and waiting for one would take too long."},
@@ -133,6 +135,9 @@
     {EventCode::kEndpointPaceChanged, "endpoint_pace_changed",
      "An endpoint became slower than its pool, or returned to the usual "
      "pace."},
+    {EventCode::kEndpointMisdirected, "endpoint_misdirected",
+     "Another endpoint answered at the address of an endpoint, which gets no "
+     "request of this host before its registration changes."},
     {EventCode::kRefusedEarly, "request_refused_early",
      "A request was refused at once because it could not be expected to start "
      "within its latency objective."},
--- a/Libraries/LibCore/event.h
+++ b/Libraries/LibCore/event.h
@@ -66,6 +66,7 @@
   kBlamesRecorded = 338,
   kStoredBlamesRead = 339,
   kEndpointPaceChanged = 340,
+  kEndpointMisdirected = 341,
   kRefusedEarly = 345,
   kEndpointCold = 330,
   kPermitsExhausted = 331,
--- a/Libraries/LibForwarding/endpoint_chooser.cc
+++ b/Libraries/LibForwarding/endpoint_chooser.cc
@@ -327,6 +327,7 @@
                                   const Endpoint& chosen,
                                   core::TimePoint now) const {
   return source.pool == pool_ && source.id != chosen.id &&
+         context_->endpoints->HasAddress(source) &&
          !context_->monitor->IsDown(source.id, now);
 }
 
--- a/Libraries/LibForwarding/endpoint_notices.cc
+++ b/Libraries/LibForwarding/endpoint_notices.cc
@@ -89,4 +89,20 @@
   }
 }
 
+void RecordMisdirected(ForwardContext* context,
+                       const Endpoint& endpoint,
+                       std::string_view way,
+                       const std::string& request_id) {
+  ++context->metrics->Counter("forward_answers_of_other_endpoints");
+  if (!context->endpoints->RecordMisdirected(
+          endpoint.id, endpoint.started_at_ms, endpoint.address)) {
+    return;
+  }
+  context->events->Record(
+      core::EventCode::kEndpointMisdirected, request_id,
+      fmt::format("endpoint={} address={} started_at_ms={} {}",
+                  endpoint.id.value(), endpoint.address.ToString(),
+                  endpoint.started_at_ms, way));
+}
+
 }  // namespace wasabi::forwarding
--- a/Libraries/LibForwarding/endpoint_table.cc
+++ b/Libraries/LibForwarding/endpoint_table.cc
@@ -1,5 +1,6 @@
 #include "LibForwarding/endpoint_table.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace wasabi::forwarding {
@@ -16,6 +17,7 @@
   const auto it = endpoints_.find(endpoint.id);
   if (it == endpoints_.end()) {
     endpoints_.emplace(endpoint.id, endpoint);
+    addresses_.Add(endpoint);
     return true;
   }
   if (it->second == endpoint) {
@@ -23,6 +25,9 @@
   }
   const Endpoint before = it->second;
   it->second = endpoint;
+  misdirected_.erase(endpoint.id);
+  addresses_.Remove(before);
+  addresses_.Add(endpoint);
   const bool has_restarted = before.started_at_ms != endpoint.started_at_ms ||
                              before.address != endpoint.address;
   if (has_restarted && observer_) {
@@ -38,6 +43,8 @@
   }
   const Endpoint before = it->second;
   endpoints_.erase(it);
+  misdirected_.erase(id);
+  addresses_.Remove(before);
   if (observer_) {
     observer_(before);
   }
@@ -70,6 +77,29 @@
          (it != departures_.end() && endpoint.started_at_ms <= it->second);
 }
 
+bool EndpointTable::RecordMisdirected(const core::RunnerId& id,
+                                      int64_t started_at_ms,
+                                      const core::SocketAddress& address) {
+  const Endpoint* endpoint = Find(id);
+  const bool is_current = endpoint != nullptr &&
+                          endpoint->started_at_ms == started_at_ms &&
+                          endpoint->address == address;
+  return is_current && misdirected_.insert(id).second;
+}
+
+bool EndpointTable::HasSuccessor(const Endpoint& endpoint) const {
+  const std::set<core::RunnerId>* ids =
+      addresses_.EndpointsAt(endpoint.address);
+  if (ids == nullptr || endpoint.started_at_ms == 0) {
+    return false;
+  }
+  return std::any_of(ids->begin(), ids->end(), [&](const core::RunnerId& id) {
+    const Endpoint& other = endpoints_.at(id);
+    return id != endpoint.id && other.pool == endpoint.pool &&
+           other.started_at_ms > endpoint.started_at_ms && IsUsable(other);
+  });
+}
+
 void EndpointTable::SetEvacuated(std::set<core::DataCentreId> data_centres) {
   const std::set<core::DataCentreId> before =
       std::exchange(evacuated_, std::move(data_centres));
--- a/Libraries/LibForwarding/endpoint_table.h
+++ b/Libraries/LibForwarding/endpoint_table.h
@@ -1,6 +1,6 @@
 // Holds the currently registered endpoints and lists them by pool. Endpoints
-// that announce in an answer that they are leaving, and those of evacuated data
-// centres, are not listed.
+// that announce in an answer that they are leaving, those of evacuated data
+// centres, and those whose address another endpoint has are not listed.
 
 #ifndef LIBFORWARDING_ENDPOINT_TABLE_H_
 #define LIBFORWARDING_ENDPOINT_TABLE_H_
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "LibForwarding/endpoint.h"
+#include "LibForwarding/shared_addresses.h"
 
 namespace wasabi::forwarding {
 
@@ -43,6 +44,21 @@
   // restarts, whatever its registration says. Returns whether this is news.
   bool RecordDeparture(const core::RunnerId& id, int64_t started_at_ms);
 
+  // Records that another endpoint answered at `address` a request to the
+  // endpoint, in its life that began at `started_at_ms`. The endpoint does not
+  // become available again before its registration changes or is removed.
+  // Ignored if its registration is another one by now. Returns whether this is
+  // news.
+  bool RecordMisdirected(const core::RunnerId& id,
+                         int64_t started_at_ms,
+                         const core::SocketAddress& address);
+  // Returns false if another endpoint is known to have the endpoint's address:
+  // it has answered there, or it is available, of the same pool, and has
+  // started later. Requires that `endpoint` is or was registered.
+  bool HasAddress(const Endpoint& endpoint) const {
+    return !misdirected_.contains(endpoint.id) && !HasSuccessor(endpoint);
+  }
+
   // Replaces the set of evacuated data centres. Their endpoints get no new
   // requests, but stay in the table as sources of cached prompts.
   void SetEvacuated(std::set<core::DataCentreId> data_centres);
@@ -65,8 +81,16 @@
 
  private:
   bool IsLeaving(const Endpoint& endpoint) const;
+  // Returns whether a later endpoint of the same pool has the address. One that
+  // gets no requests does not count: nothing would show that its registration
+  // is wrong.
+  bool HasSuccessor(const Endpoint& endpoint) const;
+  bool IsUsable(const Endpoint& endpoint) const {
+    return !IsLeaving(endpoint) && !IsEvacuated(endpoint.data_centre) &&
+           !misdirected_.contains(endpoint.id);
+  }
   bool IsAvailable(const Endpoint& endpoint) const {
-    return !IsLeaving(endpoint) && !IsEvacuated(endpoint.data_centre);
+    return IsUsable(endpoint) && !HasSuccessor(endpoint);
   }
 
   std::map<core::RunnerId, Endpoint> endpoints_;
@@ -74,6 +98,9 @@
   // its registration is removed, since a platform that recovers from an outage
   // may list it once more.
   std::map<core::RunnerId, int64_t> departures_;
+  // Registered endpoints at whose address another one has answered.
+  std::set<core::RunnerId> misdirected_;
+  SharedAddresses addresses_;
   std::set<core::DataCentreId> evacuated_;
   RemovalObserver observer_;
   EvacuationEndObserver evacuation_end_observer_;
--- a/Libraries/LibForwarding/forward_attempt.cc
+++ b/Libraries/LibForwarding/forward_attempt.cc
@@ -55,7 +55,7 @@
     return;
   }
   if (context_->path->is_lost() && !ChooseCarrier(&request)) {
-    PostFinish(AttemptEnd::kNoPath);
+    PostFinish(is_unavailable_ ? AttemptEnd::kNotSent : AttemptEnd::kNoPath);
     return;
   }
   const auto weak = weak_from_this();
@@ -94,7 +94,8 @@
 
 bool ForwardAttempt::BeginSend(const http::ConnectionUse& use,
                                core::Duration remaining) {
-  const bool may_send = callbacks_.may_send();
+  has_address_ = context_->endpoints->HasAddress(endpoint_);
+  const bool may_send = has_address_ && callbacks_.may_send();
   context_->events->Record(
       may_send ? core::EventCode::kAttemptStarted
                : core::EventCode::kSendWithheld,
@@ -182,6 +183,11 @@
   if (notice) {
     RecordNotice(context_, endpoint_, *notice,
                  verdict != AttemptVerdict::kInvalid, request_.id.value());
+  } else if (verdict == AttemptVerdict::kNotRun) {
+    RecordMisdirected(
+        context_, endpoint_,
+        fmt::format("carrier={} {}", carrier_name(), http::Describe(use())),
+        request_.id.value());
   }
   const auto self = shared_from_this();
   callbacks_.on_head(verdict, answer.head());
@@ -219,10 +225,11 @@
       Send();
       return;
     case http::OriginOutcome::kEndpointUnavailable:
+      is_unavailable_ = true;
       Send();
       return;
     case http::OriginOutcome::kWithheld:
-      Finish(AttemptEnd::kWithheld);
+      Finish(has_address_ ? AttemptEnd::kWithheld : AttemptEnd::kNotSent);
       return;
     case http::OriginOutcome::kCut:
       FinishCut();
--- a/Libraries/LibForwarding/forward_attempt.h
+++ b/Libraries/LibForwarding/forward_attempt.h
@@ -143,6 +143,10 @@
   core::TimePoint started_at_;
   core::TimePoint last_progress_at_;
   bool has_probed_ = false;
+  // A carrier says that the endpoint accepts no requests.
+  bool is_unavailable_ = false;
+  // Whether the address was the endpoint's when the request was to be sent.
+  bool has_address_ = true;
   bool is_active_ = false;
 };
 
--- a/Libraries/LibForwarding/tunnel.cc
+++ b/Libraries/LibForwarding/tunnel.cc
@@ -119,7 +119,8 @@
   is_connected_ = true;
   timer_.reset();
   context_->path->RecordConnected();
-  if (context_->endpoints->IsEvacuated(endpoint_.data_centre)) {
+  if (context_->endpoints->IsEvacuated(endpoint_.data_centre) ||
+      !context_->endpoints->HasAddress(endpoint_)) {
     host_->Write(
         http::EncodeTunnelReply(http::TunnelReply::kEndpointUnavailable));
     End();
@@ -212,6 +213,10 @@
     if (notice) {
       RecordNotice(context_, endpoint_, *notice, true, request_id_);
     }
+    if (!notice &&
+        protocol.Classify(*match.answer) == AttemptVerdict::kNotRun) {
+      RecordMisdirected(context_, endpoint_, "tunnel=1", request_id_);
+    }
   };
   callbacks.on_body = [](std::string_view /*piece*/) {};
   parser_ = std::make_unique<http::MessageParser>(
--- a/Meta/mutants.sh
+++ b/Meta/mutants.sh
@@ -29,9 +29,12 @@
   patch -s -d "${work_dir}" -p1 < "${patch}"
   cmake --build "${work_dir}/build" -j "${BUILD_JOBS:-$(nproc)}" \
     --target wasabi_router linked_router test_http test_forwarding requests_run_once_test platform_soak \
+    stale_entry_asked_again_after_421_test \
     > "${work_dir}/build.log" 2>&1 || { tail -n 20 "${work_dir}/build.log"; exit 1; }
   report replay "${work_dir}/build/bin/test_forwarding" "*promise that a request*,*state of a request*"
   report ledger "${work_dir}/build/bin/test_http"
+  report endpoint-table "${work_dir}/build/bin/test_forwarding" "*answers is not available*,*belongs to the endpoint*"
+  report stale-entry "${work_dir}/build/bin/stale_entry_asked_again_after_421_test"
   for group in ends refusals silence copies; do
     report "${group}" "${work_dir}/build/bin/requests_run_once_test" "[${group}]" &
   done
