Names of the ledger's types say what they hold; a carrier's parser calls methods

Cause: read as a newcomer and by review: kNoSend and ResponseName said something else than they hold, and the lambda in Tunnel::NewParser had grown to three steps. Change: kUnnamed, ResponseClaim, ClaimIn; Tunnel::OnHead and OnAnswer.

--- a/Libraries/LibCore/event.cc
+++ b/Libraries/LibCore/event.cc
@@ -110,8 +110,7 @@
     {EventCode::kSendWithheld, "send_withheld",
      "A request was not sent because the data centre of its endpoint was "
      "evacuated after the endpoint was chosen, because another endpoint has "
-     "the "
-     "address by now, or because the request may have run and must not run "
+     "the address by now, or because the request may have run and must not run "
      "again."},
     {EventCode::kPoolSlotDenied, "pool_slot_denied",
      "A request was refused because the fleet's requests take every slot of "
--- a/Libraries/LibForwarding/forward_attempt.cc
+++ b/Libraries/LibForwarding/forward_attempt.cc
@@ -60,9 +60,9 @@
   }
   const auto weak = weak_from_this();
   http::OriginCallbacks origin;
-  origin.name_of =
+  origin.claim_of =
       [protocol = context_->endpoint_protocol](const http::MessageHead& head) {
-        return protocol->NameIn(head);
+        return protocol->ClaimIn(head);
       };
   origin.may_send =
       [weak, remaining = options.remaining](const http::ConnectionUse& use) {
@@ -114,14 +114,14 @@
 
 void ForwardAttempt::OnSkipped(const http::MessageHead& head) {
   ++context_->metrics->Counter("forward_answers_skipped");
-  const http::ResponseName name = context_->endpoint_protocol->NameIn(head);
+  const http::ResponseClaim claim = context_->endpoint_protocol->ClaimIn(head);
   context_->events->Record(
       core::EventCode::kAnswerMismatched, request_.id.value(),
       fmt::format("endpoint={} carrier={} {} status={} is_refusal={} ids={} "
                   "id_hash={:016x}",
                   endpoint_.id.value(), carrier_name(), http::Describe(use()),
-                  head.status, name.is_refusal, name.ids.size(),
-                  name.ids.empty() ? 0 : core::StableHash(name.ids.front())));
+                  head.status, claim.is_refusal, claim.ids.size(),
+                  claim.ids.empty() ? 0 : core::StableHash(claim.ids.front())));
 }
 
 void ForwardAttempt::PostFinish(AttemptEnd end) {
--- a/Libraries/LibForwarding/protocols.h
+++ b/Libraries/LibForwarding/protocols.h
@@ -110,8 +110,8 @@
                                      const Endpoint& endpoint,
                                      const AttemptOptions& options) const = 0;
 
-  // Returns which request a response says that it answers.
-  virtual http::ResponseName NameIn(const http::MessageHead& head) const = 0;
+  // Returns what a response says of the request that it answers.
+  virtual http::ResponseClaim ClaimIn(const http::MessageHead& head) const = 0;
 
   // Classifies an answer by its head.
   virtual AttemptVerdict Classify(const http::AnswerHead& answer) const = 0;
--- a/Libraries/LibForwarding/tunnel.cc
+++ b/Libraries/LibForwarding/tunnel.cc
@@ -199,30 +199,34 @@
 
 void Tunnel::NewParser() {
   http::MessageParser::Callbacks callbacks;
-  callbacks.on_head = [this](const http::MessageHead& head) {
-    if (head.status < kFirstFinalStatus) {
-      return;
-    }
-    const EndpointProtocol& protocol = *context_->endpoint_protocol;
-    const http::ResponseMatch match = sends_.Match(head, protocol.NameIn(head));
-    has_head_ = match.owner != http::ResponseOwner::kOtherSend;
-    if (!match.answer) {
-      return;
-    }
-    const auto notice = protocol.NoticeIn(*match.answer);
-    if (notice) {
-      RecordNotice(context_, endpoint_, *notice, true, request_id_);
-    }
-    if (!notice &&
-        protocol.Classify(*match.answer) == AttemptVerdict::kNotRun) {
-      RecordMisdirected(context_, endpoint_, "tunnel=1", request_id_);
-    }
-  };
+  callbacks.on_head = [this](const http::MessageHead& head) { OnHead(head); };
   callbacks.on_body = [](std::string_view /*piece*/) {};
   parser_ = std::make_unique<http::MessageParser>(
       http::MessageKind::kResponse, http::ParserLimits(), std::move(callbacks));
 }
 
+void Tunnel::OnHead(const http::MessageHead& head) {
+  if (head.status < kFirstFinalStatus) {
+    return;
+  }
+  const http::ResponseMatch match =
+      sends_.Match(head, context_->endpoint_protocol->ClaimIn(head));
+  has_head_ = match.owner != http::ResponseOwner::kOtherSend;
+  if (match.answer) {
+    OnAnswer(*match.answer);
+  }
+}
+
+void Tunnel::OnAnswer(const http::AnswerHead& answer) {
+  const EndpointProtocol& protocol = *context_->endpoint_protocol;
+  const auto notice = protocol.NoticeIn(answer);
+  if (notice) {
+    RecordNotice(context_, endpoint_, *notice, true, request_id_);
+  } else if (protocol.Classify(answer) == AttemptVerdict::kNotRun) {
+    RecordMisdirected(context_, endpoint_, "tunnel=1", request_id_);
+  }
+}
+
 void Tunnel::ReadNotices(std::string_view bytes) {
   unparsed_.append(bytes);
   while (!has_head_ && !unparsed_.empty()) {
--- a/Libraries/LibForwarding/tunnel.h
+++ b/Libraries/LibForwarding/tunnel.h
@@ -53,6 +53,9 @@
   void ApplyBackPressure(const http::TcpStream& to,
                          http::TcpStream* from) const;
   void NewParser();
+  // Handle the head of a response, and that of the answer to the request.
+  void OnHead(const http::MessageHead& head);
+  void OnAnswer(const http::AnswerHead& answer);
   // Looks for notices in the head of the answer.
   void ReadNotices(std::string_view bytes);
   void End();
--- a/Libraries/LibHttp/origin_client.h
+++ b/Libraries/LibHttp/origin_client.h
@@ -82,8 +82,9 @@
   // Asked right before the first byte of the request is passed to the kernel,
   // in Send itself if a connection is open. Returns whether it may be sent.
   std::function<bool(const ConnectionUse& use)> may_send;
-  // Returns which request a response names. Needed if the request has an id.
-  std::function<ResponseName(const MessageHead& head)> name_of;
+  // Returns what a response says of its request. Needed if the request has an
+  // id.
+  std::function<ResponseClaim(const MessageHead& head)> claim_of;
   // A response that doesn't answer the request was read.
   std::function<void(const MessageHead& head)> on_skipped;
   std::function<void(const AnswerHead& head)> on_head;
--- a/Libraries/LibHttp/origin_connection.cc
+++ b/Libraries/LibHttp/origin_connection.cc
@@ -388,7 +388,7 @@
     return;
   }
   const ResponseMatch match = sends_.Match(
-      head, callbacks_.name_of ? callbacks_.name_of(head) : ResponseName());
+      head, callbacks_.claim_of ? callbacks_.claim_of(head) : ResponseClaim());
   switch (match.owner) {
     case ResponseOwner::kLatestSend:
       OnAnswer(*match.answer);
@@ -397,7 +397,7 @@
       is_skipping_ = true;
       NoteSkipped(head);
       return;
-    case ResponseOwner::kNoSend:
+    case ResponseOwner::kUnnamed:
       NoteSkipped(head);
       Finish(OriginOutcome::kMalformed);
       return;
--- a/Libraries/LibHttp/send_ledger.cc
+++ b/Libraries/LibHttp/send_ledger.cc
@@ -27,8 +27,8 @@
 }
 
 ResponseMatch SendLedger::Match(const MessageHead& head,
-                                const ResponseName& name) {
-  const ResponseOwner owner = OwnerOf(name);
+                                const ResponseClaim& claim) {
+  const ResponseOwner owner = OwnerOf(claim);
   if (owner == ResponseOwner::kLatestSend) {
     return {.owner = owner, .answer = AnswerHead(&head)};
   }
@@ -36,18 +36,18 @@
   return {.owner = owner};
 }
 
-ResponseOwner SendLedger::OwnerOf(const ResponseName& name) const {
+ResponseOwner SendLedger::OwnerOf(const ResponseClaim& claim) const {
   if (latest_id_.empty()) {
     return ResponseOwner::kLatestSend;
   }
-  if (name.ids.empty()) {
+  if (claim.ids.empty()) {
     // A refusal without an id may be a copy of one to another request.
     const bool is_first = sends_ == 1 && !has_crossed_;
-    return is_first && !name.is_refusal ? ResponseOwner::kNoSend
-                                        : ResponseOwner::kOtherSend;
+    return is_first && !claim.is_refusal ? ResponseOwner::kUnnamed
+                                         : ResponseOwner::kOtherSend;
   }
   const bool names_latest =
-      std::all_of(name.ids.begin(), name.ids.end(),
+      std::all_of(claim.ids.begin(), claim.ids.end(),
                   [this](const std::string& it) { return it == latest_id_; });
   return names_latest ? ResponseOwner::kLatestSend : ResponseOwner::kOtherSend;
 }
--- a/Libraries/LibHttp/send_ledger.h
+++ b/Libraries/LibHttp/send_ledger.h
@@ -32,8 +32,9 @@
   SendPermit() = default;
 };
 
-// Which request a response says that it answers.
-struct ResponseName {
+// What a response says of the request that it answers. That is a claim: the
+// copy of an earlier response says the same.
+struct ResponseClaim {
   // The ids in the response, in their order.
   std::vector<std::string> ids = {};
   // The response says that its request has not run.
@@ -60,13 +61,13 @@
   // Another request, perhaps one that was answered before. The answer to the
   // latest send may follow.
   kOtherSend,
-  // The response names no request, though nothing else was sent or received on
-  // the connection. The answer to the latest send can't be told from it.
-  kNoSend,
+  // None: the response names no request, though it should, and can't be that of
+  // another request, since nothing else was sent or received on the connection.
+  kUnnamed,
 };
 
 struct ResponseMatch {
-  ResponseOwner owner = ResponseOwner::kNoSend;
+  ResponseOwner owner = ResponseOwner::kUnnamed;
   // Set with kLatestSend.
   std::optional<AnswerHead> answer = std::nullopt;
 };
@@ -87,7 +88,7 @@
 
   // Decides whose response `head` is. Each one answers a latest send that has
   // an empty id.
-  ResponseMatch Match(const MessageHead& head, const ResponseName& name);
+  ResponseMatch Match(const MessageHead& head, const ResponseClaim& claim);
 
   // Returns whether no further request with an id may be sent.
   bool is_full() const { return sent_.size() >= kMaxSends; }
@@ -95,14 +96,14 @@
   int sends_of_latest_id() const;
 
  private:
-  ResponseOwner OwnerOf(const ResponseName& name) const;
+  ResponseOwner OwnerOf(const ResponseClaim& claim) const;
 
   // Hashes of the ids, in the order of the sends.
   std::vector<uint64_t> sent_;
   std::string latest_id_;
   // Sends, also those of requests without an id.
   size_t sends_ = 0;
-  // A response to another request was received.
+  // A response to another request was received. Others may follow.
   bool has_crossed_ = false;
 };
 
--- a/Tests/LibHttp/forwarding_connections_test.cc
+++ b/Tests/LibHttp/forwarding_connections_test.cc
@@ -162,8 +162,8 @@
     request.body = method == "POST" ? "body" : "";
     request.connect_timeout = core::milliseconds(300);
     OriginCallbacks callbacks;
-    callbacks.name_of = [](const MessageHead& head) {
-      return ResponseName{.ids = {head.headers.Get("Id")}};
+    callbacks.claim_of = [](const MessageHead& head) {
+      return ResponseClaim{.ids = {head.headers.Get("Id")}};
     };
     callbacks.on_head = [result](const AnswerHead& head) {
       result->statuses.push_back(head.status());
--- a/Tests/LibHttp/send_ledger_test.cc
+++ b/Tests/LibHttp/send_ledger_test.cc
@@ -43,7 +43,7 @@
   // Ids of the sends, in order.
   std::vector<std::string> sends;
   // Names of the responses, in order.
-  std::vector<ResponseName> names;
+  std::vector<ResponseClaim> names;
   // Whose answer the last response is.
   ResponseOwner owner;
 };
@@ -51,14 +51,14 @@
 TEST_CASE("a response answers the latest send only if it names it alone") {
   constexpr auto kLatestSend = ResponseOwner::kLatestSend;
   constexpr auto kOtherSend = ResponseOwner::kOtherSend;
-  constexpr auto kNoSend = ResponseOwner::kNoSend;
+  constexpr auto kUnnamed = ResponseOwner::kUnnamed;
   const MatchCase cases[] = {
       {"its id", {"a"}, {{{"a"}}}, kLatestSend},
       {"its id twice", {"a"}, {{{"a", "a"}}}, kLatestSend},
       {"its id, and another one", {"a"}, {{{"a", "b"}}}, kOtherSend},
       {"the id of the send before", {"a", "b"}, {{{"a"}}}, kOtherSend},
       {"the id of no send", {"a"}, {{{"c"}}}, kOtherSend},
-      {"no id", {"a"}, {{}}, kNoSend},
+      {"no id", {"a"}, {{}}, kUnnamed},
       {"no id, a refusal", {"a"}, {{{}, true}}, kOtherSend},
       {"no id, after a send", {"a", "b"}, {{}}, kOtherSend},
       {"no id, after a send without an id", {"", "b"}, {{}}, kOtherSend},
@@ -80,7 +80,7 @@
     }
     const MessageHead head;
     ResponseMatch match;
-    for (const ResponseName& it : row.names) {
+    for (const ResponseClaim& it : row.names) {
       match = sends.Match(head, it);
     }
     CHECK(match.owner == row.owner);
--- a/Tests/PlatformAdapter/endpoint_codec_test.cc
+++ b/Tests/PlatformAdapter/endpoint_codec_test.cc
@@ -34,7 +34,7 @@
       REQUIRE(sends.Begin("id0").has_value());
     }
     REQUIRE(sends.Begin(request.id.value()).has_value());
-    return sends.Match(head, codec.NameIn(head));
+    return sends.Match(head, codec.ClaimIn(head));
   }
 
   // Returns the head as the answer to a send.
@@ -152,7 +152,7 @@
 TEST_CASE("a response with another Request-Id does not match the request") {
   constexpr auto kLatestSend = http::ResponseOwner::kLatestSend;
   constexpr auto kOtherSend = http::ResponseOwner::kOtherSend;
-  constexpr auto kNoSend = http::ResponseOwner::kNoSend;
+  constexpr auto kUnnamed = http::ResponseOwner::kUnnamed;
   struct Row {
     const char* what;
     Fields fields;
@@ -160,7 +160,7 @@
     http::ResponseOwner on_reused_connection;
   };
   const Row rows[] = {
-      {"no id", {}, kNoSend, kOtherSend},
+      {"no id", {}, kUnnamed, kOtherSend},
       {"a refusal without an id",
        {{"Not-Executed", "1"}},
        kOtherSend,
