A callback of Client may cancel its call

Cause: ClientCall::Cancel destroyed the callbacks at once, also the one that was running, whose captured values were gone when it went on. A callback that holds the last reference to its object (as EngineAttempt's do, which cancels in OnHeaders) destroyed that object within its own method.

Change: the callbacks are destroyed with the removal of the call, which was posted to the loop already; none runs after Cancel.

Result (x86_64): cancelled_call_test.cc ended with SIGSEGV before and passes now, with all of test_http (42 cases).

--- a/Libraries/LibHttp/client.cc
+++ b/Libraries/LibHttp/client.cc
@@ -110,7 +110,7 @@
   uint64_t max_fetched_bytes = 0;
 };
 
-struct Client::State::Call : ClientCall {
+struct Client::State::Call : ClientCall, std::enable_shared_from_this<Call> {
   explicit Call(std::weak_ptr<State> owner) : state(std::move(owner)) {}
   ~Call() override { curl_slist_free_all(header_list); }
   Call(const Call&) = delete;
@@ -118,13 +118,13 @@
 
   void Cancel() override {
     is_cancelled = true;
-    callbacks = ClientCallbacks();
     if (const std::shared_ptr<State> owner = state.lock()) {
-      // libcurl forbids removing a handle inside its callbacks, so the removal
-      // is posted to the loop.
+      // libcurl forbids removing a handle inside its callbacks, and one of ours
+      // may be running, so the removal is posted to the loop.
       std::weak_ptr<State> weak = owner;
       CURL* handle = easy;
-      owner->loop->Post([weak, handle] {
+      owner->loop->Post([weak, handle, call = shared_from_this()] {
+        call->callbacks = ClientCallbacks();
         const std::shared_ptr<State> it = weak.lock();
         if (it != nullptr && it->calls.contains(handle)) {
           it->Remove(it->calls.at(handle).get());
@@ -142,7 +142,7 @@
     headers_reported = true;
     long status = 0;
     curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
-    if (callbacks.on_headers) {
+    if (callbacks.on_headers && !is_cancelled) {
       callbacks.on_headers(static_cast<int>(status), headers);
     }
   }
@@ -177,7 +177,7 @@
       call->is_oversized = true;
       return 0;
     }
-    if (call->callbacks.on_data) {
+    if (call->callbacks.on_data && !call->is_cancelled) {
       call->callbacks.on_data(std::string_view(bytes, size * count));
     }
     return call->is_cancelled ? 0 : size * count;
@@ -339,7 +339,7 @@
       call->ReportHeaders();
     }
     Remove(call.get());
-    if (call->callbacks.on_done) {
+    if (call->callbacks.on_done && !call->is_cancelled) {
       const auto on_done = std::move(call->callbacks.on_done);
       call->callbacks = ClientCallbacks();
       on_done(status);
