The removal of a cancelled call leaves the call that has its handle

Cause: Cancel posts the removal of a call and names it by libcurl's handle. If the call ends before that (a cancelled call doesn't take its body), the handle is freed, and libcurl may give it to the next call. The posted removal then ended that call, which got no callback, neither an answer nor a failure nor its time limit. Found by the test of answers to another call: an engine's attempt that follows one that failed at its head was never sent.

Change: the removal names the call, and Remove ignores a handle that another call has.

The stand-alone router (EngineAttempt) and the load tool cancel calls; no run has shown that one of them met it.

--- a/Libraries/LibHttp/client.cc
+++ b/Libraries/LibHttp/client.cc
@@ -121,13 +121,10 @@
     if (const std::shared_ptr<State> owner = state.lock()) {
       // libcurl forbids removing a handle inside its callbacks, and one of ours
       // may be running, so the removal is posted to the loop.
-      std::weak_ptr<State> weak = owner;
-      CURL* handle = easy;
-      owner->loop->Post([weak, handle, call = shared_from_this()] {
+      owner->loop->Post([weak = state, call = shared_from_this()] {
         call->callbacks = ClientCallbacks();
-        const std::shared_ptr<State> it = weak.lock();
-        if (it != nullptr && it->calls.contains(handle)) {
-          it->Remove(it->calls.at(handle).get());
+        if (const std::shared_ptr<State> it = weak.lock()) {
+          it->Remove(call.get());
         }
       });
     }
@@ -358,7 +355,8 @@
 void Client::State::Remove(Call* call) {
   CURL* easy = call->easy;
   const auto it = calls.find(easy);
-  if (it == calls.end()) {
+  // libcurl may have given the handle of a call that has ended to another one.
+  if (it == calls.end() || it->second.get() != call) {
     return;
   }
   const std::shared_ptr<Call> keep_alive = it->second;
