An error that names another request or attempt is not the answer to a call

Cause: the stand-alone router compared the ids of an engine's answer with those of its attempt only with status 200, and those of a service's answer never. A refusal that names another request counted as "not run", so that the request went on elsewhere; an answer of another request was passed to the caller. Each call has a connection of its own, so an answer to another call can come only from a server that mixes up its connections or writes on a new one what was due on an old one.

Change: an answer of any status that names another request or attempt is a mismatched answer, which promises nothing. Errors, and answers of services, may name none, as before.

--- a/Services/Router/engine_attempt.cc
+++ b/Services/Router/engine_attempt.cc
@@ -4,6 +4,7 @@
 
 #include "LibCore/result_code.h"
 #include "LibCore/text.h"
+#include "Services/Router/answer_owner.h"
 
 namespace wasabi::router {
 
@@ -99,11 +100,14 @@
   http_status_ = status;
   headers_ = headers;
   last_progress_ = core::Clock::now();
-  if (status != kHttpOk || is_ended_ || !is_bound_) {
+  if (is_ended_ || !is_bound_) {
     return;
   }
-  if (headers.Get(http::kRequestIdHeader) != request_id_ ||
-      headers.Get(http::kAttemptHeader) != attempt_) {
+  // An error may name no request.
+  const bool names_none =
+      status == kHttpOk && (!headers.Find(http::kRequestIdHeader) ||
+                            !headers.Find(http::kAttemptHeader));
+  if (names_none || NamesOtherCall(headers, request_id_, attempt_)) {
     Fail(MakeStatus(ResultCode::kMismatchedAnswer,
                     "the engine answered for another request or attempt"));
   }
--- a/Services/Router/service_caller.cc
+++ b/Services/Router/service_caller.cc
@@ -4,6 +4,7 @@
 
 #include "LibCore/result_code.h"
 #include "LibCore/text.h"
+#include "Services/Router/answer_owner.h"
 
 namespace wasabi::router {
 
@@ -66,13 +67,22 @@
   ++in_flight_[id];
   events_->Record(core::EventCode::kCallDispatched, call.request_id,
                   fmt::format("endpoint={}", id));
-  client_->Fetch(request, [this, id, callback = std::move(callback)](
+  client_->Fetch(request, [this, id, request_id = call.request_id,
+                           attempt = std::to_string(call.attempt),
+                           callback = std::move(callback)](
                               absl::StatusOr<http::ClientResponse> response) {
     --in_flight_[id];
     if (core::CodeOf(response.status()) == ResultCode::kPeerUnreachable) {
       directory_->SetCondition(id, EndpointCondition::kDown,
                                loop_->Now() + kUnreachableCooldown);
     }
+    if (response.ok() &&
+        NamesOtherCall(response->headers, request_id, attempt)) {
+      callback(core::MakeStatus(
+          ResultCode::kMismatchedAnswer,
+          "the endpoint answered for another request or attempt"));
+      return;
+    }
     if (response.ok() && IsRefusal(*response)) {
       directory_->SetCondition(id, EndpointCondition::kLeaving,
                                loop_->Now() + kUnreachableCooldown);
