Number a host's demand reports from another first one in each process

Cause: an aggregator's totals are matched to a host's report by its number alone, and the numbers started at 0 in each process. Totals for a report of the process before include that one's demand in place of the present share, and counted for a new report with the same number, until the next totals.

The messages are unchanged.

--- a/Libraries/LibLoad/pool_load_exchange.cc
+++ b/Libraries/LibLoad/pool_load_exchange.cc
@@ -63,7 +63,8 @@
 PoolLoadExchange::PoolLoadExchange(PoolLoadOptions options, SendFunction send)
     : options_(std::move(options)),
       send_(std::move(send)),
-      interval_(options_.min_interval) {}
+      interval_(options_.min_interval),
+      sequence_(options_.first_sequence) {}
 
 void PoolLoadExchange::SetLocalDemand(const core::PoolId& pool,
                                       const routing::PoolDemand& demand) {
--- a/Libraries/LibLoad/pool_load_exchange.h
+++ b/Libraries/LibLoad/pool_load_exchange.h
@@ -40,6 +40,9 @@
   // If demand has fallen by more than this fraction since the last report, the
   // next report is due after half the interval. 1 disables early reports.
   double early_report_threshold = 0.05;
+  // Reports are numbered above this, which differs from those of this host's
+  // previous process: the number alone tells which report a total answers.
+  uint32_t first_sequence = 0;
 };
 
 class PoolLoadExchange {
@@ -129,7 +132,7 @@
   std::map<core::PoolId, LocalPool> local_;
   std::map<core::PoolId, AggregatedPool> aggregated_;
   core::Duration interval_;
-  uint32_t sequence_ = 0;
+  uint32_t sequence_;
 };
 
 }  // namespace wasabi::load
--- a/Libraries/LibLoad/pool_load_service.cc
+++ b/Libraries/LibLoad/pool_load_service.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "LibCore/process_seed.h"
+
 namespace wasabi::load {
 
 namespace {
@@ -16,6 +18,7 @@
                          const membership::Member& self) {
   options.self = self.id;
   options.data_centre = self.data_centre;
+  options.first_sequence = static_cast<uint32_t>(core::FirstMessageNumber());
   return options;
 }
 
