--- a/Tests/ForwardedStreams/stale_entry_asked_again_after_421_test.cc
+++ b/Tests/ForwardedStreams/stale_entry_asked_again_after_421_test.cc
@@ -40,8 +40,8 @@
 
 std::string Misdirected(const std::string& id, bool states_not_run = true) {
   return fmt::format(
-      "HTTP/1.1 421 X\r\nRequest-Id: {}\r\n{}Content-Length: 4\r\n\r\nelse",
-      id, states_not_run ? "Not-Executed: 1\r\n" : "");
+      "HTTP/1.1 421 X\r\nRequest-Id: {}\r\n{}Content-Length: 4\r\n\r\nelse", id,
+      states_not_run ? "Not-Executed: 1\r\n" : "");
 }
 
 std::string Answer(const std::string& id, bool is_stream) {
