Test: renewed endpoints while hosts, callers and entries are disturbed

Cause: the paths "identity" of the users' list were played with sound hosts only. Change: group [renewals], its own test requests_run_once_renewals, 8 rows: an endpoint that starts anew under the same id; entries that stand for 5 s; callers that leave; hosts that stand still, stop or are killed; full listen queues; carriers that stand still. Listen queues are filled at the endpoint that listens now, which may be a renewed one.

--- a/Tests/Once/once_fleet.cc
+++ b/Tests/Once/once_fleet.cc
@@ -200,18 +200,24 @@
   endpoints_[index]->SetBehaviour(behaviour_);
 }
 
-void OnceFleet::Renew(size_t endpoint, bool changes_pool) {
+void OnceFleet::Renew(size_t endpoint, Renewal renewal) {
   Entry& entry = entries_[endpoint];
   const std::string old_id = entry.id;
   endpoints_[endpoint]->CloseAll(renewals_++ % 2 == 0);
   endpoints_[endpoint].reset();
-  entry.id = EndpointId(endpoint, ++entry.renewals);
+  ++entry.renewals;
   entry.born += 1000;
-  if (changes_pool) {
+  if (renewal != Renewal::kSameId) {
+    entry.id = EndpointId(endpoint, entry.renewals);
+  }
+  if (renewal == Renewal::kOtherIdAndPool) {
     entry.pool = entry.pool == kPlainPool ? kModelPool : kPlainPool;
   }
   Listen(endpoint);
   WriteRegistration(entry);
+  if (renewal == Renewal::kSameId) {
+    return;
+  }
   CallAfter(options_.entry_time, [this, old_id]() {
     log_.Append(adapter::kRegistrationTopic, old_id, std::nullopt);
   });
--- a/Tests/Once/once_fleet.h
+++ b/Tests/Once/once_fleet.h
@@ -44,6 +44,9 @@
   uint64_t seed = 1;
 };
 
+// What an endpoint starts anew as.
+enum class Renewal : uint8_t { kOtherId, kOtherIdAndPool, kSameId };
+
 class OnceFleet {
  public:
   // Starts everything and waits until all hosts serve; aborts the process if
@@ -67,9 +70,9 @@
   // Resets the connections of the first host to all endpoints, and refuses new
   // ones. Requires FleetOptions::has_links.
   void CutFirstHost();
-  // An endpoint ends, and one with another id starts at its address, in the
-  // other pool if `changes_pool`. The old entry stands for a while.
-  void Renew(size_t endpoint, bool changes_pool);
+  // An endpoint ends, and another one starts at its address. An entry of
+  // another id stands for a while.
+  void Renew(size_t endpoint, Renewal renewal);
   // Registers a second id at the address of an endpoint.
   void AddSecondEntry(size_t endpoint);
 
--- a/Tests/Once/requests_run_once_test.cc
+++ b/Tests/Once/requests_run_once_test.cc
@@ -25,7 +25,7 @@
 using Disturb = void (*)(OnceFleet* fleet, size_t tick);
 
 // The ids that stand for the address of an endpoint.
-enum class Ids : uint8_t { kOne, kTwo, kOfRenewed };
+enum class Ids : uint8_t { kOne, kTwo, kOfRenewed, kOneOfRenewed };
 
 struct Path {
   Behaviour behaviour;
@@ -54,8 +54,10 @@
                    const RefusalLedger::Counts& counts,
                    OnceFleet* fleet) {
   CHECK(counts.again_on_connection == 0);
-  CHECK((counts.misdirected > 0) == (path.ids != Ids::kOne));
-  CHECK((fleet->renewals() > 0) == (path.ids == Ids::kOfRenewed));
+  CHECK((counts.misdirected > 0) ==
+        (path.ids == Ids::kTwo || path.ids == Ids::kOfRenewed));
+  CHECK((fleet->renewals() > 0) ==
+        (path.ids == Ids::kOfRenewed || path.ids == Ids::kOneOfRenewed));
   if (path.are_slots_granted) {
     const uint64_t granted =
         fleet->SumOfCounter("wasabi_forward_pool_slots_granted");
@@ -330,11 +332,12 @@
 // Listen queues fill up, and empty at about the time of connection attempts.
 void StopAccepting(OnceFleet* fleet, size_t tick) {
   if (tick % 10 == 2) {
-    OnceEndpoint* endpoint =
-        fleet->endpoints()[tick / 10 % fleet->endpoints().size()].get();
-    endpoint->SetAccepting(false);
+    const size_t endpoint = tick / 10 % fleet->endpoints().size();
+    fleet->endpoints()[endpoint]->SetAccepting(false);
     fleet->CallAfter(core::milliseconds(350 + fleet->random().Below(100)),
-                     [endpoint]() { endpoint->SetAccepting(true); });
+                     [fleet, endpoint]() {
+                       fleet->endpoints()[endpoint]->SetAccepting(true);
+                     });
   }
 }
 
@@ -437,27 +440,28 @@
 }
 
 // Endpoints of both pools in turn.
-void RenewOne(OnceFleet* fleet, size_t tick, bool changes_pool) {
+void RenewOne(OnceFleet* fleet, size_t tick, Renewal renewal) {
   const size_t endpoints = fleet->endpoints().size() / 2;
   const size_t n = tick / 10;
   if (tick % 10 == 2) {
-    fleet->Renew(n % 2 * endpoints + n / 2 % endpoints, changes_pool);
+    fleet->Renew(n % 2 * endpoints + n / 2 % endpoints, renewal);
   }
 }
 
 void Renew(OnceFleet* fleet, size_t tick) {
-  RenewOne(fleet, tick, false);
+  RenewOne(fleet, tick, Renewal::kOtherId);
 }
 
 void RenewInOtherPool(OnceFleet* fleet, size_t tick) {
-  RenewOne(fleet, tick, true);
+  RenewOne(fleet, tick, Renewal::kOtherIdAndPool);
 }
 
 // So seldom that the slots of the entries that stand are few enough to be
 // granted.
 void RenewPlain(OnceFleet* fleet, size_t tick) {
   if (tick % 25 == 2) {
-    fleet->Renew(tick / 25 % (fleet->endpoints().size() / 2), false);
+    fleet->Renew(tick / 25 % (fleet->endpoints().size() / 2),
+                 Renewal::kOtherId);
   }
 }
 
@@ -466,6 +470,16 @@
   Renew(fleet, tick);
 }
 
+void RenewUnderOneId(OnceFleet* fleet, size_t tick) {
+  RenewOne(fleet, tick, Renewal::kSameId);
+}
+
+template <Disturb disturb>
+void RenewAnd(OnceFleet* fleet, size_t tick) {
+  Renew(fleet, tick);
+  disturb(fleet, tick);
+}
+
 void AddSecondEntries(OnceFleet* fleet, size_t tick) {
   for (size_t i = 0; tick == 0 && i < fleet->endpoints().size(); ++i) {
     fleet->AddSecondEntry(i);
@@ -551,5 +565,44 @@
   }
 }
 
+TEST_CASE("renewed endpoints break no promise while hosts are disturbed",
+          "[renewals]") {
+  const FleetOptions options{.hosts = 3};
+  const FleetOptions late{.hosts = 3, .entry_time = core::seconds(5)};
+  const FleetOptions leaving{.hosts = 3, .leaving_share = 0.2};
+  struct Row {
+    const char* name;
+    Disturb disturb;
+    bool are_hosts_disturbed;
+    FleetOptions options;
+    Ids ids = Ids::kOfRenewed;
+  };
+  const Row rows[] = {
+      {"renewed under one id", RenewUnderOneId, false, options,
+       Ids::kOneOfRenewed},
+      {"renewed, entries lapse late", Renew, false, late},
+      {"renewed, callers leave", Renew, false, leaving},
+      {"renewed, hosts stand still", RenewAnd<StandStill>, true, options},
+      {"renewed, hosts stop", RenewAnd<Stop>, true, options},
+      {"renewed, hosts are killed", RenewAnd<Kill>, true, options},
+      {"renewed, listen queues are full", RenewAnd<StopAccepting>, false,
+       options},
+      {"renewed, carriers stand still",
+       RenewAnd<CutAndStandStill>,
+       true,
+       {.hosts = 3, .requests_per_second = 90, .has_links = true}},
+  };
+  for (const Row& row : rows) {
+    Run(row.name, {.behaviour = {.name = "",
+                                 .refused_share = 0.2,
+                                 .copy_time = CopyTime::kAsRead},
+                   .disturb = row.disturb,
+                   .options = row.options,
+                   .are_hosts_disturbed = row.are_hosts_disturbed,
+                   .time = 4500ms,
+                   .ids = row.ids});
+  }
+}
+
 }  // namespace
 }  // namespace wasabi::once
