Test: start times of renewed endpoints don't always tell which entry is stale

Cause: every second entry for an address stated a later start than the first. Change: second entries state a later start, none, or an earlier one, in turn. No check is changed.

--- a/Tests/Once/once_fleet.cc
+++ b/Tests/Once/once_fleet.cc
@@ -37,6 +37,8 @@
 constexpr core::Duration kMaxLeaveTime = core::milliseconds(300);
 constexpr core::Duration kMetricsTime = core::milliseconds(300);
 constexpr int kOk = 200;
+// When the first endpoints started, in milliseconds since 1970.
+constexpr int64_t kStarted = 1790000000000;
 // Offset of the port on which a host tells its metrics.
 constexpr uint16_t kInternalOffset = 4;
 // First loopback IP numbers of the store, the endpoints and the links; hosts
@@ -91,6 +93,21 @@
                        : fmt::format("e{}n{}", index, renewals);
 }
 
+// Returns when an endpoint says that it has started which starts after `n`
+// others: later than these, unknown, or before them, as clocks may be wrong. So
+// hosts can't always tell by it which of two entries is stale.
+int64_t BornAfter(size_t n) {
+  const auto later = static_cast<int64_t>(1000 * (n + 1));
+  switch (n % 3) {
+    case 0:
+      return kStarted + later;
+    case 1:
+      return 0;
+    default:
+      return kStarted - later;
+  }
+}
+
 // Returns the value of the environment variable `name`, or `otherwise`.
 std::string Environment(const char* name, const std::string& otherwise) {
   const char* value = std::getenv(name);
@@ -186,7 +203,7 @@
          .pool = i < options_.endpoints ? kPlainPool : kModelPool,
          .address =
              support::FreeAddress(support::LoopbackIp(kFirstEndpointIp + n)),
-         .born = 1790000000000 + static_cast<int64_t>(i)});
+         .born = kStarted + static_cast<int64_t>(i)});
     endpoints_.emplace_back();
     Listen(i);
   }
@@ -206,9 +223,10 @@
   endpoints_[endpoint]->CloseAll(renewals_++ % 2 == 0);
   endpoints_[endpoint].reset();
   ++entry.renewals;
-  entry.born += 1000;
+  entry.born = kStarted + static_cast<int64_t>(1000 * renewals_);
   if (renewal != Renewal::kSameId) {
     entry.id = EndpointId(endpoint, entry.renewals);
+    entry.born = BornAfter(renewals_);
   }
   if (renewal == Renewal::kOtherIdAndPool) {
     entry.pool = entry.pool == kPlainPool ? kModelPool : kPlainPool;
@@ -226,7 +244,7 @@
 void OnceFleet::AddSecondEntry(size_t endpoint) {
   Entry entry = entries_[endpoint];
   entry.id += "b";
-  entry.born += 1000;
+  entry.born = BornAfter(endpoint);
   WriteRegistration(entry);
   entries_.push_back(entry);
 }
