Test endpoints wait for their address: a process that is being started holds the old socket

A fork holds the sockets of its parent until exec; an endpoint that is renewed meanwhile can't bind (shown by a trial of its own: "Address already in use" while the child lives, none after). Change: binding is tried for a second; both aborts say what failed.

--- a/Tests/Once/once_endpoint.cc
+++ b/Tests/Once/once_endpoint.cc
@@ -9,6 +9,8 @@
 #include <array>
 #include <cerrno>
 #include <cstdlib>
+#include <cstring>
+#include <iostream>
 #include <optional>
 #include <utility>
 #include <vector>
@@ -71,6 +73,30 @@
   return n < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR;
 }
 
+// Listens on `address`; aborts the process if that fails. Another endpoint may
+// have listened there until now: a host's process that is being started holds
+// its socket until it runs its own program.
+int Listen(const core::SocketAddress& address) {
+  constexpr int kTries = 200;
+  constexpr useconds_t kPauseMicroseconds = 5000;
+  const int descriptor =
+      socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  const int enabled = 1;
+  setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof(enabled));
+  const sockaddr_in native = address.ToNative();
+  for (int i = 0; i < kTries; ++i) {
+    if (bind(descriptor, reinterpret_cast<const sockaddr*>(&native),
+             sizeof(native)) == 0 &&
+        listen(descriptor, kBacklog) == 0) {
+      return descriptor;
+    }
+    usleep(kPauseMicroseconds);
+  }
+  std::cerr << fmt::format("can't listen on {}: {}\n", address.ToString(),
+                           std::strerror(errno));
+  std::abort();
+}
+
 }  // namespace
 
 struct OnceEndpoint::Connection {
@@ -104,15 +130,7 @@
       address_(address),
       record_(record),
       random_(seed) {
-  descriptor_ = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-  const int enabled = 1;
-  setsockopt(descriptor_, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof(enabled));
-  const sockaddr_in native = address_.ToNative();
-  if (bind(descriptor_, reinterpret_cast<const sockaddr*>(&native),
-           sizeof(native)) != 0 ||
-      listen(descriptor_, kBacklog) != 0) {
-    std::abort();
-  }
+  descriptor_ = Listen(address_);
   watcher_ = loop_->Watch(
       descriptor_,
       [this](bool /*readable*/, bool /*writable*/) { AcceptAvailable(); });
--- a/Tests/Once/once_fleet.cc
+++ b/Tests/Once/once_fleet.cc
@@ -8,6 +8,7 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <iostream>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -167,6 +168,7 @@
   // All hosts have to know each other, and the endpoints.
   while (served() < options_.hosts * 8) {
     if (loop_.Now() > end) {
+      std::cerr << "the hosts don't serve\n";
       std::abort();
     }
     for (size_t i = 0; i < options_.hosts; ++i) {
