--- a/Tests/LibForwarding/answer_to_earlier_process_test.cc
+++ b/Tests/LibForwarding/answer_to_earlier_process_test.cc
@@ -232,5 +232,37 @@
   }
 }
 
+// A copy of a question is granted once more, until the next report.
+TEST_CASE("a question that comes twice is answered once and takes one slot") {
+  for (const ExchangeCase& row : kExchanges) {
+    INFO(row.what);
+    for (int i = 0; i < kEndpoints; ++i) {
+      const core::RunnerId endpoint = EndpointAt(i);
+      const ProcessPointer asking = row.start(kAsking, 0, endpoint);
+      asking->ask();
+      if (asking->sent.empty()) {
+        continue;
+      }
+      const ProcessPointer granter = row.start(kGranting, 0, endpoint);
+      const std::string question = asking->sent;
+      for (int k = 0; k < 2; ++k) {
+        granter->question(kAsking, question);
+        asking->answer(granter->sent);
+      }
+      CHECK(asking->grants.size() == 1);
+      if (!asking->finish) {
+        // The bucket of a permit fills with time.
+        continue;
+      }
+      CHECK(asking->grants.front());
+      asking->in_flight = 1;
+      asking->finish();
+      granter->report(kAsking, asking->sent);
+      granter->ask();
+      CHECK(granter->grants == std::vector{true});
+    }
+  }
+}
+
 }  // namespace
 }  // namespace wasabi::forwarding
