Number load reports above those of a host's previous process

Cause: the parts of a load report are joined by the report's number, and a number up to 16 lower than the last one is taken for late. Both began at 0 in each process: parts of reports of two processes were joined, and a host that restarted within its first 16 reports was not heard until its reports had expired.

--- a/Libraries/LibCore/process_seed.h
+++ b/Libraries/LibCore/process_seed.h
@@ -24,6 +24,11 @@
       std::chrono::nanoseconds(Clock::now().time_since_epoch()).count());
 }
 
+// The same for messages whose numbers have 48 bits: units of 65.5 us.
+inline uint64_t FirstShortMessageNumber() {
+  return FirstMessageNumber() >> 16U;
+}
+
 }  // namespace wasabi::core
 
 #endif  // LIBCORE_PROCESS_SEED_H_
--- a/Libraries/LibForwarding/load_exchange.cc
+++ b/Libraries/LibForwarding/load_exchange.cc
@@ -45,7 +45,10 @@
 LoadExchange::LoadExchange(LoadExchangeOptions options,
                            LoadTable* loads,
                            SendFunction send)
-    : options_(std::move(options)), loads_(loads), send_(std::move(send)) {}
+    : options_(std::move(options)),
+      loads_(loads),
+      send_(std::move(send)),
+      sequence_(options_.first_sequence) {}
 
 void LoadExchange::SetPeers(ReportPeers peers) {
   peers_ = std::move(peers);
--- a/Libraries/LibForwarding/load_exchange.h
+++ b/Libraries/LibForwarding/load_exchange.h
@@ -36,6 +36,9 @@
   // Rate at which an aggregator sends totals, in bytes per second including IP
   // and UDP headers.
   double aggregator_rate = 0;
+  // Sums and totals are numbered above this, which is higher than all numbers
+  // of this host's previous process.
+  uint64_t first_sequence = 0;
 };
 
 class LoadExchange {
@@ -104,7 +107,7 @@
   core::TimePoint next_total_at_{};
   // When another aggregator's total last arrived.
   core::TimePoint total_heard_at_{};
-  uint64_t sequence_ = 0;
+  uint64_t sequence_;
 };
 
 }  // namespace wasabi::forwarding
--- a/Libraries/LibForwarding/load_table.h
+++ b/Libraries/LibForwarding/load_table.h
@@ -17,6 +17,10 @@
 
 class LoadTable {
  public:
+  // Reports are numbered above `first_sequence`, which is higher than all
+  // numbers of this host's previous process.
+  explicit LoadTable(uint64_t first_sequence = 0) : sequence_(first_sequence) {}
+
   // Records that a request of this host starts (Start) or ends (Finish) at an
   // endpoint.
   void Start(const core::RunnerId& endpoint);
@@ -86,7 +90,7 @@
   EndpointCounts reported_counts_;
   absl::flat_hash_map<core::HostId, HostEntry> hosts_;
   std::optional<FleetTotal> total_;
-  uint64_t sequence_ = 0;
+  uint64_t sequence_;
 };
 
 }  // namespace wasabi::forwarding
--- a/Services/Forwarder/forwarder_daemon.h
+++ b/Services/Forwarder/forwarder_daemon.h
@@ -13,6 +13,7 @@
 #include "LibCore/event_loop.h"
 #include "LibCore/event_ring.h"
 #include "LibCore/metrics.h"
+#include "LibCore/process_seed.h"
 #include "LibCore/random_source.h"
 #include "LibForwarding/adapter_set.h"
 #include "LibForwarding/forward_context.h"
@@ -124,7 +125,7 @@
   forwarding::EndpointTable endpoints_;
   forwarding::ColdEndpoints cold_endpoints_{&endpoints_};
   forwarding::EndpointMonitor monitor_;
-  forwarding::LoadTable loads_;
+  forwarding::LoadTable loads_{core::FirstShortMessageNumber()};
   forwarding::EndpointPace paces_;
   forwarding::WaitQueue waiting_;
   forwarding::CrashSuspects suspects_;
--- a/Tests/LibForwarding/load_report_assembly_test.cc
+++ b/Tests/LibForwarding/load_report_assembly_test.cc
@@ -3,6 +3,9 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 
+#include "LibCore/text.h"
+#include "LibForwarding/load_table.h"
+
 namespace wasabi::forwarding {
 namespace {
 
@@ -53,6 +56,39 @@
   CHECK(assembly.Add(*DecodeLoadReport(second[0])) == report);
 }
 
+// Guards against the reports of two processes of a host that pass for one.
+TEST_CASE("no part of a report comes from a host's previous process") {
+  constexpr uint32_t kEndpoints = 100;
+  constexpr uint64_t kNextProcess = 1'000'000;
+  LoadTable before(0);
+  LoadTable restarted(kNextProcess);
+  for (uint32_t i = 0; i < kEndpoints; ++i) {
+    const core::RunnerId endpoint(fmt::format("e{}", i));
+    before.Start(endpoint);
+    restarted.Start(endpoint);
+    restarted.Start(endpoint);
+  }
+  const core::HostId host("h0");
+  const LoadReport last = before.MakeReport();
+  const LoadReport first = restarted.MakeReport();
+  LoadReportAssembly assembly;
+  const auto old_part =
+      DecodeLoadReport(EncodeLoadReport(last, kMaxBytes).front());
+  REQUIRE(old_part.ok());
+  CHECK_FALSE(assembly.Add(*old_part).has_value());
+  std::optional<LoadReport> whole;
+  for (const std::string& it : EncodeLoadReport(first, kMaxBytes)) {
+    whole = assembly.Add(*DecodeLoadReport(it));
+  }
+  CHECK((whole.has_value() && *whole == first));
+  // The report of the process before has arrived whole.
+  LoadTable other;
+  const core::TimePoint now{core::seconds(1)};
+  other.ApplyReport(host, last, now);
+  other.ApplyReport(host, first, now);
+  CHECK(other.Load(core::RunnerId("e0")) == 2);
+}
+
 TEST_CASE("malformed reports are rejected") {
   const std::string bytes =
       EncodeLoadReport({.requests = {{1, 1}}}, kMaxBytes).front();
