Soak: a request for an endpoint that has ended counts for its own pool

Cause: a request that was refused with 421 was recorded for the pool of the endpoint that refused it. Where another pool had taken the address over, retries of one pool counted as retries of the other one.

Change: the fleet records each request for the pool of the endpoint that it was sent to, as it does for the id.

--- a/Tests/Soak/endpoint_fleet.cc
+++ b/Tests/Soak/endpoint_fleet.cc
@@ -119,7 +119,7 @@
              support::PlatformEndpoint::Create(
                  loop_, member->options,
                  [this](const support::PlatformEndpoint::RunPointer& run) {
-                   history_->runs.push_back(run);
+                   Record(run);
                  }));
   // The endpoint must not be destroyed while it handles a request.
   member->endpoint->SetCrashObserver([this, member]() {
@@ -137,6 +137,15 @@
   return absl::OkStatus();
 }
 
+void EndpointFleet::Record(const support::PlatformEndpoint::RunPointer& run) {
+  for (const auto& it : members_) {
+    if (it->options.id == run->endpoint) {
+      run->pool = it->options.pool;
+    }
+  }
+  history_->runs.push_back(run);
+}
+
 void EndpointFleet::Register(Member* member) {
   member->is_registered = true;
   member->next_heartbeat_at = loop_->Now() + kHeartbeatPeriod;
--- a/Tests/Soak/endpoint_fleet.h
+++ b/Tests/Soak/endpoint_fleet.h
@@ -126,6 +126,9 @@
                                 const core::SocketAddress& address,
                                 const core::SocketAddress& registered_address);
   absl::Status Start(Member* member);
+  // Records a request for the pool of the endpoint that it was sent to, also if
+  // that one has ended and an endpoint of another pool refuses it.
+  void Record(const support::PlatformEndpoint::RunPointer& run);
   // Writes a registration record, which also serves as the heartbeat.
   void Register(Member* member);
   // Deletes the registration record.
--- a/Tests/Soak/endpoint_fleet_test.cc
+++ b/Tests/Soak/endpoint_fleet_test.cc
@@ -106,14 +106,11 @@
   return ids;
 }
 
-// Returns requests that are sent to the endpoint `ended` and, once it has
-// refused them, to `successor`.
-std::string RequestsTo(const std::string& ended,
-                       const std::string& successor,
-                       size_t n) {
+// Returns `n` requests, each of which is sent to all of `endpoints` in turn.
+std::string RequestsTo(const std::vector<std::string>& endpoints, size_t n) {
   std::string text;
   for (size_t i = 0; i < n; ++i) {
-    for (const std::string& it : {ended, successor}) {
+    for (const std::string& it : endpoints) {
       text += fmt::format(
           "POST /plain/1 HTTP/1.1\r\nHost: soak.test\r\n{}: r{}\r\n{}: {}\r\n"
           "Content-Length: 0\r\n\r\n",
@@ -154,7 +151,7 @@
   http::TcpStream::Callbacks callbacks;
   callbacks.on_data = [&](std::string_view bytes) { answers.append(bytes); };
   (*stream)->Start(std::move(callbacks));
-  (*stream)->Write(RequestsTo(ended, successor, kRequests));
+  (*stream)->Write(RequestsTo({ended, successor}, kRequests));
   const core::TimePoint end = loop.Now() + kTestTime;
   const auto timer = loop.NewTimer([&]() {
     fleet.Poll();
@@ -189,6 +186,8 @@
   History history;
   EndpointFleet fleet(&loop, options, &log, &history);
   REQUIRE(fleet.Add(core::PoolId(kPlainPool)).ok());
+  core::SocketAddress address;
+  const std::string ended = RegisteredAt(log, &address).at(0);
   fleet.Renew(0, Successor::kOtherPool);
   std::map<std::string, std::string> pools;
   for (const auto& it :
@@ -200,12 +199,25 @@
   }
   // The stale entry and its successor, and what the pool got instead.
   std::set<std::string> found;
-  for (const auto& [address, text] : pools) {
-    found.insert(text);
+  for (const auto& it : pools) {
+    found.insert(it.second);
   }
   CHECK(found == std::set<std::string>{
                      fmt::format("{} {} ", kOtherPlainPool, kPlainPool),
                      fmt::format("{} ", kPlainPool)});
+
+  const auto stream = http::TcpStream::Connect(&loop, address);
+  REQUIRE(stream.ok());
+  http::TcpStream::Callbacks callbacks;
+  callbacks.on_data = [&](std::string_view /*bytes*/) { loop.Stop(); };
+  callbacks.on_end = [&](http::TcpStream::End /*end*/) { loop.Stop(); };
+  (*stream)->Start(std::move(callbacks));
+  (*stream)->Write(RequestsTo({ended}, 1));
+  loop.Run();
+  REQUIRE(history.runs.size() == 1);
+  CHECK(history.runs[0]->end == support::RunEnd::kRefused);
+  CHECK(history.runs[0]->endpoint.value() == ended);
+  CHECK(history.runs[0]->pool == core::PoolId(kPlainPool));
 }
 
 }  // namespace
