--- a/Libraries/LibHttp/origin_connection.cc
+++ b/Libraries/LibHttp/origin_connection.cc
@@ -83,7 +83,7 @@
     const OriginRequest& request,
     SendPermit permit,
     OriginCallbacks callbacks) {
-  const auto send = std::make_shared<OriginSend>(shared_from_this());
+  auto send = std::make_shared<OriginSend>(shared_from_this());
   send_ = send;
   permit_ = std::move(permit);
   callbacks_ = std::move(callbacks);
