Review case 6: routers crash while one of them stands still

Cause: a place at a brittle endpoint is denied and asked for again in one call stack while the granting host is silent, until the stack is full.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,10 +1,9 @@
-"""A runner restarts under its id, with another version of its software, while it
-is cut from the store. Streams that it begins then go on at runners of the version
-that its entry still names."""
+"""One router stands still while runners are brittle; the other routers crash."""
 
 import asyncio
 import os
 import random
+import signal
 import sys
 
 sys.dont_write_bytecode = True
@@ -12,96 +11,112 @@
 sys.path.insert(0, os.path.join(os.path.dirname(HERE), "harness-2"))
 import lab as L  # noqa: E402
 
-RUNNERS = 9          # one of them is a share of 0.11
-ROUTERS = 2
-STREAMS_PER_S = 80
-EVENTS = 24
-EVENT_S = 0.1
-CUT_S = 5.0
-MAX_MIXED = 2        # ORDER: "more than two streams"
+ROUTERS = 3
+FROZEN = 0
+FREEZE_S = 4.0
+RUNNERS = 5
+SLOTS = 6
+WORK_S = 0.3
+BRITTLE = 3
+CONNECTIONS = 25       # kept connections of clients to each router
+PAUSE_S = 0.8          # of a client between an answer and its next request
+MAX_LOST = 3           # LOST: "more than three times"
 
 
 async def play(lab):
     random.seed(53)
     lab.add_routers(ROUTERS)
+    passed_on = {}
+    brittle_since = [None]
+    ends = []
 
     async def behave(request, writer):
-        """A stream of numbered events that name the runner's version."""
-        runner, born = request.runner, request.runner.born
-        after = int(L.field(request.fields, "last-event-id") or 0)
-        lab.record.note("run %s at %s (%s) after event %d"
-                        % (request.id, runner.id, runner.version, after))
-        writer.write(L.encode_head("HTTP/1.1 200 OK", [
-            ("Request-Id", request.id), ("Instance-Id", runner.id),
-            ("Response-Signature", "s-" + request.id),
-            ("Content-Type", "text/event-stream"), ("Transfer-Encoding", "chunked")]))
-        for i in range(after + 1, EVENTS + 1):
-            await asyncio.sleep(EVENT_S)
-            if not runner.is_up or runner.born != born:
-                return False
-            event = ("id: %d\ndata: %s %s\n\n" % (i, runner.version, runner.id)).encode()
-            writer.write(b"%x\r\n" % len(event) + event + b"\r\n")
-            await writer.drain()
-        writer.write(b"0\r\n\r\n")
-        await writer.drain()
-        return True
+        runner = request.runner
+        passed_on[request.id] = runner.id
+        lab.record.note("%s begins at %s" % (request.id, runner.id))
+        is_brittle = brittle_since[0] is not None
+        extra = [("Server-Brittle", str(BRITTLE))] if is_brittle else []
+        if runner.running >= SLOTS + (0 if is_brittle else 4):
+            del passed_on[request.id]
+            lab.record.note("%s has no room for %s" % (runner.id, request.id))
+            return await runner.reply(writer, request, 503, b"", [("Not-Executed", "1")] + extra)
+        runner.running += 1
+        try:
+            await asyncio.sleep(WORK_S)
+        finally:
+            runner.running -= 1
+        return await runner.serve_ok(request, writer, extra)
 
     for i in range(RUNNERS):
-        lab.add_runner("r%d" % i, "llm", behave)
-    lab.configure([L.route("s", "/s/", "streaming", "llm", timeout_ms=15000,
-                           target_latency_ms=600, gap_aim_ms=300, resumable=True,
-                           sticky=True, attempts=2)], ["llm"])
+        lab.add_runner("r%d" % i, "app", behave, slots=SLOTS)
+    lab.configure([L.route("u", "/u/", "unsafe", "app", timeout_ms=1500)], ["app"])
     await lab.start()
     asyncio.ensure_future(lab.expire_entries())
-    mixed = []
+    lost, counts = [], {}
+    until = L.now() + 16
 
-    async def one():
-        parts = "%x:100,%x:10" % (random.randrange(40), random.getrandbits(32))
-        answer = await lab.call(
-            random.choice(lab.routers), "POST", "/s/x", body=b"prompt", deadline_ms=15000,
-            fields=[("Model", "m"), ("Token-Usage", "100,80"), ("Prompt-Prefix", parts)])
-        events = [line.split()[1:] for line in answer.body.decode().split("\n")
-                  if line.startswith("data: ")]
-        versions = sorted({it[0] for it in events})
-        runners = []
-        for it in events:
-            if not runners or runners[-1] != it[1]:
-                runners.append(it[1])
-        lab.record.note("%s answered %d, %d events, whole=%s, versions=%s, runners=%s"
-                        % (answer.id, answer.status, len(events), answer.is_complete,
-                           "+".join(versions), "+".join(runners)))
-        if len(versions) > 1:
-            mixed.append("%s holds events of %s (%s)"
-                         % (answer.id, " and ".join(versions), ", ".join(runners)))
+    async def client(router):
+        """Sends one request after another, on one connection while it lasts."""
+        await asyncio.sleep(random.random())
+        while L.now() < until:
+            writer, n = None, 0
+            try:
+                reader, writer = await asyncio.wait_for(
+                    asyncio.open_connection(router.ip, lab.ports["front"]), 1)
+                while L.now() < until:
+                    n += 1
+                    id = lab.new_id()
+                    writer.write(L.encode_head("POST /u/x HTTP/1.1", [
+                        ("Host", "shop.example"), ("Request-Id", id), ("Deadline-Ms", 1500),
+                        ("Authorization", "Bearer key1"), ("Content-Length", 5)]) + b"order")
+                    answer = await asyncio.wait_for(lab.read_answer(reader), 8)
+                    counts[answer.status] = counts.get(answer.status, 0) + 1
+                    lab.record.note("%s answered %d by %s" % (id, answer.status, router.name))
+                    if not answer.is_complete:
+                        if n > 1 and id in passed_on and router.index != FROZEN:
+                            lost.append("%s closed the kept connection of %s, which %s had begun"
+                                        % (router.name, id, passed_on[id]))
+                        break
+                    if (L.field(answer.fields, "connection") or "").lower() == "close":
+                        break
+                    await asyncio.sleep(PAUSE_S * (0.5 + random.random()))
+            except (OSError, asyncio.TimeoutError, ValueError):
+                await asyncio.sleep(0.2)
+            finally:
+                if writer is not None:
+                    writer.close()
 
-    async def disrupt():
-        runner = lab.runners[0]
-        await asyncio.sleep(4)
-        lab.record.note("%s is cut from the store, not from the routers" % runner.id)
-        runner.reaches_store = False
-        healed_at = L.now() + CUT_S
-        await asyncio.sleep(0.3)
-        await runner.crash()
-        await asyncio.sleep(0.5)
-        runner.version = "v2"
-        await runner.return_after(0)
-        lab.record.note("%s runs software v2 now" % runner.id)
-        await asyncio.sleep(2.5)
-        await runner.crash(1.0)
-        await asyncio.sleep(healed_at - L.now())
-        runner.reaches_store = True
-        lab.record.note("the cut of %s has healed" % runner.id)
+    async def platform():
+        """Starts processes again that have ended."""
+        while True:
+            for it in lab.routers:
+                code = it.process.poll()
+                if code is not None:
+                    ends.append("%s ended by itself with %d at %.1f s"
+                                % (it.name, code, L.now() - lab.record.started))
+                    lab.record.note(ends[-1])
+                    await asyncio.sleep(0.3)
+                    it.start()
+            await asyncio.sleep(0.02)
 
+    asyncio.ensure_future(platform())
+    clients = [asyncio.ensure_future(client(it)) for it in lab.routers for _ in range(CONNECTIONS)]
+    await asyncio.sleep(2)
+    brittle_since[0] = L.now()
+    lab.record.note("the runners are brittle")
+    await asyncio.sleep(5)
     if lab.trouble:
-        asyncio.ensure_future(disrupt())
-    calls, until = [], L.now() + 13
-    while L.now() < until:
-        calls.append(asyncio.ensure_future(one()))
-        await asyncio.sleep(1 / STREAMS_PER_S)
-    await asyncio.gather(*calls)
-    lab.record.note("%d streams, %d hold events of two versions" % (len(calls), len(mixed)))
-    print("%d streams, %d hold events of two versions" % (len(calls), len(mixed)))
-    return mixed if len(mixed) > MAX_MIXED else []
+        frozen = lab.routers[FROZEN]
+        frozen.signal(signal.SIGSTOP)
+        await asyncio.sleep(FREEZE_S)
+        frozen.signal(signal.SIGCONT)
+    await asyncio.gather(*clients)
+    for line in lost:
+        lab.record.note(line)
+    text = "%d lost, %d ends of processes, answers %s" % (len(lost), len(ends), counts)
+    lab.record.note(text)
+    print(text)
+    return lost + ends if len(lost) > MAX_LOST else []
 
 
 L.main(play, HERE)
--- a/review/harness-2/lab.py
+++ b/review/harness-2/lab.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import base64
+import ctypes
 import json
 import os
 import re
@@ -36,6 +37,14 @@
 HEARTBEAT_S = 1.2
 
 
+PR_SET_PDEATHSIG = 1
+
+
+def end_with_parent():
+    """Runs in a new process: it is killed if this one ends in any way."""
+    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 class CannotRun(Exception):
     """The case could not be played; exit status 2."""
 
@@ -371,7 +380,7 @@
         log = open(os.path.join(self.lab.folder, self.name + ".log"), "a")
         self.process = subprocess.Popen(
             [ROUTER, "--settings=" + path], cwd=ROOT, stdin=subprocess.DEVNULL,
-            stdout=log, stderr=log)
+            stdout=log, stderr=log, preexec_fn=end_with_parent)
         log.close()
         self.has_started = True
         self.lab.record.note("router %s started" % self.name)
@@ -541,6 +550,8 @@
     status = 2
     try:
         loop = asyncio.new_event_loop()
+        for number in (signal.SIGINT, signal.SIGTERM):
+            loop.add_signal_handler(number, loop.stop)
         broken = loop.run_until_complete(asyncio.wait_for(play(lab), limit_s))
         for line in broken:
             lab.record.note("BROKEN " + line)
