Exchanges answer by return value or from the loop, never inside the call

Cause: PlaceExchange::Acquire called back inside the call, and its denial while the granting host was silent left the endpoint open, so that ForwardSession::OnPermitDenied chose it again, until the stack was full. Change: the three exchanges return an answer that is known at once (GrantReply); SendClearance goes from denial to choice in a loop and asks for one endpoint twice at most; an endpoint without an answering granting host counts as full until that host is asked again. A request is refused at once then. Why it works: no question nests in another, and each denial takes an endpoint out of the choice, so the choices end whatever the exchanges answer.

--- a/Libraries/LibForwarding/endpoint_chooser.cc
+++ b/Libraries/LibForwarding/endpoint_chooser.cc
@@ -209,6 +209,11 @@
                              static_cast<size_t>(evacuated));
 }
 
+bool EndpointChooser::IsLimited(const Endpoint& endpoint) const {
+  return context_->places->IsBrittle(endpoint.id) ||
+         context_->permits->IsLimited(endpoint.id);
+}
+
 bool EndpointChooser::UsesPoolSlots(
     const std::vector<const Endpoint*>& endpoints) const {
   if (!context_->load_control_enabled || !is_plain_ || endpoints.empty() ||
@@ -219,8 +224,7 @@
   for (const Endpoint* it : endpoints) {
     slots += it->slots;
     // Their own grants are stricter.
-    if (context_->places->IsBrittle(it->id) ||
-        context_->permits->IsLimited(it->id)) {
+    if (IsLimited(*it)) {
       return false;
     }
   }
@@ -365,10 +369,9 @@
          .slots = it->slots,
          .failure_share = context_->monitor->FailureShare(it->id, now),
          .is_down = context_->monitor->IsDown(it->id, now),
-         .is_excluded =
-             tried.contains(it->id) || !IsSuitable(*it) ||
-             now < ClosedUntil(it->id) ||
-             (!allows_limited_ && context_->permits->IsLimited(it->id)),
+         .is_excluded = tried.contains(it->id) || !IsSuitable(*it) ||
+                        now < ClosedUntil(it->id) ||
+                        (!allows_limited_ && IsLimited(*it)),
          .is_same_data_centre = it->data_centre == context_->data_centre});
   }
   if (uses_reports) {
--- a/Libraries/LibForwarding/endpoint_chooser.h
+++ b/Libraries/LibForwarding/endpoint_chooser.h
@@ -58,7 +58,8 @@
   // Returns whether evacuations of data centres leave no endpoint that accepts
   // the request, although some are registered.
   bool IsEvacuated() const;
-  // Sets whether endpoints may be chosen to which requests need permits.
+  // Sets whether endpoints may be chosen to which requests need places or
+  // permits.
   void AllowLimited(bool is_allowed) { allows_limited_ = is_allowed; }
 
   // Sets whether to choose by the requests of this host alone. All hosts find
@@ -121,6 +122,8 @@
   // the rendezvous order of the fleet, or nullptr if there is none.
   const Endpoint* PreferredSourceExcept(const Endpoint& chosen,
                                         core::TimePoint now) const;
+  // Returns whether requests to the endpoint need places or permits.
+  bool IsLimited(const Endpoint& endpoint) const;
   // Returns whether the fleet shares the slots of `endpoints` by grants.
   bool UsesPoolSlots(const std::vector<const Endpoint*>& endpoints) const;
   std::vector<EndpointCandidate> Candidates(
--- a/Libraries/LibForwarding/forward_session.cc
+++ b/Libraries/LibForwarding/forward_session.cc
@@ -52,9 +52,7 @@
       std::make_shared<StreamResumption>(context_, request_, &chooser_);
   clearance_ = std::make_shared<SendClearance>(
       context_, request_, &chooser_, answer_deadline_,
-      SendClearance::Callbacks{
-          .on_asking = WhileAlive(&ForwardSession::LeaveQueue),
-          .on_decided = WhileAlive(&ForwardSession::OnClearance)});
+      WhileAlive(&ForwardSession::OnClearance));
   retry_rule_ = std::make_unique<RetryRule>(context_, request_, *transaction_,
                                             chooser_, *clearance_, execution_);
   wait_ = std::make_shared<RequestWait>(
@@ -122,7 +120,20 @@
 }
 
 bool ForwardSession::Dispatch() {
-  return EndIfQuarantined() || EndIfTooLate() || clearance_->Ask();
+  if (EndIfQuarantined() || EndIfTooLate()) {
+    return true;
+  }
+  const Clearance clearance = clearance_->Ask();
+  if (clearance.outcome == ClearanceOutcome::kNoEndpoint) {
+    return false;
+  }
+  LeaveQueue();
+  if (clearance.outcome == ClearanceOutcome::kDenied) {
+    EndDenied();
+  } else {
+    OnClearance(clearance);
+  }
+  return true;
 }
 
 bool ForwardSession::EndIfTooLate() {
@@ -170,11 +181,13 @@
       OnNoEndpoint();
       return;
     case ClearanceOutcome::kDenied:
-      OnPermitDenied();
+      OnDenied();
       return;
     case ClearanceOutcome::kEvacuated:
       OnEvacuated();
       return;
+    case ClearanceOutcome::kPending:
+      return;
   }
 }
 
@@ -204,10 +217,13 @@
   }
 }
 
-void ForwardSession::OnPermitDenied() {
-  if (Dispatch()) {
-    return;
+void ForwardSession::OnDenied() {
+  if (!Dispatch()) {
+    EndDenied();
   }
+}
+
+void ForwardSession::EndDenied() {
   if (retry_rule_->MayHaveRun()) {
     FailAfterRun();
     return;
--- a/Libraries/LibForwarding/forward_session.h
+++ b/Libraries/LibForwarding/forward_session.h
@@ -83,9 +83,11 @@
   void OnGranted(const Endpoint& endpoint);
   void OnPoolFull(core::Duration wait);
   void OnNoEndpoint();
-  // Handles that the chosen endpoint has no place, or its limit permits no
+  // Handles that another host has denied the chosen endpoint.
+  void OnDenied();
+  // Ends the request because endpoints have no place, or their limits permit no
   // request now.
-  void OnPermitDenied();
+  void EndDenied();
   void OnEvacuated();
   void StartAttempt(const Endpoint& endpoint);
   ForwardAttempt::Callbacks AttemptCallbacks();
--- a/Libraries/LibForwarding/permit_exchange.cc
+++ b/Libraries/LibForwarding/permit_exchange.cc
@@ -109,41 +109,46 @@
   return counts ? it->second : core::TimePoint();
 }
 
-bool PermitExchange::Acquire(const core::RunnerId& endpoint,
-                             core::TimePoint now,
-                             Callback callback) {
-  return AcquireFor(endpoint.Hash(), now, std::move(callback));
+GrantReply<bool> PermitExchange::Acquire(const core::RunnerId& endpoint,
+                                         core::TimePoint now,
+                                         Callback callback) {
+  const GrantReply<bool> reply = TakeWithoutQuestion(endpoint.Hash(), now);
+  if (!reply) {
+    AskOrWait(endpoint.Hash(), now, std::move(callback));
+  }
+  return reply;
 }
 
-bool PermitExchange::AcquireFor(uint64_t endpoint,
-                                core::TimePoint now,
-                                Callback callback) {
+GrantReply<bool> PermitExchange::TakeWithoutQuestion(uint64_t endpoint,
+                                                     core::TimePoint now) {
   const std::optional<double> per_second = LimitOf(endpoint);
   if (!per_second) {
-    callback(true);
-    return false;
+    return true;
   }
   const core::HostId granter = GranterOf(endpoint);
   if (granter == self_) {
     const core::Duration wait = TakeGranted(endpoint, *per_second, now);
     Exhaust(endpoint, wait, now);
-    callback(wait == core::Duration::zero());
-    return false;
+    return wait == core::Duration::zero();
   }
   const auto silent = silent_until_.find(granter);
   if (granter.empty() ||
       (silent != silent_until_.end() && now < silent->second)) {
-    callback(TakeOwnShare(endpoint, now));
-    return false;
+    return TakeOwnShare(endpoint, now);
   }
+  return std::nullopt;
+}
+
+void PermitExchange::AskOrWait(uint64_t endpoint,
+                               core::TimePoint now,
+                               Callback callback) {
   const auto asking = asking_.find(endpoint);
   if (asking != asking_.end() &&
       asking->second.open >= asking->second.max_open) {
     asking->second.waiting.push_back(std::move(callback));
-    return true;
+    return;
   }
-  Ask(endpoint, granter, now, std::move(callback));
-  return true;
+  Ask(endpoint, GranterOf(endpoint), now, std::move(callback));
 }
 
 void PermitExchange::Ask(uint64_t endpoint,
@@ -174,7 +179,11 @@
     }
     Callback next = std::move(asking.waiting.front());
     asking.waiting.pop_front();
-    AcquireFor(endpoint, now, std::move(next));
+    if (const GrantReply<bool> reply = TakeWithoutQuestion(endpoint, now)) {
+      next(*reply);
+    } else {
+      AskOrWait(endpoint, now, std::move(next));
+    }
   }
 }
 
--- a/Libraries/LibForwarding/permit_exchange.h
+++ b/Libraries/LibForwarding/permit_exchange.h
@@ -36,6 +36,7 @@
 #include "LibForwarding/cold_news.h"
 #include "LibForwarding/cold_permits.h"
 #include "LibForwarding/endpoint_limit.h"
+#include "LibForwarding/grant_reply.h"
 #include "LibForwarding/limit_news.h"
 #include "LibForwarding/permit_bucket.h"
 #include "LibForwarding/report_peers.h"
@@ -96,12 +97,11 @@
   // Returns the time until which the endpoint has no permit, which may have
   // passed.
   core::TimePoint ExhaustedUntil(const core::RunnerId& endpoint) const;
-  // Asks for a permit to send one request to an endpoint. Calls `callback`
-  // once, possibly at once. Returns whether another host was asked, so that the
-  // answer takes time.
-  bool Acquire(const core::RunnerId& endpoint,
-               core::TimePoint now,
-               Callback callback);
+  // Asks for a permit to send one request to an endpoint. Returns the answer or
+  // calls `callback` later; see GrantReply.
+  [[nodiscard]] GrantReply<bool> Acquire(const core::RunnerId& endpoint,
+                                         core::TimePoint now,
+                                         Callback callback);
 
   // Sends what is due, and ends questions that got no answer. Must be called
   // every few ten milliseconds.
@@ -139,7 +139,10 @@
     std::deque<Callback> waiting;
   };
 
-  bool AcquireFor(uint64_t endpoint, core::TimePoint now, Callback callback);
+  // Returns whether there is a permit, if no other host has to be asked.
+  GrantReply<bool> TakeWithoutQuestion(uint64_t endpoint, core::TimePoint now);
+  // Asks the granting host, or waits for the outcome of earlier questions.
+  void AskOrWait(uint64_t endpoint, core::TimePoint now, Callback callback);
   void Ask(uint64_t endpoint,
            const core::HostId& granter,
            core::TimePoint now,
--- a/Libraries/LibForwarding/place_exchange.cc
+++ b/Libraries/LibForwarding/place_exchange.cc
@@ -91,29 +91,28 @@
           .slots = brittle_.ReportOf(endpoint, now)};
 }
 
-void PlaceExchange::Acquire(const core::RunnerId& endpoint,
-                            core::TimePoint now,
-                            Callback callback) {
+GrantReply<bool> PlaceExchange::Acquire(const core::RunnerId& endpoint,
+                                        core::TimePoint now,
+                                        Callback callback) {
   const uint64_t key = endpoint.Hash();
   if (!IsBrittle(endpoint)) {
-    callback(true);
-    return;
+    return true;
   }
   const core::HostId granter = GranterOf(key);
   reported_.insert(key);
   if (granter == self_) {
     const bool is_granted = Grant(self_, MakeReport(key, now), now);
     if (!is_granted) {
-      Deny(key, now);
+      full_until_[key] = now + kFullTime;
     }
-    callback(is_granted);
-    return;
+    return is_granted;
+  }
+  if (granter.empty()) {
+    return TakeOwnPlace(key, now + kFullTime);
   }
   const auto silent = silent_until_.find(granter);
-  if (granter.empty() ||
-      (silent != silent_until_.end() && now < silent->second)) {
-    callback(HasOwnPlace(key));
-    return;
+  if (silent != silent_until_.end() && now < silent->second) {
+    return TakeOwnPlace(key, silent->second);
   }
   const PlaceReport report = MakeReport(key, now);
   questions_[report.sequence] = {.endpoint = key,
@@ -121,6 +120,7 @@
                                  .callback = std::move(callback),
                                  .ends_at = now + kMaxAnswerTime};
   send_({granter}, ApplicationKind::kPlaceQuestion, core::Encode(report));
+  return std::nullopt;
 }
 
 PlaceExchange::Holder& PlaceExchange::RecordHolder(const core::HostId& host,
@@ -173,15 +173,23 @@
          OwnDemand(endpoint) == 0;
 }
 
-void PlaceExchange::Deny(uint64_t endpoint, core::TimePoint now) {
-  full_until_[endpoint] = now + kFullTime;
+bool PlaceExchange::TakeOwnPlace(uint64_t endpoint,
+                                 core::TimePoint full_until) {
+  const bool has_place = HasOwnPlace(endpoint);
+  if (!has_place) {
+    full_until_[endpoint] = full_until;
+  }
+  return has_place;
 }
 
 void PlaceExchange::OnFinished(const core::RunnerId& endpoint,
                                core::TimePoint now) {
-  if (IsBrittle(endpoint)) {
-    SendReport(endpoint.Hash(), now);
+  if (!IsBrittle(endpoint)) {
+    return;
   }
+  // This host's own place may be free again.
+  full_until_.erase(endpoint.Hash());
+  SendReport(endpoint.Hash(), now);
 }
 
 void PlaceExchange::SendReport(uint64_t endpoint, core::TimePoint now) {
@@ -215,7 +223,8 @@
     }
     // A place may have been granted, and the answer lost.
     SendReport(it.endpoint, now);
-    it.callback(is_silent && HasOwnPlace(it.endpoint));
+    it.callback(is_silent &&
+                TakeOwnPlace(it.endpoint, silent_until_[it.asked]));
   }
   // 2. State that is over.
   std::erase_if(silent_until_,
@@ -304,11 +313,11 @@
   unanswered_.erase(from);
   brittle_.Merge(answer.slots, now);
   if (answer.is_misdirected) {
-    question.callback(HasOwnPlace(question.endpoint));
+    question.callback(TakeOwnPlace(question.endpoint, now + kFullTime));
     return absl::OkStatus();
   }
   if (!answer.is_granted) {
-    Deny(question.endpoint, now);
+    full_until_[question.endpoint] = now + kFullTime;
   }
   question.callback(answer.is_granted);
   return absl::OkStatus();
--- a/Libraries/LibForwarding/place_exchange.h
+++ b/Libraries/LibForwarding/place_exchange.h
@@ -23,6 +23,7 @@
 #include "LibCore/identifier.h"
 #include "LibCore/time.h"
 #include "LibForwarding/endpoint.h"
+#include "LibForwarding/grant_reply.h"
 #include "LibForwarding/granter_order.h"
 #include "LibForwarding/limit_news.h"
 #include "LibForwarding/place_message.h"
@@ -68,10 +69,10 @@
   // passed.
   core::TimePoint FullUntil(const core::RunnerId& endpoint) const;
   // Asks for a place for one request that starts at once if it is granted.
-  // Calls `callback` once, possibly at once.
-  void Acquire(const core::RunnerId& endpoint,
-               core::TimePoint now,
-               Callback callback);
+  // Returns the answer or calls `callback` later; see GrantReply.
+  [[nodiscard]] GrantReply<bool> Acquire(const core::RunnerId& endpoint,
+                                         core::TimePoint now,
+                                         Callback callback);
   // Reports that a request of this host has ended, or does not start although
   // its place was granted.
   void OnFinished(const core::RunnerId& endpoint, core::TimePoint now);
@@ -127,7 +128,9 @@
              core::TimePoint now);
   // Returns whether this host may send a request without asking.
   bool HasOwnPlace(uint64_t endpoint) const;
-  void Deny(uint64_t endpoint, core::TimePoint now);
+  // Answers a question without the granting host. If this host has no place of
+  // its own, the endpoint counts as full until `full_until`.
+  bool TakeOwnPlace(uint64_t endpoint, core::TimePoint full_until);
   PlaceReport MakeReport(uint64_t endpoint, core::TimePoint now);
   void SendReport(uint64_t endpoint, core::TimePoint now);
   // Asks other hosts which endpoints are brittle, while this host is new.
--- a/Libraries/LibForwarding/pool_slot_exchange.cc
+++ b/Libraries/LibForwarding/pool_slot_exchange.cc
@@ -114,9 +114,10 @@
   return report;
 }
 
-void PoolSlotExchange::Acquire(const PoolSlotRequest& request,
-                               core::TimePoint now,
-                               Callback callback) {
+GrantReply<PoolSlotResult> PoolSlotExchange::Acquire(
+    const PoolSlotRequest& request,
+    core::TimePoint now,
+    Callback callback) {
   const uint64_t pool = request.pool.Hash();
   const core::HostId granter = GranterOf(pool);
   std::set<uint64_t>& known = endpoints_[pool];
@@ -131,14 +132,12 @@
   reported_.insert(pool);
   const PoolSlotQuestion question = ToMessage(request, MakeReport(pool));
   if (granter == self_) {
-    callback(ToResult(Grant(self_, question, now), hashes));
-    return;
+    return ToResult(Grant(self_, question, now), hashes);
   }
   const auto silent = silent_until_.find(granter);
   if (granter.empty() ||
       (silent != silent_until_.end() && now < silent->second)) {
-    callback({});
-    return;
+    return PoolSlotResult();
   }
   questions_[question.report.sequence] = {.pool = pool,
                                           .asked = granter,
@@ -146,6 +145,7 @@
                                           .callback = std::move(callback),
                                           .ends_at = now + kMaxAnswerTime};
   send_({granter}, ApplicationKind::kPoolSlotQuestion, core::Encode(question));
+  return std::nullopt;
 }
 
 PoolSlotExchange::Holder& PoolSlotExchange::RecordHolder(
--- a/Libraries/LibForwarding/pool_slot_exchange.h
+++ b/Libraries/LibForwarding/pool_slot_exchange.h
@@ -24,6 +24,7 @@
 #include "LibCore/identifier.h"
 #include "LibCore/rendezvous.h"
 #include "LibCore/time.h"
+#include "LibForwarding/grant_reply.h"
 #include "LibForwarding/limit_news.h"
 #include "LibForwarding/pool_slot_message.h"
 #include "absl/container/flat_hash_map.h"
@@ -83,10 +84,11 @@
   void SetHosts(const std::vector<core::HostId>& running);
 
   // Asks for an endpoint for one request that starts at once if it is granted.
-  // Calls `callback` once, possibly at once.
-  void Acquire(const PoolSlotRequest& request,
-               core::TimePoint now,
-               Callback callback);
+  // Returns the answer or calls `callback` later; see GrantReply.
+  [[nodiscard]] GrantReply<PoolSlotResult> Acquire(
+      const PoolSlotRequest& request,
+      core::TimePoint now,
+      Callback callback);
   // Reports that a request of this host has ended, or does not start although
   // its slot was granted.
   void OnFinished(const core::PoolId& pool, core::TimePoint now);
--- a/Libraries/LibForwarding/send_clearance.cc
+++ b/Libraries/LibForwarding/send_clearance.cc
@@ -11,14 +11,17 @@
 // Maximum share of the latency objective for which a request waits for a slot
 // at an endpoint. The rest is for its service.
 constexpr double kMaxSlotWaitShare = 0.5;
-// Permits that are asked of other hosts, and denied, before only endpoints that
-// need no permit are chosen: without this bound, a request that meets a pool
-// whose endpoints are all at their limits asks for each of them in turn. A
-// question takes 1 to 4 ms, and up to 100 ms if the other host is silent.
+// Places and permits that are asked of other hosts, and denied, before only
+// endpoints that need none are chosen: without this bound, a request that meets
+// a pool whose endpoints are all at their limits asks for each of them in turn.
+// A question takes 1 to 4 ms, and up to 100 ms if the other host is silent.
 constexpr uint32_t kMaxDeniedQuestions = 4;
-// The same for permits that this host denies itself, which takes no time but a
+// The same for those that this host denies itself, which takes no time but a
 // choice among all endpoints of the pool.
 constexpr uint32_t kMaxDenials = 32;
+// Denials at one endpoint before it is no longer chosen. A question may have
+// been lost.
+constexpr uint32_t kMaxDenialsAtEndpoint = 2;
 
 }  // namespace
 
@@ -26,15 +29,16 @@
                              const ForwardRequest& request,
                              EndpointChooser* chooser,
                              core::TimePoint answer_deadline,
-                             Callbacks callbacks)
+                             Callback on_decided)
     : context_(context),
       request_(request),
       chooser_(chooser),
       answer_deadline_(answer_deadline),
-      callbacks_(std::move(callbacks)) {}
+      on_decided_(std::move(on_decided)) {}
 
-bool SendClearance::Ask() {
-  return AskForPoolSlot() || AskByOwnChoice();
+Clearance SendClearance::Ask() {
+  const std::optional<Clearance> by_slot = AskForPoolSlot();
+  return by_slot ? *by_slot : AskByOwnChoice();
 }
 
 void SendClearance::Return(const Endpoint& endpoint) {
@@ -42,38 +46,36 @@
   context_->pool_slots->OnFinished(endpoint.pool, Now());
 }
 
-bool SendClearance::AskForPoolSlot() {
+std::optional<Clearance> SendClearance::AskForPoolSlot() {
   const core::Duration objective =
       request_.route->latency_objective > core::Duration::zero()
           ? request_.route->latency_objective
           : answer_deadline_ - Now();
   const auto slot = chooser_->SlotRequest(
-      tried_, core::FromSeconds(core::ToSeconds(objective) * kMaxSlotWaitShare),
-      Now());
+      excluded_,
+      core::FromSeconds(core::ToSeconds(objective) * kMaxSlotWaitShare), Now());
   if (!slot) {
-    return false;
+    return std::nullopt;
   }
-  callbacks_.on_asking();
-  context_->pool_slots->Acquire(
+  const GrantReply<PoolSlotResult> reply = context_->pool_slots->Acquire(
       *slot, Now(), [weak = weak_from_this()](const PoolSlotResult& result) {
         const auto self = weak.lock();
         if (self != nullptr && !self->is_cancelled_) {
-          self->OnPoolSlot(result);
+          self->Decide(self->OnPoolSlot(result));
         }
       });
-  return true;
+  return reply ? OnPoolSlot(*reply)
+               : Clearance{.outcome = ClearanceOutcome::kPending};
 }
 
-void SendClearance::OnPoolSlot(const PoolSlotResult& result) {
+Clearance SendClearance::OnPoolSlot(const PoolSlotResult& result) {
   if (result.outcome == PoolSlotOutcome::kFull) {
     ++context_->metrics->Counter("forward_pool_slots_denied");
     context_->events->Record(
         core::EventCode::kPoolSlotDenied, request_.id.value(),
         fmt::format("pool={} wait_ms={} sends={}", chooser_->pool().value(),
                     core::ToMilliseconds(result.wait), sends_));
-    callbacks_.on_decided(
-        {.outcome = ClearanceOutcome::kPoolFull, .wait = result.wait});
-    return;
+    return {.outcome = ClearanceOutcome::kPoolFull, .wait = result.wait};
   }
   if (result.outcome == PoolSlotOutcome::kGranted) {
     // It may have left, or its data centre been evacuated, since the question.
@@ -81,79 +83,101 @@
         context_->endpoints->FindAvailable(result.endpoint);
     if (endpoint != nullptr) {
       ++context_->metrics->Counter("forward_pool_slots_granted");
-      Grant(*endpoint);
-      return;
+      return Grant(*endpoint);
     }
     context_->pool_slots->OnFinished(chooser_->pool(), Now());
   }
   ++context_->metrics->Counter("forward_pool_slots_unknown");
-  if (!AskByOwnChoice()) {
-    callbacks_.on_decided({.outcome = ClearanceOutcome::kNoEndpoint});
-  }
+  return AskByOwnChoice();
 }
 
-bool SendClearance::AskByOwnChoice() {
-  const Endpoint* endpoint = chooser_->Choose(tried_, Now());
-  if (endpoint == nullptr) {
-    return false;
-  }
-  callbacks_.on_asking();
-  if (context_->places->IsBrittle(endpoint->id)) {
-    AskForPlace(*endpoint);
-  } else if (context_->permits->IsLimited(endpoint->id)) {
-    AskForPermit(*endpoint);
-  } else {
-    Grant(*endpoint);
+Clearance SendClearance::AskByOwnChoice() {
+  bool was_denied = false;
+  while (const Endpoint* endpoint = chooser_->Choose(excluded_, Now())) {
+    GrantReply<bool> reply = AskForPlace(*endpoint);
+    if (reply == true) {
+      reply = AskForPermit(*endpoint);
+    }
+    if (!reply) {
+      return {.outcome = ClearanceOutcome::kPending};
+    }
+    if (*reply) {
+      return Grant(*endpoint);
+    }
+    was_denied = true;
   }
-  return true;
+  return {.outcome = was_denied ? ClearanceOutcome::kDenied
+                                : ClearanceOutcome::kNoEndpoint};
 }
 
-void SendClearance::AskForPlace(const Endpoint& endpoint) {
-  context_->places->Acquire(
+GrantReply<bool> SendClearance::AskForPlace(const Endpoint& endpoint) {
+  const GrantReply<bool> reply = context_->places->Acquire(
       endpoint.id, Now(), [weak = weak_from_this(), endpoint](bool is_granted) {
         const auto self = weak.lock();
-        if (self != nullptr && !self->is_cancelled_ && is_granted) {
-          self->AskForPermit(endpoint);
-        } else if (self != nullptr && !self->is_cancelled_) {
-          self->Deny();
+        if (self != nullptr && !self->is_cancelled_) {
+          self->OnPlace(endpoint, is_granted);
         }
       });
+  if (reply == false) {
+    CountDenial(endpoint.id, false);
+  }
+  return reply;
 }
 
-void SendClearance::AskForPermit(const Endpoint& endpoint) {
-  is_asking_ = false;
-  const bool is_asking = context_->permits->Acquire(
+GrantReply<bool> SendClearance::AskForPermit(const Endpoint& endpoint) {
+  const GrantReply<bool> reply = context_->permits->Acquire(
       endpoint.id, Now(), [weak = weak_from_this(), endpoint](bool is_granted) {
         const auto self = weak.lock();
         if (self != nullptr && !self->is_cancelled_) {
           self->OnPermit(endpoint, is_granted);
         }
       });
-  // A permit that is denied at once may have led to a question about another
-  // endpoint by now.
-  is_asking_ = is_asking_ || is_asking;
+  if (reply == false) {
+    // A place that was granted stays free.
+    context_->places->OnFinished(endpoint.id, Now());
+    CountDenial(endpoint.id, false);
+  }
+  return reply;
 }
 
-void SendClearance::OnPermit(const Endpoint& endpoint, bool is_granted) {
-  if (is_granted && WithholdIfEvacuated(endpoint)) {
+void SendClearance::OnPlace(const Endpoint& endpoint, bool is_granted) {
+  if (!is_granted) {
+    CountDenial(endpoint.id, true);
+    Decide({.outcome = ClearanceOutcome::kDenied});
     return;
   }
-  if (is_granted) {
-    Grant(endpoint);
-    return;
+  const GrantReply<bool> reply = AskForPermit(endpoint);
+  if (reply == true && !WithholdIfEvacuated(endpoint)) {
+    Decide(Grant(endpoint));
+  } else if (reply == false) {
+    Decide({.outcome = ClearanceOutcome::kDenied});
+  }
+}
+
+void SendClearance::OnPermit(const Endpoint& endpoint, bool is_granted) {
+  if (!is_granted) {
+    // A place that was granted stays free.
+    context_->places->OnFinished(endpoint.id, Now());
+    CountDenial(endpoint.id, true);
+    Decide({.outcome = ClearanceOutcome::kDenied});
+  } else if (!WithholdIfEvacuated(endpoint)) {
+    Decide(Grant(endpoint));
   }
-  // A place that was granted stays free.
-  context_->places->OnFinished(endpoint.id, Now());
-  CountDenial(endpoint.id);
-  Deny();
 }
 
-void SendClearance::CountDenial(const core::RunnerId& endpoint) {
+void SendClearance::CountDenial(const core::RunnerId& endpoint,
+                                bool was_asked) {
+  ++context_->metrics->Counter("forward_permits_denied");
   ++denials_;
-  denied_questions_ += is_asking_ ? 1 : 0;
-  is_asking_ = false;
+  denied_questions_ += was_asked ? 1 : 0;
+  if (++denials_at_[endpoint] >= kMaxDenialsAtEndpoint) {
+    excluded_.insert(endpoint);
+  }
   chooser_->IgnoreReports(context_->permits->IsCold(endpoint));
-  if (denied_questions_ != kMaxDeniedQuestions && denials_ != kMaxDenials) {
+  const bool has_reached_bound =
+      (was_asked && denied_questions_ == kMaxDeniedQuestions) ||
+      denials_ == kMaxDenials;
+  if (!has_reached_bound) {
     return;
   }
   chooser_->AllowLimited(false);
@@ -174,24 +198,26 @@
       fmt::format("endpoint={} data_centre={} sends={}", endpoint.id.value(),
                   endpoint.data_centre.value(), sends_));
   context_->places->OnFinished(endpoint.id, Now());
-  callbacks_.on_decided({.outcome = ClearanceOutcome::kEvacuated});
+  Decide({.outcome = ClearanceOutcome::kEvacuated});
   return true;
 }
 
-void SendClearance::Grant(const Endpoint& endpoint) {
+Clearance SendClearance::Grant(const Endpoint& endpoint) {
   tried_.insert(endpoint.id);
+  excluded_ = tried_;
+  denials_at_.clear();
   ++sends_;
   denials_ = 0;
   denied_questions_ = 0;
   chooser_->AllowLimited(true);
   chooser_->IgnoreReports(false);
-  callbacks_.on_decided(
-      {.outcome = ClearanceOutcome::kGranted, .endpoint = &endpoint});
+  return {.outcome = ClearanceOutcome::kGranted, .endpoint = &endpoint};
 }
 
-void SendClearance::Deny() {
-  ++context_->metrics->Counter("forward_permits_denied");
-  callbacks_.on_decided({.outcome = ClearanceOutcome::kDenied});
+void SendClearance::Decide(const Clearance& clearance) {
+  if (!is_cancelled_) {
+    on_decided_(clearance);
+  }
 }
 
 }  // namespace wasabi::forwarding
--- a/Libraries/LibForwarding/send_clearance.h
+++ b/Libraries/LibForwarding/send_clearance.h
@@ -3,19 +3,26 @@
 // brittle; and a permit, if the endpoint limits its requests or is cold.
 // Questions to other hosts take time, so a granted endpoint is checked again:
 // it may have left, or its data centre may have been evacuated.
+//
+// While other hosts need not be asked, a denial leads to the next choice in a
+// loop. A request asks for one endpoint twice at most before it is sent, so
+// that denials end whatever the exchanges answer.
 
 #ifndef LIBFORWARDING_SEND_CLEARANCE_H_
 #define LIBFORWARDING_SEND_CLEARANCE_H_
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
+#include <optional>
 #include <set>
 
 #include "LibForwarding/endpoint.h"
 #include "LibForwarding/endpoint_chooser.h"
 #include "LibForwarding/forward_context.h"
 #include "LibForwarding/forward_request.h"
+#include "LibForwarding/grant_reply.h"
 #include "LibForwarding/pool_slot_exchange.h"
 
 namespace wasabi::forwarding {
@@ -25,14 +32,15 @@
   kGranted,
   // Every slot of the pool is taken.
   kPoolFull,
-  // No host knows of a slot, and no endpoint can accept the request now.
+  // No endpoint can accept the request now.
   kNoEndpoint,
-  // The chosen endpoint has no place, or its limit permits no request now.
-  // Another endpoint may be asked for.
+  // The chosen endpoints have no place, or their limits permit no request now.
   kDenied,
   // As kDenied, because the endpoint's data centre was evacuated after the
   // endpoint was chosen.
   kEvacuated,
+  // Another host was asked.
+  kPending,
 };
 
 struct Clearance {
@@ -45,12 +53,7 @@
 
 class SendClearance : public std::enable_shared_from_this<SendClearance> {
  public:
-  struct Callbacks {
-    // Called when there is an endpoint or a slot to ask for. The request leaves
-    // the queue of its pool then.
-    std::function<void()> on_asking;
-    std::function<void(const Clearance& clearance)> on_decided;
-  };
+  using Callback = std::function<void(const Clearance& clearance)>;
 
   // The arguments must outlive this object. `answer_deadline` is when the
   // answer is due.
@@ -58,17 +61,16 @@
                 const ForwardRequest& request,
                 EndpointChooser* chooser,
                 core::TimePoint answer_deadline,
-                Callbacks callbacks);
+                Callback on_decided);
 
-  // Asks for clearance at an endpoint that was not granted before. Returns
-  // false, and does nothing, if no endpoint can accept the request now.
-  // Otherwise calls `on_asking` and then, possibly before this returns,
-  // `on_decided`, which may ask again.
-  bool Ask();
+  // Asks for clearance at an endpoint that was not granted before. Returns what
+  // was decided. With kPending, `on_decided` is called once, from the event
+  // loop; another endpoint may be asked for after kDenied and kEvacuated then.
+  [[nodiscard]] Clearance Ask();
   // Returns the slot and the place that were granted at `endpoint`, since the
   // request isn't sent.
   void Return(const Endpoint& endpoint);
-  // Makes sure that no callback is called any more.
+  // Makes sure that `on_decided` is not called any more.
   void Cancel() { is_cancelled_ = true; }
 
   // Returns the endpoints that were granted.
@@ -77,38 +79,41 @@
   uint32_t sends() const { return sends_; }
 
  private:
-  // Asks for a slot of the pool. Returns false if its slots are not granted.
-  bool AskForPoolSlot();
-  void OnPoolSlot(const PoolSlotResult& result);
-  // Asks for what the endpoint of this host's own choice requires. Returns
-  // false if every endpoint is full.
-  bool AskByOwnChoice();
-  void AskForPlace(const Endpoint& endpoint);
-  void AskForPermit(const Endpoint& endpoint);
+  // Asks for a slot of the pool. Returns nullopt if its slots are not granted.
+  std::optional<Clearance> AskForPoolSlot();
+  Clearance OnPoolSlot(const PoolSlotResult& result);
+  // Asks for what the endpoints of this host's own choice require, in turn.
+  Clearance AskByOwnChoice();
+  GrantReply<bool> AskForPlace(const Endpoint& endpoint);
+  GrantReply<bool> AskForPermit(const Endpoint& endpoint);
+  // Handle the answers of other hosts.
+  void OnPlace(const Endpoint& endpoint, bool is_granted);
   void OnPermit(const Endpoint& endpoint, bool is_granted);
-  // Counts a denied permit. After several, only endpoints that need no permit
-  // are chosen.
-  void CountDenial(const core::RunnerId& endpoint);
+  // Counts a denied place or permit, for which another host was asked or not.
+  // After several, only endpoints that need neither are chosen.
+  void CountDenial(const core::RunnerId& endpoint, bool was_asked);
   // Gives up `endpoint` if its data centre was evacuated after it was chosen.
   // Returns false, and does nothing, otherwise.
   bool WithholdIfEvacuated(const Endpoint& endpoint);
-  void Grant(const Endpoint& endpoint);
-  void Deny();
+  Clearance Grant(const Endpoint& endpoint);
+  // Calls `on_decided`, unless this is cancelled.
+  void Decide(const Clearance& clearance);
   core::TimePoint Now() const { return context_->loop->Now(); }
 
   ForwardContext* const context_;
   const ForwardRequest& request_;
   EndpointChooser* const chooser_;
   const core::TimePoint answer_deadline_;
-  const Callbacks callbacks_;
+  const Callback on_decided_;
   std::set<core::RunnerId> tried_;
+  // Those, and the endpoints that were denied too often since the latest grant.
+  std::set<core::RunnerId> excluded_;
+  std::map<core::RunnerId, uint32_t> denials_at_;
   uint32_t sends_ = 0;
-  // Permits denied since the latest grant, and those of them for which another
-  // host was asked.
+  // Places and permits denied since the latest grant, and those of them for
+  // which another host was asked.
   uint32_t denials_ = 0;
   uint32_t denied_questions_ = 0;
-  // Another host is being asked for a permit.
-  bool is_asking_ = false;
   bool is_cancelled_ = false;
 };
 
--- a/Tests/LibForwarding/answer_to_earlier_process_test.cc
+++ b/Tests/LibForwarding/answer_to_earlier_process_test.cc
@@ -12,6 +12,7 @@
 #include "LibForwarding/permit_exchange.h"
 #include "LibForwarding/place_exchange.h"
 #include "LibForwarding/pool_slot_exchange.h"
+#include "Tests/LibForwarding/ask_exchange.h"
 
 namespace wasabi::forwarding {
 namespace {
@@ -70,9 +71,8 @@
   permits->RecordLimit(endpoint, 100, kStart);
   PermitExchange* exchange = permits.get();
   it->ask = [it, exchange, endpoint] {
-    exchange->Acquire(endpoint, kStart, [it](bool is_granted) {
-      it->grants.push_back(is_granted);
-    });
+    AskExchange(*exchange, endpoint, kStart,
+                [it](bool is_granted) { it->grants.push_back(is_granted); });
   };
   it->answer = [exchange](const std::string& body) {
     CHECK(exchange->OnAnswer(kGranting, body, kStart).ok());
@@ -99,9 +99,8 @@
   places->RecordBrittle(brittle, true, kStart);
   PlaceExchange* exchange = places.get();
   it->ask = [it, exchange, endpoint] {
-    exchange->Acquire(endpoint, kStart, [it](bool is_granted) {
-      it->grants.push_back(is_granted);
-    });
+    AskExchange(*exchange, endpoint, kStart,
+                [it](bool is_granted) { it->grants.push_back(is_granted); });
   };
   it->answer = [exchange](const std::string& body) {
     CHECK(exchange->OnAnswer(kGranting, body, kStart).ok());
@@ -133,7 +132,7 @@
     PoolSlotRequest request{.pool = pool};
     request.candidates.push_back(
         {.endpoint = endpoint.Hash(), .slots = kSlots});
-    exchange->Acquire(request, kStart, [it](const PoolSlotResult& result) {
+    AskExchange(*exchange, request, kStart, [it](const PoolSlotResult& result) {
       it->grants.push_back(result.outcome == PoolSlotOutcome::kGranted);
     });
   };
--- a/Tests/LibForwarding/cold_replay_test.cc
+++ b/Tests/LibForwarding/cold_replay_test.cc
@@ -17,6 +17,7 @@
 #include "LibCore/text.h"
 #include "LibForwarding/endpoint_selector.h"
 #include "LibForwarding/permit_exchange.h"
+#include "Tests/LibForwarding/ask_exchange.h"
 
 namespace wasabi::forwarding {
 namespace {
@@ -341,16 +342,15 @@
       Start(host, e);
       return;
     }
-    // The callback may run before Acquire returns. A local denial is no
-    // question, but ends this choice as one does.
-    permits.Acquire(endpoints_[e], now_,
-                    [this, host, e, questions](bool is_granted) {
-                      if (is_granted) {
-                        Start(host, e);
-                      } else {
-                        Dispatch(host, questions + 1);
-                      }
-                    });
+    // A local denial is no question, but ends this choice as one does.
+    AskExchange(permits, endpoints_[e], now_,
+                [this, host, e, questions](bool is_granted) {
+                  if (is_granted) {
+                    Start(host, e);
+                  } else {
+                    Dispatch(host, questions + 1);
+                  }
+                });
   }
 
   void Start(size_t host, size_t e) {
--- a/Tests/LibForwarding/permit_questions_test.cc
+++ b/Tests/LibForwarding/permit_questions_test.cc
@@ -9,6 +9,7 @@
 
 #include "LibCore/text.h"
 #include "LibForwarding/permit_exchange.h"
+#include "Tests/LibForwarding/ask_exchange.h"
 
 namespace wasabi::forwarding {
 namespace {
@@ -169,7 +170,7 @@
         continue;
       }
       request->next += i + 1;
-      host.Acquire(endpoint, now_, [this, request](bool is_granted) {
+      AskExchange(host, endpoint, now_, [this, request](bool is_granted) {
         if (is_granted) {
           ++result_.sent;
           result_.longest_wait =
--- a/Tests/LibForwarding/permit_replay_test.cc
+++ b/Tests/LibForwarding/permit_replay_test.cc
@@ -13,6 +13,7 @@
 #include "LibCore/random_source.h"
 #include "LibCore/text.h"
 #include "LibForwarding/permit_exchange.h"
+#include "Tests/LibForwarding/ask_exchange.h"
 
 namespace wasabi::forwarding {
 namespace {
@@ -312,7 +313,7 @@
         SendToEndpoint(i);
         continue;
       }
-      hosts_[i]->Acquire(kEndpoint, now_, [this, i](bool is_granted) {
+      AskExchange(*hosts_[i], kEndpoint, now_, [this, i](bool is_granted) {
         if (is_granted) {
           SendToEndpoint(i);
         }
--- a/Tests/LibForwarding/place_replay_test.cc
+++ b/Tests/LibForwarding/place_replay_test.cc
@@ -13,6 +13,7 @@
 #include "LibCore/text.h"
 #include "LibForwarding/permit_exchange.h"
 #include "LibForwarding/place_exchange.h"
+#include "Tests/LibForwarding/ask_exchange.h"
 
 namespace wasabi::forwarding {
 namespace {
@@ -218,13 +219,12 @@
         now_ < state.down_until) {
       return;
     }
-    host.places->Acquire(
-        state.endpoint.id, now_,
-        [this, i, &state, process = host.process](bool is_granted) {
-          if (is_granted && IsSame(i, process)) {
-            Start(i, state);
-          }
-        });
+    AskExchange(*host.places, state.endpoint.id, now_,
+                [this, i, &state, process = host.process](bool is_granted) {
+                  if (is_granted && IsSame(i, process)) {
+                    Start(i, state);
+                  }
+                });
   }
 
   bool IsSame(size_t i, int process) const {
@@ -410,7 +410,7 @@
     places.SetHosts({self, other}, 2, kStart - seconds(1));
     places.RecordBrittle(endpoint, true, kStart);
     for (uint32_t k = 0; k < kSlots; ++k) {
-      places.Acquire(endpoint.id, kStart, [&in_flight](bool is_granted) {
+      AskExchange(places, endpoint.id, kStart, [&in_flight](bool is_granted) {
         in_flight += is_granted ? 1 : 0;
       });
     }
@@ -434,6 +434,59 @@
   CHECK(granted_here > 0);
 }
 
+// Guards against a denial that leaves the endpoint open, so that the same
+// request asks for it again at once, and again, until the stack is full.
+TEST_CASE("an endpoint without an answering granting host counts as full") {
+  const core::HostId self("h0");
+  const std::vector<core::HostId> hosts = {self, core::HostId("h1")};
+  int silent = 0;
+  for (int i = 0; i < 8; ++i) {
+    Endpoint endpoint = BrittleEndpoint();
+    endpoint.id = core::RunnerId(fmt::format("e{}", i));
+    size_t questions = 0;
+    uint32_t in_flight = 1;
+    PlaceExchange places(
+        self, [&in_flight](uint64_t /*endpoint*/) { return in_flight; },
+        [&questions](const std::vector<core::HostId>& /*to*/,
+                     ApplicationKind kind, std::string_view /*body*/) {
+          questions += kind == ApplicationKind::kPlaceQuestion ? 1 : 0;
+        },
+        /*first_sequence=*/0);
+    places.SetHosts(hosts, hosts.size(), kStart - seconds(1));
+    places.RecordBrittle(endpoint, true, kStart);
+    // No question is answered. Each is denied in the end, and the last denial
+    // holds for the endpoint.
+    core::TimePoint now = kStart;
+    for (size_t asked = 1; asked <= 5; ++asked) {
+      std::vector<bool> answers;
+      AskExchange(places, endpoint.id, now,
+                  [&answers](bool it) { answers.push_back(it); });
+      now += kTick;
+      places.Tick(now);
+      REQUIRE(answers.size() == 1);
+    }
+    if (questions == 0) {
+      // This host grants the places itself.
+      continue;
+    }
+    ++silent;
+    CHECK(questions == 5);
+    CHECK(places.FullUntil(endpoint.id) > now);
+    // What is asked now is answered at once, and no callback runs inside.
+    bool was_called = false;
+    CHECK(places.Acquire(endpoint.id, now, [&was_called](bool /*is_granted*/) {
+      was_called = true;
+    }) == false);
+    CHECK_FALSE(was_called);
+    // This host's own place is free again, so the endpoint is not full.
+    in_flight = 0;
+    places.OnFinished(endpoint.id, now);
+    CHECK(places.FullUntil(endpoint.id) <= now);
+    CHECK(places.Acquire(endpoint.id, now, [](bool /*is_granted*/) {}) == true);
+  }
+  CHECK(silent > 0);
+}
+
 // A process that is paused between its question and the answer must not act on
 // the answer when it goes on.
 TEST_CASE("a permission that has run out is not used") {
@@ -443,9 +496,8 @@
   const auto asked_elsewhere = [&](auto& exchange, const Endpoint& endpoint,
                                    std::string* question,
                                    std::vector<bool>* results) {
-    exchange.Acquire(endpoint.id, kStart, [results](bool is_granted) {
-      results->push_back(is_granted);
-    });
+    AskExchange(exchange, endpoint.id, kStart,
+                [results](bool is_granted) { results->push_back(is_granted); });
     return !question->empty();
   };
   // Endpoints whose permits this host itself grants are left out.
--- a/Tests/LibForwarding/pool_slot_replay_test.cc
+++ b/Tests/LibForwarding/pool_slot_replay_test.cc
@@ -19,6 +19,7 @@
 #include "LibForwarding/endpoint_selector.h"
 #include "LibForwarding/pool_slot_exchange.h"
 #include "LibForwarding/service_times.h"
+#include "Tests/LibForwarding/ask_exchange.h"
 
 namespace wasabi::forwarding {
 namespace {
@@ -208,23 +209,24 @@
       StartAt(ChooseAlone(i, request), i, arrived_at, tried);
       return;
     }
-    hosts_[i]->Acquire(request, now_, [=, this](const PoolSlotResult& result) {
-      if (!is_up_[i]) {
-        return;
-      }
-      switch (result.outcome) {
-        case PoolSlotOutcome::kGranted:
-          StartAt(result.endpoint, i, arrived_at, tried);
-          return;
-        case PoolSlotOutcome::kFull:
-          ++refused_;
-          ComeBack(result.wait, arrived_at, i);
-          return;
-        case PoolSlotOutcome::kUnknown:
-          StartAt(ChooseAlone(i, request), i, arrived_at, tried);
-          return;
-      }
-    });
+    AskExchange(*hosts_[i], request, now_,
+                [=, this](const PoolSlotResult& result) {
+                  if (!is_up_[i]) {
+                    return;
+                  }
+                  switch (result.outcome) {
+                    case PoolSlotOutcome::kGranted:
+                      StartAt(result.endpoint, i, arrived_at, tried);
+                      return;
+                    case PoolSlotOutcome::kFull:
+                      ++refused_;
+                      ComeBack(result.wait, arrived_at, i);
+                      return;
+                    case PoolSlotOutcome::kUnknown:
+                      StartAt(ChooseAlone(i, request), i, arrived_at, tried);
+                      return;
+                  }
+                });
   }
 
   // A refused caller waits as long as it was told, if that is within its
@@ -447,7 +449,7 @@
     const auto acquire = [&](PoolSlotExchange& host, core::TimePoint now) {
       PoolSlotRequest request{.pool = pool};
       request.candidates.push_back({.endpoint = 7, .slots = 1});
-      host.Acquire(request, now, [&](const PoolSlotResult& result) {
+      AskExchange(host, request, now, [&](const PoolSlotResult& result) {
         outcomes.push_back(result.outcome);
       });
     };
