A host that has just started has no slack of the fleet's retries

Cause: RetryAllowance lives as long as its process, so each process had its whole part of the slack again. Change: until a window has passed since the start, no slack, and of the ratio only the fifth that hosts leave unused. The first start of a fleet is exempt. Counters forward_retries_denied and ..._after_start. Why it works: retries after a start are bounded by requests after it, however many hosts are killed and however often.

--- a/Libraries/LibForwarding/forward_context.h
+++ b/Libraries/LibForwarding/forward_context.h
@@ -81,6 +81,8 @@
   bool load_control_enabled = false;
   SelectionPolicy selection;
   RetryAllowancePolicy retry_policy;
+  // Retries of this host before this time are unknown.
+  core::TimePoint retries_known_from = core::TimePoint::min();
   core::DataCentreId data_centre;
   // Returns the number of hosts that share the fleet's retries.
   std::function<size_t()> host_count;
@@ -108,7 +110,8 @@
   }
 
   RetryAllowance& RetryAllowanceFor(const core::PoolId& pool) {
-    return retries.try_emplace(pool, retry_policy).first->second;
+    return retries.try_emplace(pool, retry_policy, retries_known_from)
+        .first->second;
   }
 };
 
--- a/Libraries/LibForwarding/retry_allowance.h
+++ b/Libraries/LibForwarding/retry_allowance.h
@@ -2,6 +2,12 @@
 // a pool in a sliding window. Hosts do not coordinate, so the limit of the
 // fleet also holds while they cannot reach each other. Performs no I/O; the
 // caller passes in the time.
+//
+// A process knows nothing of the retries that its predecessor sent, and may not
+// know all hosts yet. Until a window has passed since its start it therefore
+// has no slack, and uses only the part of the ratio that hosts leave unused
+// otherwise. However many hosts are killed and however often, their retries
+// after each start are bounded by requests after that start.
 
 #ifndef LIBFORWARDING_RETRY_ALLOWANCE_H_
 #define LIBFORWARDING_RETRY_ALLOWANCE_H_
@@ -27,19 +33,28 @@
 
 class RetryAllowance {
  public:
-  explicit RetryAllowance(const RetryAllowancePolicy& policy)
-      : policy_(policy) {}
+  // Retries that this host sent before `known_from`, usually the start of the
+  // process, are unknown.
+  RetryAllowance(const RetryAllowancePolicy& policy, core::TimePoint known_from)
+      : policy_(policy), known_from_(known_from) {}
 
   // Records a request of a caller to the pool.
   void RecordRequest(core::TimePoint now);
   // Uses up one retry and returns true, or returns false if none is left. The
   // slack is divided among `host_count` hosts.
   bool TryRetry(size_t host_count, core::TimePoint now);
+  // Returns whether the retries of the window that ends at `now` are known.
+  bool KnowsWindow(core::TimePoint now) const {
+    return now >= known_from_ + policy_.window;
+  }
 
  private:
   void Forget(core::TimePoint now);
+  // Returns the retries allowed in the window that ends at `now`.
+  double Allowed(size_t host_count, core::TimePoint now) const;
 
   const RetryAllowancePolicy policy_;
+  const core::TimePoint known_from_;
   std::deque<core::TimePoint> requests_;
   std::deque<core::TimePoint> retries_;
 };
--- a/Libraries/LibForwarding/retry_rule.cc
+++ b/Libraries/LibForwarding/retry_rule.cc
@@ -31,8 +31,16 @@
 }
 
 bool RetryRule::TakeRetry() {
-  return context_->RetryAllowanceFor(chooser_.pool())
-      .TryRetry(context_->host_count(), context_->loop->Now());
+  const core::TimePoint now = context_->loop->Now();
+  RetryAllowance& allowance = context_->RetryAllowanceFor(chooser_.pool());
+  if (allowance.TryRetry(context_->host_count(), now)) {
+    return true;
+  }
+  ++context_->metrics->Counter("forward_retries_denied");
+  if (!allowance.KnowsWindow(now)) {
+    ++context_->metrics->Counter("forward_retries_denied_after_start");
+  }
+  return false;
 }
 
 }  // namespace wasabi::forwarding
--- a/Services/Forwarder/forwarder_daemon.cc
+++ b/Services/Forwarder/forwarder_daemon.cc
@@ -217,6 +217,9 @@
   context_.random = &random_;
   context_.selection.load_bound = settings_.load_bound;
   context_.retry_policy = settings_.retries;
+  if (!settings_.is_first_start) {
+    context_.retries_known_from = loop_->Now();
+  }
   context_.load_control_enabled = IsLoadControlEnabled();
   context_.data_centre = settings_.data_centre;
   context_.host_count = [this]() { return fleet_->host_count(); };
--- a/Tests/ForwardedStreams/stale_entry_asked_again_after_421_test.cc
+++ b/Tests/ForwardedStreams/stale_entry_asked_again_after_421_test.cc
@@ -155,10 +155,10 @@
 
 void CheckStale(const StaleCase& row, const char* target) {
   INFO(row.what << ", " << target);
-  ForwarderFixture it;
   // Few requests may be sent again.
-  it.settings.retries = {.ratio = 0.1, .slack = 3, .window = core::seconds(10)};
-  it.Restart();
+  ForwarderFixture it(
+      {.is_first_start = true,
+       .retries = {.ratio = 0.1, .slack = 3, .window = core::seconds(10)}});
   Endpoints endpoints(&it);
   it.Configure();
   endpoints.Register(it.store, "e2", it.second, row.new_started_at_ms);
@@ -185,10 +185,9 @@
   constexpr int kManyRequests = 300;
   // One that meets a stale entry each time is refused.
   constexpr int kMaxSendsOfRequest = 4;
-  ForwarderFixture it;
-  it.settings.retries = {
-      .ratio = 0.1, .slack = 15, .window = core::seconds(10)};
-  it.Restart();
+  ForwarderFixture it(
+      {.is_first_start = true,
+       .retries = {.ratio = 0.1, .slack = 15, .window = core::seconds(10)}});
   Endpoints endpoints(&it);
   it.Configure();
   for (int i = 0; i < kStaleEntries; ++i) {
--- a/Tests/Support/ForwarderFixture/forwarder_fixture.cc
+++ b/Tests/Support/ForwarderFixture/forwarder_fixture.cc
@@ -71,7 +71,8 @@
     : scheduler(&loop),
       first(&loop, FreeAddress(LoopbackIp(10))),
       second(&loop, FreeAddress(LoopbackIp(11))),
-      client(&loop) {
+      client(&loop),
+      retries_(options.retries) {
   for (RawServer* server : {&first, &second}) {
     server->SetResponder([this, server](const std::string& text) {
       return Respond(server, text);
@@ -97,7 +98,7 @@
   settings.configuration_bound = core::seconds(2);
   settings.shutdown_grace = shutdown_grace;
   settings.max_address_lifetime = core::milliseconds(100);
-  settings.retries = {.ratio = 1, .slack = 100, .window = core::seconds(10)};
+  settings.retries = retries_;
   settings.load_bound = 2;
   settings.event_capacity = 1000;
   return settings;
--- a/Tests/Support/ForwarderFixture/forwarder_fixture.h
+++ b/Tests/Support/ForwarderFixture/forwarder_fixture.h
@@ -68,6 +68,10 @@
   bool load_control_enabled = false;
   // Maximum time for which callers keep an address, unless three times as long.
   core::Duration max_address_lifetime = core::milliseconds(100);
+  // By default enough for all retries, also of a host that has just started.
+  forwarding::RetryAllowancePolicy retries = {.ratio = 10,
+                                              .slack = 100,
+                                              .window = core::seconds(10)};
 };
 
 // The endpoints "e1" and "e2" are ready and belong to the pool "p" of most
@@ -153,6 +157,7 @@
                          int sequence);
   std::string Respond(RawServer* server, const std::string& text);
 
+  const forwarding::RetryAllowancePolicy retries_;
   int sequence_ = 0;
   std::vector<std::unique_ptr<core::Timer>> reset_timers_;
   // The records of the store while no daemon runs.
