An endpoint of a brittle pool counts as brittle before it says so

Cause: that an endpoint is brittle was kept for one start of it and dropped with the next, though all endpoints of its pool say so. Until the new start had answered, each host sent what had waited. Change: PlaceExchange keeps what the latest answer of a pool said and tells other hosts. An endpoint of which nothing is known counts as brittle while its pool does, with the slots of its registration. Why it works: a new start, and a new endpoint, get places by grants from the first request on. Test: brittle_endpoints_fall_over_test, "brittle endpoints that return are not pushed over".

--- a/Libraries/LibForwarding/endpoint_chooser.cc
+++ b/Libraries/LibForwarding/endpoint_chooser.cc
@@ -210,7 +210,7 @@
 }
 
 bool EndpointChooser::IsLimited(const Endpoint& endpoint) const {
-  return context_->places->IsBrittle(endpoint.id) ||
+  return context_->places->IsBrittle(endpoint) ||
          context_->permits->IsLimited(endpoint.id);
 }
 
--- a/Libraries/LibForwarding/endpoint_notices.cc
+++ b/Libraries/LibForwarding/endpoint_notices.cc
@@ -48,7 +48,7 @@
                    const Endpoint& endpoint,
                    bool is_brittle,
                    const std::string& request_id) {
-  const bool was_brittle = context->places->IsBrittle(endpoint.id);
+  const bool was_brittle = context->places->IsBrittle(endpoint);
   context->places->RecordBrittle(endpoint, is_brittle, context->loop->Now());
   if (was_brittle != is_brittle) {
     context->events->Record(
--- a/Libraries/LibForwarding/place_exchange.cc
+++ b/Libraries/LibForwarding/place_exchange.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "LibCore/hash.h"
 #include "LibCore/try.h"
 
 namespace wasabi::forwarding {
@@ -34,6 +35,14 @@
 constexpr int kNewsQuestions = 6;
 constexpr int kNewsQuestionsAtOnce = 2;
 constexpr core::Duration kNewsQuestionInterval = core::milliseconds(100);
+// Distinguishes the keys of pools from those of endpoints.
+constexpr uint64_t kPoolSalt = 0x706f6f6c;
+// What is recorded of a pool that is brittle.
+constexpr double kBrittlePool = 1;
+
+uint64_t KeyOf(const core::PoolId& pool) {
+  return core::CombineHashes(pool.Hash(), kPoolSalt);
+}
 
 }  // namespace
 
@@ -63,6 +72,13 @@
   brittle_.Record(
       endpoint.id.Hash(),
       is_brittle ? std::optional<double>(endpoint.slots) : std::nullopt, now);
+  brittle_.Record(KeyOf(endpoint.pool),
+                  is_brittle ? std::optional(kBrittlePool) : std::nullopt, now);
+}
+
+bool PlaceExchange::IsBrittle(const Endpoint& endpoint) const {
+  return brittle_.Find(endpoint.id.Hash()) ||
+         brittle_.Find(KeyOf(endpoint.pool));
 }
 
 void PlaceExchange::Forget(const core::RunnerId& endpoint) {
@@ -74,7 +90,8 @@
 
 core::TimePoint PlaceExchange::FullUntil(const core::RunnerId& endpoint) const {
   const auto it = full_until_.find(endpoint.Hash());
-  const bool counts = it != full_until_.end() && IsBrittle(endpoint);
+  const bool counts =
+      it != full_until_.end() && brittle_.Find(endpoint.Hash()).has_value();
   return counts ? it->second : core::TimePoint();
 }
 
@@ -91,13 +108,17 @@
           .slots = brittle_.ReportOf(endpoint, now)};
 }
 
-GrantReply<bool> PlaceExchange::Acquire(const core::RunnerId& endpoint,
+GrantReply<bool> PlaceExchange::Acquire(const Endpoint& endpoint,
                                         core::TimePoint now,
                                         Callback callback) {
-  const uint64_t key = endpoint.Hash();
   if (!IsBrittle(endpoint)) {
     return true;
   }
+  const uint64_t key = endpoint.id.Hash();
+  if (!brittle_.Find(key)) {
+    // Only its pool has said so.
+    brittle_.Record(key, endpoint.slots, now);
+  }
   const core::HostId granter = GranterOf(key);
   reported_.insert(key);
   if (granter == self_) {
@@ -184,7 +205,7 @@
 
 void PlaceExchange::OnFinished(const core::RunnerId& endpoint,
                                core::TimePoint now) {
-  if (!IsBrittle(endpoint)) {
+  if (!brittle_.Find(endpoint.Hash())) {
     return;
   }
   // This host's own place may be free again.
--- a/Libraries/LibForwarding/place_exchange.h
+++ b/Libraries/LibForwarding/place_exchange.h
@@ -10,6 +10,10 @@
 // started, or has just become the granting host, has heard what the others have
 // in flight, it grants nothing. A host that has just started asks others which
 // endpoints are brittle.
+//
+// The endpoints of a pool are brittle at the same times. One that has not
+// answered since it started, or since this host knows it, counts as brittle
+// while the latest answer of its pool says so.
 
 #ifndef LIBFORWARDING_PLACE_EXCHANGE_H_
 #define LIBFORWARDING_PLACE_EXCHANGE_H_
@@ -60,17 +64,16 @@
                      bool is_brittle,
                      core::TimePoint now);
   // Discards what is known of an endpoint that was removed or has restarted.
+  // What its pool said stays known.
   void Forget(const core::RunnerId& endpoint);
 
-  bool IsBrittle(const core::RunnerId& endpoint) const {
-    return brittle_.Find(endpoint.Hash()).has_value();
-  }
+  bool IsBrittle(const Endpoint& endpoint) const;
   // Returns the time until which the endpoint has no place, which may have
   // passed.
   core::TimePoint FullUntil(const core::RunnerId& endpoint) const;
   // Asks for a place for one request that starts at once if it is granted.
   // Returns the answer or calls `callback` later; see GrantReply.
-  [[nodiscard]] GrantReply<bool> Acquire(const core::RunnerId& endpoint,
+  [[nodiscard]] GrantReply<bool> Acquire(const Endpoint& endpoint,
                                          core::TimePoint now,
                                          Callback callback);
   // Reports that a request of this host has ended, or does not start although
@@ -142,7 +145,8 @@
   GranterOrder order_;
   size_t fleet_size_ = 1;
 
-  // The slots of the endpoints that are brittle.
+  // The slots of the endpoints that are brittle, and the pools that are, under
+  // keys of their own.
   LimitNews brittle_;
   absl::flat_hash_map<uint64_t, std::map<core::HostId, Holder>> holders_;
   absl::flat_hash_map<uint64_t, core::TimePoint> full_until_;
--- a/Libraries/LibForwarding/send_clearance.cc
+++ b/Libraries/LibForwarding/send_clearance.cc
@@ -112,7 +112,7 @@
 
 GrantReply<bool> SendClearance::AskForPlace(const Endpoint& endpoint) {
   const GrantReply<bool> reply = context_->places->Acquire(
-      endpoint.id, Now(), [weak = weak_from_this(), endpoint](bool is_granted) {
+      endpoint, Now(), [weak = weak_from_this(), endpoint](bool is_granted) {
         const auto self = weak.lock();
         if (self != nullptr && !self->is_cancelled_) {
           self->OnPlace(endpoint, is_granted);
--- a/Tests/ForwardedStreams/brittle_endpoints_fall_over_test.cc
+++ b/Tests/ForwardedStreams/brittle_endpoints_fall_over_test.cc
@@ -4,6 +4,7 @@
 
 #include <catch2/catch.hpp>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -34,6 +35,9 @@
 // Two of them, and the steps of the loop, are a little longer than a request.
 constexpr core::Duration kBurstPeriod = core::milliseconds(50);
 
+// Time after which a crashed endpoint is back.
+constexpr core::Duration kRestartTime = core::milliseconds(800);
+
 // The fixture's endpoints as ones with slots, and callers of all hosts.
 class BrittlePool {
  public:
@@ -42,15 +46,10 @@
       support::EndpointOptions options;
       options.id = core::RunnerId(fmt::format("e{}", i + 1));
       options.address = support::FreeAddress(support::LoopbackIp(30 + i));
-      auto endpoint = PlatformEndpoint::Create(
-          &fixture->loop, options,
-          [](const PlatformEndpoint::RunPointer& /*run*/) {});
-      REQUIRE(endpoint.ok());
-      endpoints_.push_back(*std::move(endpoint));
-      endpoints_.back()->SetCrashObserver([this]() { ++falls_; });
+      endpoints_.emplace_back();
+      Start(i, options);
       links_[options.id.value()] = options.address;
     }
-    SetFaults({});
     fixture->links = links_;
     fixture->Configure();
     hosts_.push_back(fixture->settings.callers_address);
@@ -61,12 +60,39 @@
   }
 
   void SetFaults(EndpointFaults faults) {
-    faults.delay = kServiceDelay;
+    faults_ = faults;
+    faults_.delay = kServiceDelay;
     for (const auto& it : endpoints_) {
-      it->SetFaults(faults);
+      if (it != nullptr) {
+        it->SetFaults(faults_);
+      }
     }
   }
 
+  // Lets endpoints crash when they fall over, or when Crash is called. They are
+  // back after kRestartTime, under their id or under a new one.
+  void EnableRestarts(bool changes_id) {
+    restarts_ = true;
+    changes_id_ = changes_id;
+  }
+  void Crash(size_t i) {
+    if (endpoints_[i] == nullptr) {
+      return;
+    }
+    const support::EndpointOptions options = endpoints_[i]->options();
+    endpoints_[i].reset();
+    timers_.push_back(fixture_->loop.NewTimer([this, i, options]() {
+      support::EndpointOptions next = options;
+      if (changes_id_) {
+        next.id = core::RunnerId(fmt::format("{}n", options.id.value()));
+        Register(options, std::nullopt);
+      }
+      Start(i, next);
+      Register(next, ++starts_);
+    }));
+    timers_.back()->StartOnce(kRestartTime);
+  }
+
   // Sends `per_second` requests to the hosts in turn, for `time`. Those of
   // kBurstPeriod come at once, sooner than hosts hear of each other's loads.
   void SendFor(core::Duration time, double per_second) {
@@ -95,6 +121,42 @@
   }
 
  private:
+  void Start(size_t i, const support::EndpointOptions& options) {
+    auto endpoint = PlatformEndpoint::Create(
+        &fixture_->loop, options,
+        [](const PlatformEndpoint::RunPointer& /*run*/) {});
+    REQUIRE(endpoint.ok());
+    endpoints_[i] = *std::move(endpoint);
+    endpoints_[i]->SetFaults(faults_);
+    endpoints_[i]->SetCrashObserver([this, i]() {
+      ++falls_;
+      if (restarts_) {
+        // The endpoint is handling a request now.
+        fixture_->loop.Post([this, i]() { Crash(i); });
+      }
+    });
+  }
+
+  // Writes the registration of an endpoint that started at `started_at_ms`, or
+  // deletes it, at the stores of all hosts.
+  void Register(const support::EndpointOptions& options,
+                std::optional<int64_t> started_at_ms) {
+    const auto text = [&]() {
+      return fmt::format(
+          R"({{"service":"p","address":"{}","zone":"z1","version":"v1",)"
+          R"("slots":{},"state":"ready","cold_left_ms":0,"seq":1,"born":{}}})",
+          options.address.ToString(), options.slots, *started_at_ms);
+    };
+    const auto write = [&](support::FakeTopicClient* store) {
+      store->Write(fixture_->names.registrations, options.id.value(),
+                   started_at_ms ? std::optional(text()) : std::nullopt);
+    };
+    write(fixture_->store);
+    for (const auto& it : fixture_->peers) {
+      write(it->store);
+    }
+  }
+
   void Send() {
     auto result = std::make_shared<CallerResult>();
     results_.push_back(result);
@@ -117,6 +179,11 @@
   ForwarderFixture* const fixture_;
   support::EndpointLinkMap links_;
   std::vector<std::unique_ptr<PlatformEndpoint>> endpoints_;
+  EndpointFaults faults_ = {.delay = kServiceDelay};
+  std::vector<std::unique_ptr<core::Timer>> timers_;
+  bool restarts_ = false;
+  bool changes_id_ = false;
+  int64_t starts_ = 1;
   std::vector<core::SocketAddress> hosts_;
   http::OriginClient client_{&fixture_->loop};
   std::vector<std::shared_ptr<CallerResult>> results_;
@@ -159,5 +226,31 @@
   }
 }
 
+// Guards against hosts that take the new start of an endpoint, or a new
+// endpoint, of a brittle pool for one that is not brittle.
+TEST_CASE("brittle endpoints that return are not pushed over") {
+  for (const bool changes_id : {false, true}) {
+    INFO((changes_id ? "another endpoint starts" : "the endpoint restarts"));
+    ForwarderFixture it;
+    BrittlePool pool(&it);
+    const double rate = 2 * kCapacityPerSecond;
+    pool.SetFaults({.brittle_limit = kBrittleLimit});
+    pool.SendFor(kStableWindow, rate);
+    const size_t falls_before = pool.falls();
+    pool.TakeServed();
+    pool.EnableRestarts(changes_id);
+    pool.SetFaults({.brittle_limit = kBrittleLimit, .waiting_room = 0});
+    pool.SendFor(core::seconds(1), rate);
+    constexpr size_t kCrashes = 5;
+    for (size_t i = 0; i < kCrashes; ++i) {
+      pool.Crash(i % kEndpoints);
+      pool.SendFor(core::seconds(2), rate);
+    }
+    INFO(pool.falls() - falls_before << " falls");
+    CHECK(pool.falls() - falls_before <= kMaxFalls);
+    CHECK(pool.TakeServed() > 0);
+  }
+}
+
 }  // namespace
 }  // namespace wasabi::forwarder
--- a/Tests/LibForwarding/answer_to_earlier_process_test.cc
+++ b/Tests/LibForwarding/answer_to_earlier_process_test.cc
@@ -98,8 +98,8 @@
   brittle.slots = kSlots;
   places->RecordBrittle(brittle, true, kStart);
   PlaceExchange* exchange = places.get();
-  it->ask = [it, exchange, endpoint] {
-    AskExchange(*exchange, endpoint, kStart,
+  it->ask = [it, exchange, brittle] {
+    AskExchange(*exchange, brittle, kStart,
                 [it](bool is_granted) { it->grants.push_back(is_granted); });
   };
   it->answer = [exchange](const std::string& body) {
--- a/Tests/LibForwarding/place_replay_test.cc
+++ b/Tests/LibForwarding/place_replay_test.cc
@@ -219,7 +219,7 @@
         now_ < state.down_until) {
       return;
     }
-    AskExchange(*host.places, state.endpoint.id, now_,
+    AskExchange(*host.places, state.endpoint, now_,
                 [this, i, &state, process = host.process](bool is_granted) {
                   if (is_granted && IsSame(i, process)) {
                     Start(i, state);
@@ -410,7 +410,7 @@
     places.SetHosts({self, other}, 2, kStart - seconds(1));
     places.RecordBrittle(endpoint, true, kStart);
     for (uint32_t k = 0; k < kSlots; ++k) {
-      AskExchange(places, endpoint.id, kStart, [&in_flight](bool is_granted) {
+      AskExchange(places, endpoint, kStart, [&in_flight](bool is_granted) {
         in_flight += is_granted ? 1 : 0;
       });
     }
@@ -459,7 +459,7 @@
     core::TimePoint now = kStart;
     for (size_t asked = 1; asked <= 5; ++asked) {
       std::vector<bool> answers;
-      AskExchange(places, endpoint.id, now,
+      AskExchange(places, endpoint, now,
                   [&answers](bool it) { answers.push_back(it); });
       now += kTick;
       places.Tick(now);
@@ -474,7 +474,7 @@
     CHECK(places.FullUntil(endpoint.id) > now);
     // What is asked now is answered at once, and no callback runs inside.
     bool was_called = false;
-    CHECK(places.Acquire(endpoint.id, now, [&was_called](bool /*is_granted*/) {
+    CHECK(places.Acquire(endpoint, now, [&was_called](bool /*is_granted*/) {
       was_called = true;
     }) == false);
     CHECK_FALSE(was_called);
@@ -482,7 +482,7 @@
     in_flight = 0;
     places.OnFinished(endpoint.id, now);
     CHECK(places.FullUntil(endpoint.id) <= now);
-    CHECK(places.Acquire(endpoint.id, now, [](bool /*is_granted*/) {}) == true);
+    CHECK(places.Acquire(endpoint, now, [](bool /*is_granted*/) {}) == true);
   }
   CHECK(silent > 0);
 }
@@ -493,10 +493,10 @@
   const core::HostId self("h0");
   const std::vector<core::HostId> hosts = {self, core::HostId("h1"),
                                            core::HostId("h2")};
-  const auto asked_elsewhere = [&](auto& exchange, const Endpoint& endpoint,
+  const auto asked_elsewhere = [&](auto& exchange, const auto& endpoint,
                                    std::string* question,
                                    std::vector<bool>* results) {
-    AskExchange(exchange, endpoint.id, kStart,
+    AskExchange(exchange, endpoint, kStart,
                 [results](bool is_granted) { results->push_back(is_granted); });
     return !question->empty();
   };
@@ -518,7 +518,7 @@
     PermitExchange permits(self, send, 0);
     permits.SetHosts(hosts, hosts.size());
     permits.RecordLimit(endpoint.id, 5, kStart);
-    if (asked_elsewhere(permits, endpoint, &question, &results)) {
+    if (asked_elsewhere(permits, endpoint.id, &question, &results)) {
       const auto asked = core::Decode<PermitQuestion>(question);
       const PermitAnswer answer{.sequence = asked->sequence,
                                 .is_granted = true,
