One place decides what is the head of an answer

Names with a blank or a control byte: refuted, ended at once on in plain answers, streams, taken-up ones and tunnels. Cause: the parser took any three digits for a status and all under 200 for an interim answer; what else is malformed was up to Beast, and to libcurl. Change: answer_syntax.h checks status line and fields by RFC 9112, line by line as they arrive, for MessageParser and for Client. Statuses are 100 to 599 but 101. A malformed head ends the attempt and promises nothing.

--- a/Libraries/LibForwarding/tunnel.cc
+++ b/Libraries/LibForwarding/tunnel.cc
@@ -17,7 +17,6 @@
 constexpr core::Duration kLingerTime = core::seconds(1);
 // Reading from one side pauses while the other has this many unsent bytes.
 constexpr size_t kMaxUnsentBytes = 64U << 10U;
-constexpr int kFirstFinalStatus = 200;
 
 }  // namespace
 
@@ -206,7 +205,7 @@
 }
 
 void Tunnel::OnHead(const http::MessageHead& head) {
-  if (head.status < kFirstFinalStatus) {
+  if (head.status < http::kFirstFinalStatus) {
     return;
   }
   const http::ResponseMatch match =
--- a/Libraries/LibHttp/client.cc
+++ b/Libraries/LibHttp/client.cc
@@ -6,6 +6,7 @@
 
 #include "LibCore/result_code.h"
 #include "LibCore/text.h"
+#include "LibHttp/answer_syntax.h"
 #include "LibHttp/open_sockets.h"
 
 namespace wasabi::http {
@@ -17,14 +18,18 @@
 
 // Limit of the size of all headers of a response, including interim ones.
 constexpr size_t kMaxHeaderBytes = 64U << 10U;
-constexpr long kFirstFinalStatus = 200;
 
 // Converts the result of a transfer to the status that
 // ClientCallbacks::on_done describes.
 absl::Status TransferStatus(CURLcode code,
                             bool was_sent,
+                            bool is_malformed,
                             bool is_oversized,
                             bool has_whole_head) {
+  if (is_malformed) {
+    return MakeStatus(ResultCode::kMalformedAnswer,
+                      "the head of the response is malformed");
+  }
   if (is_oversized) {
     return MakeStatus(ResultCode::kMalformedAnswer,
                       "the response exceeds its size limit");
@@ -152,10 +157,24 @@
       call->is_oversized = true;
       return 0;
     }
-    if (line.starts_with("HTTP/")) {
+    const bool is_status_line = line.starts_with("HTTP/");
+    if (is_status_line) {
       call->headers = Headers();
+      call->head_checker = AnswerHeadChecker();
       call->has_whole_head = false;
-    } else if (core::Trim(line).empty()) {
+    }
+    if (!line.ends_with('\n')) {
+      // The connection has ended inside the head.
+      return size * count;
+    }
+    if (call->head_checker.TakeLine(line) == AnswerHeadState::kMalformed) {
+      call->is_malformed = true;
+      return 0;
+    }
+    if (is_status_line) {
+      return size * count;
+    }
+    if (core::Trim(line).empty()) {
       long status = 0;
       curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
       call->has_whole_head = status >= kFirstFinalStatus;
@@ -219,6 +238,7 @@
   uint64_t max_body_bytes = 0;
   // The blank line after the head of the final response was received.
   bool has_whole_head = false;
+  AnswerHeadChecker head_checker;
   bool headers_reported = false;
   // The request is sent on a connection that has carried no other.
   bool is_connection_new = false;
@@ -227,6 +247,8 @@
   bool is_cancelled = false;
   // The response exceeds a size limit.
   bool is_oversized = false;
+  // The head of the response is none.
+  bool is_malformed = false;
 };
 
 Client::State::State(core::EventLoop* event_loop)
@@ -329,9 +351,9 @@
     }
     long request_size = 0;
     curl_easy_getinfo(call->easy, CURLINFO_REQUEST_SIZE, &request_size);
-    const absl::Status status =
-        TransferStatus(message->data.result, request_size > 0,
-                       call->is_oversized, call->has_whole_head);
+    const absl::Status status = TransferStatus(
+        message->data.result, request_size > 0, call->is_malformed,
+        call->is_oversized, call->has_whole_head);
     if (status.ok()) {
       call->ReportHeaders();
     }
--- a/Libraries/LibHttp/client.h
+++ b/Libraries/LibHttp/client.h
@@ -52,9 +52,8 @@
   // response was received completely, regardless of its HTTP status,
   // kPeerUnreachable if no connection was established and so nothing was sent,
   // kAnswerTruncated if the connection broke or ended inside the head,
-  // kMalformedAnswer if the head or
-  // the body exceeds its size limit, and kDeadlineExceeded if the call timed
-  // out.
+  // kMalformedAnswer if the head is none (answer_syntax.h), or the head or the
+  // body exceeds its size limit, and kDeadlineExceeded if the call timed out.
   std::function<void(const absl::Status& status)> on_done;
 };
 
--- a/Libraries/LibHttp/message_parser.cc
+++ b/Libraries/LibHttp/message_parser.cc
@@ -188,6 +188,7 @@
   } else {
     implementation_ = std::make_unique<TypedImplementation<false>>(
         limits, std::move(callbacks));
+    head_checker_.emplace();
   }
 }
 
@@ -198,6 +199,10 @@
 }
 
 ParseResult MessageParser::Feed(std::string* input) {
+  if (head_checker_ && !implementation_->HasHead() &&
+      head_checker_->Check(*input) == AnswerHeadState::kMalformed) {
+    return ParseResult::kMalformed;
+  }
   size_t consumed = 0;
   ParseResult result = ParseResult::kNeedMore;
   while (!implementation_->IsDone()) {
@@ -220,6 +225,9 @@
     }
   }
   input->erase(0, consumed);
+  if (head_checker_) {
+    head_checker_->Drop(consumed);
+  }
   if (result == ParseResult::kNeedMore && HasTooMuchFraming(input->size())) {
     return ParseResult::kHeaderTooLarge;
   }
--- a/Libraries/LibHttp/message_parser.h
+++ b/Libraries/LibHttp/message_parser.h
@@ -1,6 +1,7 @@
 // An incremental HTTP/1.1 message parser on top of Boost.Beast's parser. It
 // does no I/O. Messages with an ambiguous body length are rejected, which
-// prevents request smuggling.
+// prevents request smuggling. Heads of responses are checked before
+// (answer_syntax.h), line by line as they arrive.
 
 #ifndef LIBHTTP_MESSAGE_PARSER_H_
 #define LIBHTTP_MESSAGE_PARSER_H_
@@ -12,6 +13,7 @@
 #include <string>
 #include <string_view>
 
+#include "LibHttp/answer_syntax.h"
 #include "LibHttp/headers.h"
 
 namespace wasabi::http {
@@ -114,6 +116,8 @@
   struct TypedImplementation;
 
   const uint64_t max_framing_bytes_;
+  // Checks the head of a response.
+  std::optional<AnswerHeadChecker> head_checker_;
   std::unique_ptr<Implementation> implementation_;
 };
 
--- a/Libraries/LibHttp/origin_connection.cc
+++ b/Libraries/LibHttp/origin_connection.cc
@@ -25,8 +25,6 @@
 constexpr int kMaxInterimResponses = 16;
 constexpr uint32_t kMaxHeaderBytes = 64U << 10U;
 constexpr uint64_t kMaxResponseBytes = 1U << 30U;
-constexpr int kFirstFinalStatus = 200;
-constexpr int kSwitchingProtocols = 101;
 
 // Returns the idle timeout that the Keep-Alive header announces, multiplied by
 // kIdleTimeoutFraction, or kDefaultIdleTimeout if there is none.
@@ -380,8 +378,7 @@
 }
 
 void OriginConnection::OnHead(const MessageHead& head) {
-  is_interim_ =
-      head.status < kFirstFinalStatus && head.status != kSwitchingProtocols;
+  is_interim_ = head.status < kFirstFinalStatus;
   is_keep_alive_ = head.is_keep_alive;
   if (is_interim_) {
     ++interim_responses_;
--- a/Libraries/LibHttp/origin_connection.h
+++ b/Libraries/LibHttp/origin_connection.h
@@ -141,7 +141,7 @@
   bool is_head_request_ = false;
   // The current response belongs to another request.
   bool is_skipping_ = false;
-  // The current response is a 1xx response other than 101.
+  // The current response is a 1xx response.
   bool is_interim_ = false;
   bool is_keep_alive_ = false;
   core::TimePoint idle_since_;
--- a/Tests/ForwardedStreams/endless_answer_test.cc
+++ b/Tests/ForwardedStreams/endless_answer_test.cc
@@ -125,7 +125,7 @@
       {"a head without end", "/unsafe/1", "HTTP/1.1 200 X\r\nA: ", junk, 502,
        oversized},
       {"a folded field of a head", "/unsafe/1", "HTTP/1.1 200 X\r\nA: b",
-       folded, 502, oversized},
+       folded, 502, malformed},
       {"fields of a head", "/unsafe/1", "HTTP/1.1 200 X\r\n", fields, 502,
        oversized},
       {"blank lines before a head", "/unsafe/1", "", blank, 502, malformed},
