An answer without a length needs the whole request and an orderly end

Cause: TcpStream dropped the error of a failed send. The kernel reports it once, and recv then says 0, which passed for an orderly end. Change: the end after a failed send is a broken one, for all readers of TcpStream. An answer without a length is complete only if the endpoint's kernel had all bytes of the request; a carrier leaves its end frame out otherwise.

--- a/Libraries/LibForwarding/tunnel.cc
+++ b/Libraries/LibForwarding/tunnel.cc
@@ -168,14 +168,16 @@
     OnNotConnected();
     return;
   }
-  if (end == http::TcpStream::End::kBroken) {
+  // An endpoint that ends before it had the whole request may have crashed.
+  const bool had_request = endpoint_stream_->has_delivered_all();
+  if (end == http::TcpStream::End::kBroken || (!had_request && !is_framed_)) {
     // The host must be able to tell it from an orderly end.
     host_->Abort();
     End();
     return;
   }
   endpoint_stream_->Close();
-  if (is_framed_) {
+  if (is_framed_ && had_request) {
     host_->Write(http::EncodeTunnelEnd());
   }
   host_->ShutDownWriting();
--- a/Libraries/LibHttp/origin_client.h
+++ b/Libraries/LibHttp/origin_client.h
@@ -54,8 +54,8 @@
 enum class OriginOutcome : uint8_t {
   // The response ended as its framing says. With BodyFraming::kConnectionEnd
   // that only means that the endpoint closed the connection in an orderly way
-  // (or a tunnel's carrier, if it knows no frames); whether the body is whole
-  // can only be told by its content.
+  // (or a tunnel's carrier, if it knows no frames) after it had received the
+  // whole request; whether the body is whole can only be told by its content.
   kComplete,
   // The connection was not established, so no byte of the request was sent.
   kNotSent,
--- a/Libraries/LibHttp/origin_connection.cc
+++ b/Libraries/LibHttp/origin_connection.cc
@@ -450,8 +450,10 @@
   is_keep_alive_ = false;
   // A carrier's connection may end before the endpoint's.
   const bool is_endpoints_end = !frames_ || frames_->has_ended();
+  // An endpoint that ends before it had the whole request may have crashed.
+  const bool had_request = stream_->has_delivered_all();
   const bool is_complete = end == TcpStream::End::kClosed && is_endpoints_end &&
-                           !is_skipping_ && !is_interim_ &&
+                           had_request && !is_skipping_ && !is_interim_ &&
                            parser_->FinishAtEof();
   if (!is_complete) {
     NoteBroken();
--- a/Libraries/LibHttp/tcp_stream.cc
+++ b/Libraries/LibHttp/tcp_stream.cc
@@ -1,5 +1,6 @@
 #include "LibHttp/tcp_stream.h"
 
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/ioctl.h>
@@ -120,6 +121,13 @@
   return static_cast<size_t>(bytes);
 }
 
+bool TcpStream::has_delivered_all() const {
+  int bytes = 0;
+  // A kernel that doesn't tell has taken the bytes at least.
+  return !has_send_failed_ && buffer_.empty() &&
+         (ioctl(descriptor_, SIOCOUTQ, &bytes) != 0 || bytes == 0);
+}
+
 void TcpStream::ReadNow() {
   const auto self = shared_from_this();
   if (is_open() && is_reading_ && !is_connecting_) {
@@ -211,7 +219,7 @@
     return;
   }
   if (n == 0) {
-    ReportEnd(End::kClosed);
+    ReportEnd(has_send_failed_ ? End::kBroken : End::kClosed);
     return;
   }
   if (!IsTransient(errno)) {
@@ -227,6 +235,7 @@
       // The read side reports a broken connection in a later turn of the loop,
       // so that Write never calls back into its caller.
       if (!IsTransient(errno)) {
+        has_send_failed_ = true;
         buffer_.clear();
       }
       break;
--- a/Libraries/LibHttp/tcp_stream.h
+++ b/Libraries/LibHttp/tcp_stream.h
@@ -25,7 +25,8 @@
 class TcpStream : public std::enable_shared_from_this<TcpStream> {
  public:
   enum class End : uint8_t {
-    // The peer closed its side in an orderly way (FIN).
+    // The peer closed its side in an orderly way (FIN), and sending had not
+    // failed.
     kClosed,
     // The connection was reset, timed out or could not be established.
     kBroken,
@@ -70,6 +71,8 @@
   // Sends `bytes`, and buffers those that the socket doesn't accept yet.
   void Write(std::string_view bytes);
   size_t unsent_bytes() const { return buffer_.size(); }
+  // Returns whether the peer's kernel has received all written bytes.
+  bool has_delivered_all() const;
   // Returns the number of bytes that the kernel has received and that were not
   // read yet.
   size_t readable_bytes() const;
@@ -114,6 +117,9 @@
   bool has_sent_ = false;
   bool is_shut_down_ = false;
   bool shuts_down_when_drained_ = false;
+  // The kernel refused bytes for good. It reports the connection's error once,
+  // and an orderly end to those that read after it.
+  bool has_send_failed_ = false;
   std::string buffer_;
   BufferMemory::Holding held_;
   Callbacks callbacks_;
--- a/Tests/Support/ForwarderFixture/carried_host.cc
+++ b/Tests/Support/ForwarderFixture/carried_host.cc
@@ -4,12 +4,13 @@
 
 namespace wasabi::support {
 
-CarriedHost::CarriedHost(core::Duration carrier_grace)
+CarriedHost::CarriedHost(core::Duration carrier_grace, CarrierWay way)
     : links_(&fixture, 30), carrier_links_(&fixture, 40) {
   fixture.links = links_.map;
   fixture.shutdown_grace = carrier_grace;
   fixture.Configure();
-  carrier_ = fixture.AddPeer("h2", carrier_links_.map);
+  carrier_ = fixture.AddPeer(
+      "h2", way == CarrierWay::kLinks ? carrier_links_.map : EndpointLinkMap());
   links_.Cut(LinkCut::kReset, fixture.loop.Now());
   const auto is_carried = [this]() {
     fixture.script = {ScriptedSuccess("ok")};
--- a/Tests/Support/RawServer/raw_server.cc
+++ b/Tests/Support/RawServer/raw_server.cc
@@ -137,6 +137,10 @@
 void RawServer::OnData(const ConnectionPointer& connection,
                        std::string_view bytes) {
   connection->input.append(bytes);
+  if (answers_early_) {
+    AnswerEarly(connection);
+    return;
+  }
   while (const auto size = WholeRequest(connection->input)) {
     ++requests_;
     const std::string request = connection->input.substr(0, *size);
@@ -150,4 +154,14 @@
   }
 }
 
+void RawServer::AnswerEarly(const ConnectionPointer& connection) {
+  if (connection->input.find("\r\n\r\n") == std::string::npos) {
+    return;
+  }
+  ++requests_;
+  connection->stream->SetReading(false);
+  const std::string text = std::exchange(connection->input, {});
+  connection->stream->Write(respond_ ? respond_(text) : answer_);
+}
+
 }  // namespace wasabi::support
--- a/Tests/Support/RawServer/raw_server.h
+++ b/Tests/Support/RawServer/raw_server.h
@@ -32,6 +32,9 @@
   // answer. It takes precedence over the answer of SetAnswer.
   void SetResponder(
       std::function<std::string(const std::string& text)> respond);
+  // Sets whether a request is answered as soon as its head has arrived. The
+  // rest of the connection is not read then.
+  void SetAnswersEarly(bool answers_early) { answers_early_ = answers_early; }
   // Writes `bytes` to every open connection.
   void WriteToAll(std::string_view bytes);
   void StopListening();
@@ -57,6 +60,7 @@
 
   void AcceptAvailable();
   void OnData(const ConnectionPointer& connection, std::string_view bytes);
+  void AnswerEarly(const ConnectionPointer& connection);
 
   core::EventLoop* const loop_;
   const core::SocketAddress address_;
@@ -65,6 +69,7 @@
   std::set<ConnectionPointer> connections_;
   std::string answer_;
   bool closes_ = false;
+  bool answers_early_ = false;
   std::function<std::string(const std::string& text)> respond_;
   size_t accepted_ = 0;
   int requests_ = 0;
