What an endpoint said outlives a registration that lapses

Cause: a removed registration counted as the end of its endpoint. Change: EndpointTable tells the two apart: another registered start or address ends an endpoint. Limits, places, pauses and failures are dropped only then.

--- a/Libraries/LibForwarding/endpoint_monitor.h
+++ b/Libraries/LibForwarding/endpoint_monitor.h
@@ -29,7 +29,7 @@
   void EndHoldDowns();
   // Records that the endpoint wants no requests from this host until `until`.
   void RecordPause(const core::RunnerId& endpoint, core::TimePoint until);
-  // Discards the state of an endpoint that was removed or has restarted.
+  // Discards the state of an endpoint that has restarted.
   void Forget(const core::RunnerId& endpoint);
 
   // Returns whether the endpoint is in hold-down because it could not be
--- a/Libraries/LibForwarding/endpoint_table.cc
+++ b/Libraries/LibForwarding/endpoint_table.cc
@@ -10,12 +10,23 @@
 // Departures of endpoints that are no longer registered are kept up to this
 // number.
 constexpr size_t kMaxDepartures = 10'000;
+// Removed registrations that are kept. The ends of older ones are reported.
+constexpr size_t kMaxRemoved = 1'000;
+
+bool IsSameStart(const Endpoint& a, const Endpoint& b) {
+  return a.started_at_ms == b.started_at_ms && a.address == b.address;
+}
 
 }  // namespace
 
 bool EndpointTable::Put(const Endpoint& endpoint) {
   const auto it = endpoints_.find(endpoint.id);
   if (it == endpoints_.end()) {
+    const auto removed = removed_.extract(endpoint.id);
+    if (!removed.empty()) {
+      std::erase(removal_order_, endpoint.id);
+      EndUnlessSame(removed.mapped(), endpoint);
+    }
     endpoints_.emplace(endpoint.id, endpoint);
     addresses_.Add(endpoint);
     return true;
@@ -28,14 +39,33 @@
   misdirected_.erase(endpoint.id);
   addresses_.Remove(before);
   addresses_.Add(endpoint);
-  const bool has_restarted = before.started_at_ms != endpoint.started_at_ms ||
-                             before.address != endpoint.address;
-  if (has_restarted && observer_) {
+  if (!IsSameStart(before, endpoint) && observer_) {
     observer_(before);
   }
+  EndUnlessSame(before, endpoint);
   return true;
 }
 
+void EndpointTable::EndUnlessSame(const Endpoint& before,
+                                  const Endpoint& endpoint) {
+  if (!IsSameStart(before, endpoint) && end_observer_) {
+    end_observer_(before);
+  }
+}
+
+void EndpointTable::KeepRemoved(const Endpoint& before) {
+  removed_.insert_or_assign(before.id, before);
+  removal_order_.push_back(before.id);
+  if (removal_order_.size() <= kMaxRemoved) {
+    return;
+  }
+  const auto oldest = removed_.extract(removal_order_.front());
+  removal_order_.pop_front();
+  if (end_observer_) {
+    end_observer_(oldest.mapped());
+  }
+}
+
 bool EndpointTable::Remove(const core::RunnerId& id) {
   const auto it = endpoints_.find(id);
   if (it == endpoints_.end()) {
@@ -45,6 +75,7 @@
   endpoints_.erase(it);
   misdirected_.erase(id);
   addresses_.Remove(before);
+  KeepRemoved(before);
   if (observer_) {
     observer_(before);
   }
--- a/Libraries/LibForwarding/endpoint_table.h
+++ b/Libraries/LibForwarding/endpoint_table.h
@@ -6,6 +6,7 @@
 #define LIBFORWARDING_ENDPOINT_TABLE_H_
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <set>
@@ -22,6 +23,12 @@
   // removed. `before` is the registration that is no longer valid.
   using RemovalObserver = std::function<void(const Endpoint& before)>;
 
+  // Called once for each start of an endpoint that is known to be over: the
+  // endpoint is registered with another start or address. A registration that
+  // is removed doesn't tell: it lapses while the endpoint can't reach the
+  // platform, and stands again later. `before` is the earlier registration.
+  using EndObserver = std::function<void(const Endpoint& before)>;
+
   // Called by SetEvacuated for each data centre whose evacuation has ended,
   // before any request can be sent to its endpoints.
   using EvacuationEndObserver =
@@ -75,11 +82,19 @@
   void SetRemovalObserver(RemovalObserver observer) {
     observer_ = std::move(observer);
   }
+  void SetEndObserver(EndObserver observer) {
+    end_observer_ = std::move(observer);
+  }
   void SetEvacuationEndObserver(EvacuationEndObserver observer) {
     evacuation_end_observer_ = std::move(observer);
   }
 
  private:
+  // Reports the end of the start that `before` registers, unless `endpoint`
+  // registers the same one.
+  void EndUnlessSame(const Endpoint& before, const Endpoint& endpoint);
+  // Keeps a registration that was removed, in place of the oldest one.
+  void KeepRemoved(const Endpoint& before);
   bool IsLeaving(const Endpoint& endpoint) const;
   // Returns whether a later endpoint of the same pool has the address. One that
   // gets no requests does not count: nothing would show that its registration
@@ -100,9 +115,13 @@
   std::map<core::RunnerId, int64_t> departures_;
   // Registered endpoints at whose address another one has answered.
   std::set<core::RunnerId> misdirected_;
+  // Registrations that were removed, and their ids, oldest first.
+  std::map<core::RunnerId, Endpoint> removed_;
+  std::deque<core::RunnerId> removal_order_;
   SharedAddresses addresses_;
   std::set<core::DataCentreId> evacuated_;
   RemovalObserver observer_;
+  EndObserver end_observer_;
   EvacuationEndObserver evacuation_end_observer_;
 };
 
--- a/Libraries/LibForwarding/permit_exchange.h
+++ b/Libraries/LibForwarding/permit_exchange.h
@@ -80,8 +80,8 @@
                 double per_second,
                 core::Duration left,
                 core::TimePoint now);
-  // Discards what is known of an endpoint that was removed or has restarted,
-  // except that it is cold: this may be the news of the restart.
+  // Discards what is known of an endpoint that has restarted, except that it is
+  // cold: this may be the news of the restart.
   void Forget(const core::RunnerId& endpoint);
 
   // Returns whether requests to the endpoint need permits.
--- a/Libraries/LibForwarding/place_exchange.h
+++ b/Libraries/LibForwarding/place_exchange.h
@@ -63,8 +63,8 @@
   void RecordBrittle(const Endpoint& endpoint,
                      bool is_brittle,
                      core::TimePoint now);
-  // Discards what is known of an endpoint that was removed or has restarted.
-  // What its pool said stays known.
+  // Discards what is known of an endpoint that has restarted. What its pool
+  // said stays known.
   void Forget(const core::RunnerId& endpoint);
 
   bool IsBrittle(const Endpoint& endpoint) const;
--- a/Services/Forwarder/forwarder_daemon.cc
+++ b/Services/Forwarder/forwarder_daemon.cc
@@ -84,14 +84,16 @@
                   settings_.callers_address.ToString()));
   endpoints_.SetRemovalObserver([this](const forwarding::Endpoint& before) {
     context_.origin_history.RecordStream(before, loop_->Now());
+    paces_.Forget(before.id, loop_->Now());
+    context_.prompt_holders.ForgetEndpoint(before.id);
+    origin_client_.Forget(before.address);
+  });
+  endpoints_.SetEndObserver([this](const forwarding::Endpoint& before) {
     monitor_.Forget(before.id);
     if (fleet_ != nullptr) {
       fleet_->permits()->Forget(before.id);
       fleet_->places()->Forget(before.id);
     }
-    paces_.Forget(before.id, loop_->Now());
-    context_.prompt_holders.ForgetEndpoint(before.id);
-    origin_client_.Forget(before.address);
   });
   configuration_ = std::make_unique<ConfigurationController>(
       &adapters_, &scheduler_, &events_, random_.Next());
--- a/Tests/LibForwarding/endpoint_registry_test.cc
+++ b/Tests/LibForwarding/endpoint_registry_test.cc
@@ -2,6 +2,9 @@
 
 #include <catch2/catch.hpp>
 #include <string>
+#include <vector>
+
+#include "LibCore/text.h"
 
 namespace wasabi::forwarding {
 namespace {
@@ -108,5 +111,39 @@
   CHECK(gone == std::vector<int64_t>{10, 11});
 }
 
+// Guards against knowledge of an endpoint that is dropped with a registration
+// which only lapsed.
+TEST_CASE("an endpoint ends when another start or address is registered") {
+  Fixture it;
+  std::vector<int64_t> ended;
+  it.table.SetEndObserver([&ended](const Endpoint& before) {
+    ended.push_back(before.started_at_ms);
+  });
+  it.registry.Put(Make(10, 5, false), it.now);
+  it.registry.Drop(kId, kNoGrace, it.now);
+  CHECK(ended.empty());
+  it.registry.Put(Make(10, 6, false), it.now);
+  CHECK(ended.empty());
+  it.registry.Drop(kId, kNoGrace, it.now);
+  it.registry.Put(Make(11, 1, false), it.now);
+  CHECK(ended == std::vector<int64_t>{10});
+  it.registry.Put(Make(12, 1, false), it.now);
+  CHECK(ended == std::vector<int64_t>{10, 11});
+}
+
+TEST_CASE("removed registrations are kept up to a number") {
+  EndpointTable table;
+  size_t ended = 0;
+  table.SetEndObserver([&ended](const Endpoint& /*before*/) { ++ended; });
+  constexpr size_t kEndpoints = 1'500;
+  for (size_t i = 0; i < kEndpoints; ++i) {
+    Endpoint endpoint;
+    endpoint.id = core::RunnerId(fmt::format("e{}", i));
+    table.Put(endpoint);
+    table.Remove(endpoint.id);
+  }
+  CHECK(ended == 500);
+}
+
 }  // namespace
 }  // namespace wasabi::forwarding
