--- a/Tests/Soak/caller.cc
+++ b/Tests/Soak/caller.cc
@@ -28,6 +28,10 @@
 // Share of the bodies that are large, and their size.
 constexpr double kLargeBodyShare = 0.3;
 constexpr size_t kLargeBodyBytes = 12'000;
+// Share of the bodies that are very large, where callers send such, and their
+// size, which exceeds what the kernels of both sides hold.
+constexpr double kVeryLargeBodyShare = 0.08;
+constexpr size_t kVeryLargeBodyBytes = 3'900'000;
 // Share of the bodies that come in pieces.
 constexpr double kPiecewiseShare = 0.3;
 // Share of the calls whose caller disconnects early, and the maximum delay
@@ -190,6 +194,11 @@
     call->body.resize(kLargeBodyBytes, 'b');
   }
   call->is_piecewise = !call->body.empty() && random_.Unit() < kPiecewiseShare;
+  if (sends_large_ && !call->body.empty() && !traits.is_stream &&
+      random_.Unit() < kVeryLargeBodyShare) {
+    call->body.resize(kVeryLargeBodyBytes, 'b');
+    call->is_piecewise = false;
+  }
   call->key_version = newest_version;
   call->deadline = traits.deadline;
   call->sent_at = loop_->Now();
--- a/Tests/Soak/caller.h
+++ b/Tests/Soak/caller.h
@@ -42,6 +42,9 @@
   // on; none if `part` is empty.
   void SetHarmfulPart(const std::string& part) { harmful_part_ = part; }
 
+  // Sends some requests with very large bodies from now on.
+  void SendLargeRequests() { sends_large_ = true; }
+
   // Resolves the addresses again when they have expired. Must be called
   // frequently.
   void Poll();
@@ -76,6 +79,7 @@
   std::shared_ptr<http::OriginCall> resolve_call_;
   uint64_t next_call_ = 0;
   std::string harmful_part_;
+  bool sends_large_ = false;
   // Keeps one host until nothing listens at its address.
   const bool clings_;
 };
--- a/Tests/Soak/checker.cc
+++ b/Tests/Soak/checker.cc
@@ -124,6 +124,9 @@
     for (const LimitPeriod& it : history_.limits) {
       CheckLimit(it);
     }
+    for (const BrittlePeriod& it : history_.brittle_periods) {
+      CheckFalls(it);
+    }
     CheckCancellation();
     CheckRetryBudget();
     CheckRecovery();
@@ -637,6 +640,18 @@
                        });
   }
 
+  void CheckFalls(const BrittlePeriod& period) {
+    constexpr size_t kMinAllowed = 2;
+    constexpr size_t kEndpointsPerFall = 10;
+    const size_t allowed = kMinAllowed + period.endpoints / kEndpointsPerFall;
+    if (period.falls.size() > allowed) {
+      Add("brittle endpoints don't fall over again and again",
+          fmt::format("pool={} {} falls of {} endpoints from {} ms",
+                      period.pool.value(), period.falls.size(),
+                      period.endpoints, Milliseconds(period.from)));
+    }
+  }
+
   void CheckRetryBudget() {
     std::map<core::PoolId, std::vector<core::TimePoint>> repeats;
     std::map<core::PoolId, std::vector<core::TimePoint>> requests;
--- a/Tests/Soak/endpoint_fleet.cc
+++ b/Tests/Soak/endpoint_fleet.cc
@@ -10,6 +10,7 @@
 #include "Tests/Support/free_address.h"
 #include "platform/adapters.h"
 #include "platform/configuration_codec.h"
+#include "platform/wire_names.h"
 
 namespace wasabi::soak {
 
@@ -47,6 +48,30 @@
 // it writes twice.
 constexpr double kRefusalShare = 0.1;
 constexpr double kRepeatedRefusalShare = 0.8;
+// A request that announces a body of so many bytes is answered early.
+constexpr size_t kMinEarlyBytes = 1'000'000;
+
+// Returns the part of an unframed answer to a request that begins with `bytes`,
+// or "" if its body is small.
+std::string EarlyAnswerTo(std::string_view bytes) {
+  const auto field = [bytes](std::string_view name) {
+    const size_t at = bytes.find(fmt::format("\r\n{}: ", name));
+    if (at == std::string_view::npos) {
+      return std::string();
+    }
+    const size_t start = at + name.size() + 4;
+    return std::string(bytes.substr(start, bytes.find('\r', start) - start));
+  };
+  const size_t length =
+      core::ParseNumber<size_t>(field("Content-Length")).value_or(0);
+  if (length < kMinEarlyBytes) {
+    return "";
+  }
+  return fmt::format("HTTP/1.1 200 X\r\n{0}: {1}\r\n{2}: early\r\n\r\npart",
+                     adapter::kRequestIdHeader,
+                     field(adapter::kRequestIdHeader),
+                     adapter::kSignatureHeader);
+}
 
 core::PoolId OtherPool(const core::PoolId& pool) {
   return core::PoolId(pool == core::PoolId(kPlainPool) ? kOtherPlainPool
@@ -123,6 +148,7 @@
                  }));
   // The endpoint must not be destroyed while it handles a request.
   member->endpoint->SetCrashObserver([this, member]() {
+    RecordFall(*member);
     loop_->Post([this, member]() {
       if (member->state == State::kServing) {
         CrashMember(member, kRestartTime);
@@ -309,6 +335,78 @@
                               .to = now + duration});
 }
 
+void EndpointFleet::CutFromStore(uint64_t target, core::Duration duration) {
+  Member* member = Choose(target);
+  if (member != nullptr) {
+    AddDisturbance(*member, duration);
+    member->cut_until = loop_->Now() + duration;
+  }
+}
+
+void EndpointFleet::AnswerEarly(uint64_t target, core::Duration duration) {
+  Member* member = Choose(target);
+  if (member == nullptr) {
+    return;
+  }
+  AddDisturbance(*member, duration);
+  member->relay->SetEarlyAnswer(EarlyAnswerTo);
+  // Connections that are open now don't answer early.
+  member->relay->ResetAll();
+  timers_.push_back(loop_->NewTimer([member]() {
+    if (member->relay != nullptr) {
+      member->relay->SetEarlyAnswer(nullptr);
+    }
+  }));
+  timers_.back()->StartOnce(duration);
+}
+
+void EndpointFleet::SetFaultsOfAll(const support::EndpointFaults& faults,
+                                   core::Duration duration) {
+  for (const auto& it : members_) {
+    if (it->state == State::kServing) {
+      SetMemberFaults(it.get(), faults, duration);
+    }
+  }
+}
+
+void EndpointFleet::SetUsual(const core::PoolId& pool,
+                             const support::EndpointFaults& faults) {
+  for (const auto& it : members_) {
+    if (it->options.pool != pool) {
+      continue;
+    }
+    it->usual = faults;
+    if (it->state == State::kServing &&
+        it->faults_end_at == core::TimePoint()) {
+      it->endpoint->SetFaults(faults);
+    }
+  }
+}
+
+void EndpointFleet::BeginBrittlePeriod(const core::PoolId& pool,
+                                       core::Duration duration) {
+  const auto endpoints =
+      std::count_if(members_.begin(), members_.end(), [&pool](const auto& it) {
+        return it->options.pool == pool && it->state == State::kServing;
+      });
+  const core::TimePoint now = loop_->Now();
+  history_->brittle_periods.push_back(
+      {.pool = pool,
+       .endpoints = static_cast<size_t>(endpoints),
+       .from = now,
+       .to = now + duration,
+       .falls = {}});
+}
+
+void EndpointFleet::RecordFall(const Member& member) {
+  const core::TimePoint now = loop_->Now();
+  for (BrittlePeriod& it : history_->brittle_periods) {
+    if (it.pool == member.options.pool && it.from <= now && now < it.to) {
+      it.falls.push_back(now);
+    }
+  }
+}
+
 void EndpointFleet::EndLimits(const Member& member) {
   for (LimitPeriod& it : history_->limits) {
     if (it.endpoint == member.options.id) {
@@ -373,13 +471,24 @@
   }
 }
 
+void EndpointFleet::PollRegistration(Member* member) {
+  const core::TimePoint now = loop_->Now();
+  if (now < member->cut_until) {
+    const core::TimePoint lapses_at =
+        member->next_heartbeat_at - kHeartbeatPeriod + kRegistrationLifetime;
+    if (member->is_registered && now >= lapses_at) {
+      Unregister(member);
+    }
+  } else if (now >= member->next_heartbeat_at) {
+    Register(member);
+  }
+}
+
 void EndpointFleet::PollMember(Member* member) {
   const core::TimePoint now = loop_->Now();
   switch (member->state) {
     case State::kServing:
-      if (now >= member->next_heartbeat_at) {
-        Register(member);
-      }
+      PollRegistration(member);
       if (member->faults_end_at != core::TimePoint() &&
           now >= member->faults_end_at) {
         member->endpoint->SetFaults(member->usual);
--- a/Tests/Soak/endpoint_fleet.h
+++ b/Tests/Soak/endpoint_fleet.h
@@ -65,6 +65,12 @@
   void Renew(uint64_t target, Successor successor);
   // Lets the endpoint name a limit, in requests per second, in its answers.
   void SetLimit(uint64_t target, double per_second, core::Duration duration);
+  // Keeps the endpoint from the store for `duration`, so that its registration
+  // may lapse.
+  void CutFromStore(uint64_t target, core::Duration duration);
+  // Answers large requests early, in part and without a length, and resets
+  // their connections.
+  void AnswerEarly(uint64_t target, core::Duration duration);
   void SetFaults(uint64_t target,
                  const support::EndpointFaults& faults,
                  core::Duration duration);
@@ -74,6 +80,17 @@
   void ResetConnections(uint64_t target);
   void SilenceConnections(uint64_t target);
 
+  // Sets the faults of all serving endpoints.
+  void SetFaultsOfAll(const support::EndpointFaults& faults,
+                      core::Duration duration);
+  // Sets what the endpoints of a pool do while no other fault changes it, also
+  // after they restart.
+  void SetUsual(const core::PoolId& pool,
+                const support::EndpointFaults& faults);
+  // Records that the endpoints of a pool, which are brittle, let none wait for
+  // `duration`.
+  void BeginBrittlePeriod(const core::PoolId& pool, core::Duration duration);
+
   // Records that the endpoints of a data centre get no requests for
   // `duration`.
   void RecordEvacuation(const core::DataCentreId& data_centre,
@@ -118,6 +135,8 @@
     // registration of an ended one is removed.
     core::TimePoint transition_at;
     core::TimePoint faults_end_at;
+    // Until then it can't reach the store.
+    core::TimePoint cut_until;
   };
 
   // Adds an endpoint that listens at `address` behind a proxy at
@@ -148,6 +167,10 @@
   void AddDisturbance(const Member& member,
                       core::Duration duration,
                       bool is_planned = false);
+  // Counts the fall of an endpoint in the brittle periods of its pool.
+  void RecordFall(const Member& member);
+  // Sends the heartbeat if it is due, or lets the registration lapse.
+  void PollRegistration(Member* member);
   void PollMember(Member* member);
   void RemoveMember(Member* member);
 
@@ -156,6 +179,7 @@
   support::WatchedLog* const log_;
   History* const history_;
   std::vector<std::unique_ptr<Member>> members_;
+  std::vector<std::unique_ptr<core::Timer>> timers_;
 };
 
 }  // namespace wasabi::soak
--- a/Tests/Soak/fault_plan.cc
+++ b/Tests/Soak/fault_plan.cc
@@ -88,6 +88,10 @@
        kTakeAddressOver, kTakeAddressOver, kEndpointRepeatsRefusals,
        kEndpointCopiesRefusals, kEndpointPauses, kSilenceEndpointConnections,
        kKillHost, kStopHost, kCutHostFromStore},
+      {kBrittleBesidePause, kBrittleBesidePause, kKillsBesideRefusals,
+       kLimitWhileLapsing, kLimitWhileLapsing, kEndpointSendsMalformed,
+       kEndpointSendsMalformed, kEndpointAnswersEarly, kEndpointAnswersEarly,
+       kKillHost, kCrashEndpoint},
   };
   return kFamilies;
 }
@@ -151,7 +155,12 @@
                 "delay_endpoint_link",
                 "cut_endpoint_one_way",
                 "harmful_prompts",
-                "endpoint_limits"};
+                "endpoint_limits",
+                "brittle_beside_pause",
+                "kills_beside_refusals",
+                "limit_while_lapsing",
+                "endpoint_sends_malformed",
+                "endpoint_answers_early"};
   return kNames.at(static_cast<size_t>(kind));
 }
 
--- a/Tests/Soak/fault_plan.h
+++ b/Tests/Soak/fault_plan.h
@@ -78,6 +78,17 @@
   kHarmfulPrompts,
   // The endpoint names a limit in its answers.
   kEndpointLimits,
+  // The endpoints of a pool are brittle, and a host stands still.
+  kBrittleBesidePause,
+  // All hosts are killed, twice, while endpoints refuse requests.
+  kKillsBesideRefusals,
+  // The endpoint names a limit, and its registration lapses.
+  kLimitWhileLapsing,
+  // The endpoint sends answers whose heads are malformed.
+  kEndpointSendsMalformed,
+  // Large requests are answered early, in part and without a length, and their
+  // connections reset.
+  kEndpointAnswersEarly,
   kCount,
 };
 
@@ -86,6 +97,9 @@
 // The family of refusals and renewals, which only `SoakOptions::family`
 // selects.
 inline constexpr size_t kRenewalFamily = 5;
+// The family of grants and budgets around failures of hosts, and of bytes that
+// are no answer, which comes only so, too. Its callers send large requests.
+inline constexpr size_t kGrantFamily = 6;
 
 struct FaultAction {
   // Time since the start of the run.
--- a/Tests/Soak/fault_plan_test.cc
+++ b/Tests/Soak/fault_plan_test.cc
@@ -23,6 +23,17 @@
       CHECK(it.at + it.duration < options.length - options.bounds.recovery);
     }
   }
+  // The others come only in a family of their own.
+  for (uint64_t seed = 0; seed < 20; ++seed) {
+    SoakOptions options;
+    options.seed = seed;
+    options.family = kGrantFamily;
+    for (const FaultAction& it : MakeFaultPlan(options)) {
+      kinds.insert(it.kind);
+      CHECK(it.at >= options.warm_up);
+      CHECK(it.at + it.duration < options.length - options.bounds.recovery);
+    }
+  }
   CHECK(kinds.size() == static_cast<size_t>(FaultKind::kCount));
 }
 
--- a/Tests/Soak/history.h
+++ b/Tests/Soak/history.h
@@ -106,6 +106,16 @@
   core::TimePoint to;
 };
 
+// A period in which the endpoints of a pool are brittle and let none wait, and
+// when they fell over.
+struct BrittlePeriod {
+  core::PoolId pool;
+  size_t endpoints = 0;
+  core::TimePoint from;
+  core::TimePoint to;
+  std::vector<core::TimePoint> falls;
+};
+
 // An interval in which the test disturbed a host, the store or an endpoint.
 struct Disturbance {
   enum class Scope : uint8_t { kHost, kStore, kEndpoint };
@@ -128,6 +138,7 @@
   std::vector<Departure> departures;
   std::vector<Renewal> renewals;
   std::vector<LimitPeriod> limits;
+  std::vector<BrittlePeriod> brittle_periods;
   std::vector<Evacuation> evacuations;
   std::vector<std::shared_ptr<Disturbance>> disturbances;
   // One entry per host that exited unexpectedly, with its exit status.
--- a/Tests/Soak/main.cc
+++ b/Tests/Soak/main.cc
@@ -21,14 +21,15 @@
 DEFINE_double(rate, 60, "requests a second");
 DEFINE_int32(family,
              -1,
-             "family of faults, 0 to 5 (refusals and renewals); by default the "
-             "seed selects one of the first five");
+             "family of faults, 0 to 6 (5: refusals and renewals, 6: grants, "
+             "budgets and malformed answers); by default the seed selects one "
+             "of the first five");
 
 namespace wasabi::soak {
 namespace {
 
 bool IsFamily(const char* /*flag*/, int32_t value) {
-  return value <= static_cast<int32_t>(kRenewalFamily);
+  return value <= static_cast<int32_t>(kGrantFamily);
 }
 
 SoakOptions OptionsFromFlags() {
--- a/Tests/Soak/operator.cc
+++ b/Tests/Soak/operator.cc
@@ -73,7 +73,7 @@
         {{"name", kOtherPlainPool}, {"max_conns", 200}}}},
       {"limits",
        {{"max_header_bytes", 16384},
-        {"max_body_bytes", 1 << 20},
+        {"max_body_bytes", 1 << 22},
         {"header_timeout_ms", 3000},
         {"idle_timeout_ms", 15000}}},
       {"tenants",
--- a/Tests/Soak/soak_run.cc
+++ b/Tests/Soak/soak_run.cc
@@ -32,6 +32,20 @@
 constexpr core::Duration kHarmfulTime = core::seconds(9);
 constexpr core::Duration kLimitTime = core::seconds(6);
 constexpr core::Duration kEvacuationTime = core::seconds(6);
+// Endpoints say for so long that they are brittle before they let none wait,
+// and until then a host is paused; requests take longer then, so that several
+// are at each endpoint.
+constexpr core::Duration kBrittleLead = core::seconds(3);
+constexpr core::Duration kBrittleDelay = core::milliseconds(300);
+constexpr size_t kBrittleLimit = 2;
+// Time for which endpoints refuse requests, and the times in it at which all
+// hosts are killed.
+constexpr core::Duration kRefusalTime = core::seconds(7);
+constexpr core::Duration kFirstKill = core::seconds(3);
+constexpr core::Duration kSecondKill = core::seconds(5);
+constexpr double kWideRefusalShare = 0.45;
+// Longer than a registration takes to lapse.
+constexpr core::Duration kLapseTime = core::seconds(5);
 // Requests per second.
 constexpr double kEndpointLimit = 2;
 // Times between the SIGTERMs of hosts that stop together, and between two to
@@ -95,6 +109,9 @@
   for (size_t i = 0; i < kCallers; ++i) {
     callers_.push_back(std::make_unique<Caller>(loop_, &addresses_, &history_,
                                                 i, random_.Next()));
+    if (options_.family == kGrantFamily) {
+      callers_.back()->SendLargeRequests();
+    }
   }
   return absl::OkStatus();
 }
@@ -218,7 +235,12 @@
                    &SoakRun::DelayEndpointLink,
                    &SoakRun::CutEndpointOneWay,
                    &SoakRun::SendHarmfulPrompts,
-                   &SoakRun::LimitEndpoint};
+                   &SoakRun::LimitEndpoint,
+                   &SoakRun::PauseHostBesideBrittle,
+                   &SoakRun::KillAllBesideRefusals,
+                   &SoakRun::LimitWhileLapsing,
+                   &SoakRun::SendMalformed,
+                   &SoakRun::AnswerEarly};
   (this->*kHandlers.at(static_cast<size_t>(action.kind)))(action);
 }
 
@@ -500,4 +522,43 @@
                       action.duration + kLimitTime);
 }
 
+void SoakRun::PauseHostBesideBrittle(const FaultAction& action) {
+  const core::PoolId pool(action.target % 2 == 0 ? kPlainPool
+                                                 : kOtherPlainPool);
+  support::EndpointFaults faults{.brittle_limit = kBrittleLimit,
+                                 .delay = kBrittleDelay};
+  endpoints_.SetUsual(pool, faults);
+  RouterProcess* host = TargetHost(action);
+  CallAfter(kBrittleLead,
+            [this, pool, faults, host, duration = action.duration]() mutable {
+              faults.waiting_room = 0;
+              endpoints_.SetUsual(pool, faults);
+              endpoints_.BeginBrittlePeriod(pool, duration);
+              host->Pause(duration);
+            });
+  CallAfter(kBrittleLead + action.duration,
+            [this, pool]() { endpoints_.SetUsual(pool, {}); });
+}
+
+void SoakRun::KillAllBesideRefusals(const FaultAction& action) {
+  endpoints_.SetFaultsOfAll({.refusal_share = kWideRefusalShare}, kRefusalTime);
+  for (const core::Duration at : {kFirstKill, kSecondKill}) {
+    CallAfter(at, [this, action]() { KillAllHosts(action); });
+  }
+}
+
+void SoakRun::LimitWhileLapsing(const FaultAction& action) {
+  endpoints_.SetLimit(action.target, kEndpointLimit, kLapseTime + kLimitTime);
+  endpoints_.CutFromStore(action.target, kLapseTime);
+}
+
+void SoakRun::SendMalformed(const FaultAction& action) {
+  endpoints_.SetFaults(action.target, {.malformed_share = kFaultShare},
+                       action.duration);
+}
+
+void SoakRun::AnswerEarly(const FaultAction& action) {
+  endpoints_.AnswerEarly(action.target, action.duration);
+}
+
 }  // namespace wasabi::soak
--- a/Tests/Soak/soak_run.h
+++ b/Tests/Soak/soak_run.h
@@ -99,6 +99,11 @@
   void CutEndpointOneWay(const FaultAction& action);
   void SendHarmfulPrompts(const FaultAction& action);
   void LimitEndpoint(const FaultAction& action);
+  void PauseHostBesideBrittle(const FaultAction& action);
+  void KillAllBesideRefusals(const FaultAction& action);
+  void LimitWhileLapsing(const FaultAction& action);
+  void SendMalformed(const FaultAction& action);
+  void AnswerEarly(const FaultAction& action);
 
   // Returns the host that `action.target` selects.
   RouterProcess* TargetHost(const FaultAction& action);
--- a/Tests/Support/FaultProxy/tcp_relay.cc
+++ b/Tests/Support/FaultProxy/tcp_relay.cc
@@ -26,6 +26,8 @@
 constexpr size_t kMaxBufferedBytes = 1U << 20U;
 // Interval at which pipes with a freeze or delay are polled.
 constexpr core::Duration kPollPeriod = std::chrono::milliseconds(2);
+// Time from an early answer until its connection is reset.
+constexpr core::Duration kEarlyResetDelay = std::chrono::milliseconds(100);
 constexpr int kListenBacklog = 1024;
 
 int OpenSocket() {
@@ -43,6 +45,7 @@
  public:
   Connection(TcpRelay* relay, int client, int target)
       : relay_(relay),
+        early_answer_(relay->early_answer_),
         to_target_{Direction::kToTarget, client, target, {}, false},
         to_client_{Direction::kToClient, target, client, {}, false} {}
   ~Connection() { Close(); }
@@ -114,6 +117,10 @@
     if (n < 0) {
       return errno == EAGAIN || errno == EINTR || errno == ENOTCONN;
     }
+    if (n > 0 && pipe == &to_target_ &&
+        AnswerEarly({buf.data(), static_cast<size_t>(n)})) {
+      return true;
+    }
     const Treatment treatment = relay_->faults_->Treat(pipe->direction, now);
     if (n == 0) {
       pipe->has_ended = true;
@@ -126,6 +133,27 @@
     return true;
   }
 
+  // Answers the client's first bytes if they are not to be relayed, and reads
+  // no more of it.
+  bool AnswerEarly(std::string_view bytes) {
+    const EarlyAnswer early_answer = std::exchange(early_answer_, nullptr);
+    const std::string answer = early_answer ? early_answer(bytes) : "";
+    if (answer.empty()) {
+      return false;
+    }
+    send(to_target_.from, answer.data(), answer.size(), MSG_NOSIGNAL);
+    is_answered_ = true;
+    timer_ = relay_->loop_->NewTimer([this]() {
+      const std::shared_ptr<Connection> self = shared_from_this();
+      relay_->connections_.erase(self);
+      Reset();
+    });
+    timer_->StartOnce(kEarlyResetDelay);
+    client_watcher_->SetInterest(false, false);
+    target_watcher_->SetInterest(false, false);
+    return true;
+  }
+
   bool Write(Pipe* pipe) {
     const core::TimePoint now = relay_->loop_->Now();
     while (!pipe->chunks.empty() && pipe->chunks.front().due <= now &&
@@ -161,6 +189,9 @@
   // Watches the sockets for the operations that the pipes can do now. The timer
   // covers delays and freezes, which no socket event ends.
   void UpdateInterest() {
+    if (is_answered_) {
+      return;
+    }
     const core::TimePoint now = relay_->loop_->Now();
     bool needs_poll = false;
     std::array<bool, 2> can_read{};
@@ -192,6 +223,8 @@
   }
 
   TcpRelay* relay_;
+  EarlyAnswer early_answer_;
+  bool is_answered_ = false;
   Pipe to_target_;
   Pipe to_client_;
   std::unique_ptr<core::IoWatcher> client_watcher_;
--- a/Tests/Support/FaultProxy/tcp_relay.h
+++ b/Tests/Support/FaultProxy/tcp_relay.h
@@ -4,8 +4,12 @@
 #define TESTS_SUPPORT_FAULTPROXY_TCP_RELAY_H_
 
 #include <cstddef>
+#include <functional>
 #include <memory>
 #include <set>
+#include <string>
+#include <string_view>
+#include <utility>
 #include <vector>
 
 #include "LibCore/event_loop.h"
@@ -39,6 +43,15 @@
   // Ends RefuseConnections and IgnoreConnections. Error: kCannotListen.
   absl::Status AcceptConnections();
 
+  // Returns what is written to a client, in place of the target's answer, after
+  // its first bytes, and before its connection is reset; "" if they are
+  // relayed.
+  using EarlyAnswer = std::function<std::string(std::string_view bytes)>;
+  // Sets it for connections that open from now on; nullptr to relay all.
+  void SetEarlyAnswer(EarlyAnswer early_answer) {
+    early_answer_ = std::move(early_answer);
+  }
+
   size_t open_connections() const { return connections_.size(); }
 
  private:
@@ -62,6 +75,7 @@
   std::vector<int> fillers_;
   std::unique_ptr<core::IoWatcher> watcher_;
   std::set<std::shared_ptr<Connection>> connections_;
+  EarlyAnswer early_answer_;
 };
 
 }  // namespace wasabi::support
--- a/Tests/Support/PlatformEndpoint/platform_endpoint.cc
+++ b/Tests/Support/PlatformEndpoint/platform_endpoint.cc
@@ -5,6 +5,7 @@
 #include "LibCore/hash.h"
 #include "LibCore/text.h"
 #include "LibCore/try.h"
+#include "Tests/Support/malformed_heads.h"
 #include "platform/wire_names.h"
 
 namespace wasabi::support {
@@ -60,6 +61,8 @@
   core::RequestId stream;
   // Sends bytes that are no answer, until the client closes the connection.
   bool is_endless = false;
+  // Sends an answer with a malformed head.
+  bool is_malformed = false;
   // The connection, once the copy of a refusal was written on it.
   std::shared_ptr<http::TcpStream> stream_after_copy;
 };
@@ -245,6 +248,9 @@
   session->stream =
       first_attempt ? core::RequestId(*first_attempt) : run->request;
   session->is_endless = random_.Unit() < faults_.endless_share;
+  // Draws no number for endpoints without this fault.
+  session->is_malformed =
+      faults_.malformed_share > 0 && random_.Unit() < faults_.malformed_share;
   run->signature = fmt::format(
       "{:x}.{}", core::CombineHashes(run->request.Hash(), options_.id.Hash()),
       random_.Below(UINT32_MAX));
@@ -264,6 +270,8 @@
       AnswerAfterCopy(it);
     } else if (it->is_endless) {
       StartEndless(it);
+    } else if (it->is_malformed) {
+      SendMalformed(it);
     } else if (!IsStream(*it->run)) {
       AnswerPlain(it);
     } else if (!it->transaction->is_started()) {
@@ -296,6 +304,27 @@
   session->timer->StartOnce(kJunkPeriod);
 }
 
+void PlatformEndpoint::SendMalformed(const SessionPointer& session) {
+  constexpr std::string_view kBody = "malformed";
+  const auto stream = session->transaction->TakeOver();
+  if (stream != nullptr) {
+    const std::vector<MalformedHead> heads =
+        MalformedHeads(fmt::format("{}: {}", adapter::kRequestIdHeader,
+                                   session->run->request.value()),
+                       fmt::format("Content-Length: {}", kBody.size()));
+    // The connection stays open until the host closes it.
+    http::TcpStream::Callbacks callbacks;
+    callbacks.on_data = [](std::string_view /*bytes*/) {};
+    callbacks.on_end = [stream](http::TcpStream::End /*end*/) {
+      stream->Close();
+    };
+    stream->SetCallbacks(std::move(callbacks));
+    stream->Write(heads[random_.Below(heads.size())].text);
+    stream->Write(kBody);
+  }
+  End(session, RunEnd::kCut);
+}
+
 void PlatformEndpoint::CopyRefusal(const SessionPointer& session) {
   session->stream_after_copy = session->transaction->TakeOver();
   if (session->stream_after_copy == nullptr) {
--- a/Tests/Support/PlatformEndpoint/platform_endpoint.h
+++ b/Tests/Support/PlatformEndpoint/platform_endpoint.h
@@ -35,6 +35,9 @@
   // Share of the requests that get bytes that are no answer, without end, until
   // the client closes the connection.
   double endless_share = 0;
+  // Share of the requests that get bytes which would be a signed answer if
+  // their head weren't malformed.
+  double malformed_share = 0;
   // Share of the requests to which the endpoint first writes the copy of a
   // refusal, without an id, works on for some time, and then answers.
   double copied_refusal_share = 0;
@@ -135,6 +138,7 @@
   // Starts a body without a length, in chunks or unframed.
   void StartBody(const SessionPointer& session, const http::Headers& headers);
   void StartEndless(const SessionPointer& session);
+  void SendMalformed(const SessionPointer& session);
   // Writes the copy of a refusal, and what follows it.
   void CopyRefusal(const SessionPointer& session);
   void AnswerAfterCopy(const SessionPointer& session);
