Places stay taken when an endpoint of a brittle pool restarts

Cause: the granting host forgot who had requests at an endpoint when it heard of the new start. Requests had reached that start before, through the earlier registration, and as many were granted again. Change: while its pool is brittle, nothing is forgotten of an endpoint. The places of requests to the earlier start are given back as their connections end.

--- a/Libraries/LibForwarding/place_exchange.cc
+++ b/Libraries/LibForwarding/place_exchange.cc
@@ -81,8 +81,11 @@
          brittle_.Find(KeyOf(endpoint.pool));
 }
 
-void PlaceExchange::Forget(const core::RunnerId& endpoint) {
-  const uint64_t key = endpoint.Hash();
+void PlaceExchange::Forget(const Endpoint& endpoint) {
+  if (brittle_.Find(KeyOf(endpoint.pool))) {
+    return;
+  }
+  const uint64_t key = endpoint.id.Hash();
   brittle_.Forget(key);
   holders_.erase(key);
   full_until_.erase(key);
--- a/Libraries/LibForwarding/place_exchange.h
+++ b/Libraries/LibForwarding/place_exchange.h
@@ -63,9 +63,10 @@
   void RecordBrittle(const Endpoint& endpoint,
                      bool is_brittle,
                      core::TimePoint now);
-  // Discards what is known of an endpoint that has restarted. What its pool
-  // said stays known.
-  void Forget(const core::RunnerId& endpoint);
+  // Discards what is known of an endpoint that has restarted. While its pool is
+  // brittle, everything stays known: requests may be at the new start already
+  // when the hosts hear of it, and keep their places.
+  void Forget(const Endpoint& endpoint);
 
   bool IsBrittle(const Endpoint& endpoint) const;
   // Returns the time until which the endpoint has no place, which may have
--- a/Services/Forwarder/forwarder_daemon.cc
+++ b/Services/Forwarder/forwarder_daemon.cc
@@ -92,7 +92,7 @@
     monitor_.Forget(before.id);
     if (fleet_ != nullptr) {
       fleet_->permits()->Forget(before.id);
-      fleet_->places()->Forget(before.id);
+      fleet_->places()->Forget(before);
     }
   });
   configuration_ = std::make_unique<ConfigurationController>(
--- a/Tests/LibForwarding/place_replay_test.cc
+++ b/Tests/LibForwarding/place_replay_test.cc
@@ -487,6 +487,47 @@
   CHECK(silent > 0);
 }
 
+// Guards against places that are granted a second time after the news of a
+// restart, beside requests that reached the new start before.
+TEST_CASE("places stay taken when an endpoint of a brittle pool restarts") {
+  const core::HostId self("h0");
+  const std::vector<core::HostId> others = {core::HostId("h1"),
+                                            core::HostId("h2")};
+  int granted_here = 0;
+  for (int i = 0; i < 8; ++i) {
+    Endpoint endpoint = BrittleEndpoint();
+    endpoint.id = core::RunnerId(fmt::format("e{}", i));
+    PlaceAnswer answer;
+    PlaceExchange places(
+        self, [](uint64_t /*endpoint*/) { return 0U; },
+        [&answer](const std::vector<core::HostId>& /*to*/, ApplicationKind kind,
+                  std::string_view body) {
+          if (kind == ApplicationKind::kPlaceAnswer) {
+            answer = *core::Decode<PlaceAnswer>(body);
+          }
+        },
+        /*first_sequence=*/0);
+    places.SetHosts({self, others[0], others[1]}, 3, kStart - seconds(1));
+    places.RecordBrittle(endpoint, true, kStart);
+    const auto ask = [&](const core::HostId& host, uint32_t in_flight) {
+      const PlaceReport question{.sequence = in_flight + 1,
+                                 .in_flight = in_flight,
+                                 .slots = {.endpoint = endpoint.id.Hash(),
+                                           .per_second = kSlots,
+                                           .age_milliseconds = 0}};
+      REQUIRE(places.OnQuestion(host, core::Encode(question), kStart).ok());
+      return answer.is_granted;
+    };
+    for (uint32_t k = 0; k < kSlots; ++k) {
+      granted_here += ask(others[0], k) ? 1 : 0;
+    }
+    places.Forget(endpoint);
+    places.Tick(kStart);
+    CHECK_FALSE(ask(others[1], 0));
+  }
+  CHECK(granted_here > 0);
+}
+
 // A process that is paused between its question and the answer must not act on
 // the answer when it goes on.
 TEST_CASE("a permission that has run out is not used") {
