A registration counts only for a process that was there when it was written

Callers got streams with events of two software versions. Cause: a runner that starts again under its id and can't reach the store, or whose first heartbeat is late, serves while its entry names the start before. Any read of the registrations after the new connection ended the doubt, and on a view of up to 0.3 s there was none for streams that began there.

Change: OriginCertainty trusts a registration again only if it was written after the new connection (offset at or after the log's end of a later read; heartbeats write it anew). Streams that begin at a doubted endpoint are recorded when it is trusted, on any view.

--- a/Services/Forwarder/origin_controller.cc
+++ b/Services/Forwarder/origin_controller.cc
@@ -53,7 +53,7 @@
               callback(false);
               return;
             }
-            ReadRegistrations(registrations_->next(),
+            ReadRegistrations(NeededFrom(),
                               {.started_at = context_.scheduler->Now(),
                                .outdated = {},
                                .callback = std::move(callback)});
@@ -184,7 +184,7 @@
   if (!registrations_->is_reachable()) {
     unreachable_at_ = now;
   }
-  RecordRead(registrations_->own_read_started_at(), {});
+  RecordRead(registrations_->own_read_started_at(), registrations_->next(), {});
   if (now < next_certainty_read_at_ || !context_.certainty->IsReadDue(now)) {
     return;
   }
@@ -195,10 +195,22 @@
 
 void OriginController::RecordRead(
     core::TimePoint started_at,
+    platform::Offset next,
     const std::set<core::SocketAddress>& outdated) {
   if (started_at != core::TimePoint() && !IsRecovering(started_at)) {
-    context_.certainty->RecordRead(started_at, outdated);
+    context_.certainty->RecordRead(
+        started_at, {.epoch = registrations_->epoch(), .offset = next},
+        outdated);
   }
+  context_.certainty->Settle(*context_.endpoints);
+}
+
+platform::Offset OriginController::NeededFrom() const {
+  const auto needed = context_.certainty->NeededFrom();
+  const bool is_of_this_history =
+      needed && needed->epoch == registrations_->epoch();
+  return is_of_this_history ? std::min(needed->offset, registrations_->next())
+                            : registrations_->next();
 }
 
 void OriginController::ReadRegistrations(platform::Offset from,
@@ -240,6 +252,10 @@
     if (registration.ok()) {
       context_.history->RecordStream(registration->endpoint,
                                      context_.scheduler->Now());
+      context_.certainty->RecordRegistration(
+          registration->endpoint, {.epoch = page->epoch, .offset = it.offset});
+      // The latest registration of an address counts.
+      read.outdated.erase(registration->endpoint.address);
       if (IsOutdated(registration->endpoint)) {
         read.outdated.insert(registration->endpoint.address);
       }
@@ -249,7 +265,7 @@
     ReadRegistrations(page->next, std::move(read));
     return;
   }
-  RecordRead(read.started_at, read.outdated);
+  RecordRead(read.started_at, page->next, read.outdated);
   read.callback(true);
 }
 
--- a/Services/Forwarder/origin_controller.h
+++ b/Services/Forwarder/origin_controller.h
@@ -96,10 +96,14 @@
   // Makes use of the reads that keep the view of the registrations current, and
   // reads for streams that have waited for them in vain.
   void UpdateCertainty();
-  // Records a complete read of the registrations, unless some may have been
-  // missing then.
+  // Records a complete read of the registrations up to `next`, unless some may
+  // have been missing then.
   void RecordRead(core::TimePoint started_at,
+                  platform::Offset next,
                   const std::set<core::SocketAddress>& outdated);
+  // Returns where a read of the registrations that this host lacks begins. Also
+  // those that its view has skipped, because they change nothing, may matter.
+  platform::Offset NeededFrom() const;
   // Returns whether at `at` the platform had just been restored or was away,
   // even for a moment. Entries that it lost or that lapsed, and those of
   // endpoints that started meanwhile, are missing until their writers repeat
