A reset doesn't end a doubt, and a dying process's connection counts for none

Causes: (1) an endpoint that was heard shortly before a new connection lost also the doubt that it was in before the reset. (2) A host that probes at once may connect to the process that is just ending, whose kernel accepts until the listener is closed; the probe closed its connection, so that nothing broke any more (host log: heard 145 ms before, next requests as if certain).

--- a/Libraries/LibForwarding/origin_certainty.cc
+++ b/Libraries/LibForwarding/origin_certainty.cc
@@ -35,6 +35,12 @@
   if (heard != heard_at_.end()) {
     doubt.heard_at = heard->second;
   }
+  const auto it = doubts_.find(address);
+  if (it != doubts_.end()) {
+    doubt.before = it->second.connected_at
+                       ? std::make_shared<const Doubt>(it->second)
+                       : it->second.before;
+  }
   doubts_[address] = doubt;
   for (Waiting& it : waiting_) {
     it.has_broken = it.has_broken || it.address == address;
@@ -51,11 +57,17 @@
     return;
   }
   const auto& heard_at = it->second.heard_at;
-  if (heard_at && now - *heard_at < kMinRestartTime) {
-    doubts_.erase(it);
+  if (!heard_at || now - *heard_at >= kMinRestartTime) {
+    it->second.connected_at = now;
+    it->second.before.reset();
     return;
   }
-  it->second.connected_at = now;
+  // It is the process of before, which may have been in doubt.
+  if (const std::shared_ptr<const Doubt> before = it->second.before) {
+    it->second = *before;
+  } else {
+    doubts_.erase(it);
+  }
 }
 
 void OriginCertainty::RecordHeard(const core::SocketAddress& address,
--- a/Libraries/LibForwarding/origin_certainty.h
+++ b/Libraries/LibForwarding/origin_certainty.h
@@ -17,6 +17,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <vector>
@@ -103,8 +104,10 @@
   // What is known of an address whose connections have broken.
   struct Doubt {
     core::TimePoint broken_at{};
-    // When the endpoint was last heard before the break.
+    // When the endpoint was last heard before the break, and what was known of
+    // the process that was heard; nullptr if it was certain.
     std::optional<core::TimePoint> heard_at;
+    std::shared_ptr<const Doubt> before;
     // When the first connection after the break was established.
     std::optional<core::TimePoint> connected_at;
     // Start of the latest read after the break.
