Tests: malformed heads at the readers that were not played; soak of rebirths

A caller that takes a stream up, the store's client (reads and writes), engines and services of the stand-alone router get the table of malformed heads, each through its reader. Topic copies of peers are read by the same Client; the forwarder reads no answers of health checks.

--- a/Tests/ForwardedStreams/bytes_that_are_no_answer_test.cc
+++ b/Tests/ForwardedStreams/bytes_that_are_no_answer_test.cc
@@ -85,5 +85,27 @@
   }
 }
 
+// The caller takes its stream up at a host that knows only one version.
+TEST_CASE("a malformed head doesn't answer a caller that takes a stream up") {
+  ForwarderFixture it({.is_first_start = true});
+  it.Configure();
+  for (const auto& head : support::MalformedHeads(
+           "Request-Id: id1", "Transfer-Encoding: chunked")) {
+    INFO(head.what);
+    const std::string answer =
+        head.text + "f\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n";
+    it.received.clear();
+    it.script = {answer, answer};
+    const core::TimePoint start = it.loop.Now();
+    const CallerResult result = it.Get(
+        "/resumable/1", false, {{"Last-Event-Id", "1"}, {"Resumes", "idx"}});
+    CHECK(it.loop.Now() - start < kMaxHeld);
+    CHECK(result.status == 502);
+    CHECK_FALSE(result.headers.Find(kSignature).has_value());
+    CHECK(result.body.find("data: b") == std::string::npos);
+    CHECK(it.received.size() <= 2);
+  }
+}
+
 }  // namespace
 }  // namespace wasabi::forwarder
--- a/Tests/PlatformAdapter/store_client_test.cc
+++ b/Tests/PlatformAdapter/store_client_test.cc
@@ -10,6 +10,7 @@
 #include "LibCore/text.h"
 #include "Tests/Support/RawServer/raw_server.h"
 #include "Tests/Support/free_address.h"
+#include "Tests/Support/malformed_heads.h"
 #include "platform/discovery_codec.h"
 
 namespace wasabi::adapter {
@@ -396,5 +397,25 @@
   CHECK(answer.body == R"({"addresses":["10.0.0.1:80"],"ttl_s":2.0})");
 }
 
+TEST_CASE("a malformed head is no answer of the store") {
+  for (const char* framing : {"Content-Length: 2", "Connection: close"}) {
+    for (const auto& head : support::MalformedHeads("X-Id: 1", framing)) {
+      INFO(head.what << ", " << framing);
+      Fixture it;
+      it.answers.assign(3, head.text + "{}");
+      CHECK_FALSE(it.ReadNewest().ok());
+      CHECK_FALSE(it.ReadFrom(0).ok());
+      bool is_written = true;
+      it.store.Put("t", "k", "v",
+                   [&](const absl::StatusOr<platform::LogEpoch>& epoch) {
+                     is_written = epoch.ok();
+                     it.loop.Stop();
+                   });
+      it.loop.Run();
+      CHECK_FALSE(is_written);
+    }
+  }
+}
+
 }  // namespace
 }  // namespace wasabi::adapter
--- a/Tests/Router/answer_to_another_call_test.cc
+++ b/Tests/Router/answer_to_another_call_test.cc
@@ -11,6 +11,7 @@
 #include "Services/Router/service_caller.h"
 #include "Tests/Support/RawServer/raw_server.h"
 #include "Tests/Support/free_address.h"
+#include "Tests/Support/malformed_heads.h"
 
 namespace wasabi::router {
 namespace {
@@ -85,23 +86,51 @@
   std::optional<ResultCode> code;
 };
 
+// Sends an attempt to an engine. Returns how it ended.
+std::optional<ResultCode> AskEngine(AnsweringServer* it) {
+  EngineAttemptRequest request;
+  request.engine = it->server.address();
+  request.request_id = std::string("request-1");
+  request.attempt = 2;
+  request.body = std::string("{}");
+  EngineAttempt::Start(
+      &it->client, request,
+      {.on_chunk = [](std::string_view /*payload*/) {},
+       .on_done = [it](const absl::Status& status) { it->End(status); }},
+      it->loop.Now());
+  return it->Await();
+}
+
+// Calls a service. Returns how the call ended.
+std::optional<ResultCode> CallService(AnsweringServer* it) {
+  core::EventRing events("test", 100);
+  EndpointDirectory directory;
+  platform::ListedHost host;
+  host.id = std::string("service-1");
+  host.kind = platform::HostKind::kService;
+  host.pool = core::PoolId("p");
+  host.address = it->server.address();
+  directory.SetHostList({.version = 1, .hosts = {host}});
+  ServiceCaller caller(&it->loop, &it->client, &events, &directory);
+  ServiceCall call;
+  call.pool = host.pool;
+  call.path = std::string("/call");
+  call.request_id = std::string("request-1");
+  call.attempt = 2;
+  call.deadline = it->loop.Now() + kTimeout;
+  caller.Call(call, [it](const absl::StatusOr<http::ClientResponse>& response) {
+    it->End(response.status());
+  });
+  return it->Await();
+}
+
 TEST_CASE("an engine's answer to another request or attempt does not count") {
   for (const CallCase& row : kCalls) {
     INFO(row.what);
     AnsweringServer it(row);
     // Each attempt has a connection of its own.
     for (size_t i = 1; i <= 2; ++i) {
-      EngineAttemptRequest request;
-      request.engine = it.server.address();
-      request.request_id = std::string("request-1");
-      request.attempt = 2;
-      request.body = std::string("{}");
-      EngineAttempt::Start(
-          &it.client, request,
-          {.on_chunk = [](std::string_view /*payload*/) {},
-           .on_done = [&](const absl::Status& status) { it.End(status); }},
-          it.loop.Now());
-      CHECK(it.Await() == row.engine_code);
+      CHECK(AskEngine(&it) == row.engine_code);
       CHECK(it.server.accepted() == i);
     }
   }
@@ -111,31 +140,31 @@
   for (const CallCase& row : kCalls) {
     INFO(row.what);
     AnsweringServer it(row);
-    core::EventRing events("test", 100);
     for (size_t i = 1; i <= 2; ++i) {
-      EndpointDirectory directory;
-      platform::ListedHost host;
-      host.id = std::string("service-1");
-      host.kind = platform::HostKind::kService;
-      host.pool = core::PoolId("p");
-      host.address = it.server.address();
-      directory.SetHostList({.version = 1, .hosts = {host}});
-      ServiceCaller caller(&it.loop, &it.client, &events, &directory);
-      ServiceCall call;
-      call.pool = host.pool;
-      call.path = std::string("/call");
-      call.request_id = std::string("request-1");
-      call.attempt = 2;
-      call.deadline = it.loop.Now() + kTimeout;
-      caller.Call(call,
-                  [&](const absl::StatusOr<http::ClientResponse>& response) {
-                    it.End(response.status());
-                  });
-      CHECK(it.Await() == row.service_code);
+      CHECK(CallService(&it) == row.service_code);
       CHECK(it.server.accepted() == i);
     }
   }
 }
 
+TEST_CASE("a malformed head is no answer of an engine or a service") {
+  for (const char* framing : {"Content-Length: 2", "Connection: close"}) {
+    for (const auto& head : support::MalformedHeads(
+             std::string(kThis) + "X-Result-Code: 0", framing)) {
+      INFO(head.what << ", " << framing);
+      AnsweringServer it(kCalls[0]);
+      it.server.SetAnswer(head.text + "{}", false);
+      const core::TimePoint start = it.loop.Now();
+      for (const auto code : {AskEngine(&it), CallService(&it)}) {
+        REQUIRE(code);
+        CHECK(*code != ResultCode::kOk);
+        CHECK(*code != ResultCode::kOverloaded);
+      }
+      // Both know at once that no answer comes.
+      CHECK(it.loop.Now() - start < kTimeout / 2);
+    }
+  }
+}
+
 }  // namespace
 }  // namespace wasabi::router
--- a/Tests/Soak/endpoint_fleet.cc
+++ b/Tests/Soak/endpoint_fleet.cc
@@ -32,6 +32,7 @@
 constexpr size_t kDataCentres = 2;
 // Time after which an endpoint that a request crashed is back.
 constexpr core::Duration kRestartTime = core::seconds(2);
+constexpr core::Duration kShortRestartTime = core::milliseconds(500);
 // Several software versions serve side by side from the start.
 constexpr size_t kEndpointsPerVersion = 2;
 constexpr size_t kVersions = 3;
@@ -159,7 +160,9 @@
   member->state = State::kServing;
   member->started_at_ms = UnixMilliseconds();
   member->sequence = 0;
-  Register(member);
+  if (loop_->Now() >= member->cut_until) {
+    Register(member);
+  }
   return absl::OkStatus();
 }
 
@@ -343,6 +346,16 @@
   }
 }
 
+void EndpointFleet::BearAgain(uint64_t target, core::Duration duration) {
+  Member* member = Choose(target);
+  if (member == nullptr) {
+    return;
+  }
+  member->cut_until = loop_->Now() + duration;
+  CrashMember(member, std::min(kShortRestartTime, duration));
+  member->options.software_version = fmt::format("v{}", 1 + kVersions);
+}
+
 void EndpointFleet::AnswerEarly(uint64_t target, core::Duration duration) {
   Member* member = Choose(target);
   if (member == nullptr) {
--- a/Tests/Soak/endpoint_fleet.h
+++ b/Tests/Soak/endpoint_fleet.h
@@ -68,6 +68,9 @@
   // Keeps the endpoint from the store for `duration`, so that its registration
   // may lapse.
   void CutFromStore(uint64_t target, core::Duration duration);
+  // Keeps the endpoint from the store for `duration`. Meanwhile it crashes, and
+  // starts again with another software version.
+  void BearAgain(uint64_t target, core::Duration duration);
   // Answers large requests early, in part and without a length, and resets
   // their connections.
   void AnswerEarly(uint64_t target, core::Duration duration);
--- a/Tests/Soak/fault_plan.cc
+++ b/Tests/Soak/fault_plan.cc
@@ -92,6 +92,9 @@
        kLimitWhileLapsing, kLimitWhileLapsing, kEndpointSendsMalformed,
        kEndpointSendsMalformed, kEndpointAnswersEarly, kEndpointAnswersEarly,
        kKillHost, kCrashEndpoint},
+      {kEndpointRebornUnregistered, kEndpointRebornUnregistered,
+       kEndpointRebornUnregistered, kEndpointCutsStreams, kCrashEndpoint,
+       kResetEndpointConnections},
   };
   return kFamilies;
 }
@@ -160,7 +163,8 @@
                 "kills_beside_refusals",
                 "limit_while_lapsing",
                 "endpoint_sends_malformed",
-                "endpoint_answers_early"};
+                "endpoint_answers_early",
+                "endpoint_reborn_unregistered"};
   return kNames.at(static_cast<size_t>(kind));
 }
 
--- a/Tests/Soak/fault_plan.h
+++ b/Tests/Soak/fault_plan.h
@@ -89,6 +89,9 @@
   // Large requests are answered early, in part and without a length, and their
   // connections reset.
   kEndpointAnswersEarly,
+  // The endpoint can't reach the store, crashes meanwhile and starts again with
+  // another software version.
+  kEndpointRebornUnregistered,
   kCount,
 };
 
@@ -100,6 +103,9 @@
 // The family of grants and budgets around failures of hosts, and of bytes that
 // are no answer, which comes only so, too. Its callers send large requests.
 inline constexpr size_t kGrantFamily = 6;
+// The family of endpoints that serve before they are registered, which comes
+// only so, too.
+inline constexpr size_t kRebirthFamily = 7;
 
 struct FaultAction {
   // Time since the start of the run.
--- a/Tests/Soak/fault_plan_test.cc
+++ b/Tests/Soak/fault_plan_test.cc
@@ -24,10 +24,10 @@
     }
   }
   // The others come only in a family of their own.
-  for (uint64_t seed = 0; seed < 20; ++seed) {
+  for (uint64_t seed = 0; seed < 40; ++seed) {
     SoakOptions options;
     options.seed = seed;
-    options.family = kGrantFamily;
+    options.family = seed < 20 ? kGrantFamily : kRebirthFamily;
     for (const FaultAction& it : MakeFaultPlan(options)) {
       kinds.insert(it.kind);
       CHECK(it.at >= options.warm_up);
--- a/Tests/Soak/main.cc
+++ b/Tests/Soak/main.cc
@@ -29,7 +29,7 @@
 namespace {
 
 bool IsFamily(const char* /*flag*/, int32_t value) {
-  return value <= static_cast<int32_t>(kGrantFamily);
+  return value <= static_cast<int32_t>(kRebirthFamily);
 }
 
 SoakOptions OptionsFromFlags() {
--- a/Tests/Soak/soak_run.cc
+++ b/Tests/Soak/soak_run.cc
@@ -240,7 +240,8 @@
                    &SoakRun::KillAllBesideRefusals,
                    &SoakRun::LimitWhileLapsing,
                    &SoakRun::SendMalformed,
-                   &SoakRun::AnswerEarly};
+                   &SoakRun::AnswerEarly,
+                   &SoakRun::BearAgain};
   (this->*kHandlers.at(static_cast<size_t>(action.kind)))(action);
 }
 
@@ -561,4 +562,8 @@
   endpoints_.AnswerEarly(action.target, action.duration);
 }
 
+void SoakRun::BearAgain(const FaultAction& action) {
+  endpoints_.BearAgain(action.target, action.duration);
+}
+
 }  // namespace wasabi::soak
--- a/Tests/Soak/soak_run.h
+++ b/Tests/Soak/soak_run.h
@@ -104,6 +104,7 @@
   void LimitWhileLapsing(const FaultAction& action);
   void SendMalformed(const FaultAction& action);
   void AnswerEarly(const FaultAction& action);
+  void BearAgain(const FaultAction& action);
 
   // Returns the host that `action.target` selects.
   RouterProcess* TargetHost(const FaultAction& action);
