Reads for doubted endpoints take each record once, and end

Hosts that wait for the next heartbeat of a doubted endpoint read the registrations from where the doubt began: again each second, with every confirmation of a stream's origin, and without end if the endpoint had ended unnoticed. And readers passed on the heartbeats of endpoints that they have no connection to, for as long as the doubt stood.

Change: such reads go on where the last one ended, once a second, for five seconds after the connection; confirmations begin at the view's end, as before; only heartbeats that may end a doubt of the reader's are passed on.

Test: origin_certainty_test, what is needed after a scan, a gap and a time.

--- a/Libraries/LibForwarding/origin_certainty.cc
+++ b/Libraries/LibForwarding/origin_certainty.cc
@@ -101,6 +101,17 @@
     const bool has_end = doubt.log_end && doubt.log_end->epoch == end.epoch;
     if (doubt.connected_at && started_at >= *doubt.connected_at && !has_end) {
       doubt.log_end = end;
+      doubt.scanned_to = end;
+    }
+  }
+}
+
+void OriginCertainty::RecordScan(LogPosition from, LogPosition to) {
+  for (auto& [address, doubt] : doubts_) {
+    const bool has_no_gap = doubt.scanned_to.epoch == from.epoch &&
+                            doubt.scanned_to.offset >= from.offset;
+    if (doubt.log_end && has_no_gap) {
+      doubt.scanned_to = std::max(doubt.scanned_to, to);
     }
   }
 }
@@ -120,7 +131,7 @@
         std::max(doubt.started_at_ms.value_or(endpoint.started_at_ms),
                  endpoint.started_at_ms);
   }
-  return true;
+  return doubt.connected_at.has_value();
 }
 
 void OriginCertainty::Settle(const EndpointTable& endpoints) {
@@ -181,11 +192,13 @@
                      });
 }
 
-std::optional<LogPosition> OriginCertainty::NeededFrom() const {
+std::optional<LogPosition> OriginCertainty::NeededFrom(
+    core::TimePoint now) const {
   std::optional<LogPosition> from;
   for (const auto& [address, doubt] : doubts_) {
-    if (doubt.log_end && !doubt.started_at_ms) {
-      from = std::min(from.value_or(*doubt.log_end), *doubt.log_end);
+    const bool is_open = doubt.log_end && !doubt.started_at_ms;
+    if (is_open && now - *doubt.connected_at < kMaxReadTime) {
+      from = std::min(from.value_or(doubt.scanned_to), doubt.scanned_to);
     }
   }
   return from;
--- a/Libraries/LibForwarding/origin_certainty.h
+++ b/Libraries/LibForwarding/origin_certainty.h
@@ -57,8 +57,11 @@
   void RecordRead(core::TimePoint started_at,
                   LogPosition end,
                   const std::set<core::SocketAddress>& outdated = {});
+  // Records that RecordRegistration was told of all registrations from `from`
+  // up to `to`.
+  void RecordScan(LogPosition from, LogPosition to);
   // Records that `endpoint` is registered by the record at `position`. Returns
-  // whether it was in doubt, so that other hosts may need the record too.
+  // whether this may end a doubt, so that other hosts may need the record too.
   bool RecordRegistration(const Endpoint& endpoint, LogPosition position);
   // Records that bytes of the endpoint at `address` have arrived.
   void RecordHeard(const core::SocketAddress& address, core::TimePoint now);
@@ -91,8 +94,8 @@
   // be read for it, and not yet so long that reads seem to be in vain.
   bool IsReadDue(core::TimePoint now) const;
   // Returns the earliest place in the log from which on the registrations
-  // matter for certainty, or nullopt if there is none.
-  std::optional<LogPosition> NeededFrom() const;
+  // matter for doubts that are not old, or nullopt if there is none.
+  std::optional<LogPosition> NeededFrom(core::TimePoint now) const;
 
  private:
   struct Waiting {
@@ -112,8 +115,10 @@
     std::optional<core::TimePoint> connected_at;
     // Start of the latest read after the break.
     std::optional<core::TimePoint> read_at;
-    // Where the log ended at some time after the connection.
+    // Where the log ended at some time after the connection, and up to where
+    // its registrations from there on are known.
     std::optional<LogPosition> log_end;
+    LogPosition scanned_to;
     // The start with which the endpoint has registered since then.
     std::optional<int64_t> started_at_ms;
   };
--- a/Services/Forwarder/origin_controller.cc
+++ b/Services/Forwarder/origin_controller.cc
@@ -53,10 +53,7 @@
               callback(false);
               return;
             }
-            ReadRegistrations(NeededFrom(),
-                              {.started_at = context_.scheduler->Now(),
-                               .outdated = {},
-                               .callback = std::move(callback)});
+            StartRead(registrations_->next(), std::move(callback));
           }),
       self_(std::make_shared<OriginController*>(this)) {
   if (is_first_start_) {
@@ -177,7 +174,7 @@
 }
 
 void OriginController::UpdateCertainty() {
-  if (registrations_ == nullptr) {
+  if (registrations_ == nullptr || !registrations_->is_loaded()) {
     return;
   }
   const core::TimePoint now = context_.scheduler->Now();
@@ -190,7 +187,7 @@
   }
   next_certainty_read_at_ = now + kCertaintyReadInterval;
   // OnRegistrations records what the read shows.
-  confirmation_.Confirm(now, now, [](bool /*is_confirmed*/) {});
+  StartRead(NeededFrom(), [](bool /*is_complete*/) {});
 }
 
 void OriginController::RecordRead(
@@ -206,13 +203,22 @@
 }
 
 platform::Offset OriginController::NeededFrom() const {
-  const auto needed = context_.certainty->NeededFrom();
+  const auto needed = context_.certainty->NeededFrom(context_.scheduler->Now());
   const bool is_of_this_history =
       needed && needed->epoch == registrations_->epoch();
   return is_of_this_history ? std::min(needed->offset, registrations_->next())
                             : registrations_->next();
 }
 
+void OriginController::StartRead(
+    platform::Offset from,
+    forwarding::OriginConfirmation::ReadCallback callback) {
+  ReadRegistrations(from, {.started_at = context_.scheduler->Now(),
+                           .from = from,
+                           .outdated = {},
+                           .callback = std::move(callback)});
+}
+
 void OriginController::ReadRegistrations(platform::Offset from,
                                          RegistrationRead read) {
   ++calls_;
@@ -265,6 +271,8 @@
     ReadRegistrations(page->next, std::move(read));
     return;
   }
+  context_.certainty->RecordScan({.epoch = page->epoch, .offset = read.from},
+                                 {.epoch = page->epoch, .offset = page->next});
   RecordRead(read.started_at, page->next, read.outdated);
   read.callback(true);
 }
--- a/Services/Forwarder/origin_controller.h
+++ b/Services/Forwarder/origin_controller.h
@@ -79,12 +79,16 @@
   // A read of the registrations that this host's view lacks.
   struct RegistrationRead {
     core::TimePoint started_at;
+    platform::Offset from = 0;
     // The addresses of endpoints whose registrations differ from those that
     // this host holds.
     std::set<core::SocketAddress> outdated;
     forwarding::OriginConfirmation::ReadCallback callback;
   };
 
+  // Starts to read the registrations at or after `from`.
+  void StartRead(platform::Offset from,
+                 forwarding::OriginConfirmation::ReadCallback callback);
   // Reads the registrations at or after `from` and records their origins.
   void ReadRegistrations(platform::Offset from, RegistrationRead read);
   void OnRegistrations(platform::Offset from,
--- a/Tests/LibForwarding/origin_certainty_test.cc
+++ b/Tests/LibForwarding/origin_certainty_test.cc
@@ -151,9 +151,19 @@
     CHECK_FALSE(it.certainty.IsReadDue(At(300)));
     CHECK(it.certainty.IsReadDue(At(700)));
     CHECK_FALSE(it.certainty.IsReadDue(At(6000)));
-    CHECK_FALSE(it.certainty.NeededFrom());
+    CHECK_FALSE(it.certainty.NeededFrom(At(it.ms)));
     it.Apply("r");
-    CHECK(it.certainty.NeededFrom() == it.end);
+    const LogPosition end = it.end;
+    CHECK(it.certainty.NeededFrom(At(it.ms)) == end);
+    // A read with a gap before it doesn't count, and old doubts end the reads.
+    const auto after = [&end](int n) {
+      return LogPosition{.epoch = end.epoch, .offset = end.offset + n};
+    };
+    it.certainty.RecordScan(after(1), after(4));
+    CHECK(it.certainty.NeededFrom(At(it.ms)) == end);
+    it.certainty.RecordScan(end, after(3));
+    CHECK(it.certainty.NeededFrom(At(it.ms)) == after(3));
+    CHECK_FALSE(it.certainty.NeededFrom(At(it.ms + 6000)));
     it.certainty.Settle(endpoints);
     CHECK(outcomes.empty());
     if (breaks) {
@@ -165,7 +175,7 @@
     CHECK(outcomes == (breaks ? "broken " : "same "));
     CHECK_FALSE(it.certainty.IsReadDue(At(2000)));
     CHECK_FALSE(it.certainty.is_awaited());
-    CHECK_FALSE(it.certainty.NeededFrom());
+    CHECK_FALSE(it.certainty.NeededFrom(At(it.ms)));
   }
 }
 
