--- a/Libraries/LibForwarding/endpoint_chooser.cc
+++ b/Libraries/LibForwarding/endpoint_chooser.cc
@@ -149,7 +149,7 @@
 
 bool EndpointChooser::IsCertain(const Endpoint& endpoint) const {
   const OriginCertainty& certainty = context_->origin_certainty;
-  return certainty.IsCertain(endpoint) ||
+  return certainty.IsCertain(endpoint.address) ||
          (context_->path->is_lost() &&
           certainty.IsReadLately(endpoint.address, context_->loop->Now()));
 }
--- a/Libraries/LibForwarding/origin_prober.cc
+++ b/Libraries/LibForwarding/origin_prober.cc
@@ -8,9 +8,6 @@
 
 // A round trip to another data centre takes a few milliseconds at most.
 constexpr core::Duration kProbeTimeout = core::milliseconds(100);
-// The kernel of an endpoint that ends may still accept a connection, and closes
-// it within this time.
-constexpr core::Duration kHoldTime = core::milliseconds(50);
 
 }  // namespace
 
@@ -45,7 +42,7 @@
   probe.timer = loop_->NewTimer([this, address]() { End(address, false); });
   probe.timer->StartOnce(kProbeTimeout);
   http::TcpStream::Callbacks callbacks;
-  callbacks.on_connected = [this, address]() { Hold(address); };
+  callbacks.on_connected = [this, address]() { End(address, true); };
   callbacks.on_data = [](std::string_view /*bytes*/) {};
   callbacks.on_end = [this, address](http::TcpStream::End /*end*/) {
     End(address, false);
@@ -53,12 +50,6 @@
   probe.stream->Start(std::move(callbacks));
 }
 
-void OriginProber::Hold(const core::SocketAddress& address) {
-  RunningProbe& probe = probes_[address];
-  probe.timer = loop_->NewTimer([this, address]() { End(address, true); });
-  probe.timer->StartOnce(kHoldTime);
-}
-
 void OriginProber::End(core::SocketAddress address, bool is_connected) {
   const auto it = probes_.find(address);
   if (it == probes_.end()) {
--- a/Libraries/LibForwarding/origin_prober.h
+++ b/Libraries/LibForwarding/origin_prober.h
@@ -38,8 +38,6 @@
     std::vector<Callback> callbacks;
   };
 
-  // Waits whether the new connection to `address` stays open.
-  void Hold(const core::SocketAddress& address);
   // Takes its argument by value: the callback that holds it may go.
   void End(core::SocketAddress address, bool is_connected);
 
--- a/Libraries/LibForwarding/stream_resumption.cc
+++ b/Libraries/LibForwarding/stream_resumption.cc
@@ -12,8 +12,8 @@
 
 // Endpoints to which connections are opened for one request.
 constexpr size_t kMaxProbes = 2;
-// A host that reaches the endpoints only through another one goes by its view
-// of the registrations unless that is older.
+// An older view may lack the new start of an endpoint. While the platform is in
+// reach, views of small fleets are at most this old.
 constexpr core::Duration kMaxViewAge = core::milliseconds(300);
 
 }  // namespace
@@ -208,10 +208,10 @@
   }
   has_begun_ = true;
   const bool is_resumable = request_.route->repeat == RepeatPolicy::kResumable;
-  const bool may_be_other_start = !chooser_->IsCertain(endpoint) &&
-                                  (!context_->path->is_lost() ||
-                                   context_->endpoint_view_age() > kMaxViewAge);
-  if (is_resumable && may_be_other_start) {
+  // A view that is kept current shows a new start soon, and the origins of
+  // streams that begin just before all hosts are killed have to be recorded.
+  const bool is_view_old = context_->endpoint_view_age() > kMaxViewAge;
+  if (is_resumable && is_view_old && !chooser_->IsCertain(endpoint)) {
     RecordOriginLater(endpoint);
     return;
   }
@@ -226,14 +226,14 @@
   ++context_->metrics->Counter("streams_of_uncertain_origin");
   chooser_->ContinueNowhere();
   OriginCertainty& certainty = context_->origin_certainty;
-  if (certainty.IsConnected(endpoint.address) || !context_->path->is_lost()) {
+  if (certainty.IsConnected(endpoint.address)) {
     // The caller may resume the stream after the end of this request.
-    certainty.WhenCertain(endpoint.address, Now(),
-                          [weak = weak_from_this(), context = context_,
-                           key = Key(), endpoint](bool has_broken) {
-                            RecordLateOrigin(context, weak, key, endpoint,
-                                             has_broken);
-                          });
+    certainty.AfterRead(endpoint.address, Now(),
+                        [weak = weak_from_this(), context = context_,
+                         key = Key(), endpoint](bool has_broken) {
+                          RecordLateOrigin(context, weak, key, endpoint,
+                                           has_broken);
+                        });
     return;
   }
   // Another host carries the request. While the stream goes on, it is the same
--- a/Libraries/LibHttp/origin_client.cc
+++ b/Libraries/LibHttp/origin_client.cc
@@ -117,12 +117,6 @@
   }
 }
 
-void OriginClient::NoteHeard(const core::SocketAddress& address) {
-  if (observer_.on_heard) {
-    observer_.on_heard(address);
-  }
-}
-
 void OriginClient::NoteUnsolicited(const core::SocketAddress& address,
                                    const ConnectionUse& use,
                                    size_t bytes) {
--- a/Libraries/LibHttp/origin_client.h
+++ b/Libraries/LibHttp/origin_client.h
@@ -118,8 +118,6 @@
   std::function<void(const core::SocketAddress& address)> on_lost;
   // A new connection was refused or timed out. The endpoint may have crashed.
   std::function<void(const core::SocketAddress& address)> on_refused;
-  // Bytes of the endpoint have arrived.
-  std::function<void(const core::SocketAddress& address)> on_heard;
   // `bytes` that answer no request arrived on an idle connection, which was
   // closed. `use` names its latest call.
   std::function<void(const core::SocketAddress& address,
@@ -188,8 +186,6 @@
   void NoteClosed(const core::SocketAddress& address, core::TimePoint at);
   void NoteBroken(const core::SocketAddress& address);
   void NoteRefused(const core::SocketAddress& address);
-  // Handles that a direct connection has brought bytes.
-  void NoteHeard(const core::SocketAddress& address);
   // Handles that an idle connection has brought `bytes`.
   void NoteUnsolicited(const core::SocketAddress& address,
                        const ConnectionUse& use,
--- a/Libraries/LibHttp/origin_connection.cc
+++ b/Libraries/LibHttp/origin_connection.cc
@@ -333,9 +333,6 @@
     }
     return;
   }
-  if (const auto client = client_.lock(); client != nullptr && !is_tunnel_) {
-    (*client)->NoteHeard(address_);
-  }
   Receive(bytes);
   ParseInput();
   CheckHeldBytes();
--- a/Services/Forwarder/forwarder_daemon.cc
+++ b/Services/Forwarder/forwarder_daemon.cc
@@ -111,10 +111,6 @@
   registrations_ = std::make_unique<RegistrationController>(
       &adapters_, &scheduler_, &events_, &endpoints_, settings_.leaving_bound,
       random_.Next(), &cold_endpoints_);
-  registrations_->SetObserver([this](const forwarding::Endpoint& endpoint,
-                                     forwarding::LogPosition position) {
-    return context_.origin_certainty.RecordRegistration(endpoint, position);
-  });
   TRY_ASSIGN(fleet_, FleetController::Create(
                          {.loop = loop_,
                           .scheduler = &scheduler_,
@@ -208,10 +204,6 @@
            [this](const core::SocketAddress& address) {
              context_.origin_certainty.RecordBreak(address, loop_->Now());
            },
-       .on_heard =
-           [this](const core::SocketAddress& address) {
-             context_.origin_certainty.RecordHeard(address, loop_->Now());
-           },
        .on_unsolicited =
            [this](const core::SocketAddress& address,
                   const http::ConnectionUse& use, size_t bytes) {
@@ -475,7 +467,6 @@
 
 void ForwarderDaemon::Tick() {
   const core::TimePoint now = loop_->Now();
-  context_.origin_certainty.RecordTurn(now);
   configuration_->Tick();
   registrations_->Tick();
   origin_client_.Expire(now);
--- a/Services/Forwarder/origin_controller.cc
+++ b/Services/Forwarder/origin_controller.cc
@@ -53,7 +53,10 @@
               callback(false);
               return;
             }
-            StartRead(registrations_->next(), std::move(callback));
+            ReadRegistrations(registrations_->next(),
+                              {.started_at = context_.scheduler->Now(),
+                               .outdated = {},
+                               .callback = std::move(callback)});
           }),
       self_(std::make_shared<OriginController*>(this)) {
   if (is_first_start_) {
@@ -174,49 +177,28 @@
 }
 
 void OriginController::UpdateCertainty() {
-  if (registrations_ == nullptr || !registrations_->is_loaded()) {
+  if (registrations_ == nullptr) {
     return;
   }
   const core::TimePoint now = context_.scheduler->Now();
   if (!registrations_->is_reachable()) {
     unreachable_at_ = now;
   }
-  RecordRead(registrations_->own_read_started_at(), registrations_->next(), {});
+  RecordRead(registrations_->own_read_started_at(), {});
   if (now < next_certainty_read_at_ || !context_.certainty->IsReadDue(now)) {
     return;
   }
   next_certainty_read_at_ = now + kCertaintyReadInterval;
   // OnRegistrations records what the read shows.
-  StartRead(NeededFrom(), [](bool /*is_complete*/) {});
+  confirmation_.Confirm(now, now, [](bool /*is_confirmed*/) {});
 }
 
 void OriginController::RecordRead(
     core::TimePoint started_at,
-    platform::Offset next,
     const std::set<core::SocketAddress>& outdated) {
   if (started_at != core::TimePoint() && !IsRecovering(started_at)) {
-    context_.certainty->RecordRead(
-        started_at, {.epoch = registrations_->epoch(), .offset = next},
-        outdated);
+    context_.certainty->RecordRead(started_at, outdated);
   }
-  context_.certainty->Settle(*context_.endpoints);
-}
-
-platform::Offset OriginController::NeededFrom() const {
-  const auto needed = context_.certainty->NeededFrom(context_.scheduler->Now());
-  const bool is_of_this_history =
-      needed && needed->epoch == registrations_->epoch();
-  return is_of_this_history ? std::min(needed->offset, registrations_->next())
-                            : registrations_->next();
-}
-
-void OriginController::StartRead(
-    platform::Offset from,
-    forwarding::OriginConfirmation::ReadCallback callback) {
-  ReadRegistrations(from, {.started_at = context_.scheduler->Now(),
-                           .from = from,
-                           .outdated = {},
-                           .callback = std::move(callback)});
 }
 
 void OriginController::ReadRegistrations(platform::Offset from,
@@ -258,10 +240,6 @@
     if (registration.ok()) {
       context_.history->RecordStream(registration->endpoint,
                                      context_.scheduler->Now());
-      context_.certainty->RecordRegistration(
-          registration->endpoint, {.epoch = page->epoch, .offset = it.offset});
-      // The latest registration of an address counts.
-      read.outdated.erase(registration->endpoint.address);
       if (IsOutdated(registration->endpoint)) {
         read.outdated.insert(registration->endpoint.address);
       }
@@ -271,9 +249,7 @@
     ReadRegistrations(page->next, std::move(read));
     return;
   }
-  context_.certainty->RecordScan({.epoch = page->epoch, .offset = read.from},
-                                 {.epoch = page->epoch, .offset = page->next});
-  RecordRead(read.started_at, page->next, read.outdated);
+  RecordRead(read.started_at, read.outdated);
   read.callback(true);
 }
 
--- a/Services/Forwarder/origin_controller.h
+++ b/Services/Forwarder/origin_controller.h
@@ -79,16 +79,12 @@
   // A read of the registrations that this host's view lacks.
   struct RegistrationRead {
     core::TimePoint started_at;
-    platform::Offset from = 0;
     // The addresses of endpoints whose registrations differ from those that
     // this host holds.
     std::set<core::SocketAddress> outdated;
     forwarding::OriginConfirmation::ReadCallback callback;
   };
 
-  // Starts to read the registrations at or after `from`.
-  void StartRead(platform::Offset from,
-                 forwarding::OriginConfirmation::ReadCallback callback);
   // Reads the registrations at or after `from` and records their origins.
   void ReadRegistrations(platform::Offset from, RegistrationRead read);
   void OnRegistrations(platform::Offset from,
@@ -100,14 +96,10 @@
   // Makes use of the reads that keep the view of the registrations current, and
   // reads for streams that have waited for them in vain.
   void UpdateCertainty();
-  // Records a complete read of the registrations up to `next`, unless some may
-  // have been missing then.
+  // Records a complete read of the registrations, unless some may have been
+  // missing then.
   void RecordRead(core::TimePoint started_at,
-                  platform::Offset next,
                   const std::set<core::SocketAddress>& outdated);
-  // Returns where a read of the registrations that this host lacks begins. Also
-  // those that its view has skipped, because they change nothing, may matter.
-  platform::Offset NeededFrom() const;
   // Returns whether at `at` the platform had just been restored or was away,
   // even for a moment. Entries that it lost or that lapsed, and those of
   // endpoints that started meanwhile, are missing until their writers repeat
--- a/Services/Forwarder/registration_controller.cc
+++ b/Services/Forwarder/registration_controller.cc
@@ -90,7 +90,6 @@
       Skip(it, registration.status());
       continue;
     }
-    Notify(it, *registration);
     registrations.push_back(*std::move(registration));
   }
   registry_.Replace(registrations, RemainingGrace(), scheduler_->Now());
@@ -142,18 +141,8 @@
                     "out-of-order sequence={} started_at_ms={}",
                     record.key, record.offset, registration->sequence,
                     registration->endpoint.started_at_ms));
-    return false;
   }
-  const bool is_needed = Notify(record, *registration);
-  return is_needed || outcome == forwarding::RegistryOutcome::kChanged;
-}
-
-bool RegistrationController::Notify(
-    const platform::KeyedRecord& record,
-    const forwarding::Registration& registration) const {
-  return observer_ &&
-         observer_(registration.endpoint,
-                   {.epoch = view_->epoch(), .offset = record.offset});
+  return outcome == forwarding::RegistryOutcome::kChanged;
 }
 
 core::Duration RegistrationController::RemainingGrace() const {
--- a/Services/Forwarder/registration_controller.h
+++ b/Services/Forwarder/registration_controller.h
@@ -4,18 +4,14 @@
 #ifndef SERVICES_FORWARDER_REGISTRATION_CONTROLLER_H_
 #define SERVICES_FORWARDER_REGISTRATION_CONTROLLER_H_
 
-#include <functional>
 #include <map>
 #include <memory>
 #include <string>
-#include <utility>
 #include <vector>
 
 #include "LibCore/event_ring.h"
 #include "LibForwarding/adapter_set.h"
 #include "LibForwarding/endpoint_registry.h"
-#include "LibForwarding/origin_certainty.h"
-#include "LibForwarding/registration.h"
 #include "LibForwarding/topic_relay.h"
 #include "LibPlatform/topic_view.h"
 
@@ -36,12 +32,6 @@
                          uint64_t random_seed,
                          forwarding::ColdEndpoints* cold_endpoints = nullptr);
 
-  // Receives each registration that is read, also of those that change nothing.
-  // Returns whether other hosts need the record even so.
-  using Observer = std::function<bool(const forwarding::Endpoint& endpoint,
-                                      forwarding::LogPosition position)>;
-  void SetObserver(Observer observer) { observer_ = std::move(observer); }
-
   // Removes endpoints whose grace period has expired. Must be called
   // periodically.
   void Tick();
@@ -62,11 +52,6 @@
   // other hosts need to know.
   bool Skip(const platform::KeyedRecord& record, const absl::Status& status);
 
-  // Tells the observer of the registration in `record`. Returns whether other
-  // hosts need it.
-  bool Notify(const platform::KeyedRecord& record,
-              const forwarding::Registration& registration) const;
-
   const forwarding::AdapterSet* const adapters_;
   platform::Scheduler* const scheduler_;
   core::EventRing* const events_;
@@ -75,7 +60,6 @@
   // Records that describe no endpoint, with a hash of their values.
   std::map<std::string, uint64_t> skipped_;
   std::shared_ptr<platform::TopicView> view_;
-  Observer observer_;
 };
 
 }  // namespace wasabi::forwarder
--- a/Tests/ForwardedStreams/stream_continued_at_restarted_endpoint_test.cc
+++ b/Tests/ForwardedStreams/stream_continued_at_restarted_endpoint_test.cc
@@ -1,6 +1,5 @@
 // Regression test: an endpoint that may have restarted since its registration
-// was written may run another software version. A stream must not go on there,
-// and must not count as begun at the registered version.
+// was read may run another software version. A stream must not go on there.
 
 #include <catch2/catch.hpp>
 #include <optional>
@@ -21,10 +20,6 @@
 constexpr const char* kEvent1 = "id: 1\ndata: a\n\n";
 constexpr const char* kEvent2 = "id: 2\ndata: b\n\n";
 
-// Within it, a host reads the registrations more than once.
-constexpr core::Duration kUnregisteredTime = core::milliseconds(2600);
-// An endpoint may have started again since it was heard so long ago.
-constexpr core::Duration kSilence = core::milliseconds(600);
 // Until the host knows of closed connections.
 constexpr core::Duration kCloseTime = core::milliseconds(10);
 
@@ -38,32 +33,15 @@
   bool is_store_down;
   // The only other endpoint has closed all its connections at once.
   bool has_broken_connection;
-  // Time before that in which nothing came from it.
-  core::Duration silence{};
-  // The endpoint has written its registration once more since then.
-  bool has_registered_again;
   bool goes_on;
 };
 
-// Writes the registration of the second endpoint as its next heartbeat does.
-void RegisterAgain(ForwarderFixture& it) {
-  RunFor(it, core::milliseconds(1800));
-  it.Register("e2", it.second, "ready");
-  RunFor(it, core::milliseconds(1800));
-}
-
 TEST_CASE("a stream is not continued at an endpoint that may have restarted") {
   const RestartCase cases[] = {
-      {"the store works", false, false, {}, false, true},
-      {"the store is away", true, false, {}, false, true},
-      {"a connection broke", false, true, {}, false, true},
-      {"the store is away, a connection broke", true, true, {}, false, true},
-      {"a connection broke after a silence", false, true, kSilence, false,
-       false},
-      {"after a silence, it has registered again", false, true, kSilence, true,
-       true},
-      {"the store is away, a connection broke after a silence", true, true,
-       kSilence, false, false},
+      {"the store works", false, false, true},
+      {"the store is away", true, false, true},
+      {"the store works, a connection broke", false, true, true},
+      {"the store is away, a connection broke", true, true, false},
   };
   for (const RestartCase& row : cases) {
     INFO(row.what);
@@ -79,14 +57,10 @@
     }
     REQUIRE(it.second.requests() >= 2);
     if (row.has_broken_connection) {
-      RunFor(it, row.silence);
-      // After a silence, the endpoint may have crashed and be back.
+      // The endpoint has crashed and is back at once at its address.
       it.second.CloseAll();
     }
     RunFor(it, core::milliseconds(300));
-    if (row.has_registered_again) {
-      RegisterAgain(it);
-    }
     // Only streams that begin at the first endpoint count.
     bool has_begun = false;
     for (int i = 0; i < 40 && !has_begun; ++i) {
@@ -157,115 +131,77 @@
   FAIL("one endpoint gets no requests");
 }
 
-// Registers the second endpoint as a new start of version 2, which writes its
-// registration for the time `sequence`.
-void RegisterRestarted(ForwarderFixture& it, int sequence = 1) {
+// Registers the second endpoint as a new start of version 2.
+void RegisterRestarted(ForwarderFixture& it) {
   it.store->Write(
       it.names.registrations, "e2",
       fmt::format(
           R"({{"service":"p","address":"{}","zone":"z1","version":"v2",)"
-          R"("slots":8,"state":"ready","cold_left_ms":0,"seq":{},"born":2}})",
-          it.second.address().ToString(), sequence));
+          R"("slots":8,"state":"ready","cold_left_ms":0,"seq":1,"born":2}})",
+          it.second.address().ToString()));
 }
 
-// The registration of the endpoint since its connections broke.
-enum class Registered : uint8_t {
-  kUnchanged,
-  // The same start has written it once more, a heartbeat later.
-  kAgain,
-  // That of the new start is in the store, not yet in the view.
-  kAnew,
-};
-
 struct TakenUpCase {
   const char* what;
   bool is_store_down;
   bool has_broken_connection;
-  // Time before the break in which nothing came from the endpoint.
-  core::Duration silence{};
-  // Time after it in which the endpoint serves and doesn't register.
+  // Time for which the endpoint serves then without a new registration.
   core::Duration served_before{};
-  Registered registered;
+  // The registration of the new start is in the store, not yet in the view.
+  bool is_registered_anew;
   int status;
 };
 
-// The second endpoint, the only one by now, answers a request.
-void HearSecond(ForwarderFixture& it) {
-  it.request_id = "heard";
-  it.script = {ChunkedStreamStart(kEvent1, it.request_id) + kStreamEnd};
+void CheckTakenUp(const TakenUpCase& row) {
+  INFO(row.what);
+  ForwarderFixture it({.is_first_start = true});
+  it.Configure();
+  const std::string id = BeginAt(it, it.first, "id");
+  ConnectToBoth(it);
+  it.store->Write(it.names.registrations, "e1", std::nullopt);
+  RunFor(it, core::milliseconds(400));
+  it.store->SetDown(row.is_store_down);
+  if (row.has_broken_connection) {
+    it.second.CloseAll();
+    RunFor(it, kCloseTime + row.served_before);
+  }
+  if (row.is_registered_anew) {
+    RegisterRestarted(it);
+  }
+  if (row.is_store_down) {
+    RunFor(it, core::milliseconds(400));
+  }
   const int before = it.second.requests();
-  it.Get("/resumable/1");
-  REQUIRE(it.second.requests() == before + 1);
+  const core::TimePoint started_at = it.loop.Now();
+  CHECK(TakeUp(it, id).status == row.status);
+  CHECK(it.second.requests() - before == (row.status == 200 ? 1 : 0));
+  // What can't be served is refused at once.
+  CHECK(it.loop.Now() - started_at < core::milliseconds(700));
 }
 
 TEST_CASE("a stream is not taken up at an endpoint that may have restarted") {
-  using enum Registered;
   const TakenUpCase cases[] = {
-      {"the store is away", true, false, {}, {}, kUnchanged, 200},
-      {"the store is away, its connections were reset",
-       true,
-       true,
-       {},
-       {},
-       kUnchanged,
-       200},
-      {"the store is away, its connections broke after a silence",
-       true,
-       true,
-       kSilence,
-       {},
-       kUnchanged,
-       503},
-      {"its connections were reset", false, true, {}, {}, kUnchanged, 200},
-      {"its connections broke after a silence",
-       false,
-       true,
-       kSilence,
-       {},
-       kUnchanged,
-       503},
-      {"after a silence, it has registered again",
-       false,
-       true,
-       kSilence,
-       {},
-       kAgain,
-       200},
-      {"it has started again", false, true, kSilence, {}, kAnew, 503},
-      {"it serves before it registers", false, true, kSilence,
-       kUnregisteredTime, kUnchanged, 503},
-      {"it has served before it registered", false, true, kSilence,
-       kUnregisteredTime, kAnew, 503},
+      {"the store is away", true, false, {}, false, 200},
+      {"the store is away, its connections broke", true, true, {}, false, 503},
+      {"its connections were reset", false, true, {}, false, 200},
   };
   for (const TakenUpCase& row : cases) {
-    INFO(row.what);
-    ForwarderFixture it({.is_first_start = true});
-    it.Configure();
-    const std::string id = BeginAt(it, it.first, "id");
-    ConnectToBoth(it);
-    it.store->Write(it.names.registrations, "e1", std::nullopt);
-    RunFor(it, core::milliseconds(400));
-    it.store->SetDown(row.is_store_down);
-    if (row.has_broken_connection) {
-      HearSecond(it);
-      RunFor(it, row.silence);
-      it.second.CloseAll();
-      RunFor(it, kCloseTime + row.served_before);
-    }
-    if (row.registered == Registered::kAgain) {
-      RegisterAgain(it);
-    } else if (row.registered == Registered::kAnew) {
-      RegisterRestarted(it);
-    }
-    if (row.is_store_down) {
-      RunFor(it, core::milliseconds(400));
-    }
-    const int before = it.second.requests();
-    const core::TimePoint started_at = it.loop.Now();
-    CHECK(TakeUp(it, id).status == row.status);
-    CHECK(it.second.requests() - before == (row.status == 200 ? 1 : 0));
-    // What can't be served is refused at once.
-    CHECK(it.loop.Now() - started_at < core::milliseconds(700));
+    CheckTakenUp(row);
+  }
+}
+
+// The test unregistered_start_test, which KNOWN-RED.txt lists.
+TEST_CASE("a stream is taken up at a start that was not registered",
+          "[.][unregistered]") {
+  // Within it, a host reads the registrations more than once.
+  constexpr core::Duration kUnregisteredTime = core::milliseconds(2600);
+  const TakenUpCase cases[] = {
+      {"it has started again", false, true, {}, true, 503},
+      {"it has served before it registered", false, true, kUnregisteredTime,
+       true, 503},
+  };
+  for (const TakenUpCase& row : cases) {
+    CheckTakenUp(row);
   }
 }
 
@@ -274,7 +210,7 @@
   it.Configure();
   ConnectToBoth(it);
   it.store->SetDown(true);
-  RunFor(it, kSilence);
+  RunFor(it, core::milliseconds(300));
   // The second endpoint is another start with another version.
   it.second.CloseAll();
   RunFor(it, core::milliseconds(100));
@@ -292,8 +228,6 @@
     it.store->SetDown(false);
     RegisterRestarted(it);
     RunFor(it, core::milliseconds(3500));
-    RegisterRestarted(it, 2);
-    RunFor(it, core::milliseconds(1800));
     const int second_before = it.second.requests();
     CHECK(TakeUp(it, id).status == 200);
     CHECK(it.second.requests() == second_before + 1);
