Review: each run has loopback addresses of its own; case 11 with a second service

Cause: a run of case 11 beside another case ended with exit 2 (not traced); runs shared their addresses. Change: random loopback addresses for each run, an end of all routers when the time limit strikes, and OTHER=N runners of a second service in case 11.

--- a/review/11/play.py
+++ b/review/11/play.py
@@ -23,6 +23,8 @@
 STABLE_WINDOW_S = 3.0    # bounds.stable_window_ms
 MAX_LATE_RETRIES = 3     # BUDGET: "in more than three retries"
 BAD_TARGET = "/shop/bad"
+# Runners of a second, sound service, which gets no requests.
+OTHER_RUNNERS = int(os.environ.get("OTHER", "0"))
 
 
 async def play(case):
@@ -45,10 +47,16 @@
                       f"c{i}", slots=6) for i in range(RUNNERS)]
     for runner in runners:
         runner.serve_one = serve
-    await case.start(MACHINES, runners, configuration(
-        1, [route("r-shop", "/shop/", "counter", "safe", attempts=2,
-                  timeout_ms=800, target_latency_ms=100)],
-        [service("counter")], LIMITS, TENANTS))
+    routes = [route("r-shop", "/shop/", "counter", "safe", attempts=2,
+                    timeout_ms=800, target_latency_ms=100)]
+    services = [service("counter")]
+    others = [Runner(None, case.record, "chat", f"127.0.9.{i + 1}", f"m{i}",
+                     slots=64) for i in range(OTHER_RUNNERS)]
+    if others:
+        routes.append(route("r-chat", "/chat/", "chat", "safe"))
+        services.append(service("chat"))
+    await case.start(MACHINES, runners + others, configuration(
+        1, routes, services, LIMITS, TENANTS))
 
     ends = {}
 
--- a/review/harness-3/case.py
+++ b/review/harness-3/case.py
@@ -2,10 +2,11 @@
 
 import asyncio
 import os
+import signal
 import sys
 import tempfile
 
-from standins import Record, Router, Store, free_port, router_ports, until
+from standins import Record, Router, Store, free_port, own_ip, router_ports, until
 
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
 
@@ -19,7 +20,8 @@
 
     async def start(self, machines, runners, config, settle=3.0):
         """Starts the store, the runners and the machines."""
-        self.store = Store(f"127.0.7.100:{free_port('127.0.7.100')}")
+        ip = own_ip("127.0.7.100")
+        self.store = Store(f"{ip}:{free_port(ip)}")
         await self.store.start()
         for runner in runners:
             runner.store = self.store
@@ -55,6 +57,9 @@
         asyncio.get_running_loop().set_exception_handler(lambda *_: None)
         return await asyncio.wait_for(play(case), 110)
 
+    code = COULD_NOT_RUN
+    # The time limit of run.sh must not leave routers behind.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit())
     try:
         held = asyncio.run(main())
         case.note(f"trouble={int(case.trouble)}: the rule "
@@ -62,7 +67,6 @@
         code = HELD if held else BROKEN
     except Exception as error:  # pylint: disable=broad-except
         case.note(f"the case could not run: {error!r}")
-        code = COULD_NOT_RUN
     finally:
         case.end()
     sys.stdout.flush()
--- a/review/harness-3/standins.py
+++ b/review/harness-3/standins.py
@@ -22,6 +22,16 @@
 ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
 
 
+# Each run has loopback addresses of its own, so that runs at the same time
+# don't meet.
+NET = random.randint(1, 250)
+
+
+def own_ip(ip):
+    """Returns this run's address in place of 127.0.x.y."""
+    return ip.replace("127.0.", f"127.{NET}.", 1)
+
+
 def free_port(ip="127.0.0.1"):
     with socket.socket() as s:
         s.bind((ip, 0))
@@ -234,8 +244,8 @@
     def __init__(self, store, record, service, ip, name, slots=8, zone="z0",
                  heartbeat=1.2):
         self.store, self.record, self.service = store, record, service
-        self.ip, self.name, self.slots, self.zone = ip, name, slots, zone
-        self.port = free_port(ip)
+        self.ip, self.name, self.slots, self.zone = own_ip(ip), name, slots, zone
+        self.port = free_port(self.ip)
         self.heartbeat = heartbeat
         self.server = None
         self.connections = set()
@@ -376,11 +386,11 @@
     def __init__(self, folder, index, count, ports, store, bounds=None,
                  zone="z0"):
         self.folder, self.index = folder, index
-        self.ip = f"127.0.7.{index + 1}"
+        self.ip = own_ip(f"127.0.7.{index + 1}")
         self.ports = ports
         self.zone = zone
         self.store = store
-        self.seeds = [f"127.0.7.{i + 1}:{ports['control']}"
+        self.seeds = [own_ip(f"127.0.7.{i + 1}") + f":{ports['control']}"
                       for i in range(min(count, 3))]
         self.bounds = {"seed_lag_s": 3, "reuse_after_s": 2,
                        "stable_window_ms": 3000, "ack_ms": 4000,
@@ -458,7 +468,8 @@
 
 
 def router_ports():
-    return {name: free_port() for name in
+    # Free at all machines of a run, since its addresses are its own.
+    return {name: free_port(own_ip("127.0.7.1")) for name in
             ("front", "ready", "control", "directory", "gossip", "internal")}
 
 
