--- a/review/harness-3/standins.py
+++ b/review/harness-3/standins.py
@@ -281,8 +281,12 @@
                            json.dumps(entry).encode())
             await asyncio.sleep(self.heartbeat)
 
-    def crash(self, back_after):
-        """Ends the process: all its connections are reset."""
+    def crash(self, back_after, resets=True):
+        """Ends the process.
+
+        Its connections are reset, or closed as the system closes those of a
+        process that has read all that was sent to it.
+        """
         if self.server is None:
             return
         dead, runner_id = self.server, self.id
@@ -292,7 +296,10 @@
         self.beat_task.cancel()
         dead.close()
         for writer in list(self.connections):
-            reset(writer)
+            if resets:
+                reset(writer)
+            else:
+                writer.transport.abort()
         self.connections.clear()
         for task in list(self.tasks):
             task.cancel()
